--- /dev/null
+++ b/packages/geranium-model/src/geranium_model/configuration.py
@@ -0,0 +1,67 @@
+"""The configuration that is in force on every daemon."""
+
+import dataclasses
+from collections.abc import Iterator, Mapping
+
+from .contracts import Contract
+from .exceptions import UnknownNameError
+from .services import Route, Service
+from .targets import Backend
+from .teams import Key, Team
+from .zones import Zone
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Configuration:
+    """One version of everything that operators configure.
+
+    Instances are immutable; a change makes a new one.
+    """
+
+    version: int = 0
+    zones_by_name: Mapping[str, Zone] = dataclasses.field(default_factory=dict)
+    services_by_name: Mapping[str, Service] = dataclasses.field(
+        default_factory=dict,
+    )
+    targets_by_name: Mapping[str, Backend] = dataclasses.field(
+        default_factory=dict,
+    )
+    teams_by_name: Mapping[str, Team] = dataclasses.field(default_factory=dict)
+    keys_by_sha256: Mapping[str, Key] = dataclasses.field(default_factory=dict)
+    routes_by_name: Mapping[str, Route] = dataclasses.field(
+        default_factory=dict,
+    )
+    contracts: tuple[Contract, ...] = ()
+    cordoned_zones: frozenset[str] = frozenset()
+
+    def service(self, name: str) -> Service:
+        """Return the service of this name.
+
+        Raises:
+            UnknownNameError: If there is none.
+        """
+        try:
+            return self.services_by_name[name]
+        except KeyError:
+            raise UnknownNameError('service', name) from None
+
+    def targets_of(self, service: str) -> Iterator[Backend]:
+        """Yield the service's targets outside cordoned zones."""
+        for target in self.targets_by_name.values():
+            if target.service != service:
+                continue
+            if target.zone not in self.cordoned_zones:
+                yield target
+
+    def route_for(self, service: str, method: str, path: str) -> Route | None:
+        """Return the route with the longest path that takes the call."""
+        candidates = [
+            route
+            for route in self.routes_by_name.values()
+            if route.service == service and route.takes(method, path)
+        ]
+        return max(
+            candidates,
+            key=lambda route: (len(route.path), route.name),
+            default=None,
+        )
--- /dev/null
+++ b/packages/geranium-model/src/geranium_model/services.py
@@ -0,0 +1,68 @@
+"""Services that callers name, and the routes that lead to them."""
+
+import dataclasses
+from typing import TypeAlias
+
+REPEATABLE_METHODS = frozenset(('GET', 'HEAD', 'PUT', 'DELETE', 'OPTIONS'))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ModelService:
+    """A language model served by engines, with its latency objectives."""
+
+    name: str
+    model: str
+    version: str
+    first_token_ms: int = 560
+    between_tokens_ms: int = 43
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ApplicationService:
+    """A plain HTTP service served by application targets."""
+
+    name: str
+
+
+Service: TypeAlias = ModelService | ApplicationService
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """Who may call which paths of a service, and whether calls may repeat.
+
+    Args:
+        name: Unique name of the route.
+        service: The service that it leads to.
+        path: Prefix of the paths, after the service's name.
+        methods: HTTP methods that it takes; empty for all.
+        repeatable: Whether its calls are idempotent; ``None`` leaves it to
+            the method.
+        open_to_all: Whether a call needs no key.
+        teams: Teams that may call; empty for all.
+    """
+
+    name: str
+    service: str
+    path: str = '/'
+    methods: frozenset[str] = frozenset()
+    repeatable: bool | None = None
+    open_to_all: bool = False
+    teams: frozenset[str] = frozenset()
+
+    def takes(self, method: str, path: str) -> bool:
+        """Tell whether the route takes this method on this path."""
+        if self.methods and method not in self.methods:
+            return False
+        prefix = self.path.rstrip('/')
+        return path == prefix or path.startswith(f'{prefix}/')
+
+    def may_repeat(self, method: str) -> bool:
+        """Tell whether a call with this method is idempotent."""
+        if self.repeatable is None:
+            return method in REPEATABLE_METHODS
+        return self.repeatable
+
+    def admits(self, team: str) -> bool:
+        """Tell whether the team may call this route."""
+        return not self.teams or team in self.teams
--- /dev/null
+++ b/packages/geranium-model/src/geranium_model/validation.py
@@ -0,0 +1,131 @@
+"""Checks a configuration document as a whole."""
+
+from collections.abc import Collection, Iterable, Iterator
+from typing import Any
+
+import pydantic
+
+from .documents import ConfigurationDocument
+from .exceptions import DocumentError
+
+
+def parse_document(raw: Any) -> ConfigurationDocument:
+    """Validate a decoded JSON value as a configuration document.
+
+    Raises:
+        DocumentError: If a field is malformed or the parts contradict each
+            other; the complaints name each place by its path.
+    """
+    try:
+        document = ConfigurationDocument.model_validate(raw)
+    except pydantic.ValidationError as error:
+        raise DocumentError(tuple(validation_complaints(error))) from None
+    complaints = tuple(_Checker(document).complaints())
+    if complaints:
+        raise DocumentError(complaints)
+    return document
+
+
+def validation_complaints(error: pydantic.ValidationError) -> Iterator[str]:
+    """Yield a line for each fault, beginning with the field's path."""
+    for fault in error.errors():
+        yield f'{_dotted(fault["loc"])}: {fault["msg"]}'
+
+
+def _dotted(location: Iterable[str | int]) -> str:
+    steps = (
+        f'[{step}]' if isinstance(step, int) else f'.{step}'
+        for step in location
+    )
+    return ''.join(steps).lstrip('.') or '(document)'
+
+
+class _Checker:
+    """Finds names that stand twice or lead nowhere."""
+
+    def __init__(self, document: ConfigurationDocument) -> None:
+        self._document = document
+        self._zones = {zone.name for zone in document.zones}
+        self._teams = {team.name for team in document.teams}
+        self._kinds_by_service = {
+            service.name: service.kind for service in document.services
+        }
+
+    def complaints(self) -> Iterator[str]:
+        """Yield a line for each contradiction."""
+        yield from self._check_duplicates()
+        yield from self._check_targets()
+        yield from self._check_keys()
+        yield from self._check_routes()
+        yield from self._check_contracts()
+        for zone in self._document.cordoned_zones:
+            yield from _missing('cordoned_zones', 'zone', zone, self._zones)
+
+    def _check_duplicates(self) -> Iterator[str]:
+        document = self._document
+        names_by_field = {
+            'zones': [zone.name for zone in document.zones],
+            'services': [service.name for service in document.services],
+            'targets': [target.name for target in document.targets],
+            'teams': [team.name for team in document.teams],
+            'keys': [key.key_id for key in document.keys],
+            'routes': [route.name for route in document.routes],
+        }
+        for field, names in names_by_field.items():
+            yield from _repeated(field, names)
+
+    def _check_targets(self) -> Iterator[str]:
+        for index, target in enumerate(self._document.targets):
+            path = f'targets[{index}]'
+            wanted = 'model' if target.kind == 'engine' else 'application'
+            if self._kinds_by_service.get(target.service) != wanted:
+                yield f'{path}.service: no {wanted} service {target.service!r}'
+            yield from _missing(
+                f'{path}.zone', 'zone', target.zone, self._zones
+            )
+
+    def _check_keys(self) -> Iterator[str]:
+        for index, key in enumerate(self._document.keys):
+            yield from _missing(
+                f'keys[{index}].team', 'team', key.team, self._teams
+            )
+
+    def _check_routes(self) -> Iterator[str]:
+        for index, route in enumerate(self._document.routes):
+            path = f'routes[{index}]'
+            yield from self._check_service(path, route.service)
+            for team in route.teams:
+                yield from _missing(f'{path}.teams', 'team', team, self._teams)
+
+    def _check_contracts(self) -> Iterator[str]:
+        for index, contract in enumerate(self._document.contracts):
+            path = f'contracts[{index}]'
+            yield from self._check_service(path, contract.service)
+            yield from _missing(
+                f'{path}.zone', 'zone', contract.zone, self._zones
+            )
+            if contract.maximum < contract.committed:
+                yield f'{path}.maximum: is below committed'
+
+    def _check_service(self, path: str, service: str) -> Iterator[str]:
+        yield from _missing(
+            f'{path}.service', 'service', service, self._kinds_by_service
+        )
+
+
+def _missing(
+    path: str,
+    kind: str,
+    name: str,
+    known: Collection[str],
+) -> Iterator[str]:
+    if name not in known:
+        yield f'{path}: no {kind} {name!r}'
+
+
+def _repeated(field: str, names: Iterable[str]) -> Iterator[str]:
+    seen: set[str] = set()
+    for index, name in enumerate(names):
+        if name in seen:
+            yield f'{field}[{index}]: {name!r} stands twice'
+        seen.add(name)
--- /dev/null
+++ b/packages/geranium-policy/src/geranium_policy/__init__.py
@@ -0,0 +1,1 @@
+"""Routing, admission, retry, role and spend decisions as plain objects."""
--- /dev/null
+++ b/packages/geranium-standins/src/geranium_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes of the platform, engines and applications, for development and tests."""
--- /dev/null
+++ b/packages/geranium-statements/src/geranium_statements/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' query and command language."""
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that runs on every entry host."""
