--- a/packages/geranium-model/src/geranium_model/configuration.py
+++ b/packages/geranium-model/src/geranium_model/configuration.py
@@ -65,3 +65,10 @@
             key=lambda route: (len(route.path), route.name),
             default=None,
         )
+
+    def may_call(self, team: str, service: str) -> bool:
+        """Tell whether some route of the service admits the team."""
+        return any(
+            route.service == service and route.admits(team)
+            for route in self.routes_by_name.values()
+        )
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/application_endpoint.py
@@ -0,0 +1,93 @@
+"""The callers' endpoint for application services."""
+
+from aiohttp import web
+from geranium_model import ApplicationService, Completed, NotRun, Outcome, Usage
+
+from .access import Grant
+from .accounting import RequestAccounting
+from .applications import ApplicationRunner
+from .arrivals import Arrival, ArrivalDesk
+from .endpoints import AccessControl
+from .problems import problem_response
+from .targets import ApplicationAnswer, ApplicationCall
+
+_PREFIX = '/apps/'
+
+
+class ApplicationEndpoint:
+    """Serves ``/apps/{service}/{path}``."""
+
+    def __init__(
+        self,
+        access: AccessControl,
+        desk: ArrivalDesk,
+        runner: ApplicationRunner,
+        accounting: RequestAccounting,
+    ) -> None:
+        self._access = access
+        self._desk = desk
+        self._runner = runner
+        self._accounting = accounting
+
+    async def serve(self, request: web.Request) -> web.StreamResponse:
+        """Answer a call to an application service."""
+        arrival = self._desk.take(request.headers)
+        if isinstance(arrival, NotRun):
+            return problem_response(arrival, '-')
+        service = request.match_info['service']
+        path = f'/{request.match_info.get("path", "")}'
+        grant = self._access.check(request, service, path)
+        if isinstance(grant, Grant) and not isinstance(
+            grant.service,
+            ApplicationService,
+        ):
+            grant = NotRun(404, 'No such service')
+        if isinstance(grant, NotRun):
+            return problem_response(grant, arrival.request_id)
+        call = await _read_call(request, arrival, grant)
+        return await self._answer(call)
+
+    async def _answer(self, call: ApplicationCall) -> web.Response:
+        record = self._accounting.begin(call.arrival, call.team, call.service)
+        answer = await self._runner.run(call, record)
+        request_id = call.arrival.request_id
+        if isinstance(answer, ApplicationAnswer):
+            self._accounting.end(record, Completed(), Usage(requests=1))
+            return _to_response(answer, request_id)
+        self._accounting.end(record, answer, _usage(answer))
+        return problem_response(answer, request_id)
+
+
+async def _read_call(
+    request: web.Request,
+    arrival: Arrival,
+    grant: Grant,
+) -> ApplicationCall:
+    prefix = f'{_PREFIX}{request.match_info["service"]}'
+    raw_path = request.raw_path.removeprefix(prefix)
+    return ApplicationCall(
+        arrival=arrival,
+        team=grant.team,
+        service=grant.service.name,
+        method=request.method,
+        path=raw_path if raw_path.startswith('/') else f'/{raw_path}',
+        headers=request.headers,
+        body=await request.read(),
+        is_repeatable=grant.route.may_repeat(request.method),
+    )
+
+
+def _to_response(answer: ApplicationAnswer, request_id: str) -> web.Response:
+    response = web.Response(
+        status=answer.status,
+        body=answer.body,
+        headers=answer.headers,
+    )
+    response.headers['Request-Id'] = request_id
+    return response
+
+
+def _usage(outcome: Outcome) -> Usage:
+    if isinstance(outcome, NotRun):
+        return Usage()
+    return Usage(requests=1)
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/calls.py
@@ -0,0 +1,98 @@
+"""Calls for a completion as they come from callers."""
+
+import dataclasses
+import json
+from http import HTTPStatus
+from typing import Annotated, Any, TypeAlias
+
+import pydantic
+from geranium_model import ModelService, NotRun, validation_complaints
+
+from .arrivals import Arrival
+
+CHARACTERS_PER_TOKEN = 4
+DEFAULT_MAX_TOKENS = 256
+
+
+class _Message(pydantic.BaseModel):
+    role: str = 'user'
+    content: Any = ''
+
+
+class CompletionBody(pydantic.BaseModel):
+    """What the daemon reads of an OpenAI-shaped body; the rest passes."""
+
+    model_config = pydantic.ConfigDict(extra='allow')
+
+    model: str
+    stream: bool = False
+    messages: tuple[_Message, ...] | None = None
+    prompt: str | list[str] | None = None
+    max_tokens: Annotated[int, pydantic.Field(ge=1)] | None = None
+    max_completion_tokens: Annotated[int, pydantic.Field(ge=1)] | None = None
+
+    def prompt_text(self) -> str:
+        """Return the text that the engine reads, as routing needs it."""
+        if self.messages is not None:
+            return '\n'.join(
+                f'{message.role}: {message.content}'
+                for message in self.messages
+            )
+        if isinstance(self.prompt, list):
+            return '\n'.join(self.prompt)
+        return self.prompt or ''
+
+    def token_limit(self) -> int:
+        """Return the most tokens that the answer may have."""
+        return (
+            self.max_completion_tokens or self.max_tokens or DEFAULT_MAX_TOKENS
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CompletionCall:
+    """A call for a completion; ``body`` is what the engine gets."""
+
+    arrival: Arrival
+    team: str
+    service: ModelService
+    path: str
+    body: bytes
+    is_streamed: bool
+    prompt_text: str
+    max_tokens: int
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Return the prompt's length in tokens, as estimated."""
+        return len(self.prompt_text) // CHARACTERS_PER_TOKEN + 1
+
+
+ParsedBody: TypeAlias = CompletionBody | NotRun
+
+
+def parse_completion_body(text: bytes, path: str) -> ParsedBody:
+    """Return the body of a completion call, or why it can't run."""
+    try:
+        body = CompletionBody.model_validate_json(text)
+    except pydantic.ValidationError as error:
+        complaints = '; '.join(validation_complaints(error))
+        return _malformed(complaints)
+    if path.endswith('/chat/completions'):
+        if not body.messages:
+            return _malformed('messages: is missing or empty')
+    elif body.prompt is None:
+        return _malformed('prompt: is missing')
+    return body
+
+
+def engine_body(body: CompletionBody, service: ModelService) -> bytes:
+    """Return the body for the engine: its model's name, always streamed."""
+    fields = body.model_dump(exclude_unset=True)
+    fields['model'] = service.model
+    fields['stream'] = True
+    return json.dumps(fields).encode()
+
+
+def _malformed(detail: str) -> NotRun:
+    return NotRun(HTTPStatus.BAD_REQUEST, 'Malformed body', detail)
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/channel.py
@@ -0,0 +1,98 @@
+"""Authenticated framing over a TCP connection between two daemons.
+
+A frame is a 4-byte big-endian length, a 16-byte message authentication
+code and the payload. The code covers the direction, a counter and the
+payload, so that a frame can't be altered, repeated or sent back.
+"""
+
+import asyncio
+import hashlib
+import hmac
+import struct
+from types import MappingProxyType
+
+from .exceptions import FrameError, PeerError
+from .telemetry import Telemetry
+
+MAC_BYTES = 16
+_LENGTH = struct.Struct('>I')
+_COUNTER = struct.Struct('>Q')
+_SENT = MappingProxyType({'network.io.direction': 'transmit'})
+_RECEIVED = MappingProxyType({'network.io.direction': 'receive'})
+
+
+class Channel:
+    """Frames in both directions of one connection.
+
+    Without keys (during the handshake) frames carry an empty code.
+    """
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        max_frame_bytes: int,
+        telemetry: Telemetry,
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._max_frame_bytes = max_frame_bytes
+        self._telemetry = telemetry
+        self._send_key = b''
+        self._receive_key = b''
+        self._sent = 0
+        self._received = 0
+
+    def secure(self, send_key: bytes, receive_key: bytes) -> None:
+        """Authenticate every later frame with these keys."""
+        self._send_key = send_key
+        self._receive_key = receive_key
+
+    async def send(self, payload: bytes) -> None:
+        """Send a frame.
+
+        Raises:
+            PeerError: If the connection is gone.
+        """
+        code = _code(self._send_key, self._sent, payload)
+        self._sent += 1
+        frame = _LENGTH.pack(len(payload)) + code + payload
+        self._telemetry.peer_bytes.add(len(frame), _SENT)
+        try:
+            self._writer.write(frame)
+            await self._writer.drain()
+        except OSError as error:
+            raise PeerError(repr(error)) from error
+
+    async def receive(self) -> bytes:
+        """Return the payload of the next frame.
+
+        Raises:
+            PeerError: If the connection is gone.
+            FrameError: If the frame is too long or fails its code.
+        """
+        try:
+            header = await self._reader.readexactly(_LENGTH.size + MAC_BYTES)
+            length = _LENGTH.unpack_from(header)[0]
+            if length > self._max_frame_bytes:
+                raise FrameError(f'a frame of {length} bytes')
+            payload = await self._reader.readexactly(length)
+        except (OSError, asyncio.IncompleteReadError) as error:
+            raise PeerError(repr(error)) from error
+        code = _code(self._receive_key, self._received, payload)
+        self._received += 1
+        if not hmac.compare_digest(code, header[_LENGTH.size :]):
+            raise FrameError('a frame failed its authentication code')
+        self._telemetry.peer_bytes.add(len(header) + length, _RECEIVED)
+        return payload
+
+    def close(self) -> None:
+        """Close the connection without waiting."""
+        self._writer.close()
+
+
+def _code(key: bytes, counter: int, payload: bytes) -> bytes:
+    if not key:
+        return bytes(MAC_BYTES)
+    message = _COUNTER.pack(counter) + payload
+    return hmac.digest(key, message, hashlib.sha256)[:MAC_BYTES]
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/endpoints.py
@@ -0,0 +1,54 @@
+"""What the callers' endpoints share: letting requests in."""
+
+from http import HTTPStatus
+from typing import TypeAlias
+
+from aiohttp import web
+from geranium_model import NotRun
+
+from .access import Grant, decide_access, read_credentials
+from .arrivals import Arrival, ArrivalDesk
+from .follower import ConfigurationFollower
+
+_RETRY_AFTER_S = 1
+
+_STALE = NotRun(
+    HTTPStatus.SERVICE_UNAVAILABLE,
+    'Configuration not confirmed',
+    'This host cannot tell whether the key is still in force; '
+    'other hosts may.',
+    retry_after_s=_RETRY_AFTER_S,
+)
+
+AccessResult: TypeAlias = Grant | NotRun
+
+
+class AccessControl:
+    """Decides by the configuration in force which requests may run."""
+
+    def __init__(self, follower: ConfigurationFollower) -> None:
+        self._follower = follower
+
+    def check(
+        self,
+        request: web.Request,
+        service: str,
+        path: str,
+    ) -> AccessResult:
+        """Return the grant for a request, or why it can't run.
+
+        Called again right before a request is sent to a target, since a
+        key may have been withdrawn while it waited.
+        """
+        decision = decide_access(
+            self._follower.configuration,
+            read_credentials(request.headers),
+            service,
+            request.method,
+            path,
+        )
+        if isinstance(decision, NotRun) or decision.route.open_to_all:
+            return decision
+        if not self._follower.is_fresh():
+            return _STALE
+        return decision
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/engines.py
@@ -0,0 +1,167 @@
+"""The adapter to an engine's reports and orders."""
+
+import dataclasses
+import json
+
+import pydantic
+from geranium_model import (
+    Drain,
+    Engine,
+    EngineCommand,
+    EngineLoad,
+    LoadAdapter,
+    LoadModel,
+    Resume,
+    Role,
+    SetRole,
+)
+
+from .exceptions import TargetError
+from .transport import TargetTransport, raise_for_status, read_body
+
+MS_PER_S = 1000
+_CALL_TIMEOUT_S = 2
+
+
+class _LoadReport(pydantic.BaseModel):
+    engine: str
+    role: Role
+    state: str
+    running: int
+    waiting: int
+    kv_pieces_used: int
+    kv_pieces: int
+    prefill_tokens_waiting: int
+    sampled_ms_ago: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """An engine's word that it stored or evicted a prompt prefix."""
+
+    seq: int
+    prefix: int
+    stored: bool
+
+
+class _CacheEventRow(pydantic.BaseModel):
+    seq: int
+    kind: str
+    prefix: int
+
+
+class _CacheEventPage(pydantic.BaseModel):
+    events: tuple[_CacheEventRow, ...]
+    next: int
+
+
+class EngineClient:
+    """Asks engines for their reports and sends them orders."""
+
+    def __init__(self, transport: TargetTransport) -> None:
+        self._transport = transport
+
+    async def load(self, engine: Engine, now: float) -> EngineLoad:
+        """Return the engine's lagging load report.
+
+        Raises:
+            TargetError: If there is no valid answer in time.
+        """
+        text = await self._get(f'http://{engine.address}/load')
+        try:
+            report = _LoadReport.model_validate_json(text)
+        except pydantic.ValidationError as error:
+            raise TargetError('malformed load report') from error
+        return EngineLoad(
+            engine=report.engine,
+            role=report.role,
+            accepting=report.state == 'accepting',
+            running=report.running,
+            waiting=report.waiting,
+            kv_pieces_used=report.kv_pieces_used,
+            kv_pieces=report.kv_pieces,
+            prefill_tokens_waiting=report.prefill_tokens_waiting,
+            sampled_at=now - report.sampled_ms_ago / MS_PER_S,
+        )
+
+    async def cache_events(
+        self,
+        engine: Engine,
+        after: int,
+    ) -> tuple[CacheEvent, ...]:
+        """Return the cache events after a sequence number.
+
+        Raises:
+            TargetError: If there is no valid answer in time.
+        """
+        url = f'http://{engine.address}/cache-events?after={after}&wait_ms=0'
+        try:
+            page = _CacheEventPage.model_validate_json(await self._get(url))
+        except pydantic.ValidationError as error:
+            raise TargetError('malformed cache events') from error
+        return tuple(
+            CacheEvent(row.seq, row.prefix, row.kind == 'stored')
+            for row in page.events
+        )
+
+    async def order(
+        self,
+        engine: Engine,
+        order_id: str,
+        epoch: int,
+        command: EngineCommand,
+    ) -> None:
+        """Send an order to the engine.
+
+        Raises:
+            TargetRefusedError: If the engine did not take it.
+            TargetFailedError: If it is fenced by a higher epoch.
+            TargetLostError: If its answer was lost.
+        """
+        body = {
+            'order_id': order_id,
+            'epoch': epoch,
+            'order': command_body(command),
+        }
+        response = await self._transport.send(
+            'POST',
+            f'http://{engine.address}/orders',
+            body=json.dumps(body).encode(),
+            headers={'Content-Type': 'application/json'},
+            total_timeout_s=_CALL_TIMEOUT_S,
+        )
+        try:
+            await raise_for_status(response)
+        finally:
+            response.release()
+
+    async def _get(self, url: str) -> bytes:
+        response = await self._transport.send(
+            'GET',
+            url,
+            total_timeout_s=_CALL_TIMEOUT_S,
+        )
+        try:
+            await raise_for_status(response)
+            return await read_body(response)
+        finally:
+            response.release()
+
+
+def command_body(command: EngineCommand) -> dict[str, str]:
+    """Return an engine's command in the shape of the wire."""
+    match command:
+        case SetRole(role=role):
+            return {'kind': 'set-role', 'role': role.value}
+        case LoadModel(model=model, version=version):
+            return {'kind': 'load-model', 'model': model, 'version': version}
+        case LoadAdapter(adapter=adapter, version=version):
+            return {
+                'kind': 'load-adapter',
+                'adapter': adapter,
+                'version': version,
+            }
+        case Drain():
+            return {'kind': 'drain'}
+        case Resume():
+            return {'kind': 'resume'}
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/events.py
@@ -0,0 +1,77 @@
+"""Server-sent events of an engine, checked by request id and offset."""
+
+import dataclasses
+
+_EVENT_END = b'\n\n'
+_COMMENT = b':'
+_DONE = b'data: [DONE]'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Batch:
+    """Whole events that one read brought, in order and without gaps.
+
+    ``data`` is passed on as it is; ``next_offset`` follows its last event;
+    ``done`` tells that the completion mark is among them.
+    """
+
+    data: bytes
+    next_offset: int
+    done: bool
+
+
+class EventBuffer:
+    """Cuts a byte stream into whole events and drops foreign ones.
+
+    An event belongs here if its id is the request's and its offset is the
+    one expected next. An event of another request, or one that was passed
+    on before, is dropped; ``has_gap`` turns true at an offset that was
+    skipped, and nothing is taken after it.
+    """
+
+    def __init__(self, execution_id: str, next_offset: int = 0) -> None:
+        self._prefix = f'id: {execution_id}:'.encode()
+        self._rest = b''
+        self.next_offset = next_offset
+        self.dropped_count = 0
+        self.has_gap = False
+        self.last_payload = b''
+
+    def feed(self, chunk: bytes) -> Batch:
+        """Take a chunk as it was read and return the whole events in it."""
+        *events, self._rest = (self._rest + chunk).split(_EVENT_END)
+        accepted = []
+        for event in events:
+            if event.startswith(_COMMENT):
+                continue
+            if not self._accept(event):
+                continue
+            accepted.append(event)
+            if event.endswith(_DONE):
+                return self._batch(accepted, done=True)
+        return self._batch(accepted, done=False)
+
+    def _accept(self, event: bytes) -> bool:
+        if self.has_gap:
+            return False
+        if not event.startswith(self._prefix):
+            self.dropped_count += 1
+            return False
+        header, _, payload = event.partition(b'\n')
+        offset = int(header[len(self._prefix) :])
+        if offset < self.next_offset:
+            self.dropped_count += 1
+            return False
+        if offset > self.next_offset:
+            self.has_gap = True
+            return False
+        self.next_offset += 1
+        if not payload.endswith(_DONE):
+            self.last_payload = payload
+        return True
+
+    def _batch(self, events: list[bytes], *, done: bool) -> Batch:
+        joined = b''
+        if events:
+            joined = _EVENT_END.join(events) + _EVENT_END
+        return Batch(joined, self.next_offset, done)
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/execution.py
@@ -0,0 +1,264 @@
+"""Executes operators' statements."""
+
+import dataclasses
+from typing import TypeAlias
+
+from geranium_coordination import (
+    Acknowledgements,
+    AnnouncementError,
+    ChangeAccepted,
+    ChangeConflict,
+    ChangeOutcome,
+    ChangeOutcomeUnknownError,
+    ChangeRejected,
+    ConfigurationRepository,
+    ConfigurationUnavailableError,
+    Mutation,
+)
+from geranium_model import (
+    ConfigurationDocument,
+    DocumentError,
+    ModelError,
+    generate_secret,
+)
+from geranium_statements import (
+    Change,
+    ExplainRequest,
+    HostAnswer,
+    Show,
+    Statement,
+    StopHost,
+    Table,
+    Watch,
+    apply_command,
+    build_table,
+    describe,
+    merge,
+    parse_statement,
+    run_query,
+)
+from geranium_statements.commands import CreateKey
+
+from .directory import HostDirectory
+from .exceptions import (
+    OperatorConflictError,
+    OperatorRefusedError,
+    OperatorUnavailableError,
+)
+from .fanout import Fanout, HostQuestion
+from .follower import ConfigurationFollower
+from .logs import get_logger
+from .tables import COLLECTIONS_BY_HOST, LocalTables
+
+_ROLLOUT_WAIT_S = 5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OperatorRequest:
+    """A statement as an operator sent it."""
+
+    text: str
+    operation_id: str
+    author: str
+    token: str
+    is_local: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationChange:
+    """A change of the configuration as an operator ordered it."""
+
+    mutation: Mutation
+    operation_id: str
+    author: str
+    description: str
+    expected_version: int | None = None
+
+
+class StatementExecutor:
+    """Answers statements for the whole system, through any host."""
+
+    def __init__(
+        self,
+        host: str,
+        tables: LocalTables,
+        fanout: Fanout,
+        repository: ConfigurationRepository,
+        follower: ConfigurationFollower,
+        acknowledgements: Acknowledgements,
+        directory: HostDirectory,
+    ) -> None:
+        self._host = host
+        self._tables = tables
+        self._fanout = fanout
+        self._repository = repository
+        self._follower = follower
+        self._acknowledgements = acknowledgements
+        self._directory = directory
+        self._log = get_logger()
+
+    async def execute(self, request: OperatorRequest) -> Table:
+        """Parse and execute a statement.
+
+        Raises:
+            StatementError: If it does not parse or names no such column.
+            OperatorError: If it can't be carried out.
+        """
+        statement = parse_statement(request.text)
+        match statement:
+            case Show():
+                return await self._show(statement, request)
+            case Watch(show=show):
+                return await self._show(show, request)
+            case ExplainRequest(request_id=request_id):
+                local = self._tables.explain(request_id)
+                return await self._with_other_hosts(local, request)
+            case Change():
+                return await self._change(statement, request)
+            case _:
+                raise OperatorRefusedError(
+                    f'{describe(statement)}: not supported by this version',
+                )
+
+    async def replace_configuration(
+        self,
+        document: ConfigurationDocument,
+        request: OperatorRequest,
+    ) -> Table:
+        """Put a whole configuration in force.
+
+        Raises:
+            OperatorError: If it can't be carried out.
+        """
+        return await self.change(
+            ConfigurationChange(
+                lambda _present: document,
+                request.operation_id,
+                request.author,
+                'load configuration',
+            ),
+        )
+
+    async def change(self, change: ConfigurationChange) -> Table:
+        """Make a change; return once most hosts have it, or with a note.
+
+        Raises:
+            OperatorError: If it was not made, or may not have been.
+        """
+        outcome = await self._make(change)
+        match outcome:
+            case ChangeConflict():
+                raise OperatorConflictError(
+                    f'version {outcome.version} by {outcome.author} came '
+                    f'first: {outcome.description} '
+                    f'(operation {outcome.operation_id})',
+                )
+            case ChangeRejected(complaints=complaints):
+                raise OperatorRefusedError('; '.join(complaints))
+            case ChangeAccepted(version=version):
+                return await self._report(change, version)
+
+    async def _make(self, change: ConfigurationChange) -> ChangeOutcome:
+        try:
+            return await self._repository.change(
+                change.mutation,
+                change.operation_id,
+                change.author,
+                change.description,
+                change.expected_version,
+            )
+        except DocumentError as error:
+            raise OperatorRefusedError('; '.join(error.complaints)) from error
+        except ModelError as error:
+            raise OperatorRefusedError(str(error)) from error
+        except ChangeOutcomeUnknownError as error:
+            raise OperatorUnavailableError(
+                'the platform did not answer; the change may have been made: '
+                f'send it again with operation id {change.operation_id}',
+            ) from error
+        except (ConfigurationUnavailableError, AnnouncementError) as error:
+            raise OperatorUnavailableError(
+                f'the change was not made: {error}',
+            ) from error
+
+    async def _report(
+        self,
+        change: ConfigurationChange,
+        version: int,
+    ) -> Table:
+        self._log.info(
+            'configuration_changed',
+            version=version,
+            author=change.author,
+            operation_id=change.operation_id,
+            statement=change.description,
+        )
+        loaded = await self._repository.load(self._follower.replica.loaded)
+        self._follower.replica.apply(loaded)
+        self._acknowledgements.record(
+            self._host,
+            self._follower.replica.version,
+        )
+        hosts = [member.host for member in self._directory.members()]
+        progress = await self._acknowledgements.wait(
+            version,
+            hosts,
+            _ROLLOUT_WAIT_S,
+        )
+        return build_table(
+            ('version', 'in_force', 'hosts'),
+            ((version, progress.in_force, len(hosts)),),
+            (str(progress),),
+        )
+
+    async def _change(
+        self,
+        statement: Change,
+        request: OperatorRequest,
+    ) -> Table:
+        command = statement.command
+        secret = generate_secret()
+
+        def mutate(document: ConfigurationDocument) -> ConfigurationDocument:
+            return apply_command(command, document, secret).document
+
+        table = await self.change(
+            ConfigurationChange(
+                mutate,
+                request.operation_id,
+                request.author,
+                describe(statement),
+                statement.expected_version,
+            ),
+        )
+        if isinstance(command, CreateKey) and command.sha256 is None:
+            return _with_secret(table, command, secret)
+        return table
+
+    async def _show(self, show: Show, request: OperatorRequest) -> Table:
+        table = self._tables.build(show.collection)
+        if show.collection in COLLECTIONS_BY_HOST:
+            table = await self._with_other_hosts(table, request)
+        if request.is_local:
+            return table
+        return run_query(show, table)
+
+    async def _with_other_hosts(
+        self,
+        table: Table,
+        request: OperatorRequest,
+    ) -> Table:
+        if request.is_local:
+            return table
+        question = HostQuestion(request.text, request.token)
+        answers = await self._fanout.ask(question)
+        return merge((HostAnswer(self._host, table), *answers))
+
+
+def _with_secret(table: Table, command: CreateKey, secret: str) -> Table:
+    version, in_force, hosts = table.rows[0]
+    return build_table(
+        ('key', 'team', 'secret', 'version', 'in_force', 'hosts'),
+        ((command.key_id, command.team, secret, version, in_force, hosts),),
+        (*table.notes, 'the secret is shown this once'),
+    )
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/fanout.py
@@ -0,0 +1,77 @@
+"""Asks the other hosts for their part of an answer."""
+
+import asyncio
+import dataclasses
+
+import aiohttp
+import pydantic
+from geranium_statements import HostAnswer, NoAnswer
+from geranium_statements.answers import table_from_json
+
+from .directory import HostDirectory, Presence
+
+_TIMEOUT_S = 2
+STATEMENTS_PATH = '/operator/v1/statements'
+SCOPE_PARAMETER = 'scope'
+HOST_SCOPE = 'host'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostQuestion:
+    """A statement for other hosts; ``token`` is the asking operator's."""
+
+    statement: str
+    token: str
+
+
+class Fanout:
+    """Sends a statement to every other host and gathers the answers."""
+
+    def __init__(self, directory: HostDirectory) -> None:
+        self._directory = directory
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def ask(
+        self,
+        question: HostQuestion,
+    ) -> tuple[HostAnswer | NoAnswer, ...]:
+        """Return each host's part, or that it did not answer in time."""
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                timeout=aiohttp.ClientTimeout(total=_TIMEOUT_S),
+            )
+        session = self._session
+        return tuple(
+            await asyncio.gather(
+                *(
+                    _ask_host(session, peer, question)
+                    for peer in self._directory.peers()
+                ),
+            ),
+        )
+
+
+async def _ask_host(
+    session: aiohttp.ClientSession,
+    peer: Presence,
+    question: HostQuestion,
+) -> HostAnswer | NoAnswer:
+    try:
+        async with session.post(
+            f'http://{peer.operator_address}{STATEMENTS_PATH}',
+            params={SCOPE_PARAMETER: HOST_SCOPE},
+            json={'statement': question.statement},
+            headers={'Authorization': f'Bearer {question.token}'},
+        ) as response:
+            response.raise_for_status()
+            table = table_from_json(await response.json())
+    except asyncio.TimeoutError:
+        return NoAnswer(peer.host, f'silent for {_TIMEOUT_S} s')
+    except (aiohttp.ClientError, pydantic.ValidationError) as error:
+        return NoAnswer(peer.host, str(error))
+    return HostAnswer(peer.host, table)
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/fleet.py
@@ -0,0 +1,111 @@
+"""The targets that a daemon knows, and what it has running on each."""
+
+import dataclasses
+from collections.abc import Iterator, Mapping
+
+from geranium_model import (
+    ApplicationService,
+    Backend,
+    Configuration,
+    Engine,
+    EngineLoad,
+    ModelService,
+    Target,
+    TargetState,
+)
+
+from .listings import ListedTarget
+
+
+@dataclasses.dataclass(slots=True)
+class TargetLink:
+    """A target as this daemon sees it.
+
+    ``running`` counts the calls that this daemon has on it. ``load`` is an
+    engine's last report. Instants are in seconds of the monotonic clock.
+    """
+
+    target: Backend
+    running: int = 0
+    load: EngineLoad | None = None
+    last_error: str = ''
+    cache_seq: int = 0
+
+
+class Fleet:
+    """All targets by name, from the configuration and the platform's list.
+
+    A target that the list calls leaving gets no new calls.
+    """
+
+    def __init__(self) -> None:
+        self.links_by_name: dict[str, TargetLink] = {}
+        self._configuration = Configuration()
+        self._listed_by_name: dict[str, ListedTarget] = {}
+
+    def apply_configuration(self, configuration: Configuration) -> None:
+        """Take over the targets of a configuration."""
+        self._configuration = configuration
+        self._reconcile()
+
+    def apply_listing(self, listing: tuple[ListedTarget, ...]) -> None:
+        """Take over the platform's list of targets."""
+        self._listed_by_name = {row.name: row for row in listing}
+        self._reconcile()
+
+    def engines(self, service: str) -> tuple[TargetLink, ...]:
+        """Return the links to a service's live engines."""
+        return tuple(
+            link
+            for link in self._live(service)
+            if isinstance(link.target, Engine)
+        )
+
+    def application_targets(self, service: str) -> tuple[TargetLink, ...]:
+        """Return the links to a service's live application targets."""
+        return tuple(
+            link
+            for link in self._live(service)
+            if isinstance(link.target, Target)
+        )
+
+    def _live(self, service: str) -> Iterator[TargetLink]:
+        cordoned = self._configuration.cordoned_zones
+        for link in self.links_by_name.values():
+            target = link.target
+            if target.service != service or target.zone in cordoned:
+                continue
+            if target.state is TargetState.LIVE:
+                yield link
+
+    def _reconcile(self) -> None:
+        wanted = self._merge()
+        for name in self.links_by_name.keys() - wanted.keys():
+            self.links_by_name.pop(name)
+        for name, target in wanted.items():
+            link = self.links_by_name.get(name)
+            if link is None or link.target.address != target.address:
+                self.links_by_name[name] = TargetLink(target)
+            else:
+                link.target = target
+
+    def _merge(self) -> Mapping[str, Backend]:
+        merged: dict[str, Backend] = {}
+        for name, target in self._configuration.targets_by_name.items():
+            row = self._listed_by_name.get(name)
+            if row is not None:
+                target = dataclasses.replace(target, state=row.state)
+            merged[name] = target
+        for row in self._listed_by_name.values():
+            if row.name not in merged:
+                merged.update(self._ordered(row))
+        return merged
+
+    def _ordered(self, row: ListedTarget) -> Mapping[str, Backend]:
+        match self._configuration.services_by_name.get(row.service):
+            case ModelService():
+                engine = Engine(**dataclasses.asdict(row))
+                return {row.name: engine}
+            case ApplicationService():
+                return {row.name: Target(**dataclasses.asdict(row))}
+        return {}
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/follower.py
@@ -0,0 +1,119 @@
+"""Follows the configuration, from the platform or through peers."""
+
+import asyncio
+
+from geranium_coordination import (
+    ABSENT_VERSION,
+    Clock,
+    ConfigurationError,
+    ConfigurationReplica,
+    ConfigurationRepository,
+    Fresh,
+    watchers,
+)
+from geranium_model import Configuration
+
+from .directory import HostDirectory
+from .logs import get_logger
+from .settings import PlatformSettings
+from .telemetry import Telemetry
+
+WATCHERS_PER_ZONE = 2
+_WATCH_WAIT_S = 1
+_PEER_INTERVAL_S = 0.5
+
+
+class ConfigurationFollower:
+    """Keeps the configuration in force on this daemon up to date.
+
+    A few daemons of each zone watch the platform; the others hear of
+    changes from them. A daemon whose configuration is about to count as
+    stale asks the platform itself.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        zone: str,
+        settings: PlatformSettings,
+        repository: ConfigurationRepository,
+        replica: ConfigurationReplica,
+        directory: HostDirectory,
+        telemetry: Telemetry,
+        clock: Clock,
+    ) -> None:
+        self._host = host
+        self._zone = zone
+        self._settings = settings
+        self._repository = repository
+        self._directory = directory
+        self._telemetry = telemetry
+        self._clock = clock
+        self._log = get_logger()
+        self._store_version = ABSENT_VERSION
+        self.replica = replica
+
+    @property
+    def configuration(self) -> Configuration:
+        """Return the configuration in force."""
+        return self.replica.loaded.configuration
+
+    def is_fresh(self) -> bool:
+        """Tell whether requests with a key may be let in now."""
+        admission = self.replica.admission(self._clock.now())
+        return isinstance(admission, Fresh)
+
+    async def load_first(self) -> None:
+        """Return once a configuration was loaded from the platform."""
+        while True:
+            asked_at = self._clock.now()
+            try:
+                loaded = await self._repository.load()
+            except ConfigurationError as error:
+                self._note_error(error)
+                await asyncio.sleep(self._settings.retry_interval_s)
+            else:
+                self.replica.apply(loaded)
+                self.replica.confirm(loaded.version, asked_at)
+                return
+
+    async def follow(self) -> None:
+        """Follow changes until cancelled."""
+        while True:
+            if not self._should_watch():
+                await asyncio.sleep(_PEER_INTERVAL_S)
+                continue
+            try:
+                await self._watch_once()
+            except ConfigurationError as error:
+                self._note_error(error)
+                await asyncio.sleep(self._settings.retry_interval_s)
+
+    async def _watch_once(self) -> None:
+        asked_at = self._clock.now()
+        loaded, store_version = await self._repository.watch(
+            self.replica.loaded,
+            self._store_version,
+            _WATCH_WAIT_S,
+        )
+        self._store_version = store_version
+        if self.replica.apply(loaded):
+            self._log.info('configuration_applied', version=loaded.version)
+        self.replica.confirm(loaded.version, asked_at)
+
+    def _should_watch(self) -> bool:
+        zone_hosts = [
+            presence.host
+            for presence in self._directory.members()
+            if presence.zone == self._zone
+        ]
+        if self._host in watchers(zone_hosts, WATCHERS_PER_ZONE):
+            return True
+        match self.replica.admission(self._clock.now()):
+            case Fresh(until=until):
+                return until - self._clock.now() < _WATCH_WAIT_S
+        return True
+
+    def _note_error(self, error: ConfigurationError) -> None:
+        self._telemetry.platform_errors.add(1, {'kind': 'configuration'})
+        self._log.warning('configuration_not_read', error=str(error))
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/gateway.py
@@ -0,0 +1,121 @@
+"""The callers' side of the daemon, over HTTP."""
+
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+from typing import TypeAlias
+
+from aiohttp import web
+from geranium_model import ModelService, NotRun
+
+from .access import find_key, read_credentials
+from .application_endpoint import ApplicationEndpoint
+from .directory import HostDirectory
+from .follower import ConfigurationFollower
+from .model_endpoint import ModelEndpoint
+from .problems import problem_response
+from .settings import GatewaySettings
+
+_MS_PER_S = 1000
+_NO_REQUEST_ID = '-'
+
+Handler: TypeAlias = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class Gateway:
+    """Serves the paths of the callers' address."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        follower: ConfigurationFollower,
+        directory: HostDirectory,
+        models: ModelEndpoint,
+        applications: ApplicationEndpoint,
+    ) -> None:
+        self._settings = settings
+        self._follower = follower
+        self._directory = directory
+        self._models = models
+        self._applications = applications
+        self.running = 0
+
+    def application(self) -> web.Application:
+        """Return the HTTP application for the callers' address."""
+        app = web.Application(
+            client_max_size=self._settings.max_body_bytes,
+            middlewares=[self._guard],
+        )
+        serve_application = self._applications.serve
+        app.router.add_get('/v1/hosts', self._list_hosts)
+        app.router.add_get('/v1/models', self._list_models)
+        app.router.add_post('/v1/chat/completions', self._models.serve)
+        app.router.add_post('/v1/completions', self._models.serve)
+        app.router.add_route('*', '/apps/{service}', serve_application)
+        app.router.add_route('*', '/apps/{service}/{path:.*}', serve_application)
+        return app
+
+    @web.middleware
+    async def _guard(
+        self,
+        request: web.Request,
+        handler: Handler,
+    ) -> web.StreamResponse:
+        self.running += 1
+        try:
+            return await handler(request)
+        except web.HTTPException as error:
+            refusal = self._refusal(error)
+        finally:
+            self.running -= 1
+        request_id = request.headers.get('Request-Id', _NO_REQUEST_ID)
+        return problem_response(refusal, request_id)
+
+    def _refusal(self, error: web.HTTPException) -> NotRun:
+        match error:
+            case web.HTTPRequestEntityTooLarge():
+                limit_bytes = self._settings.max_body_bytes
+                return NotRun(
+                    HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                    'Body too large',
+                    f'The limit is {limit_bytes} bytes.',
+                )
+            case web.HTTPMethodNotAllowed():
+                methods = ', '.join(sorted(error.allowed_methods))
+                return NotRun(
+                    HTTPStatus.METHOD_NOT_ALLOWED,
+                    'Method not allowed',
+                    f'The path takes {methods}.',
+                )
+            case web.HTTPNotFound():
+                return NotRun(HTTPStatus.NOT_FOUND, 'No such path')
+        return NotRun(error.status, error.reason)
+
+    async def _list_hosts(self, request: web.Request) -> web.Response:
+        zone = request.query.get('zone', '')
+        rows = [
+            {
+                'host': host.host,
+                'zone': host.zone,
+                'address': host.caller_address,
+                'weight': 1,
+            }
+            for host in self._directory.callable_hosts(zone)
+        ]
+        expires_in_ms = int(self._settings.address_ttl_s * _MS_PER_S)
+        return web.json_response(
+            {'hosts': rows, 'expires_in_ms': expires_in_ms},
+        )
+
+    async def _list_models(self, request: web.Request) -> web.StreamResponse:
+        configuration = self._follower.configuration
+        key = find_key(configuration, read_credentials(request.headers))
+        if key is None:
+            refusal = NotRun(HTTPStatus.UNAUTHORIZED, 'Key not accepted')
+            return problem_response(refusal, _NO_REQUEST_ID)
+        models = [
+            {'id': service.name, 'object': 'model', 'owned_by': 'geraniumdrum'}
+            for service in configuration.services_by_name.values()
+            if isinstance(service, ModelService)
+            and configuration.may_call(key.team, service.name)
+        ]
+        return web.json_response({'object': 'list', 'data': models})
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/lists.py
@@ -0,0 +1,78 @@
+"""Polls the platform's lists of hosts, targets and presences."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from geranium_coordination import StoreError
+
+from .directory import HostDirectory
+from .fleet import Fleet
+from .logs import get_logger
+from .platform import PlatformClient
+from .presence import PresenceRegistry
+from .settings import Settings
+from .telemetry import Telemetry
+
+
+class ListPoller:
+    """Keeps the directory and the fleet in step with the platform.
+
+    A list that can't be had leaves the last one in force.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        platform: PlatformClient,
+        presences: PresenceRegistry,
+        directory: HostDirectory,
+        fleet: Fleet,
+        telemetry: Telemetry,
+    ) -> None:
+        self._settings = settings
+        self._platform = platform
+        self._presences = presences
+        self._directory = directory
+        self._fleet = fleet
+        self._telemetry = telemetry
+        self._log = get_logger()
+
+    async def poll_lists(self) -> None:
+        """Poll hosts and targets until cancelled."""
+        interval_s = self._settings.targets.list_interval_s
+        await self._poll(self.refresh_lists, interval_s)
+
+    async def poll_presences(self) -> None:
+        """Poll presences until cancelled."""
+        interval_s = self._settings.platform.presence_interval_s
+        await self._poll(self.refresh_presences, interval_s)
+
+    async def refresh_lists(self) -> None:
+        """Read hosts and targets once.
+
+        Raises:
+            StoreError: If the platform was not reached.
+        """
+        self._directory.apply_listing(await self._platform.hosts())
+        self._fleet.apply_listing(await self._platform.targets())
+
+    async def refresh_presences(self) -> None:
+        """Read presences once.
+
+        Raises:
+            StoreError: If the platform was not reached.
+        """
+        self._directory.apply_presences(await self._presences.list())
+
+    async def _poll(
+        self,
+        refresh: Callable[[], Awaitable[None]],
+        interval_s: float,
+    ) -> None:
+        while True:
+            try:
+                await refresh()
+            except StoreError as error:
+                self._telemetry.platform_errors.add(1, {'kind': 'list'})
+                self._log.warning('list_not_read', error=str(error))
+            await asyncio.sleep(interval_s)
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/logs.py
@@ -0,0 +1,40 @@
+"""Structured logs: one JSON object a line on standard error."""
+
+import logging
+import sys
+
+import structlog
+
+LEVELS_BY_NAME = {
+    'debug': logging.DEBUG,
+    'info': logging.INFO,
+    'warning': logging.WARNING,
+    'error': logging.ERROR,
+}
+
+Logger = structlog.stdlib.BoundLogger
+
+
+def configure_logs(level: str, host: str) -> None:
+    """Send every log of this process to standard error as JSON lines."""
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt='iso', utc=True),
+            structlog.processors.dict_tracebacks,
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(
+            LEVELS_BY_NAME[level],
+        ),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+    structlog.contextvars.bind_contextvars(host=host)
+
+
+def get_logger() -> Logger:
+    """Return the process's logger."""
+    logger: Logger = structlog.get_logger()
+    return logger
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/model_endpoint.py
@@ -0,0 +1,130 @@
+"""The callers' endpoints for completions."""
+
+from http import HTTPStatus
+from typing import TypeAlias
+
+from aiohttp import web
+from geranium_model import Completed, ModelService, NotRun, Outcome, Usage
+
+from .accounting import RequestAccounting
+from .arrivals import Arrival, ArrivalDesk
+from .calls import (
+    CompletionBody,
+    CompletionCall,
+    engine_body,
+    parse_completion_body,
+)
+from .completions import CompletionRunner
+from .endpoints import AccessControl
+from .problems import problem_response
+from .settings import GatewaySettings
+from .sinks import StreamSink, WholeSink
+
+CallResult: TypeAlias = CompletionCall | NotRun
+
+
+class ModelEndpoint:
+    """Serves ``/v1/chat/completions`` and ``/v1/completions``."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        access: AccessControl,
+        desk: ArrivalDesk,
+        runner: CompletionRunner,
+        accounting: RequestAccounting,
+    ) -> None:
+        self._settings = settings
+        self._access = access
+        self._desk = desk
+        self._runner = runner
+        self._accounting = accounting
+
+    async def serve(self, request: web.Request) -> web.StreamResponse:
+        """Answer a call for a completion."""
+        arrival = self._desk.take(request.headers)
+        if isinstance(arrival, NotRun):
+            return problem_response(arrival, '-')
+        call = await self._read_call(request, arrival)
+        if isinstance(call, NotRun):
+            return problem_response(call, arrival.request_id)
+        if call.is_streamed:
+            return await self._stream(request, call)
+        return await self._answer_whole(call)
+
+    async def _read_call(
+        self,
+        request: web.Request,
+        arrival: Arrival,
+    ) -> CallResult:
+        body = parse_completion_body(await request.read(), request.path)
+        if isinstance(body, NotRun):
+            return body
+        grant = self._access.check(request, body.model, request.path)
+        if isinstance(grant, NotRun):
+            return grant
+        if not isinstance(grant.service, ModelService):
+            return _not_a_model(body.model)
+        return _build_call(request.path, arrival, grant.team, grant.service, body)
+
+    async def _stream(
+        self,
+        request: web.Request,
+        call: CompletionCall,
+    ) -> web.StreamResponse:
+        sink = StreamSink(request, call, self._settings.caller_stall_s)
+        outcome = await self._run(call, sink)
+        if isinstance(outcome, Completed):
+            return await sink.finish()
+        if sink.response is None:
+            return problem_response(outcome, call.arrival.request_id)
+        await sink.fail(outcome)
+        return sink.response
+
+    async def _answer_whole(self, call: CompletionCall) -> web.Response:
+        sink = WholeSink(call, self._settings.max_buffered_answer_bytes)
+        outcome = await self._run(call, sink)
+        if isinstance(outcome, Completed):
+            return sink.finish()
+        return problem_response(outcome, call.arrival.request_id)
+
+    async def _run(
+        self,
+        call: CompletionCall,
+        sink: StreamSink | WholeSink,
+    ) -> Outcome:
+        record = self._accounting.begin(
+            call.arrival,
+            call.team,
+            call.service.name,
+        )
+        result = await self._runner.run(call, sink, record)
+        self._accounting.end(record, result.outcome, result.usage)
+        return result.outcome
+
+
+def _build_call(
+    path: str,
+    arrival: Arrival,
+    team: str,
+    service: ModelService,
+    body: CompletionBody,
+) -> CompletionCall:
+    return CompletionCall(
+        arrival=arrival,
+        team=team,
+        service=service,
+        path=path,
+        body=engine_body(body, service),
+        is_streamed=body.stream,
+        prompt_text=body.prompt_text(),
+        max_tokens=body.token_limit(),
+    )
+
+
+def _not_a_model(name: str) -> NotRun:
+    return NotRun(
+        HTTPStatus.NOT_FOUND,
+        'No such service',
+        f'{name!r} is no model service.',
+    )
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/operator.py
@@ -0,0 +1,168 @@
+"""The operators' side of the daemon, over HTTP."""
+
+import hmac
+import json
+import uuid
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+from typing import TypeAlias
+
+import pydantic
+from aiohttp import web
+from geranium_model import DocumentError, parse_document
+from geranium_statements import StatementError, Table
+from geranium_statements.answers import error_to_json, table_to_json
+
+from .dumps import StateDump
+from .exceptions import (
+    OperatorConflictError,
+    OperatorError,
+    OperatorUnavailableError,
+)
+from .execution import OperatorRequest, StatementExecutor
+from .fanout import HOST_SCOPE, SCOPE_PARAMETER, STATEMENTS_PATH
+from .settings import Secrets
+from .telemetry import Telemetry
+
+MAX_CONFIGURATION_BYTES = 67_108_864
+
+_BEARER = 'Bearer '
+_HEALTH_PREFIX = '/operator/v1/health/'
+
+Handler: TypeAlias = Callable[[web.Request], Awaitable[web.StreamResponse]]
+ReadyCheck: TypeAlias = Callable[[], bool]
+
+
+class _StatementBody(pydantic.BaseModel):
+    statement: str
+    operation_id: str = ''
+    author: str = ''
+
+
+class OperatorApi:
+    """Serves the paths of the operators' address."""
+
+    def __init__(
+        self,
+        secrets: Secrets,
+        executor: StatementExecutor,
+        dump: StateDump,
+        telemetry: Telemetry,
+        is_ready: ReadyCheck,
+    ) -> None:
+        self._secrets = secrets
+        self._executor = executor
+        self._dump = dump
+        self._telemetry = telemetry
+        self._is_ready = is_ready
+
+    def application(self) -> web.Application:
+        """Return the HTTP application for the operators' address."""
+        app = web.Application(
+            client_max_size=MAX_CONFIGURATION_BYTES,
+            middlewares=[self._guard],
+        )
+        app.router.add_post(STATEMENTS_PATH, self._execute)
+        app.router.add_put('/operator/v1/configuration', self._configure)
+        app.router.add_get('/operator/v1/state', self._state)
+        app.router.add_get('/operator/v1/metrics', self._metrics)
+        app.router.add_get(f'{_HEALTH_PREFIX}live', self._live)
+        app.router.add_get(f'{_HEALTH_PREFIX}ready', self._ready)
+        return app
+
+    @web.middleware
+    async def _guard(
+        self,
+        request: web.Request,
+        handler: Handler,
+    ) -> web.StreamResponse:
+        if request.path.startswith(_HEALTH_PREFIX):
+            return await handler(request)
+        token = _token(request)
+        expected = self._secrets.operator_token
+        if not hmac.compare_digest(token.encode(), expected.encode()):
+            return _failure(HTTPStatus.UNAUTHORIZED, 'Token not accepted')
+        try:
+            return await handler(request)
+        except StatementError as error:
+            return web.json_response(error_to_json(error), status=400)
+        except (DocumentError, pydantic.ValidationError) as error:
+            return _failure(HTTPStatus.BAD_REQUEST, 'Malformed', str(error))
+        except OperatorError as error:
+            return _operator_failure(error)
+
+    async def _execute(self, request: web.Request) -> web.Response:
+        body = _StatementBody.model_validate_json(await request.read())
+        order = OperatorRequest(
+            text=body.statement,
+            operation_id=body.operation_id or uuid.uuid4().hex,
+            author=body.author or _author(request),
+            token=_token(request),
+            is_local=request.query.get(SCOPE_PARAMETER) == HOST_SCOPE,
+        )
+        return _answer(await self._executor.execute(order))
+
+    async def _configure(self, request: web.Request) -> web.Response:
+        try:
+            raw = json.loads(await request.read())
+        except ValueError as error:
+            return _failure(HTTPStatus.BAD_REQUEST, 'Malformed', str(error))
+        order = OperatorRequest(
+            text='',
+            operation_id=request.headers.get('Operation-Id', uuid.uuid4().hex),
+            author=_author(request),
+            token=_token(request),
+        )
+        document = parse_document(raw)
+        table = await self._executor.replace_configuration(document, order)
+        return _answer(table)
+
+    async def _state(self, _request: web.Request) -> web.Response:
+        return web.json_response(self._dump.build())
+
+    async def _metrics(self, _request: web.Request) -> web.Response:
+        return web.json_response(self._telemetry.readings())
+
+    async def _live(self, _request: web.Request) -> web.Response:
+        return web.json_response({'live': True})
+
+    async def _ready(self, _request: web.Request) -> web.Response:
+        is_ready = self._is_ready()
+        status = HTTPStatus.OK
+        if not is_ready:
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+        return web.json_response({'ready': is_ready}, status=status)
+
+
+def _token(request: web.Request) -> str:
+    return request.headers.get('Authorization', '').removeprefix(_BEARER)
+
+
+def _author(request: web.Request) -> str:
+    return request.headers.get('Operator', request.remote or 'unknown')
+
+
+def _answer(table: Table) -> web.Response:
+    return web.json_response(table_to_json(table))
+
+
+def _failure(status: int, title: str, detail: str = '') -> web.Response:
+    return web.json_response({'title': title, 'detail': detail}, status=status)
+
+
+def _operator_failure(error: OperatorError) -> web.Response:
+    match error:
+        case OperatorConflictError():
+            return _failure(HTTPStatus.CONFLICT, 'Conflict', str(error))
+        case OperatorUnavailableError():
+            return _failure(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                'Unavailable',
+                str(error),
+            )
+        case _:
+            return _failure(
+                HTTPStatus.UNPROCESSABLE_ENTITY,
+                'Refused',
+                str(error),
+            )
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/peer_links.py
@@ -0,0 +1,145 @@
+"""A link to another daemon: dialled here, asked questions, answered there."""
+
+import asyncio
+import itertools
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from .channel import Channel
+from .directory import Presence
+from .exceptions import FrameError, PeerError
+from .handshake import Identity, dial
+from .messages import (
+    Acknowledgement,
+    Answer,
+    ConfigurationUpdate,
+    Envelope,
+    Question,
+    Status,
+)
+from .settings import PeerSettings
+from .telemetry import Telemetry
+from .wire import decode, encode
+
+
+class PeerLink:
+    """The connection to one other daemon, while it stands.
+
+    Any task may ask a question; questions and answers share the
+    connection and are told apart by their numbers.
+    """
+
+    def __init__(
+        self,
+        presence: Presence,
+        identity: Identity,
+        settings: PeerSettings,
+        telemetry: Telemetry,
+    ) -> None:
+        self.presence = presence
+        self.status: Status | None = None
+        self.answered_at: float | None = None
+        self.last_error = ''
+        self._identity = identity
+        self._settings = settings
+        self._telemetry = telemetry
+        self._channel: Channel | None = None
+        self._numbers = itertools.count(1)
+        self._answers_by_number: dict[int, asyncio.Future[Answer]] = {}
+
+    @property
+    def is_connected(self) -> bool:
+        """Tell whether the connection stands."""
+        return self._channel is not None
+
+    @asynccontextmanager
+    async def connect(self) -> AsyncIterator[None]:
+        """Hold the connection for the body of the ``async with``.
+
+        Raises:
+            PeerError: If it can't be made, or is lost meanwhile.
+        """
+        channel = await self._dial()
+        self._channel = channel
+        receiving = asyncio.create_task(self._receive(channel))
+        try:
+            yield
+        finally:
+            self._channel = None
+            receiving.cancel()
+            channel.close()
+            self._fail_waiting()
+
+    async def ask(self, question: Question) -> Answer:
+        """Send a question and return its answer.
+
+        Raises:
+            PeerError: If there is no connection or no answer in time.
+        """
+        channel = self._channel
+        if channel is None:
+            raise PeerError(f'no link to {self.presence.host}')
+        number = next(self._numbers)
+        answer: asyncio.Future[Answer] = asyncio.Future()
+        self._answers_by_number[number] = answer
+        try:
+            async with asyncio.timeout(self._settings.silence_timeout_s):
+                await channel.send(encode(Envelope(number, question)))
+                return await answer
+        except TimeoutError:
+            raise PeerError(f'{self.presence.host} is silent') from None
+        finally:
+            self._answers_by_number.pop(number, None)
+
+    async def _dial(self) -> Channel:
+        address, _, port = self.presence.peer_address.rpartition(':')
+        try:
+            async with asyncio.timeout(self._settings.handshake_timeout_s):
+                reader, writer = await asyncio.open_connection(address, port)
+                channel = Channel(
+                    reader,
+                    writer,
+                    self._settings.max_frame_bytes,
+                    self._telemetry,
+                )
+                await self._greet(channel)
+        except OSError as error:
+            # TimeoutError is an OSError too.
+            raise PeerError(repr(error)) from error
+        return channel
+
+    async def _greet(self, channel: Channel) -> None:
+        try:
+            hello = await dial(channel, self._identity)
+        except BaseException:
+            channel.close()
+            raise
+        if hello.incarnation != self.presence.incarnation:
+            channel.close()
+            raise PeerError(f'{self.presence.host} was restarted')
+
+    async def _receive(self, channel: Channel) -> None:
+        try:
+            while True:
+                envelope = decode(await channel.receive())
+                self._deliver(envelope)
+        except PeerError as error:
+            self.last_error = str(error)
+            channel.close()
+            self._fail_waiting()
+
+    def _deliver(self, envelope: Envelope) -> None:
+        match envelope.message:
+            case Status() | ConfigurationUpdate() | Acknowledgement() as answer:
+                waiting = self._answers_by_number.get(envelope.number)
+                if waiting is not None and not waiting.done():
+                    waiting.set_result(answer)
+            case _:
+                raise FrameError('a question where an answer was due')
+
+    def _fail_waiting(self) -> None:
+        for waiting in self._answers_by_number.values():
+            if not waiting.done():
+                waiting.set_exception(
+                    PeerError(f'the link to {self.presence.host} was lost'),
+                )
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/peering.py
@@ -0,0 +1,185 @@
+"""All links to other daemons: one task a link, pinging and listening."""
+
+import asyncio
+from collections.abc import Callable
+
+from geranium_coordination import (
+    Clock,
+    ConfigurationReplica,
+    CoordinationError,
+    PendingWithdrawal,
+    decode_delta,
+)
+
+from .directory import HostDirectory, Presence
+from .exceptions import PeerError
+from .handshake import Identity
+from .logs import get_logger
+from .messages import (
+    Acknowledgement,
+    Announcement,
+    ConfigurationUpdate,
+    ConfigurationWanted,
+    Ping,
+    Question,
+    Status,
+)
+from .neighbours import choose_neighbours
+from .peer_links import PeerLink
+from .settings import PeerSettings
+from .telemetry import Telemetry
+
+_RECONCILE_INTERVAL_S = 0.5
+
+NewsSource = Callable[[], Ping]
+
+
+class Peering:
+    """Keeps links to the neighbours and the replica in step with them."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        settings: PeerSettings,
+        directory: HostDirectory,
+        replica: ConfigurationReplica,
+        news: NewsSource,
+        clock: Clock,
+        telemetry: Telemetry,
+    ) -> None:
+        self._identity = identity
+        self._settings = settings
+        self._directory = directory
+        self._replica = replica
+        self._news = news
+        self._clock = clock
+        self._telemetry = telemetry
+        self._log = get_logger()
+        self._tasks_by_host: dict[str, asyncio.Task[None]] = {}
+        self._has_news = asyncio.Event()
+        self.links_by_host: dict[str, PeerLink] = {}
+
+    async def run(self) -> None:
+        """Keep the links up until cancelled."""
+        self._replica.subscribe(lambda _loaded: self.wake())
+        async with asyncio.TaskGroup() as group:
+            while True:
+                self._reconcile(group)
+                await asyncio.sleep(_RECONCILE_INTERVAL_S)
+
+    def wake(self) -> None:
+        """Make every link ping now, since there is news."""
+        self._has_news.set()
+        self._has_news = asyncio.Event()
+
+    async def ask_all(self, question: Question) -> tuple[str, ...]:
+        """Ask every connected peer; return the hosts that took it."""
+        links = [
+            link for link in self.links_by_host.values() if link.is_connected
+        ]
+        answers = await asyncio.gather(
+            *(link.ask(question) for link in links),
+            return_exceptions=True,
+        )
+        return tuple(
+            link.presence.host
+            for link, answer in zip(links, answers, strict=True)
+            if isinstance(answer, Acknowledgement) and answer.counts
+        )
+
+    async def announce(self, pending: PendingWithdrawal) -> tuple[str, ...]:
+        """Tell peers of a pending withdrawal; return who counts it."""
+        return await self.ask_all(Announcement(pending))
+
+    def _reconcile(self, group: asyncio.TaskGroup) -> None:
+        wanted = {
+            peer.host: peer
+            for peer in choose_neighbours(
+                self._identity.host,
+                self._identity.zone,
+                self._directory.peers(),
+                self._settings,
+            )
+        }
+        for host, link in tuple(self.links_by_host.items()):
+            if wanted.get(host) != link.presence:
+                self._drop(host)
+        for host, presence in wanted.items():
+            if host not in self.links_by_host:
+                self._add(presence, group)
+
+    def _add(self, presence: Presence, group: asyncio.TaskGroup) -> None:
+        link = PeerLink(
+            presence,
+            self._identity,
+            self._settings,
+            self._telemetry,
+        )
+        self.links_by_host[presence.host] = link
+        self._tasks_by_host[presence.host] = group.create_task(
+            self._keep_up(link),
+        )
+
+    def _drop(self, host: str) -> None:
+        self.links_by_host.pop(host)
+        self._tasks_by_host.pop(host).cancel()
+        self._directory.set_silent(host, is_silent=False)
+
+    async def _keep_up(self, link: PeerLink) -> None:
+        while True:
+            try:
+                async with link.connect():
+                    await self._converse(link)
+            except PeerError as error:
+                link.last_error = str(error)
+                self._note_silent(link.presence.host)
+            await asyncio.sleep(self._settings.reconnect_interval_s)
+
+    async def _converse(self, link: PeerLink) -> None:
+        while True:
+            has_news = self._has_news
+            await self._ping(link)
+            try:
+                async with asyncio.timeout(
+                    self._settings.heartbeat_interval_s,
+                ):
+                    await has_news.wait()
+            except TimeoutError:
+                continue
+
+    async def _ping(self, link: PeerLink) -> None:
+        asked_at = self._clock.now()
+        status = await link.ask(self._news())
+        if not isinstance(status, Status):
+            raise PeerError(f'{link.presence.host} answered beside the point')
+        host = link.presence.host
+        link.status = status
+        link.answered_at = asked_at
+        self._directory.set_silent(host, is_silent=False)
+        self._directory.set_leaving(host, is_leaving=status.is_leaving)
+        if status.report.version > self._replica.version:
+            await self._fetch_configuration(link)
+        self._replica.hear(status.report, asked_at)
+
+    async def _fetch_configuration(self, link: PeerLink) -> None:
+        wanted = ConfigurationWanted(self._replica.version)
+        update = await link.ask(wanted)
+        if not isinstance(update, ConfigurationUpdate):
+            raise PeerError(f'{link.presence.host} answered beside the point')
+        try:
+            delta = decode_delta(update.encoded_delta)
+            loaded = self._replica.loaded.apply_delta(delta)
+        except CoordinationError as error:
+            self._log.warning('configuration_not_taken', error=str(error))
+            return
+        if self._replica.apply(loaded):
+            self._log.info(
+                'configuration_applied',
+                version=loaded.version,
+                source=link.presence.host,
+            )
+
+    def _note_silent(self, host: str) -> None:
+        if not self._directory.is_silent(host):
+            self._log.warning('peer_silent', peer=host)
+        self._directory.set_silent(host, is_silent=True)
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/peers.capnp
@@ -0,0 +1,77 @@
+@0xd3a94f1be6207c58;
+# Messages between daemons. Ages are in milliseconds, -1 where there is none.
+
+struct Hello {
+  host @0 :Text;
+  zone @1 :Text;
+  incarnation @2 :Text;
+  nonce @3 :Data;
+  proof @4 :Data;
+}
+
+struct Withdrawal {
+  operationId @0 :Text;
+  baseVersion @1 :UInt64;
+  keyDigests @2 :List(Text);
+  ageMs @3 :Int64;
+}
+
+struct Status {
+  host @0 :Text;
+  version @1 :UInt64;
+  storeAgeMs @2 :Int64;
+  quorumAgeMs @3 :Int64;
+  votes @4 :Bool;
+  leaving @5 :Bool;
+  withdrawals @6 :List(Withdrawal);
+}
+
+struct EngineDispatch {
+  engine @0 :Text;
+  running @1 :UInt32;
+  promptTokens @2 :UInt32;
+}
+
+struct TeamConsumption {
+  team @0 :Text;
+  service @1 :Text;
+  tokens @2 :UInt64;
+}
+
+struct Suspicion {
+  fingerprint @0 :UInt64;
+  crashes @1 :UInt32;
+  ageMs @2 :Int64;
+}
+
+struct News {
+  dispatches @0 :List(EngineDispatch);
+  consumption @1 :List(TeamConsumption);
+  suspicions @2 :List(Suspicion);
+}
+
+struct UsageCounter {
+  window @0 :Text;
+  team @1 :Text;
+  promptTokens @2 :UInt64;
+  generatedTokens @3 :UInt64;
+  requests @4 :UInt64;
+}
+
+struct UsageReplica {
+  origin @0 :Text;
+  counters @1 :List(UsageCounter);
+}
+
+struct Frame {
+  id @0 :UInt64;
+  union {
+    ping @1 :News;
+    status @2 :Status;
+    configurationWanted @3 :UInt64;
+    configuration @4 :Data;
+    announcement @5 :Withdrawal;
+    acknowledgement @6 :Bool;
+    usage @7 :UsageReplica;
+  }
+}
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/problems.py
@@ -0,0 +1,63 @@
+"""Failures as callers see them: problem details (RFC 9457)."""
+
+import json
+import math
+from http import HTTPStatus
+from typing import Any
+
+from aiohttp import web
+from geranium_model import (
+    Completed,
+    NotRun,
+    Outcome,
+    OutcomeUnknown,
+    RanAndFailed,
+)
+
+CONTENT_TYPE = 'application/problem+json'
+_TYPE_PREFIX = 'urn:geraniumdrum:problem:'
+
+
+def problem_body(outcome: Outcome, request_id: str) -> dict[str, Any]:
+    """Return the problem object of an outcome that isn't a whole answer."""
+    match outcome:
+        case NotRun():
+            kind = 'not-run'
+        case RanAndFailed():
+            kind = 'ran-and-failed'
+        case OutcomeUnknown():
+            kind = 'unknown'
+        case Completed():
+            raise TypeError('a completed request is no problem')
+    slug = outcome.title.lower().replace(' ', '-')
+    return {
+        'type': f'{_TYPE_PREFIX}{slug}',
+        'title': outcome.title,
+        'status': outcome.status,
+        'detail': outcome.detail,
+        'outcome': kind,
+        'request_id': request_id,
+    }
+
+
+def problem_response(outcome: Outcome, request_id: str) -> web.Response:
+    """Return the HTTP answer for an outcome that isn't a whole answer."""
+    body = problem_body(outcome, request_id)
+    headers = {'Request-Id': request_id}
+    match outcome:
+        case NotRun(retry_after_s=float(wait_s) | int(wait_s)):
+            headers['Retry-After'] = str(max(1, math.ceil(wait_s)))
+        case NotRun(status=HTTPStatus.UNAUTHORIZED):
+            headers['WWW-Authenticate'] = 'Bearer'
+    return web.Response(
+        status=body['status'],
+        text=json.dumps(body),
+        content_type=CONTENT_TYPE,
+        headers=headers,
+    )
+
+
+def problem_event(outcome: Outcome, request_id: str) -> bytes:
+    """Return the event that ends a stream which failed midway."""
+    body = json.dumps(problem_body(outcome, request_id))
+    return f'event: error\ndata: {body}\n\n'.encode()
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/records.py
@@ -0,0 +1,100 @@
+"""What the daemon remembers of requests, to explain them to operators."""
+
+import collections
+import dataclasses
+
+from geranium_coordination import Clock
+
+RECENT_LIMIT = 2000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordedStep:
+    """A step of a request; ``at`` is in seconds of the monotonic clock."""
+
+    at: float
+    text: str
+
+
+@dataclasses.dataclass(slots=True)
+class RequestRecord:
+    """The story of one request on this daemon."""
+
+    request_id: str
+    execution_id: str
+    team: str
+    service: str
+    clock: Clock
+    arrived_at: float
+    target: str = ''
+    attempts: int = 0
+    first_token_at: float | None = None
+    ended_at: float | None = None
+    outcome: str = 'running'
+    steps: list[RecordedStep] = dataclasses.field(default_factory=list)
+
+    def note(self, text: str) -> None:
+        """Add a step."""
+        self.steps.append(RecordedStep(self.clock.now(), text))
+
+    def note_attempt(self, target: str) -> None:
+        """Add the step of sending the request to a target."""
+        self.target = target
+        self.attempts += 1
+        self.note(f'sent to {target}')
+
+    def note_first_token(self) -> None:
+        """Take down when the first token came, once."""
+        if self.first_token_at is None:
+            self.first_token_at = self.clock.now()
+            self.note('first token')
+
+    def note_end(self, outcome: str) -> None:
+        """Take down how the request ended."""
+        self.outcome = outcome
+        self.ended_at = self.clock.now()
+        self.note(f'ended: {outcome}')
+
+
+class RequestLog:
+    """The running requests and the most recent ended ones."""
+
+    def __init__(self, clock: Clock, limit: int = RECENT_LIMIT) -> None:
+        self._clock = clock
+        self.running_by_execution: dict[str, RequestRecord] = {}
+        self.recent: collections.deque[RequestRecord] = collections.deque(
+            maxlen=limit,
+        )
+
+    def begin(
+        self,
+        request_id: str,
+        execution_id: str,
+        team: str,
+        service: str,
+    ) -> RequestRecord:
+        """Return the record of a request that begins now."""
+        record = RequestRecord(
+            request_id=request_id,
+            execution_id=execution_id,
+            team=team,
+            service=service,
+            clock=self._clock,
+            arrived_at=self._clock.now(),
+        )
+        self.running_by_execution[execution_id] = record
+        return record
+
+    def end(self, record: RequestRecord, outcome: str) -> None:
+        """Move a record to the ended ones."""
+        record.note_end(outcome)
+        self.running_by_execution.pop(record.execution_id, None)
+        self.recent.append(record)
+
+    def find(self, request_id: str) -> tuple[RequestRecord, ...]:
+        """Return every record of this request id, the oldest first."""
+        return tuple(
+            record
+            for record in (*self.recent, *self.running_by_execution.values())
+            if record.request_id == request_id
+        )
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/settings.py
@@ -0,0 +1,203 @@
+"""Settings of one daemon, read from a JSON file and checked at start-up."""
+
+import os
+import pathlib
+from typing import Annotated
+
+import pydantic
+from geranium_model import validation_complaints
+from pydantic.dataclasses import dataclass
+
+from .exceptions import SettingsError
+
+OPERATOR_TOKEN_VARIABLE = 'GERANIUM_OPERATOR_TOKEN'
+PEER_SECRET_VARIABLE = 'GERANIUM_PEER_SECRET'
+
+_STRICT = pydantic.ConfigDict(extra='forbid')
+
+Name = Annotated[
+    str,
+    pydantic.StringConstraints(pattern='^[a-z0-9][a-z0-9-]{0,62}$'),
+]
+Address = Annotated[
+    str,
+    pydantic.StringConstraints(pattern=r'^[\w.-]+:\d{1,5}$'),
+]
+PositiveSeconds = Annotated[float, pydantic.Field(gt=0, le=86400)]
+Bytes = Annotated[int, pydantic.Field(gt=0)]
+
+
+@dataclass(frozen=True, kw_only=True, config=_STRICT)
+class EndpointSettings:
+    """An address to listen on, and the one that others are told.
+
+    Port 0 takes a port from the kernel. Without ``advertise`` others are
+    told the address that was bound.
+    """
+
+    listen: Address = '127.0.0.1:0'
+    advertise: Address | None = None
+
+
+@dataclass(frozen=True, kw_only=True, config=_STRICT)
+class GatewaySettings:
+    """Limits of the callers' side."""
+
+    max_body_bytes: Bytes = 4_194_304
+    default_deadline_s: PositiveSeconds = 120
+    max_deadline_s: PositiveSeconds = 600
+    address_ttl_s: PositiveSeconds = 5
+    max_attempts: Annotated[int, pydantic.Field(ge=1, le=10)] = 4
+    max_buffered_answer_bytes: Bytes = 16_777_216
+    caller_stall_s: PositiveSeconds = 30
+
+
+@dataclass(frozen=True, kw_only=True, config=_STRICT)
+class TargetSettings:
+    """How targets are spoken to and watched."""
+
+    connect_timeout_s: PositiveSeconds = 1
+    silence_timeout_s: PositiveSeconds = 3
+    application_timeout_s: PositiveSeconds = 30
+    idle_connection_s: PositiveSeconds = 15
+    load_interval_s: PositiveSeconds = 0.5
+    list_interval_s: PositiveSeconds = 1
+
+
+@dataclass(frozen=True, kw_only=True, config=_STRICT)
+class PlatformSettings:
+    """How the platform is spoken to."""
+
+    address: Address
+    call_timeout_s: PositiveSeconds = 2
+    watch_wait_s: PositiveSeconds = 20
+    retry_interval_s: PositiveSeconds = 0.5
+    presence_interval_s: PositiveSeconds = 2
+
+
+@dataclass(frozen=True, kw_only=True, config=_STRICT)
+class PeerSettings:
+    """How other daemons are spoken to."""
+
+    heartbeat_interval_s: PositiveSeconds = 0.5
+    silence_timeout_s: PositiveSeconds = 2
+    handshake_timeout_s: PositiveSeconds = 2
+    reconnect_interval_s: PositiveSeconds = 0.5
+    max_frame_bytes: Bytes = 8_388_608
+    links_in_zone: Annotated[int, pydantic.Field(ge=1)] = 8
+    links_per_other_zone: Annotated[int, pydantic.Field(ge=1)] = 4
+
+
+@dataclass(frozen=True, kw_only=True, config=_STRICT)
+class ShutdownSettings:
+    """How long each step of a graceful shutdown may take."""
+
+    linger_s: PositiveSeconds = 6
+    drain_s: PositiveSeconds = 120
+
+
+@dataclass(frozen=True, kw_only=True, config=_STRICT)
+class Settings:
+    """Everything that one daemon is told by its file.
+
+    What teams share (teams, keys, services, routes, targets, contracts) is
+    in the platform's configuration document instead.
+    """
+
+    host: Name
+    zone: Name
+    region: Name
+    platform: PlatformSettings
+    caller: EndpointSettings = EndpointSettings()
+    operator: EndpointSettings = EndpointSettings()
+    peer: EndpointSettings = EndpointSettings()
+    operator_token_file: str | None = None
+    peer_secret_file: str | None = None
+    gateway: GatewaySettings = GatewaySettings()
+    targets: TargetSettings = TargetSettings()
+    peers: PeerSettings = PeerSettings()
+    shutdown: ShutdownSettings = ShutdownSettings()
+
+
+@dataclass(frozen=True, kw_only=True)
+class Secrets:
+    """The secrets of a daemon, never shown in a dump or a log."""
+
+    operator_token: str
+    peer_secret: bytes
+
+    def __repr__(self) -> str:
+        """Return a text that gives nothing away."""
+        return 'Secrets(...)'
+
+
+_SETTINGS_ADAPTER = pydantic.TypeAdapter(Settings)
+
+
+def parse_settings(text: str | bytes) -> Settings:
+    """Return the settings that a JSON text holds.
+
+    Raises:
+        SettingsError: With a complaint for each fault, which begins with
+            the field's path.
+    """
+    try:
+        return _SETTINGS_ADAPTER.validate_json(text)
+    except pydantic.ValidationError as error:
+        raise SettingsError(tuple(validation_complaints(error))) from None
+
+
+def load_settings(path: pathlib.Path) -> Settings:
+    """Return the settings in a file.
+
+    Raises:
+        SettingsError: If the file can't be read or its text is at fault.
+    """
+    try:
+        text = path.read_bytes()
+    except OSError as error:
+        raise SettingsError((f'{path}: {error.strerror}',)) from error
+    return parse_settings(text)
+
+
+def load_secrets(settings: Settings) -> Secrets:
+    """Return the secrets from the files or variables that name them.
+
+    Raises:
+        SettingsError: If one is neither in a file nor in its variable.
+    """
+    token = _load_secret(
+        'operator_token_file',
+        settings.operator_token_file,
+        OPERATOR_TOKEN_VARIABLE,
+    )
+    peer_secret = _load_secret(
+        'peer_secret_file',
+        settings.peer_secret_file,
+        PEER_SECRET_VARIABLE,
+    )
+    return Secrets(operator_token=token, peer_secret=peer_secret.encode())
+
+
+def settings_schema() -> dict[str, object]:
+    """Return the JSON schema of the settings file."""
+    return _SETTINGS_ADAPTER.json_schema()
+
+
+def _load_secret(field: str, path: str | None, variable: str) -> str:
+    if path is None:
+        secret = os.environ.get(variable, '')
+    else:
+        secret = _read_secret(field, pathlib.Path(path))
+    if not secret:
+        complaint = f'{field}: no file named and {variable} is not set'
+        raise SettingsError((complaint,))
+    return secret
+
+
+def _read_secret(field: str, path: pathlib.Path) -> str:
+    try:
+        return path.read_text().strip()
+    except OSError as error:
+        complaint = f'{field}: {path}: {error.strerror}'
+        raise SettingsError((complaint,)) from error
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/streams.py
@@ -0,0 +1,133 @@
+"""The adapter to an engine's completions: streams of events."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import aiohttp
+import pydantic
+from geranium_model import Engine, Usage
+
+from .calls import CompletionCall
+from .events import Batch, EventBuffer
+from .exceptions import TargetError, TargetLostError
+from .settings import TargetSettings
+from .transport import TargetTransport, raise_for_status
+
+_CANCEL_TIMEOUT_S = 2
+
+
+class _FinalUsage(pydantic.BaseModel):
+    prompt_tokens: int
+    completion_tokens: int
+
+
+class _FinalEvent(pydantic.BaseModel):
+    usage: _FinalUsage
+
+
+class EngineStream:
+    """The answer of an engine, as batches of whole events."""
+
+    def __init__(
+        self,
+        response: aiohttp.ClientResponse,
+        buffer: EventBuffer,
+    ) -> None:
+        self._response = response
+        self._buffer = buffer
+
+    async def batches(self) -> AsyncIterator[Batch]:
+        """Yield batches until the completion mark.
+
+        Raises:
+            TargetLostError: If the stream ends or falls silent before it.
+        """
+        while True:
+            batch = self._buffer.feed(await self._read())
+            if batch.data:
+                yield batch
+            if batch.done:
+                return
+            if self._buffer.has_gap:
+                raise TargetLostError('the stream skipped an offset')
+
+    async def _read(self) -> bytes:
+        try:
+            chunk = await self._response.content.readany()
+        except asyncio.TimeoutError:
+            raise TargetLostError('the stream fell silent') from None
+        except (aiohttp.ClientError, OSError) as error:
+            raise TargetLostError(f'the stream broke: {error!r}') from error
+        if not chunk:
+            raise TargetLostError('the stream ended early')
+        return chunk
+
+
+class StreamClient:
+    """Opens and cancels completions on engines."""
+
+    def __init__(
+        self,
+        settings: TargetSettings,
+        transport: TargetTransport,
+    ) -> None:
+        self._settings = settings
+        self._transport = transport
+
+    @asynccontextmanager
+    async def open(
+        self,
+        engine: Engine,
+        call: CompletionCall,
+        buffer: EventBuffer,
+    ) -> AsyncIterator[EngineStream]:
+        """Open the answer to a completion from the buffer's next offset.
+
+        Raises:
+            TargetRefusedError: If the engine ran nothing.
+            TargetFailedError: If it answered with an error.
+            TargetLostError: If its answer was lost.
+        """
+        headers = {
+            'Content-Type': 'application/json',
+            'Request-Id': call.arrival.execution_id,
+            'Request-Priority': str(call.arrival.priority),
+        }
+        if buffer.next_offset:
+            headers['Resume-Offset'] = str(buffer.next_offset)
+        response = await self._transport.send(
+            'POST',
+            f'http://{engine.address}{call.path}',
+            body=call.body,
+            headers=headers,
+            silence_timeout_s=self._settings.silence_timeout_s,
+        )
+        try:
+            await raise_for_status(response)
+            yield EngineStream(response, buffer)
+        finally:
+            response.close()
+
+    async def cancel(self, engine: Engine, execution_id: str) -> None:
+        """Ask the engine to give a request up; failures are left."""
+        url = f'http://{engine.address}/requests/{execution_id}/cancel'
+        try:
+            response = await self._transport.send(
+                'POST',
+                url,
+                total_timeout_s=_CANCEL_TIMEOUT_S,
+            )
+        except TargetError:
+            return
+        response.release()
+
+
+def final_usage(event: bytes) -> Usage:
+    """Return what a completed stream used, from its last event."""
+    _, _, payload = event.partition(b'data: ')
+    try:
+        usage = _FinalEvent.model_validate_json(payload).usage
+    except pydantic.ValidationError:
+        return Usage(requests=1)
+    return Usage(usage.prompt_tokens, usage.completion_tokens, requests=1)
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/tables.py
@@ -0,0 +1,247 @@
+"""What this daemon can tell operators, as tables."""
+
+from collections.abc import Callable, Mapping
+
+from geranium_coordination import Clock
+from geranium_model import Engine
+from geranium_statements import Collection, Row, Table, build_table
+
+from .configuration_tables import CONFIGURATION_BUILDERS
+from .directory import HostDirectory
+from .fleet import Fleet, TargetLink
+from .follower import ConfigurationFollower
+from .peering import Peering
+from .records import RequestLog, RequestRecord
+from .settings import Settings
+
+_MS_PER_S = 1000
+
+# Collections of which each daemon holds its own part.
+COLLECTIONS_BY_HOST = frozenset(
+    (
+        Collection.REQUESTS,
+        Collection.PEERS,
+        Collection.LEASES,
+        Collection.CONFIGURATION,
+    ),
+)
+
+
+class LocalTables:
+    """Builds the table of each collection from this daemon's state."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        follower: ConfigurationFollower,
+        directory: HostDirectory,
+        fleet: Fleet,
+        requests: RequestLog,
+        peering: Peering,
+        clock: Clock,
+    ) -> None:
+        self._host = settings.host
+        self._follower = follower
+        self._directory = directory
+        self._fleet = fleet
+        self._requests = requests
+        self._peering = peering
+        self._clock = clock
+        self._builders_by_collection: Mapping[
+            Collection,
+            Callable[[], Table],
+        ] = {
+            Collection.HOSTS: self._hosts,
+            Collection.TARGETS: self._targets,
+            Collection.ENGINES: self._engines,
+            Collection.REQUESTS: self._request_rows,
+            Collection.PEERS: self._peers,
+            Collection.CONFIGURATION: self._configuration,
+        }
+
+    def build(self, collection: Collection) -> Table:
+        """Return the collection as this daemon knows it."""
+        build_configured = CONFIGURATION_BUILDERS.get(collection)
+        if build_configured is not None:
+            return build_configured(self._follower.configuration)
+        return self._builders_by_collection[collection]()
+
+    def explain(self, request_id: str) -> Table:
+        """Return every step of a request on this daemon."""
+        rows = [
+            (
+                self._host,
+                record.execution_id,
+                round((step.at - record.arrived_at) * _MS_PER_S, 1),
+                step.text,
+            )
+            for record in self._requests.find(request_id)
+            for step in record.steps
+        ]
+        return build_table(('host', 'execution', 'after_ms', 'step'), rows)
+
+    def _hosts(self) -> Table:
+        members = {member.host for member in self._directory.members()}
+        rows: list[Row] = []
+        for presence in self._directory.presences_by_host.values():
+            state = 'live'
+            if presence.host not in members:
+                state = 'leaving'
+            elif self._directory.is_silent(presence.host):
+                state = 'silent'
+            rows.append(
+                (
+                    presence.host,
+                    presence.zone,
+                    presence.region,
+                    state,
+                    presence.caller_address,
+                    presence.operator_address,
+                ),
+            )
+        columns = ('host', 'zone', 'region', 'state', 'caller', 'operator')
+        return build_table(columns, rows)
+
+    def _targets(self) -> Table:
+        rows = [
+            (
+                link.target.name,
+                link.target.service,
+                link.target.zone,
+                link.target.purchase.value,
+                link.target.state.value,
+                link.target.address,
+                link.running,
+                link.last_error,
+            )
+            for link in self._fleet.links_by_name.values()
+        ]
+        columns = (
+            'target',
+            'service',
+            'zone',
+            'purchase',
+            'state',
+            'address',
+            'running_here',
+            'last_error',
+        )
+        return build_table(columns, rows)
+
+    def _engines(self) -> Table:
+        rows = [
+            self._engine_row(link, link.target)
+            for link in self._fleet.links_by_name.values()
+            if isinstance(link.target, Engine)
+        ]
+        columns = (
+            'engine',
+            'service',
+            'zone',
+            'role',
+            'state',
+            'accepting',
+            'running',
+            'waiting',
+            'kv_pieces_used',
+            'kv_pieces',
+            'age_ms',
+            'running_here',
+        )
+        return build_table(columns, rows)
+
+    def _engine_row(self, link: TargetLink, engine: Engine) -> Row:
+        head = (engine.name, engine.service, engine.zone)
+        load = link.load
+        if load is None:
+            return (
+                *head,
+                engine.role.value,
+                engine.state.value,
+                *(None,) * 6,
+                link.running,
+            )
+        return (
+            *head,
+            load.role.value,
+            engine.state.value,
+            load.accepting,
+            load.running,
+            load.waiting,
+            load.kv_pieces_used,
+            load.kv_pieces,
+            self._age_ms(load.sampled_at),
+            link.running,
+        )
+
+    def _request_rows(self) -> Table:
+        records = (
+            *self._requests.recent,
+            *self._requests.running_by_execution.values(),
+        )
+        columns = (
+            'request',
+            'host',
+            'team',
+            'service',
+            'target',
+            'attempts',
+            'outcome',
+            'age_ms',
+            'duration_ms',
+        )
+        return build_table(columns, map(self._request_row, records))
+
+    def _request_row(self, record: RequestRecord) -> Row:
+        ended_at = record.ended_at or self._clock.now()
+        duration_ms = round((ended_at - record.arrived_at) * _MS_PER_S, 1)
+        return (
+            record.request_id,
+            self._host,
+            record.team,
+            record.service,
+            record.target,
+            record.attempts,
+            record.outcome,
+            self._age_ms(record.arrived_at),
+            duration_ms,
+        )
+
+    def _peers(self) -> Table:
+        rows: list[Row] = []
+        for link in self._peering.links_by_host.values():
+            version = link.status.report.version if link.status else None
+            rows.append(
+                (
+                    self._host,
+                    link.presence.host,
+                    link.presence.zone,
+                    link.is_connected,
+                    self._age_ms(link.answered_at),
+                    version,
+                    link.last_error,
+                ),
+            )
+        columns = (
+            'host',
+            'peer',
+            'zone',
+            'connected',
+            'age_ms',
+            'version',
+            'last_error',
+        )
+        return build_table(columns, rows)
+
+    def _configuration(self) -> Table:
+        row = (
+            self._host,
+            self._follower.replica.version,
+            self._follower.is_fresh(),
+        )
+        return build_table(('host', 'version', 'fresh'), (row,))
+
+    def _age_ms(self, instant: float | None) -> float | None:
+        if instant is None:
+            return None
+        return round((self._clock.now() - instant) * _MS_PER_S, 1)
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/targets.py
@@ -0,0 +1,121 @@
+"""The adapter to application targets."""
+
+import dataclasses
+from collections.abc import Iterable
+
+from geranium_model import Target
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from .arrivals import Arrival
+from .exceptions import TargetRefusedError
+from .settings import TargetSettings
+from .transport import TargetTransport, read_body, says_not_run
+
+_HOP_BY_HOP = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    ),
+)
+_NOT_FORWARDED = _HOP_BY_HOP | {
+    'authorization',
+    'content-length',
+    'expect',
+    'host',
+    'request-deadline-ms',
+    'request-id',
+    'request-priority',
+    'team',
+}
+_NOT_RETURNED = _HOP_BY_HOP | {'content-length', 'request-id'}
+
+Headers = CIMultiDict[str] | CIMultiDictProxy[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ApplicationCall:
+    """A call to an application service.
+
+    ``path`` is relative to the service and includes the query string.
+    """
+
+    arrival: Arrival
+    team: str
+    service: str
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    is_repeatable: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ApplicationAnswer:
+    """The whole answer of a target."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class TargetClient:
+    """Sends calls to application targets."""
+
+    def __init__(self, settings: TargetSettings) -> None:
+        self._settings = settings
+        self._pooled = TargetTransport(settings)
+        self._unpooled = TargetTransport(settings, reuses_connections=False)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._pooled.close()
+        await self._unpooled.close()
+
+    async def call(
+        self,
+        target: Target,
+        call: ApplicationCall,
+    ) -> ApplicationAnswer:
+        """Send the call once and return the whole answer.
+
+        Raises:
+            TargetRefusedError: If the target ran nothing.
+            TargetLostError: If its answer was lost.
+        """
+        transport = self._pooled if call.is_repeatable else self._unpooled
+        response = await transport.send(
+            call.method,
+            f'http://{target.address}{call.path}',
+            body=call.body or None,
+            headers=_request_headers(call),
+            total_timeout_s=self._settings.application_timeout_s,
+        )
+        try:
+            body = await read_body(response)
+        finally:
+            response.release()
+        if says_not_run(response.status, body.decode(errors='replace')):
+            raise TargetRefusedError(f'{target.name} ran nothing')
+        headers = _without(response.headers, _NOT_RETURNED)
+        return ApplicationAnswer(response.status, headers, body)
+
+
+def _request_headers(call: ApplicationCall) -> CIMultiDict[str]:
+    headers = _without(call.headers, _NOT_FORWARDED)
+    headers['Request-Id'] = call.arrival.request_id
+    headers['Team'] = call.team
+    return headers
+
+
+def _without(headers: Headers, names: Iterable[str]) -> CIMultiDict[str]:
+    kept = CIMultiDict(headers)
+    for name in names:
+        kept.popall(name, None)
+    return kept
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/transport.py
@@ -0,0 +1,137 @@
+"""HTTP calls to targets, with their failures told apart."""
+
+import asyncio
+from collections.abc import Mapping
+from http import HTTPStatus
+
+import aiohttp
+
+from .exceptions import (
+    TargetFailedError,
+    TargetLostError,
+    TargetRefusedError,
+)
+from .settings import TargetSettings
+
+_DETAIL_BYTES = 512
+_READ_BYTES = 65536
+_NOT_RUN = '"not-run"'
+
+
+class TargetTransport:
+    """Connections to targets.
+
+    A failure before a connection stood is a refusal: nothing ran. Any
+    failure after it leaves open whether the call ran.
+
+    Args:
+        settings: Time limits of the connections.
+        reuses_connections: Whether a connection serves several calls. A
+            call that may not be repeated wants one of its own, since the
+            HTTP client sends some calls again by itself when a reused
+            connection turns out to be closed.
+    """
+
+    def __init__(
+        self,
+        settings: TargetSettings,
+        *,
+        reuses_connections: bool = True,
+    ) -> None:
+        self._settings = settings
+        self._reuses_connections = reuses_connections
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def send(
+        self,
+        method: str,
+        url: str,
+        *,
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+        silence_timeout_s: float | None = None,
+        total_timeout_s: float | None = None,
+    ) -> aiohttp.ClientResponse:
+        """Send a call and return its answer once the headers are here.
+
+        Raises:
+            TargetRefusedError: If nothing of the call ran.
+            TargetLostError: If the answer was lost.
+        """
+        timeout = aiohttp.ClientTimeout(
+            total=total_timeout_s,
+            sock_connect=self._settings.connect_timeout_s,
+            sock_read=silence_timeout_s,
+        )
+        try:
+            return await self._open_session().request(
+                method,
+                url,
+                data=body,
+                headers=headers,
+                timeout=timeout,
+                allow_redirects=False,
+            )
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as error:
+            raise TargetRefusedError(repr(error)) from error
+        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+            raise TargetLostError(repr(error)) from error
+
+    def _open_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=self._connector(),
+                read_bufsize=_READ_BYTES,
+                auto_decompress=False,
+                cookie_jar=aiohttp.DummyCookieJar(),
+            )
+        return self._session
+
+    def _connector(self) -> aiohttp.TCPConnector:
+        if not self._reuses_connections:
+            return aiohttp.TCPConnector(limit=0, force_close=True)
+        return aiohttp.TCPConnector(
+            limit=0,
+            keepalive_timeout=self._settings.idle_connection_s,
+        )
+
+
+async def read_body(response: aiohttp.ClientResponse) -> bytes:
+    """Return the whole body of an answer.
+
+    Raises:
+        TargetLostError: If it ends early or does not end in time.
+    """
+    try:
+        return await response.read()
+    except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+        raise TargetLostError(repr(error)) from error
+
+
+async def raise_for_status(response: aiohttp.ClientResponse) -> None:
+    """Turn an error status into the error that it stands for.
+
+    Raises:
+        TargetRefusedError: If the target says that nothing ran.
+        TargetFailedError: For any other status of 400 or more.
+    """
+    if response.status < HTTPStatus.BAD_REQUEST:
+        return
+    body = await read_body(response)
+    detail = body[:_DETAIL_BYTES].decode(errors='replace')
+    if says_not_run(response.status, detail):
+        raise TargetRefusedError(detail)
+    raise TargetFailedError(detail, response.status)
+
+
+def says_not_run(status: int, detail: str) -> bool:
+    """Tell whether an answer says that nothing of the call ran."""
+    return status == HTTPStatus.SERVICE_UNAVAILABLE and _NOT_RUN in detail
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/wire.py
@@ -0,0 +1,259 @@
+"""Encodes messages between daemons with Cap'n Proto."""
+
+import pathlib
+from typing import Any
+
+import capnp
+from geranium_coordination import (
+    FreshnessReport,
+    HeldWithdrawal,
+    PendingWithdrawal,
+)
+
+from .exceptions import FrameError
+from .messages import (
+    Acknowledgement,
+    Announcement,
+    ConfigurationUpdate,
+    ConfigurationWanted,
+    EngineDispatch,
+    Envelope,
+    Hello,
+    Message,
+    Ping,
+    Status,
+    Suspicion,
+    TeamConsumption,
+    UsageCounter,
+    UsageReplica,
+)
+
+_MS_PER_S = 1000
+_NO_AGE = -1
+
+_schema = capnp.load(str(pathlib.Path(__file__).with_name('peers.capnp')))
+
+
+def encode_hello(hello: Hello) -> bytes:
+    """Return a hello's bytes."""
+    return bytes(
+        _schema.Hello.new_message(
+            host=hello.host,
+            zone=hello.zone,
+            incarnation=hello.incarnation,
+            nonce=hello.nonce,
+            proof=hello.proof,
+        ).to_bytes(),
+    )
+
+
+def decode_hello(data: bytes) -> Hello:
+    """Return the hello in these bytes.
+
+    Raises:
+        FrameError: If they are malformed.
+    """
+    try:
+        with _schema.Hello.from_bytes(data) as hello:
+            return Hello(
+                host=hello.host,
+                zone=hello.zone,
+                incarnation=hello.incarnation,
+                nonce=bytes(hello.nonce),
+                proof=bytes(hello.proof),
+            )
+    except capnp.KjException as error:
+        raise FrameError(str(error)) from error
+
+
+def encode(envelope: Envelope) -> bytes:
+    """Return a message's bytes."""
+    frame = _schema.Frame.new_message(id=envelope.number)
+    _fill(frame, envelope.message)
+    return bytes(frame.to_bytes())
+
+
+def decode(data: bytes) -> Envelope:
+    """Return the message in these bytes.
+
+    Raises:
+        FrameError: If they are malformed.
+    """
+    try:
+        with _schema.Frame.from_bytes(data) as frame:
+            return Envelope(frame.id, _read(frame))
+    except capnp.KjException as error:
+        raise FrameError(str(error)) from error
+
+
+def _fill(frame: Any, message: Message) -> None:
+    match message:
+        case Ping():
+            frame.ping = _ping_fields(message)
+        case Status():
+            frame.status = _status_fields(message)
+        case ConfigurationWanted():
+            frame.configurationWanted = message.since_version
+        case ConfigurationUpdate():
+            frame.configuration = message.encoded_delta
+        case Announcement():
+            frame.announcement = _withdrawal_fields(message.pending, 0)
+        case Acknowledgement():
+            frame.acknowledgement = message.counts
+        case UsageReplica():
+            frame.usage = _usage_fields(message)
+
+
+def _read(frame: Any) -> Message:
+    match str(frame.which()):
+        case 'ping':
+            return _read_ping(frame.ping)
+        case 'status':
+            return _read_status(frame.status)
+        case 'configurationWanted':
+            return ConfigurationWanted(frame.configurationWanted)
+        case 'configuration':
+            return ConfigurationUpdate(bytes(frame.configuration))
+        case 'announcement':
+            return Announcement(_read_withdrawal(frame.announcement).pending)
+        case 'acknowledgement':
+            return Acknowledgement(frame.acknowledgement)
+        case 'usage':
+            return _read_usage(frame.usage)
+    raise FrameError('a message of an unknown kind')
+
+
+def _ping_fields(ping: Ping) -> dict[str, Any]:
+    return {
+        'dispatches': [
+            {
+                'engine': dispatch.engine,
+                'running': dispatch.running,
+                'promptTokens': dispatch.prompt_tokens,
+            }
+            for dispatch in ping.dispatches
+        ],
+        'consumption': [
+            {
+                'team': consumed.team,
+                'service': consumed.service,
+                'tokens': consumed.tokens,
+            }
+            for consumed in ping.consumption
+        ],
+        'suspicions': [
+            {
+                'fingerprint': suspicion.fingerprint,
+                'crashes': suspicion.crashes,
+                'ageMs': _to_ms(suspicion.age_s),
+            }
+            for suspicion in ping.suspicions
+        ],
+    }
+
+
+def _read_ping(ping: Any) -> Ping:
+    return Ping(
+        dispatches=tuple(
+            EngineDispatch(row.engine, row.running, row.promptTokens)
+            for row in ping.dispatches
+        ),
+        consumption=tuple(
+            TeamConsumption(row.team, row.service, row.tokens)
+            for row in ping.consumption
+        ),
+        suspicions=tuple(
+            Suspicion(row.fingerprint, row.crashes, row.ageMs / _MS_PER_S)
+            for row in ping.suspicions
+        ),
+    )
+
+
+def _status_fields(status: Status) -> dict[str, Any]:
+    report = status.report
+    return {
+        'host': report.host,
+        'version': report.version,
+        'storeAgeMs': _to_ms(report.store_age_s),
+        'quorumAgeMs': _to_ms(report.quorum_age_s),
+        'votes': report.votes,
+        'leaving': status.is_leaving,
+        'withdrawals': [
+            _withdrawal_fields(held.pending, held.age_s)
+            for held in report.withdrawals
+        ],
+    }
+
+
+def _read_status(status: Any) -> Status:
+    report = FreshnessReport(
+        host=status.host,
+        version=status.version,
+        store_age_s=_to_age(status.storeAgeMs),
+        quorum_age_s=_to_age(status.quorumAgeMs),
+        votes=status.votes,
+        withdrawals=tuple(
+            _read_withdrawal(held) for held in status.withdrawals
+        ),
+    )
+    return Status(report, status.leaving)
+
+
+def _withdrawal_fields(
+    pending: PendingWithdrawal,
+    age_s: float,
+) -> dict[str, Any]:
+    return {
+        'operationId': pending.operation_id,
+        'baseVersion': pending.base_version,
+        'keyDigests': list(pending.key_digests),
+        'ageMs': _to_ms(age_s),
+    }
+
+
+def _read_withdrawal(held: Any) -> HeldWithdrawal:
+    pending = PendingWithdrawal(
+        held.operationId,
+        held.baseVersion,
+        tuple(held.keyDigests),
+    )
+    return HeldWithdrawal(pending, held.ageMs / _MS_PER_S)
+
+
+def _usage_fields(replica: UsageReplica) -> dict[str, Any]:
+    return {
+        'origin': replica.origin,
+        'counters': [
+            {
+                'window': counter.window,
+                'team': counter.team,
+                'promptTokens': counter.prompt_tokens,
+                'generatedTokens': counter.generated_tokens,
+                'requests': counter.requests,
+            }
+            for counter in replica.counters
+        ],
+    }
+
+
+def _read_usage(usage: Any) -> UsageReplica:
+    counters = tuple(
+        UsageCounter(
+            window=row.window,
+            team=row.team,
+            prompt_tokens=row.promptTokens,
+            generated_tokens=row.generatedTokens,
+            requests=row.requests,
+        )
+        for row in usage.counters
+    )
+    return UsageReplica(usage.origin, counters)
+
+
+def _to_ms(age_s: float | None) -> int:
+    # Rounded up: an age on the wire is never younger than it was.
+    return _NO_AGE if age_s is None else int(age_s * _MS_PER_S) + 1
+
+
+def _to_age(age_ms: int) -> float | None:
+    return None if age_ms == _NO_AGE else age_ms / _MS_PER_S
