Replicate the configuration through a manifest and segments

A document of 11,000 teams with keys is past the store's one megabyte, so it is stored as content-addressed segments that a manifest names. A change writes its segments and then the manifest by a conditional update.

A segment's body names the operation and the version it was written upon, so a digest never comes back after it was replaced, and a segment written upon an older version than the newest can never be referred to again: deleting either needs no time limit. Weighed against plain content addressing, where a writer may find a segment that is about to be deleted.

A lost answer is followed by the same conditional write: a conflict then leads to the manifest, which keeps the latest operation ids.

The replica counts a confirmation from the instant of the question, passes it on as an age, and holds keys back before their withdrawal is accepted, so that a majority of electors may stand in for the store in an outage.

--- a/packages/geranium-coordination/src/geranium_coordination/__init__.py
+++ b/packages/geranium-coordination/src/geranium_coordination/__init__.py
@@ -1,6 +1,25 @@
 """Sessions, leases, fencing, journals and replication over an object store."""
 
+from .acknowledgements import Acknowledgements, RolloutProgress
 from .clock import Clock, SystemClock
+from .configuration_changes import (
+    ChangeAccepted,
+    ChangeConflict,
+    ChangeOutcome,
+    ChangeRejected,
+    PendingWithdrawal,
+)
+from .configuration_exceptions import (
+    AnnouncementError,
+    ChangeOutcomeUnknownError,
+    ConfigurationError,
+    ConfigurationUnavailableError,
+    CorruptConfigurationError,
+    StaleDeltaError,
+)
+from .configuration_replica import ConfigurationReplica
+from .configuration_repository import ConfigurationRepository
+from .configuration_settings import ConfigurationSettings, FreshnessSettings
 from .exceptions import (
     AnswerLostError,
     ConflictError,
@@ -8,6 +27,19 @@
     StoreError,
     UnavailableError,
 )
+from .freshness import (
+    Admission,
+    Fresh,
+    FreshnessReport,
+    HeldWithdrawal,
+    Stale,
+)
+from .loaded_configuration import (
+    ConfigurationDelta,
+    LoadedConfiguration,
+    decode_delta,
+    encode_delta,
+)
 from .store import (
     ABSENT_VERSION,
     Condition,
@@ -17,6 +49,7 @@
     StoredObject,
     Unconditional,
 )
+from .watchers import watchers
 
 __all__ = [
     'ABSENT_VERSION',
@@ -34,3 +67,34 @@
     'UnavailableError',
     'Unconditional',
 ]
+
+# Configuration, claims and usage.
+__all__ += [
+    'Acknowledgements',
+    'Admission',
+    'AnnouncementError',
+    'ChangeAccepted',
+    'ChangeConflict',
+    'ChangeOutcome',
+    'ChangeOutcomeUnknownError',
+    'ChangeRejected',
+    'ConfigurationDelta',
+    'ConfigurationError',
+    'ConfigurationReplica',
+    'ConfigurationRepository',
+    'ConfigurationSettings',
+    'ConfigurationUnavailableError',
+    'CorruptConfigurationError',
+    'Fresh',
+    'FreshnessReport',
+    'FreshnessSettings',
+    'HeldWithdrawal',
+    'LoadedConfiguration',
+    'PendingWithdrawal',
+    'RolloutProgress',
+    'Stale',
+    'StaleDeltaError',
+    'decode_delta',
+    'encode_delta',
+    'watchers',
+]
--- /dev/null
+++ b/packages/geranium-coordination/src/geranium_coordination/configuration_plans.py
@@ -0,0 +1,185 @@
+"""Works out what a change writes, without calling the store."""
+
+import dataclasses
+from collections.abc import Iterable, Mapping
+
+from geranium_model import (
+    ConfigurationDocument,
+    DocumentError,
+    ModelError,
+    parse_document,
+)
+
+from .configuration_changes import (
+    ChangeAccepted,
+    ChangeOrder,
+    ChangeRejected,
+    PendingWithdrawal,
+)
+from .configuration_settings import ConfigurationSettings
+from .loaded_configuration import LoadedConfiguration
+from .manifests import ChangeRecord, Manifest, RetiredSegment, SegmentEntry
+from .segments import Segment, make_segment, split_document, withdrawn_digests
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangePlan:
+    """The segments and the manifest that a change writes.
+
+    ``expired`` are digests that can be deleted once it is accepted.
+    """
+
+    manifest: Manifest
+    segments: tuple[Segment, ...]
+    expired: tuple[str, ...]
+    withdrawal: PendingWithdrawal | None
+
+
+def plan_change(
+    held: LoadedConfiguration,
+    order: ChangeOrder,
+    settings: ConfigurationSettings,
+) -> ChangePlan | ChangeAccepted | ChangeRejected:
+    """Return what to write upon the held version, or how the change ends."""
+    try:
+        document = _mutated(held, order)
+    except DocumentError as faulty:
+        return ChangeRejected(faulty.complaints)
+    except ModelError as error:
+        return ChangeRejected((str(error),))
+    texts_by_name = split_document(
+        document,
+        settings.team_buckets,
+        settings.target_buckets,
+    )
+    oversized = tuple(_oversized(texts_by_name, settings.segment_limit_bytes))
+    if oversized:
+        return ChangeRejected(oversized)
+    if _same(held, texts_by_name):
+        return ChangeAccepted(held.version)
+    return _Planner(held, order, settings).plan(texts_by_name)
+
+
+class _Planner:
+    """Builds the plan that leads from the held version to new texts."""
+
+    def __init__(
+        self,
+        held: LoadedConfiguration,
+        order: ChangeOrder,
+        settings: ConfigurationSettings,
+    ) -> None:
+        self._held = held
+        self._order = order
+        self._settings = settings
+        self._version = held.version + 1
+        self._origin = f'{held.version}:{order.operation_id}'
+
+    def plan(self, texts_by_name: Mapping[str, str]) -> ChangePlan:
+        """Return the plan that makes these the segments' texts."""
+        written = tuple(self._changed_segments(texts_by_name))
+        retired = self._retired(texts_by_name, written)
+        oldest_kept = self._version - self._settings.kept_versions
+        return ChangePlan(
+            manifest=Manifest(
+                self._version,
+                self._entries(texts_by_name, written),
+                self._changes(),
+                tuple(item for item in retired if item.version > oldest_kept),
+            ),
+            segments=written,
+            expired=tuple(
+                item.digest for item in retired if item.version <= oldest_kept
+            ),
+            withdrawal=self._withdrawal(texts_by_name, written),
+        )
+
+    def _changed_segments(
+        self,
+        texts_by_name: Mapping[str, str],
+    ) -> Iterable[Segment]:
+        for name, text in texts_by_name.items():
+            known = self._held.segments_by_name.get(name)
+            if known is None or known.text != text:
+                yield make_segment(name, text, self._origin)
+
+    def _entries(
+        self,
+        texts_by_name: Mapping[str, str],
+        written: Iterable[Segment],
+    ) -> dict[str, SegmentEntry]:
+        entries = {
+            name: entry
+            for name, entry in self._held.manifest.segments.items()
+            if name in texts_by_name
+        }
+        for segment in written:
+            entries[segment.name] = SegmentEntry(segment.digest, self._version)
+        return entries
+
+    def _retired(
+        self,
+        texts_by_name: Mapping[str, str],
+        written: Iterable[Segment],
+    ) -> tuple[RetiredSegment, ...]:
+        replaced = {segment.name for segment in written}
+        newly = tuple(
+            RetiredSegment(segment.digest, self._version)
+            for name, segment in self._held.segments_by_name.items()
+            if name in replaced or name not in texts_by_name
+        )
+        return (*self._held.manifest.retired, *newly)
+
+    def _changes(self) -> tuple[ChangeRecord, ...]:
+        record = ChangeRecord(
+            self._version,
+            self._order.operation_id,
+            self._order.author,
+            self._order.description,
+        )
+        changes = (*self._held.manifest.changes, record)
+        return changes[-self._settings.kept_changes :]
+
+    def _withdrawal(
+        self,
+        texts_by_name: Mapping[str, str],
+        written: Iterable[Segment],
+    ) -> PendingWithdrawal | None:
+        before = (
+            segment.text
+            for name, segment in self._held.segments_by_name.items()
+            if texts_by_name.get(name) != segment.text
+        )
+        after = (segment.text for segment in written)
+        digests = tuple(withdrawn_digests(before, after))
+        if not digests:
+            return None
+        return PendingWithdrawal(
+            self._order.operation_id,
+            self._held.version,
+            digests,
+        )
+
+
+def _mutated(
+    held: LoadedConfiguration,
+    order: ChangeOrder,
+) -> ConfigurationDocument:
+    mutated = order.mutation(held.document())
+    document = parse_document(mutated.model_dump(mode='json'))
+    if len({key.sha256 for key in document.keys}) < len(document.keys):
+        raise DocumentError(('keys: two have the same secret',))
+    return document
+
+
+def _oversized(texts_by_name: Mapping[str, str], limit: int) -> Iterable[str]:
+    for name, text in texts_by_name.items():
+        size = len(text.encode())
+        if size > limit:
+            yield f'{name}: {size} bytes, more than {limit}'
+
+
+def _same(held: LoadedConfiguration, texts_by_name: Mapping[str, str]) -> bool:
+    return texts_by_name == {
+        name: segment.text for name, segment in held.segments_by_name.items()
+    }
--- /dev/null
+++ b/packages/geranium-coordination/src/geranium_coordination/configuration_replica.py
@@ -0,0 +1,160 @@
+"""The configuration that one daemon has in force, and how fresh it is."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from typing import TypeAlias
+
+from .clock import Clock, SystemClock
+from .configuration_changes import PendingWithdrawal
+from .configuration_settings import FreshnessSettings
+from .freshness import (
+    Admission,
+    Confirmations,
+    Fresh,
+    FreshnessReport,
+    Stale,
+    Withdrawals,
+)
+from .loaded_configuration import LoadedConfiguration
+
+_Listener: TypeAlias = Callable[[LoadedConfiguration], None]
+
+
+class ConfigurationReplica:
+    """Holds the highest version seen and never goes back.
+
+    Instants are in seconds on the clock. Whoever asks the store or a peer
+    passes the instant before it sent the question, so that no time on the
+    way is counted as fresh.
+
+    Args:
+        host: The name of this host.
+        settings: How long confirmations count.
+        clock: The clock of all instants.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        settings: FreshnessSettings | None = None,
+        clock: Clock | None = None,
+    ) -> None:
+        self._host = host
+        self._settings = settings or FreshnessSettings()
+        self._clock = clock or SystemClock()
+        self._loaded = LoadedConfiguration()
+        self._confirmations = Confirmations(
+            host,
+            self._clock.now() + self._settings.withdrawal_hold_s,
+        )
+        self._withdrawals = Withdrawals(self._settings.withdrawal_hold_s)
+        self._listeners: list[_Listener] = []
+        self._applied = asyncio.Event()
+
+    @property
+    def loaded(self) -> LoadedConfiguration:
+        """The version in force."""
+        return self._loaded
+
+    @property
+    def version(self) -> int:
+        """The number of the version in force; 0 before the first one."""
+        return self._loaded.version
+
+    def subscribe(self, listener: _Listener) -> None:
+        """Call the listener with each version that comes into force."""
+        self._listeners.append(listener)
+
+    async def wait_for(self, version: int) -> LoadedConfiguration:
+        """Return the version in force once it is at least this one."""
+        while self._loaded.version < version:
+            await self._applied.wait()
+        return self._loaded
+
+    def apply(self, loaded: LoadedConfiguration) -> bool:
+        """Put a version in force if it is higher; tell whether it was."""
+        if loaded.version <= self._loaded.version:
+            return False
+        self._loaded = loaded
+        self._settle()
+        for listener in self._listeners:
+            listener(loaded)
+        self._applied.set()
+        self._applied = asyncio.Event()
+        return True
+
+    def confirm(self, version: int, asked_at: float) -> None:
+        """Note that the store held this version when asked at that instant.
+
+        It counts only if the version, or a higher one, is in force here.
+        """
+        if version <= self._loaded.version:
+            self._confirmations.confirm_by_store(asked_at)
+            self._settle()
+
+    def elect(self, electors: Iterable[str]) -> None:
+        """Set the hosts whose majority stands in for the store."""
+        self._confirmations.quorum.elect(electors)
+
+    def announce(self, pending: PendingWithdrawal, age_s: float = 0) -> bool:
+        """Hold keys back before their withdrawal is accepted.
+
+        Returns whether this host's word counts as an elector's.
+        """
+        announced_at = self._clock.now() - age_s
+        if pending.base_version >= self._loaded.version:
+            self._withdrawals.hold(pending, announced_at)
+            self._settle()
+        return self._confirmations.votes
+
+    def hear(self, report: FreshnessReport, asked_at: float) -> None:
+        """Take in what a peer answered to a question of that instant.
+
+        A report of a higher version confirms nothing: fetch it and ask
+        again.
+        """
+        for held in report.withdrawals:
+            self.announce(held.pending, held.age_s)
+        if report.version > self._loaded.version:
+            return
+        if report.store_age_s is not None:
+            self.confirm(report.version, asked_at - report.store_age_s)
+        if report.quorum_age_s is not None:
+            quorum_at = asked_at - report.quorum_age_s
+            self._confirmations.confirm_by_quorum(quorum_at)
+        if report.votes:
+            self._confirmations.quorum.hear(report.host, asked_at)
+
+    def report(self) -> FreshnessReport:
+        """Return what to answer a peer that asks."""
+        now = self._clock.now()
+        return FreshnessReport(
+            self._host,
+            self._loaded.version,
+            _age(now, self._confirmations.store_at),
+            _age(now, self._confirmations.quorum_at(now)),
+            self._confirmations.votes,
+            self._withdrawals.listed(now),
+        )
+
+    def admission(self, now: float) -> Admission:
+        """Tell whether keyed requests may be admitted at this instant."""
+        confirmed_at = self._confirmations.latest_at(now)
+        if confirmed_at is None:
+            return Stale(None)
+        until = confirmed_at + self._settings.confirmation_s
+        return Fresh(until) if now < until else Stale(until)
+
+    def is_withheld(self, key_digest: str) -> bool:
+        """Tell whether a key may be withdrawn at any moment: refuse it."""
+        return key_digest in self._withdrawals
+
+    def _settle(self) -> None:
+        self._withdrawals.settle(
+            self.version,
+            self._confirmations.store_at,
+        )
+
+
+def _age(now: float, instant: float | None) -> float | None:
+    return None if instant is None else now - instant
--- /dev/null
+++ b/packages/geranium-coordination/src/geranium_coordination/loaded_configuration.py
@@ -0,0 +1,202 @@
+"""A version of the configuration as a daemon holds it."""
+
+import dataclasses
+from collections.abc import Iterable, Mapping
+from typing import TypeAlias, TypeVar
+
+import pydantic
+from geranium_model import (
+    Configuration,
+    ConfigurationDocument,
+    build_configuration,
+)
+
+from .configuration_exceptions import (
+    CorruptConfigurationError,
+    StaleDeltaError,
+)
+from .manifests import Manifest, SegmentEntry
+from .segments import BASE_SEGMENT, Segment, join_document, make_segment
+
+_SegmentsByName: TypeAlias = Mapping[str, Segment]
+_Item = TypeVar('_Item')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationDelta:
+    """What turns one version into a later one, for sending to a peer.
+
+    ``segments`` are those that changed since ``base_version``.
+    """
+
+    base_version: int
+    manifest: Manifest
+    segments: tuple[Segment, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadedConfiguration:
+    """A manifest with all its segments and the configuration they make."""
+
+    manifest: Manifest = dataclasses.field(default_factory=Manifest)
+    segments_by_name: _SegmentsByName = dataclasses.field(default_factory=dict)
+    configuration: Configuration = dataclasses.field(
+        default_factory=Configuration,
+    )
+
+    @property
+    def version(self) -> int:
+        """The version, which grows by one with each accepted change."""
+        return self.manifest.version
+
+    @property
+    def digests_by_name(self) -> dict[str, str]:
+        """The digest of each segment."""
+        return {
+            name: segment.digest
+            for name, segment in self.segments_by_name.items()
+        }
+
+    def document(self) -> ConfigurationDocument:
+        """Return the document, read anew from the segments each time."""
+        return join_document(
+            segment.text for segment in self.segments_by_name.values()
+        )
+
+    def missing_from(self, manifest: Manifest) -> dict[str, str]:
+        """Return the digests by name that a manifest has and this has not."""
+        held = self.digests_by_name
+        return {
+            name: entry.digest
+            for name, entry in manifest.segments.items()
+            if held.get(name) != entry.digest
+        }
+
+    def advance(
+        self,
+        manifest: Manifest,
+        fetched: Iterable[Segment],
+    ) -> 'LoadedConfiguration':
+        """Return the manifest's version, reusing what did not change.
+
+        Raises:
+            CorruptConfigurationError: If a segment is missing or malformed.
+        """
+        fetched_by_name = {segment.name: segment for segment in fetched}
+        segments = {
+            name: self._pick(name, entry, fetched_by_name)
+            for name, entry in manifest.segments.items()
+        }
+        return LoadedConfiguration(
+            manifest,
+            segments,
+            _rebuild(self, segments, manifest.version),
+        )
+
+    def delta_since(self, version: int) -> ConfigurationDelta:
+        """Return what a peer that holds a lower version lacks."""
+        changed = tuple(
+            segment
+            for name, segment in self.segments_by_name.items()
+            if self.manifest.segments[name].version > version
+        )
+        return ConfigurationDelta(version, self.manifest, changed)
+
+    def apply_delta(self, delta: ConfigurationDelta) -> 'LoadedConfiguration':
+        """Return the delta's version.
+
+        Raises:
+            StaleDeltaError: If the delta starts above the version held here.
+            CorruptConfigurationError: If a segment fails its digest.
+        """
+        if delta.base_version > self.version:
+            raise StaleDeltaError(f'delta from {delta.base_version}')
+        verified = [
+            make_segment(segment.name, segment.text, segment.origin)
+            for segment in delta.segments
+        ]
+        return self.advance(delta.manifest, verified)
+
+    def _pick(
+        self,
+        name: str,
+        entry: SegmentEntry,
+        fetched_by_name: _SegmentsByName,
+    ) -> Segment:
+        for source in (self.segments_by_name, fetched_by_name):
+            segment = source.get(name)
+            if segment is not None and segment.digest == entry.digest:
+                return segment
+        raise CorruptConfigurationError(f'no segment {name} {entry.digest}')
+
+
+_DELTA_ADAPTER = pydantic.TypeAdapter(ConfigurationDelta)
+
+
+def encode_delta(delta: ConfigurationDelta) -> bytes:
+    """Return the delta as JSON for the way to a peer."""
+    return _DELTA_ADAPTER.dump_json(delta)
+
+
+def decode_delta(encoded: bytes) -> ConfigurationDelta:
+    """Return the delta that a peer sent.
+
+    Raises:
+        CorruptConfigurationError: If it is malformed.
+    """
+    try:
+        return _DELTA_ADAPTER.validate_json(encoded)
+    except pydantic.ValidationError as error:
+        raise CorruptConfigurationError(f'delta: {error}') from error
+
+
+def _rebuild(
+    known: LoadedConfiguration,
+    segments: _SegmentsByName,
+    version: int,
+) -> Configuration:
+    """Build the configuration from the one known and what changed."""
+    targets = dict(known.configuration.targets_by_name)
+    teams = dict(known.configuration.teams_by_name)
+    keys = dict(known.configuration.keys_by_sha256)
+    for part in _parts(_replaced(known.segments_by_name, segments)):
+        _forget(targets, part.targets_by_name)
+        _forget(teams, part.teams_by_name)
+        _forget(keys, part.keys_by_sha256)
+    base = known.configuration
+    for part in _parts(_replaced(segments, known.segments_by_name)):
+        targets.update(part.targets_by_name)
+        teams.update(part.teams_by_name)
+        keys.update(part.keys_by_sha256)
+    base_segment = segments.get(BASE_SEGMENT)
+    if base_segment is not None:
+        base = build_configuration(base_segment.document())
+    return dataclasses.replace(
+        base,
+        version=version,
+        targets_by_name=targets,
+        teams_by_name=teams,
+        keys_by_sha256=keys,
+    )
+
+
+def _replaced(
+    segments: _SegmentsByName,
+    others: _SegmentsByName,
+) -> list[Segment]:
+    return [
+        segment
+        for name, segment in segments.items()
+        if others.get(name) != segment
+    ]
+
+
+def _parts(segments: Iterable[Segment]) -> Iterable[Configuration]:
+    for segment in segments:
+        if segment.name != BASE_SEGMENT:
+            yield build_configuration(segment.document())
+
+
+def _forget(items: dict[str, _Item], names: Iterable[str]) -> None:
+    for name in names:
+        items.pop(name, None)
--- /dev/null
+++ b/packages/geranium-coordination/src/geranium_coordination/manifests.py
@@ -0,0 +1,100 @@
+"""The manifest: the one mutable object of the configuration."""
+
+import dataclasses
+from collections.abc import Mapping
+from typing import Any
+
+import pydantic
+
+from .configuration_exceptions import CorruptConfigurationError
+
+MANIFEST_KEY = 'config/manifest'
+SEGMENT_PREFIX = 'config/segments/'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SegmentEntry:
+    """A segment's digest and the version in which it last changed."""
+
+    digest: str
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetiredSegment:
+    """A segment that no version from this one on refers to."""
+
+    digest: str
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeRecord:
+    """Who made which version by which operation."""
+
+    version: int
+    operation_id: str
+    author: str
+    description: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Manifest:
+    """One version of the configuration as a list of segments.
+
+    ``changes`` holds the latest changes, newest last; ``retired`` the
+    segments that may still be read by whoever holds a recent manifest.
+    """
+
+    version: int = 0
+    segments: Mapping[str, SegmentEntry] = dataclasses.field(
+        default_factory=dict,
+    )
+    changes: tuple[ChangeRecord, ...] = ()
+    retired: tuple[RetiredSegment, ...] = ()
+
+    def change_by(self, operation_id: str) -> ChangeRecord | None:
+        """Return the recent change that this operation made, if any."""
+        for change in reversed(self.changes):
+            if change.operation_id == operation_id:
+                return change
+        return None
+
+    def kept_digests(self) -> frozenset[str]:
+        """Return the digests of all segments that may still be read."""
+        current = (entry.digest for entry in self.segments.values())
+        return frozenset(current).union(
+            segment.digest for segment in self.retired
+        )
+
+    def change_after(self, version: int) -> ChangeRecord | None:
+        """Return the oldest known change that is newer than a version."""
+        for change in self.changes:
+            if change.version > version:
+                return change
+        return None
+
+
+_ADAPTER = pydantic.TypeAdapter(Manifest)
+
+
+def decode_manifest(body: Any) -> Manifest:
+    """Return the manifest that a stored body describes.
+
+    Raises:
+        CorruptConfigurationError: If the body is malformed.
+    """
+    try:
+        return _ADAPTER.validate_python(body)
+    except pydantic.ValidationError as error:
+        raise CorruptConfigurationError(f'manifest: {error}') from error
+
+
+def encode_manifest(manifest: Manifest) -> Any:
+    """Return the manifest as a JSON value."""
+    return _ADAPTER.dump_python(manifest, mode='json')
+
+
+def segment_key(digest: str) -> str:
+    """Return the object key under which a segment is stored."""
+    return f'{SEGMENT_PREFIX}{digest}'
--- /dev/null
+++ b/packages/geranium-coordination/src/geranium_coordination/retries.py
@@ -0,0 +1,74 @@
+"""Repeats idempotent store calls until a deadline."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable
+from typing import TypeVar
+
+from .clock import Clock
+from .exceptions import AnswerLostError, StoreError, UnavailableError
+
+_Item = TypeVar('_Item')
+_Answer = TypeVar('_Answer')
+
+
+class Retries:
+    """Repeats calls that failed, with a pause between them.
+
+    Args:
+        clock: The clock of the deadlines.
+        delay_s: The pause, unless the store asks for a longer one.
+    """
+
+    def __init__(self, clock: Clock, delay_s: float) -> None:
+        self._clock = clock
+        self._delay_s = delay_s
+
+    async def run(
+        self,
+        call: Callable[[], Awaitable[_Answer]],
+        deadline: float,
+    ) -> _Answer:
+        """Repeat the call until it is answered or the deadline is over.
+
+        Raises:
+            StoreError: The last failure; a conflict is not repeated.
+        """
+        while True:
+            try:
+                return await call()
+            except (AnswerLostError, UnavailableError) as error:
+                if self.over(deadline):
+                    raise
+                await self.pause(error)
+
+    def over(self, deadline: float) -> bool:
+        """Tell whether the instant has passed."""
+        return self._clock.now() >= deadline
+
+    async def pause(self, error: StoreError) -> None:
+        """Wait before the next try, as long as the store asks for."""
+        delay_s = self._delay_s
+        if isinstance(error, UnavailableError) and error.retry_after_s:
+            delay_s = max(delay_s, error.retry_after_s)
+        await self._clock.sleep_until(self._clock.now() + delay_s)
+
+
+async def in_parallel(
+    call: Callable[[_Item], Awaitable[_Answer]],
+    items: Iterable[_Item],
+    limit: int,
+) -> list[_Answer]:
+    """Call for each item, a limited number at a time; keep the order."""
+    slots = asyncio.Semaphore(limit)
+    return list(
+        await asyncio.gather(*(_in_slot(slots, call, item) for item in items)),
+    )
+
+
+async def _in_slot(
+    slots: asyncio.Semaphore,
+    call: Callable[[_Item], Awaitable[_Answer]],
+    item: _Item,
+) -> _Answer:
+    async with slots:
+        return await call(item)
