--- /dev/null
+++ b/packages/geranium-standins/src/geranium_standins/application.py
@@ -0,0 +1,24 @@
+"""Command that runs the application stand-in."""
+
+import click
+
+from .application_api import ApplicationSettings, create_application
+from .server import port_option, seed_option, serve
+
+
+@click.command()
+@port_option
+@seed_option
+@click.option('--target', default='application', help="The target's name.")
+@click.option('--service', default='application', help="Its service's name.")
+def main(port: int, seed: int, target: str, service: str) -> None:
+    """Run the application stand-in until SIGTERM.
+
+    It makes no random choice; the seed is taken for likeness.
+    """
+    settings = ApplicationSettings(target=target, service=service)
+    serve(create_application(settings), port)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/geranium-standins/src/geranium_standins/gate.py
@@ -0,0 +1,121 @@
+"""What every call of the platform passes: limits, faults and counts."""
+
+import asyncio
+import dataclasses
+import enum
+import functools
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+from typing import TypeAlias
+
+from aiohttp import web
+
+from .connections import drop_connection, hang
+from .controls import Controls, problem
+from .faults import PlatformFaults
+from .limits import TokenBucket
+
+Handler: TypeAlias = Callable[[web.Request], Awaitable[web.Response]]
+
+MS_PER_S = 1000
+RETRY_AFTER_S = 1
+
+
+class CallKind(enum.Enum):
+    """How a call is counted."""
+
+    READ = 'reads'
+    WRITE = 'writes'
+    WATCH = 'watches'
+
+
+@dataclasses.dataclass(slots=True)
+class CallCounts:
+    """Calls since the start; ``refused`` ones are in no other count."""
+
+    reads: int = 0
+    writes: int = 0
+    watches: int = 0
+    refused: int = 0
+
+    def add(self, kind: CallKind) -> None:
+        """Count a call that was let in."""
+        setattr(self, kind.value, getattr(self, kind.value) + 1)
+
+
+class Gate:
+    """Applies rate limits and faults to the platform's calls.
+
+    A watch takes one unit of the read limit when it starts.
+    """
+
+    def __init__(self, controls: Controls[PlatformFaults]) -> None:
+        self.counts = CallCounts()
+        self._controls = controls
+        faults = controls.faults
+        self._reads = TokenBucket(faults.reads_per_second)
+        self._writes = TokenBucket(faults.writes_per_second)
+
+    def guard(self, kind: CallKind, handler: Handler) -> Handler:
+        """Return the handler behind the limits and faults."""
+        return functools.partial(self._admit, kind, handler)
+
+    def apply(self, faults: PlatformFaults) -> None:
+        """Take over the rates of the switches."""
+        self._reads.change_rate(faults.reads_per_second)
+        self._writes.change_rate(faults.writes_per_second)
+
+    async def _admit(
+        self,
+        kind: CallKind,
+        handler: Handler,
+        request: web.Request,
+    ) -> web.Response:
+        await self._controls.connections.notice(request)
+        faults = self._controls.faults
+        if faults.silent:
+            await hang()
+        if faults.delay_ms:
+            await asyncio.sleep(faults.delay_ms / MS_PER_S)
+        actual = CallKind.WATCH if 'watch' in request.query else kind
+        refusal = self._refuse(actual)
+        if refusal is not None:
+            return refusal
+        response = await handler(request)
+        if kind is CallKind.WRITE and response.status < HTTPStatus.BAD_REQUEST:
+            return await self._answer_write(request, response)
+        return response
+
+    def _refuse(self, kind: CallKind) -> web.Response | None:
+        if self._controls.faults.outage:
+            self.counts.refused += 1
+            return outage_response()
+        bucket = self._writes if kind is CallKind.WRITE else self._reads
+        if bucket.take():
+            self.counts.add(kind)
+            return None
+        self.counts.refused += 1
+        return rate_response()
+
+    async def _answer_write(
+        self,
+        request: web.Request,
+        response: web.Response,
+    ) -> web.Response:
+        if not self._controls.take('lose_answers'):
+            return response
+        if self._controls.faults.lost_answers_hang:
+            await hang()
+        return drop_connection(request)
+
+
+def outage_response() -> web.Response:
+    """Return the answer of an outage."""
+    return problem(HTTPStatus.SERVICE_UNAVAILABLE, 'outage')
+
+
+def rate_response() -> web.Response:
+    """Return the answer over the rate, with when to come back."""
+    response = problem(HTTPStatus.TOO_MANY_REQUESTS, 'rate')
+    response.headers['Retry-After'] = str(RETRY_AFTER_S)
+    return response
--- /dev/null
+++ b/packages/geranium-standins/src/geranium_standins/weights.py
@@ -0,0 +1,51 @@
+"""The rate-limited weight store, served by the platform stand-in."""
+
+from http import HTTPStatus
+
+from aiohttp import web
+
+from .controls import Controls, parse_query_int, problem
+from .faults import PlatformFaults
+from .gate import rate_response
+from .limits import TokenBucket
+
+PIECE_BYTES = 1024 * 1024
+MAX_PIECES = 1_000_000
+
+
+class WeightStore:
+    """Gives out pieces of weights under one limit of bytes a second."""
+
+    def __init__(self, controls: Controls[PlatformFaults]) -> None:
+        self._controls = controls
+        self._bucket = TokenBucket(controls.faults.weights_bytes_per_second)
+        self._piece = bytes(PIECE_BYTES)
+        self._given = 0
+        self._refused = 0
+
+    def routes(self) -> tuple[web.RouteDef, ...]:
+        """Return the routes of the weight store."""
+        return (
+            web.get('/weights/{model}/{version}', self._get_piece),
+            web.get('/weights', self._get_counts),
+        )
+
+    def apply(self, faults: PlatformFaults) -> None:
+        """Take over the rate of the switches."""
+        self._bucket.change_rate(faults.weights_bytes_per_second)
+
+    async def _get_piece(self, request: web.Request) -> web.Response:
+        await self._controls.connections.notice(request)
+        index = parse_query_int(request, 'piece', 0)
+        if index >= MAX_PIECES:
+            return problem(HTTPStatus.NOT_FOUND, 'absent')
+        if not self._bucket.take(PIECE_BYTES):
+            self._refused += 1
+            return rate_response()
+        self._given += 1
+        return web.Response(body=self._piece)
+
+    async def _get_counts(self, request: web.Request) -> web.Response:
+        return web.json_response(
+            {'pieces': self._given, 'refused': self._refused},
+        )
