Route requests by estimated cost over lagging views

Load reports lag and cache events come late and with gaps, so a router that believes the last report sends bursts to one engine. The cost is the time to the first token, the batch slowdown and a penalty for missing an objective; daemons are kept apart by a choice between near-equal costs. Round robin, least loaded by report and random of two stay as baselines.

--- /dev/null
+++ b/packages/geranium-policy/src/geranium_policy/cost_routing.py
@@ -0,0 +1,151 @@
+"""Routing by estimated cost, with prompts read apart where that is better."""
+
+import dataclasses
+import random
+from collections.abc import Sequence
+
+from geranium_model import Engine, Role
+
+from .candidates import CandidateSampler, CandidateSettings
+from .costs import CostEstimate, CostModel, CostSettings
+from .engine_views import EngineView
+from .profiles import RequestProfile
+from .spreads import NearEqual, Picker, Spread
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeastCost:
+    """The engine with the least estimated cost.
+
+    Args:
+        cost: How estimated times are weighed.
+        spread: How daemons avoid choosing alike.
+        local_prefill_tokens: Up to so many uncached prompt tokens are read
+            by a decode engine itself instead of a prefill engine.
+        candidates: Bounds on how many engines are estimated.
+    """
+
+    cost: CostSettings = dataclasses.field(default_factory=CostSettings)
+    spread: Spread = dataclasses.field(default_factory=NearEqual)
+    local_prefill_tokens: int = 128
+    candidates: CandidateSettings = dataclasses.field(
+        default_factory=CandidateSettings,
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineChoice:
+    """Where a request is to run.
+
+    Args:
+        engine: Generates the answer.
+        prefill_engine: Reads the prompt first and exports its KV cache to
+            ``engine``; ``None`` where ``engine`` does it itself.
+        estimate: What the request is expected to meet; ``None`` from the
+            baselines, which estimate nothing.
+        considered: The estimates that were compared.
+        reason: One line that says why.
+    """
+
+    engine: Engine
+    prefill_engine: Engine | None
+    estimate: CostEstimate | None
+    considered: tuple[CostEstimate, ...]
+    reason: str
+
+
+@dataclasses.dataclass(slots=True)
+class _Prefill:
+    view: EngineView
+    estimate: CostEstimate
+
+
+@dataclasses.dataclass(slots=True)
+class _Option:
+    view: EngineView
+    prefill: _Prefill | None
+    estimate: CostEstimate
+
+
+class CostRouter:
+    """Chooses the engine with the least estimated cost."""
+
+    def __init__(self, policy: LeastCost, source: random.Random) -> None:
+        self._policy = policy
+        self._model = CostModel(policy.cost)
+        self._sampler = CandidateSampler(policy.candidates, source)
+        self._picker = Picker(policy.spread, source)
+
+    def choose(
+        self,
+        profile: RequestProfile,
+        views: Sequence[EngineView],
+        now: float,
+    ) -> EngineChoice:
+        """Return where the request is to run; there is at least one view."""
+        prefill = self._pick_prefill(profile, views, now)
+        generating = [
+            view for view in views if view.role is not Role.PREFILL
+        ] or views
+        candidates = self._sampler.draw(profile, generating, now)
+        options = [
+            self._option(profile, view, prefill, now) for view in candidates
+        ]
+        estimates = tuple(option.estimate for option in options)
+        picked = options[self._picker.pick(estimates)]
+        return EngineChoice(
+            engine=picked.view.engine,
+            prefill_engine=_prefill_engine(picked),
+            estimate=picked.estimate,
+            considered=estimates,
+            reason=_reason(picked),
+        )
+
+    def _pick_prefill(
+        self,
+        profile: RequestProfile,
+        views: Sequence[EngineView],
+        now: float,
+    ) -> _Prefill | None:
+        reading = [view for view in views if view.role is Role.PREFILL]
+        if not reading:
+            return None
+        candidates = self._sampler.draw(profile, reading, now)
+        estimates = [
+            self._model.estimate_prefill(profile, view, now)
+            for view in candidates
+        ]
+        position = self._picker.pick(estimates)
+        return _Prefill(candidates[position], estimates[position])
+
+    def _option(
+        self,
+        profile: RequestProfile,
+        view: EngineView,
+        prefill: _Prefill | None,
+        now: float,
+    ) -> _Option:
+        estimate = self._model.estimate(profile, view, now)
+        if prefill is None or view.role is not Role.DECODE:
+            return _Option(view, None, estimate)
+        uncached_tokens = profile.prompt_tokens - estimate.cached_tokens
+        if uncached_tokens <= self._policy.local_prefill_tokens:
+            return _Option(view, None, estimate)
+        self._model.move_prefill(estimate, uncached_tokens, prefill.estimate)
+        return _Option(view, prefill, estimate)
+
+
+def _prefill_engine(option: _Option) -> Engine | None:
+    return None if option.prefill is None else option.prefill.view.engine
+
+
+def _reason(option: _Option) -> str:
+    estimate = option.estimate
+    first_token_ms = round(estimate.first_token_s * 1000)
+    between_tokens_ms = round(estimate.between_tokens_s * 1000)
+    engine = _prefill_engine(option)
+    reader = 'itself' if engine is None else engine.name
+    return (
+        f'prompt read by {reader}, {estimate.cached_tokens} tokens cached, '
+        f'first token in {first_token_ms} ms, then {between_tokens_ms} ms each'
+    )
