--- a/packages/geraniumd/src/geraniumd/application_endpoint.py
+++ b/packages/geraniumd/src/geraniumd/application_endpoint.py
@@ -1,5 +1,7 @@
 """The callers' endpoint for application services."""
 
+from http import HTTPStatus
+
 from aiohttp import web
 from geranium_model import ApplicationService, Completed, NotRun, Outcome, Usage
 
@@ -7,7 +9,7 @@
 from .accounting import RequestAccounting
 from .applications import ApplicationRunner
 from .arrivals import Arrival, ArrivalDesk
-from .endpoints import AccessControl
+from .endpoints import AccessControl, AccessResult
 from .problems import problem_response
 from .targets import ApplicationAnswer, ApplicationCall
 
@@ -34,19 +36,22 @@
         arrival = self._desk.take(request.headers)
         if isinstance(arrival, NotRun):
             return problem_response(arrival, '-')
-        service = request.match_info['service']
-        path = f'/{request.match_info.get("path", "")}'
-        grant = self._access.check(request, service, path)
-        if isinstance(grant, Grant) and not isinstance(
-            grant.service,
-            ApplicationService,
-        ):
-            grant = NotRun(404, 'No such service')
+        grant = self._check(request)
         if isinstance(grant, NotRun):
             return problem_response(grant, arrival.request_id)
         call = await _read_call(request, arrival, grant)
         return await self._answer(call)
 
+    def _check(self, request: web.Request) -> AccessResult:
+        service = request.match_info['service']
+        path = request.match_info.get('path', '')
+        grant = self._access.check(request, service, f'/{path}')
+        if isinstance(grant, NotRun):
+            return grant
+        if isinstance(grant.service, ApplicationService):
+            return grant
+        return NotRun(HTTPStatus.NOT_FOUND, 'No such service')
+
     async def _answer(self, call: ApplicationCall) -> web.Response:
         record = self._accounting.begin(call.arrival, call.team, call.service)
         answer = await self._runner.run(call, record)
@@ -63,7 +68,7 @@
     arrival: Arrival,
     grant: Grant,
 ) -> ApplicationCall:
-    prefix = f'{_PREFIX}{request.match_info["service"]}'
+    prefix = _PREFIX + request.match_info['service']
     raw_path = request.raw_path.removeprefix(prefix)
     return ApplicationCall(
         arrival=arrival,
--- a/packages/geraniumd/src/geraniumd/applications.py
+++ b/packages/geraniumd/src/geraniumd/applications.py
@@ -55,16 +55,28 @@
             link = self._choose(call.service, attempts)
             if link is None:
                 break
-            try:
-                return await self._attempt(call, attempts, link)
-            except TargetRefusedError as refusal:
-                self._recorder.note_failure(attempts, link, 'refused', refusal)
-            except TargetLostError as loss:
-                self._recorder.note_failure(attempts, link, 'lost', loss)
-                if not call.is_repeatable:
-                    break
+            answer = await self._try(call, attempts, link)
+            if answer is not None:
+                return answer
+            if attempts.was_sent and not call.is_repeatable:
+                break
         return attempts.give_up('No target answered')
 
+    async def _try(
+        self,
+        call: ApplicationCall,
+        attempts: Attempts,
+        link: TargetLink,
+    ) -> ApplicationAnswer | None:
+        """Make one attempt; return ``None`` if it brought no answer."""
+        try:
+            return await self._attempt(call, attempts, link)
+        except TargetRefusedError as refusal:
+            self._recorder.note_failure(attempts, link, 'refused', refusal)
+        except TargetLostError as loss:
+            self._recorder.note_failure(attempts, link, 'lost', loss)
+        return None
+
     def _choose(self, service: str, attempts: Attempts) -> TargetLink | None:
         links = [
             link
--- a/packages/geraniumd/src/geraniumd/channel.py
+++ b/packages/geraniumd/src/geraniumd/channel.py
@@ -71,14 +71,11 @@
             PeerError: If the connection is gone.
             FrameError: If the frame is too long or fails its code.
         """
-        try:
-            header = await self._reader.readexactly(_LENGTH.size + MAC_BYTES)
-            length = _LENGTH.unpack_from(header)[0]
-            if length > self._max_frame_bytes:
-                raise FrameError(f'a frame of {length} bytes')
-            payload = await self._reader.readexactly(length)
-        except (OSError, asyncio.IncompleteReadError) as error:
-            raise PeerError(repr(error)) from error
+        header = await self._read(_LENGTH.size + MAC_BYTES)
+        length = _LENGTH.unpack_from(header)[0]
+        if length > self._max_frame_bytes:
+            raise FrameError(f'a frame of {length} bytes')
+        payload = await self._read(length)
         code = _code(self._receive_key, self._received, payload)
         self._received += 1
         if not hmac.compare_digest(code, header[_LENGTH.size :]):
@@ -90,6 +87,12 @@
         """Close the connection without waiting."""
         self._writer.close()
 
+    async def _read(self, count: int) -> bytes:
+        try:
+            return await self._reader.readexactly(count)
+        except (OSError, asyncio.IncompleteReadError) as error:
+            raise PeerError(repr(error)) from error
+
 
 def _code(key: bytes, counter: int, payload: bytes) -> bytes:
     if not key:
--- a/packages/geraniumd/src/geraniumd/completions.py
+++ b/packages/geraniumd/src/geraniumd/completions.py
@@ -88,25 +88,32 @@
         return CompletionResult(outcome, _usage(run, outcome))
 
     async def _attempt_all(self, run: _Run) -> Outcome:
-        attempts = run.attempts
         for _ in range(self._settings.max_attempts):
             link = self._choose(run)
             if link is None:
                 break
-            try:
-                await self._attempt(run, link)
-            except TargetFailedError as failure:
-                self._recorder.note_failure(attempts, link, 'failed', failure)
-                return _failed(failure)
-            except TargetRefusedError as refusal:
-                self._recorder.note_failure(attempts, link, 'refused', refusal)
-            except TargetLostError as loss:
-                attempts.was_sent = True
-                self._recorder.note_failure(attempts, link, 'lost', loss)
-            else:
-                self._recorder.note_success(link)
-                return Completed()
-        return attempts.give_up('No engine answered')
+            outcome = await self._try(run, link)
+            if outcome is not None:
+                return outcome
+        return run.attempts.give_up('No engine answered')
+
+    async def _try(self, run: _Run, link: TargetLink) -> Outcome | None:
+        """Make one attempt; return ``None`` if another may follow."""
+        attempts = run.attempts
+        try:
+            await self._attempt(run, link)
+        except TargetFailedError as failure:
+            self._recorder.note_failure(attempts, link, 'failed', failure)
+            return _failed(failure)
+        except TargetRefusedError as refusal:
+            self._recorder.note_failure(attempts, link, 'refused', refusal)
+            return None
+        except TargetLostError as loss:
+            attempts.was_sent = True
+            self._recorder.note_failure(attempts, link, 'lost', loss)
+            return None
+        self._recorder.note_success(link)
+        return Completed()
 
     def _choose(self, run: _Run) -> TargetLink | None:
         links = [
--- a/packages/geraniumd/src/geraniumd/configuration_tables.py
+++ b/packages/geraniumd/src/geraniumd/configuration_tables.py
@@ -28,8 +28,7 @@
 
 def _keys(configuration: Configuration) -> Table:
     rows = [
-        (key.key_id, key.team)
-        for key in configuration.keys_by_sha256.values()
+        (key.key_id, key.team) for key in configuration.keys_by_sha256.values()
     ]
     return build_table(('key', 'team'), rows)
 
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/context.py
@@ -0,0 +1,81 @@
+"""What the parts of one daemon share."""
+
+import dataclasses
+import random
+import uuid
+
+from geranium_coordination import (
+    Acknowledgements,
+    Clock,
+    ConfigurationReplica,
+    ConfigurationRepository,
+    SystemClock,
+)
+
+from .directory import HostDirectory
+from .fleet import Fleet
+from .follower import ConfigurationFollower
+from .platform import PlatformClient
+from .presence import PresenceRegistry
+from .records import RequestLog
+from .settings import Secrets, Settings
+from .telemetry import Telemetry
+from .usage import UsageMeter
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Context:
+    """The state and the clients that several parts of a daemon use."""
+
+    settings: Settings
+    secrets: Secrets
+    incarnation: str
+    clock: Clock
+    rng: random.Random
+    telemetry: Telemetry
+    platform: PlatformClient
+    presences: PresenceRegistry
+    replica: ConfigurationReplica
+    repository: ConfigurationRepository
+    follower: ConfigurationFollower
+    directory: HostDirectory
+    acknowledgements: Acknowledgements
+    fleet: Fleet
+    requests: RequestLog
+    meter: UsageMeter
+
+
+def build_context(settings: Settings, secrets: Secrets) -> Context:
+    """Return the context of a daemon that starts now."""
+    clock = SystemClock()
+    rng = random.Random()
+    telemetry = Telemetry(settings.host, settings.zone)
+    platform = PlatformClient(settings.platform)
+    replica = ConfigurationReplica(settings.host, clock=clock)
+    repository = ConfigurationRepository(platform, clock=clock)
+    directory = HostDirectory(rng)
+    return Context(
+        settings=settings,
+        secrets=secrets,
+        incarnation=uuid.uuid4().hex,
+        clock=clock,
+        rng=rng,
+        telemetry=telemetry,
+        platform=platform,
+        presences=PresenceRegistry(platform),
+        replica=replica,
+        repository=repository,
+        follower=ConfigurationFollower(
+            settings,
+            repository,
+            replica,
+            directory,
+            telemetry,
+            clock,
+        ),
+        directory=directory,
+        acknowledgements=Acknowledgements(),
+        fleet=Fleet(),
+        requests=RequestLog(clock),
+        meter=UsageMeter(telemetry),
+    )
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/daemon.py
@@ -0,0 +1,212 @@
+"""The daemon: runs its parts and shuts them down in order."""
+
+import asyncio
+import dataclasses
+import json
+import sys
+from collections.abc import Coroutine, Iterator
+from typing import Any, TypeAlias
+
+from geranium_coordination import StoreError
+
+from .context import build_context
+from .directory import Presence
+from .engines import EngineClient
+from .handshake import Identity
+from .listeners import HttpListener, split_address
+from .lists import ListPoller
+from .logs import get_logger
+from .messages import Ping
+from .peer_server import PeerServer
+from .peering import Peering
+from .probes import LoadProber
+from .settings import Secrets, Settings
+from .wiring import build_clients, build_gateway, build_operator_api
+
+Duty: TypeAlias = tuple[str, Coroutine[Any, Any, None]]
+
+
+class Daemon:
+    """Everything that runs in one process."""
+
+    def __init__(self, settings: Settings, secrets: Secrets) -> None:
+        self._context = build_context(settings, secrets)
+        self._log = get_logger()
+        self._stopping = asyncio.Event()
+        self._is_ready = False
+        self._presence: Presence | None = None
+        self._clients = build_clients(self._context)
+        self._gateway = build_gateway(self._context, self._clients)
+        self._build_peers()
+        self._operator_api = build_operator_api(
+            self._context,
+            self._clients,
+            self._peering,
+            lambda: self._is_ready,
+        )
+        self._callers = HttpListener(
+            self._gateway.application(),
+            settings.caller,
+        )
+        self._operators = HttpListener(
+            self._operator_api.application(),
+            settings.operator,
+        )
+
+    def stop(self) -> None:
+        """Begin a graceful shutdown; ``run`` returns after it."""
+        self._stopping.set()
+
+    def dump(self) -> None:
+        """Write the state dump to standard error."""
+        self._operator_api.dump.write()
+
+    async def run(self) -> None:
+        """Run until stopped."""
+        context = self._context
+        await self._operators.start()
+        peer_address = await self._listen_for_peers()
+        context.replica.subscribe(
+            lambda loaded: context.fleet.apply_configuration(
+                loaded.configuration,
+            ),
+        )
+        await self._callers.start()
+        self._presence = Presence(
+            host=context.settings.host,
+            zone=context.settings.zone,
+            region=context.settings.region,
+            incarnation=context.incarnation,
+            caller_address=self._callers.advertised_address,
+            peer_address=peer_address,
+            operator_address=self._operators.advertised_address,
+        )
+        context.directory.join(self._presence)
+        self._print_addresses(self._presence)
+        tasks = [
+            asyncio.create_task(duty, name=name)
+            for name, duty in self._duties(self._presence)
+        ]
+        await self._stopping.wait()
+        await self._shut_down(self._presence, tasks)
+
+    def _build_peers(self) -> None:
+        context = self._context
+        settings = context.settings
+        identity = Identity(
+            settings.host,
+            settings.zone,
+            context.incarnation,
+            context.secrets.peer_secret,
+        )
+        self._peering = Peering(context, identity, Ping)
+        self._peer_server = PeerServer(
+            identity,
+            settings.peers,
+            context.replica,
+            lambda _host, _ping: None,
+            context.telemetry,
+        )
+
+    async def _listen_for_peers(self) -> str:
+        endpoint = self._context.settings.peer
+        host, port = split_address(endpoint.listen)
+        bound_port = await self._peer_server.start(host, port)
+        return endpoint.advertise or f'{host}:{bound_port}'
+
+    def _print_addresses(self, presence: Presence) -> None:
+        addresses = {
+            'host': presence.host,
+            'caller': presence.caller_address,
+            'peer': presence.peer_address,
+            'operator': presence.operator_address,
+        }
+        sys.stdout.write(f'{json.dumps(addresses)}\n')
+        sys.stdout.flush()
+
+    def _duties(self, presence: Presence) -> Iterator[Duty]:
+        context = self._context
+        poller = ListPoller(
+            context.settings,
+            context.platform,
+            context.presences,
+            context.directory,
+            context.fleet,
+            context.telemetry,
+        )
+        prober = LoadProber(
+            context.settings.targets,
+            context.fleet,
+            EngineClient(self._clients.streams),
+            context.clock,
+        )
+        yield 'join', self._join(presence)
+        yield 'follower', context.follower.follow()
+        yield 'lists', poller.poll_lists()
+        yield 'presences', poller.poll_presences()
+        yield 'probes', prober.run()
+        yield 'peering', self._peering.run()
+
+    async def _join(self, presence: Presence) -> None:
+        await self._context.follower.load_first()
+        while True:
+            try:
+                await self._context.presences.announce(presence)
+            except StoreError as error:
+                self._log.warning('presence_not_written', error=str(error))
+                await asyncio.sleep(
+                    self._context.settings.platform.retry_interval_s,
+                )
+            else:
+                break
+        self._is_ready = True
+        self._log.info('ready', **dataclasses.asdict(presence))
+
+    async def _shut_down(
+        self,
+        presence: Presence,
+        tasks: list[asyncio.Task[None]],
+    ) -> None:
+        await self._leave(presence)
+        await self._drain()
+        await self._withdraw(dataclasses.replace(presence, is_leaving=True))
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._peer_server.close()
+        await self._operators.close()
+        await self._clients.close()
+        await self._context.platform.close()
+        self._log.info('stopped')
+
+    async def _leave(self, presence: Presence) -> None:
+        """Have callers told of other hosts until their answers expire."""
+        self._log.info('leaving')
+        self._is_ready = False
+        self._peer_server.is_leaving = True
+        self._gateway.is_leaving = True
+        leaving = dataclasses.replace(presence, is_leaving=True)
+        self._context.directory.join(leaving)
+        try:
+            await self._context.presences.announce(leaving)
+        except StoreError as error:
+            self._log.warning('presence_not_written', error=str(error))
+        await asyncio.sleep(self._context.settings.shutdown.linger_s)
+
+    async def _drain(self) -> None:
+        """Finish what runs, up to the settings' limit."""
+        await self._callers.refuse_connections()
+        try:
+            async with asyncio.timeout(
+                self._context.settings.shutdown.drain_s,
+            ):
+                await self._gateway.wait_idle()
+        except TimeoutError:
+            self._log.error('drain_cut_short', running=self._gateway.running)
+        await self._callers.close()
+
+    async def _withdraw(self, presence: Presence) -> None:
+        try:
+            await self._context.presences.withdraw(presence)
+        except StoreError as error:
+            self._log.warning('presence_not_withdrawn', error=str(error))
--- a/packages/geraniumd/src/geraniumd/directory.py
+++ b/packages/geraniumd/src/geraniumd/directory.py
@@ -35,7 +35,7 @@
         self._silent: set[str] = set()
         self.presences_by_host: dict[str, Presence] = {}
 
-    def set_own(self, presence: Presence) -> None:
+    def join(self, presence: Presence) -> None:
         """Set this daemon's own presence."""
         self._own = presence
         self.presences_by_host[presence.host] = presence
@@ -54,14 +54,14 @@
             host.name: host for host in listing if host.kind is HostKind.ENTRY
         }
 
-    def set_silent(self, host: str, *, is_silent: bool) -> None:
+    def note_silence(self, host: str, *, is_silent: bool) -> None:
         """Take down whether a peer answers."""
         if is_silent:
             self._silent.add(host)
         else:
             self._silent.discard(host)
 
-    def set_leaving(self, host: str, *, is_leaving: bool) -> None:
+    def note_leaving(self, host: str, *, is_leaving: bool) -> None:
         """Take down what a peer says of itself."""
         if is_leaving:
             self._leaving.add(host)
--- a/packages/geraniumd/src/geraniumd/dumps.py
+++ b/packages/geraniumd/src/geraniumd/dumps.py
@@ -5,15 +5,12 @@
 import sys
 from typing import Any
 
-from geranium_coordination import Clock, Fresh, Stale
+from geranium_coordination import Admission, Fresh, Stale
 from geranium_statements import Collection
 from geranium_statements.answers import table_to_json
 
-from .follower import ConfigurationFollower
-from .platform import PlatformClient
-from .settings import Settings
+from .context import Context
 from .tables import LocalTables
-from .usage import UsageMeter
 
 _MS_PER_S = 1000
 
@@ -29,21 +26,9 @@
 class StateDump:
     """Gathers the state of the process."""
 
-    def __init__(
-        self,
-        settings: Settings,
-        follower: ConfigurationFollower,
-        tables: LocalTables,
-        meter: UsageMeter,
-        platform: PlatformClient,
-        clock: Clock,
-    ) -> None:
-        self._settings = settings
-        self._follower = follower
+    def __init__(self, context: Context, tables: LocalTables) -> None:
+        self._context = context
         self._tables = tables
-        self._meter = meter
-        self._platform = platform
-        self._clock = clock
 
     def build(self) -> dict[str, Any]:
         """Return the state as a JSON value; ``docs/STATE.md`` lists it."""
@@ -52,9 +37,9 @@
             for collection in _COLLECTIONS
         }
         return {
-            'host': self._settings.host,
-            'zone': self._settings.zone,
-            'region': self._settings.region,
+            'host': self._context.settings.host,
+            'zone': self._context.settings.zone,
+            'region': self._context.settings.region,
             'configuration': self._configuration(),
             'usage': {
                 team: {
@@ -62,9 +47,9 @@
                     'generated_tokens': usage.generated_tokens,
                     'requests': usage.requests,
                 }
-                for team, usage in self._meter.usage_by_team.items()
+                for team, usage in self._context.meter.usage_by_team.items()
             },
-            'platform_calls': dict(self._platform.calls_by_kind),
+            'platform_calls': dict(self._context.platform.calls_by_kind),
             'tasks': sorted(task.get_name() for task in asyncio.all_tasks()),
             **tables,
         }
@@ -74,15 +59,22 @@
         sys.stderr.write(f'{json.dumps({"state": self.build()})}\n')
 
     def _configuration(self) -> dict[str, Any]:
-        now = self._clock.now()
-        match self._follower.replica.admission(now):
-            case Fresh(until=until):
-                fresh_for_ms = (until - now) * _MS_PER_S
-            case Stale(since=None):
-                fresh_for_ms = None
-            case Stale(since=since):
-                fresh_for_ms = (since - now) * _MS_PER_S
+        now = self._context.clock.now()
+        admission = self._context.follower.replica.admission(now)
+        instant = _edge(admission)
+        fresh_for_ms = None
+        if instant is not None:
+            fresh_for_ms = (instant - now) * _MS_PER_S
         return {
-            'version': self._follower.replica.version,
+            'version': self._context.follower.replica.version,
             'fresh_for_ms': fresh_for_ms,
         }
+
+
+def _edge(admission: Admission) -> float | None:
+    """Return the instant at which the configuration turns stale."""
+    match admission:
+        case Fresh(until=instant):
+            return instant
+        case Stale(since=since):
+            return since
--- a/packages/geraniumd/src/geraniumd/endpoints.py
+++ b/packages/geraniumd/src/geraniumd/endpoints.py
@@ -7,7 +7,6 @@
 from geranium_model import NotRun
 
 from .access import Grant, decide_access, read_credentials
-from .arrivals import Arrival, ArrivalDesk
 from .follower import ConfigurationFollower
 
 _RETRY_AFTER_S = 1
@@ -15,8 +14,7 @@
 _STALE = NotRun(
     HTTPStatus.SERVICE_UNAVAILABLE,
     'Configuration not confirmed',
-    'This host cannot tell whether the key is still in force; '
-    'other hosts may.',
+    'This host cannot tell whether the key is still in force; other hosts may.',
     retry_after_s=_RETRY_AFTER_S,
 )
 
--- a/packages/geraniumd/src/geraniumd/events.py
+++ b/packages/geraniumd/src/geraniumd/events.py
@@ -39,7 +39,8 @@
 
     def feed(self, chunk: bytes) -> Batch:
         """Take a chunk as it was read and return the whole events in it."""
-        *events, self._rest = (self._rest + chunk).split(_EVENT_END)
+        *events, rest = (self._rest + chunk).split(_EVENT_END)
+        self._rest = rest
         accepted = []
         for event in events:
             if event.startswith(_COMMENT):
--- a/packages/geraniumd/src/geraniumd/execution.py
+++ b/packages/geraniumd/src/geraniumd/execution.py
@@ -1,17 +1,14 @@
 """Executes operators' statements."""
 
 import dataclasses
-from typing import TypeAlias
 
 from geranium_coordination import (
-    Acknowledgements,
     AnnouncementError,
     ChangeAccepted,
     ChangeConflict,
     ChangeOutcome,
     ChangeOutcomeUnknownError,
     ChangeRejected,
-    ConfigurationRepository,
     ConfigurationUnavailableError,
     Mutation,
 )
@@ -26,8 +23,6 @@
     ExplainRequest,
     HostAnswer,
     Show,
-    Statement,
-    StopHost,
     Table,
     Watch,
     apply_command,
@@ -39,14 +34,13 @@
 )
 from geranium_statements.commands import CreateKey
 
-from .directory import HostDirectory
+from .context import Context
 from .exceptions import (
     OperatorConflictError,
     OperatorRefusedError,
     OperatorUnavailableError,
 )
 from .fanout import Fanout, HostQuestion
-from .follower import ConfigurationFollower
 from .logs import get_logger
 from .tables import COLLECTIONS_BY_HOST, LocalTables
 
@@ -80,21 +74,17 @@
 
     def __init__(
         self,
-        host: str,
+        context: Context,
         tables: LocalTables,
         fanout: Fanout,
-        repository: ConfigurationRepository,
-        follower: ConfigurationFollower,
-        acknowledgements: Acknowledgements,
-        directory: HostDirectory,
     ) -> None:
-        self._host = host
+        self._host = context.settings.host
+        self._repository = context.repository
+        self._replica = context.replica
+        self._acknowledgements = context.acknowledgements
+        self._directory = context.directory
         self._tables = tables
         self._fanout = fanout
-        self._repository = repository
-        self._follower = follower
-        self._acknowledgements = acknowledgements
-        self._directory = directory
         self._log = get_logger()
 
     async def execute(self, request: OperatorRequest) -> Table:
@@ -193,11 +183,11 @@
             operation_id=change.operation_id,
             statement=change.description,
         )
-        loaded = await self._repository.load(self._follower.replica.loaded)
-        self._follower.replica.apply(loaded)
+        loaded = await self._repository.load(self._replica.loaded)
+        self._replica.apply(loaded)
         self._acknowledgements.record(
             self._host,
-            self._follower.replica.version,
+            self._replica.version,
         )
         hosts = [member.host for member in self._directory.members()]
         progress = await self._acknowledgements.wait(
--- a/packages/geraniumd/src/geraniumd/fanout.py
+++ b/packages/geraniumd/src/geraniumd/fanout.py
@@ -70,7 +70,7 @@
         ) as response:
             response.raise_for_status()
             table = table_from_json(await response.json())
-    except asyncio.TimeoutError:
+    except TimeoutError:
         return NoAnswer(peer.host, f'silent for {_TIMEOUT_S} s')
     except (aiohttp.ClientError, pydantic.ValidationError) as error:
         return NoAnswer(peer.host, str(error))
--- a/packages/geraniumd/src/geraniumd/follower.py
+++ b/packages/geraniumd/src/geraniumd/follower.py
@@ -15,7 +15,7 @@
 
 from .directory import HostDirectory
 from .logs import get_logger
-from .settings import PlatformSettings
+from .settings import Settings
 from .telemetry import Telemetry
 
 WATCHERS_PER_ZONE = 2
@@ -33,17 +33,13 @@
 
     def __init__(
         self,
-        host: str,
-        zone: str,
-        settings: PlatformSettings,
+        settings: Settings,
         repository: ConfigurationRepository,
         replica: ConfigurationReplica,
         directory: HostDirectory,
         telemetry: Telemetry,
         clock: Clock,
     ) -> None:
-        self._host = host
-        self._zone = zone
         self._settings = settings
         self._repository = repository
         self._directory = directory
@@ -71,7 +67,7 @@
                 loaded = await self._repository.load()
             except ConfigurationError as error:
                 self._note_error(error)
-                await asyncio.sleep(self._settings.retry_interval_s)
+                await asyncio.sleep(self._settings.platform.retry_interval_s)
             else:
                 self.replica.apply(loaded)
                 self.replica.confirm(loaded.version, asked_at)
@@ -87,7 +83,7 @@
                 await self._watch_once()
             except ConfigurationError as error:
                 self._note_error(error)
-                await asyncio.sleep(self._settings.retry_interval_s)
+                await asyncio.sleep(self._settings.platform.retry_interval_s)
 
     async def _watch_once(self) -> None:
         asked_at = self._clock.now()
@@ -105,13 +101,14 @@
         zone_hosts = [
             presence.host
             for presence in self._directory.members()
-            if presence.zone == self._zone
+            if presence.zone == self._settings.zone
         ]
-        if self._host in watchers(zone_hosts, WATCHERS_PER_ZONE):
+        if self._settings.host in watchers(zone_hosts, WATCHERS_PER_ZONE):
             return True
-        match self.replica.admission(self._clock.now()):
-            case Fresh(until=until):
-                return until - self._clock.now() < _WATCH_WAIT_S
+        now = self._clock.now()
+        admission = self.replica.admission(now)
+        if isinstance(admission, Fresh):
+            return admission.until - now < _WATCH_WAIT_S
         return True
 
     def _note_error(self, error: ConfigurationError) -> None:
--- a/packages/geraniumd/src/geraniumd/gateway.py
+++ b/packages/geraniumd/src/geraniumd/gateway.py
@@ -1,5 +1,6 @@
 """The callers' side of the daemon, over HTTP."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from typing import TypeAlias
@@ -38,6 +39,8 @@
         self._models = models
         self._applications = applications
         self.running = 0
+        self.is_leaving = False
+        self._idle = asyncio.Event()
 
     def application(self) -> web.Application:
         """Return the HTTP application for the callers' address."""
@@ -51,7 +54,9 @@
         app.router.add_post('/v1/chat/completions', self._models.serve)
         app.router.add_post('/v1/completions', self._models.serve)
         app.router.add_route('*', '/apps/{service}', serve_application)
-        app.router.add_route('*', '/apps/{service}/{path:.*}', serve_application)
+        app.router.add_route(
+            '*', '/apps/{service}/{path:.*}', serve_application
+        )
         return app
 
     @web.middleware
@@ -61,15 +66,29 @@
         handler: Handler,
     ) -> web.StreamResponse:
         self.running += 1
+        if self.is_leaving:
+            # The caller is to connect elsewhere for its next request.
+            request.protocol.keep_alive(False)
         try:
             return await handler(request)
         except web.HTTPException as error:
             refusal = self._refusal(error)
         finally:
-            self.running -= 1
+            self._exit()
         request_id = request.headers.get('Request-Id', _NO_REQUEST_ID)
         return problem_response(refusal, request_id)
 
+    async def wait_idle(self) -> None:
+        """Return once no request runs."""
+        while self.running:
+            self._idle.clear()
+            await self._idle.wait()
+
+    def _exit(self) -> None:
+        self.running -= 1
+        if not self.running:
+            self._idle.set()
+
     def _refusal(self, error: web.HTTPException) -> NotRun:
         match error:
             case web.HTTPRequestEntityTooLarge():
--- a/packages/geraniumd/src/geraniumd/logs.py
+++ b/packages/geraniumd/src/geraniumd/logs.py
@@ -2,15 +2,18 @@
 
 import logging
 import sys
+from types import MappingProxyType
 
 import structlog
 
-LEVELS_BY_NAME = {
-    'debug': logging.DEBUG,
-    'info': logging.INFO,
-    'warning': logging.WARNING,
-    'error': logging.ERROR,
-}
+LEVELS_BY_NAME = MappingProxyType(
+    {
+        'debug': logging.DEBUG,
+        'info': logging.INFO,
+        'warning': logging.WARNING,
+        'error': logging.ERROR,
+    },
+)
 
 Logger = structlog.stdlib.BoundLogger
 
--- a/packages/geraniumd/src/geraniumd/model_endpoint.py
+++ b/packages/geraniumd/src/geraniumd/model_endpoint.py
@@ -4,7 +4,7 @@
 from typing import TypeAlias
 
 from aiohttp import web
-from geranium_model import Completed, ModelService, NotRun, Outcome, Usage
+from geranium_model import Completed, ModelService, NotRun, Outcome
 
 from .accounting import RequestAccounting
 from .arrivals import Arrival, ArrivalDesk
@@ -65,7 +65,9 @@
             return grant
         if not isinstance(grant.service, ModelService):
             return _not_a_model(body.model)
-        return _build_call(request.path, arrival, grant.team, grant.service, body)
+        return _build_call(
+            request.path, arrival, grant.team, grant.service, body
+        )
 
     async def _stream(
         self,
--- a/packages/geraniumd/src/geraniumd/operator.py
+++ b/packages/geraniumd/src/geraniumd/operator.py
@@ -52,7 +52,7 @@
     ) -> None:
         self._secrets = secrets
         self._executor = executor
-        self._dump = dump
+        self.dump = dump
         self._telemetry = telemetry
         self._is_ready = is_ready
 
@@ -85,7 +85,9 @@
         try:
             return await handler(request)
         except StatementError as error:
-            return web.json_response(error_to_json(error), status=400)
+            return web.json_response(
+                error_to_json(error), status=HTTPStatus.BAD_REQUEST
+            )
         except (DocumentError, pydantic.ValidationError) as error:
             return _failure(HTTPStatus.BAD_REQUEST, 'Malformed', str(error))
         except OperatorError as error:
@@ -118,7 +120,7 @@
         return _answer(table)
 
     async def _state(self, _request: web.Request) -> web.Response:
-        return web.json_response(self._dump.build())
+        return web.json_response(self.dump.build())
 
     async def _metrics(self, _request: web.Request) -> web.Response:
         return web.json_response(self._telemetry.readings())
--- a/packages/geraniumd/src/geraniumd/peer_links.py
+++ b/packages/geraniumd/src/geraniumd/peer_links.py
@@ -37,6 +37,7 @@
         telemetry: Telemetry,
     ) -> None:
         self.presence = presence
+        self.host = presence.host
         self.status: Status | None = None
         self.answered_at: float | None = None
         self.last_error = ''
@@ -65,10 +66,8 @@
         try:
             yield
         finally:
-            self._channel = None
             receiving.cancel()
-            channel.close()
-            self._fail_waiting()
+            self._disconnect(channel)
 
     async def ask(self, question: Question) -> Answer:
         """Send a question and return its answer.
@@ -78,7 +77,7 @@
         """
         channel = self._channel
         if channel is None:
-            raise PeerError(f'no link to {self.presence.host}')
+            raise PeerError(f'no link to {self.host}')
         number = next(self._numbers)
         answer: asyncio.Future[Answer] = asyncio.Future()
         self._answers_by_number[number] = answer
@@ -87,7 +86,7 @@
                 await channel.send(encode(Envelope(number, question)))
                 return await answer
         except TimeoutError:
-            raise PeerError(f'{self.presence.host} is silent') from None
+            raise PeerError(f'{self.host} is silent') from None
         finally:
             self._answers_by_number.pop(number, None)
 
@@ -116,7 +115,7 @@
             raise
         if hello.incarnation != self.presence.incarnation:
             channel.close()
-            raise PeerError(f'{self.presence.host} was restarted')
+            raise PeerError(f'{self.host} was restarted')
 
     async def _receive(self, channel: Channel) -> None:
         try:
@@ -125,8 +124,7 @@
                 self._deliver(envelope)
         except PeerError as error:
             self.last_error = str(error)
-            channel.close()
-            self._fail_waiting()
+            self._disconnect(channel)
 
     def _deliver(self, envelope: Envelope) -> None:
         match envelope.message:
@@ -137,9 +135,11 @@
             case _:
                 raise FrameError('a question where an answer was due')
 
-    def _fail_waiting(self) -> None:
+    def _disconnect(self, channel: Channel) -> None:
+        self._channel = None
+        channel.close()
         for waiting in self._answers_by_number.values():
             if not waiting.done():
                 waiting.set_exception(
-                    PeerError(f'the link to {self.presence.host} was lost'),
+                    PeerError(f'the link to {self.host} was lost'),
                 )
--- a/packages/geraniumd/src/geraniumd/peering.py
+++ b/packages/geraniumd/src/geraniumd/peering.py
@@ -1,17 +1,17 @@
 """All links to other daemons: one task a link, pinging and listening."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
 from geranium_coordination import (
-    Clock,
-    ConfigurationReplica,
     CoordinationError,
     PendingWithdrawal,
     decode_delta,
 )
 
-from .directory import HostDirectory, Presence
+from .context import Context
+from .directory import Presence
 from .exceptions import PeerError
 from .handshake import Identity
 from .logs import get_logger
@@ -26,8 +26,6 @@
 )
 from .neighbours import choose_neighbours
 from .peer_links import PeerLink
-from .settings import PeerSettings
-from .telemetry import Telemetry
 
 _RECONCILE_INTERVAL_S = 0.5
 
@@ -39,21 +37,18 @@
 
     def __init__(
         self,
+        context: Context,
         identity: Identity,
-        settings: PeerSettings,
-        directory: HostDirectory,
-        replica: ConfigurationReplica,
         news: NewsSource,
-        clock: Clock,
-        telemetry: Telemetry,
     ) -> None:
         self._identity = identity
-        self._settings = settings
-        self._directory = directory
-        self._replica = replica
         self._news = news
-        self._clock = clock
-        self._telemetry = telemetry
+        self._settings = context.settings.peers
+        self._directory = context.directory
+        self._replica = context.replica
+        self._acknowledgements = context.acknowledgements
+        self._clock = context.clock
+        self._telemetry = context.telemetry
         self._log = get_logger()
         self._tasks_by_host: dict[str, asyncio.Task[None]] = {}
         self._has_news = asyncio.Event()
@@ -82,7 +77,7 @@
             return_exceptions=True,
         )
         return tuple(
-            link.presence.host
+            link.host
             for link, answer in zip(links, answers, strict=True)
             if isinstance(answer, Acknowledgement) and answer.counts
         )
@@ -123,7 +118,7 @@
     def _drop(self, host: str) -> None:
         self.links_by_host.pop(host)
         self._tasks_by_host.pop(host).cancel()
-        self._directory.set_silent(host, is_silent=False)
+        self._directory.note_silence(host, is_silent=False)
 
     async def _keep_up(self, link: PeerLink) -> None:
         while True:
@@ -132,40 +127,39 @@
                     await self._converse(link)
             except PeerError as error:
                 link.last_error = str(error)
-                self._note_silent(link.presence.host)
+                self._note_silent(link.host)
             await asyncio.sleep(self._settings.reconnect_interval_s)
 
     async def _converse(self, link: PeerLink) -> None:
         while True:
             has_news = self._has_news
             await self._ping(link)
-            try:
+            with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(
                     self._settings.heartbeat_interval_s,
                 ):
                     await has_news.wait()
-            except TimeoutError:
-                continue
 
     async def _ping(self, link: PeerLink) -> None:
         asked_at = self._clock.now()
         status = await link.ask(self._news())
         if not isinstance(status, Status):
-            raise PeerError(f'{link.presence.host} answered beside the point')
-        host = link.presence.host
+            raise PeerError(f'{link.host} answered beside the point')
+        host = link.host
         link.status = status
         link.answered_at = asked_at
-        self._directory.set_silent(host, is_silent=False)
-        self._directory.set_leaving(host, is_leaving=status.is_leaving)
+        self._directory.note_silence(host, is_silent=False)
+        self._directory.note_leaving(host, is_leaving=status.is_leaving)
         if status.report.version > self._replica.version:
             await self._fetch_configuration(link)
         self._replica.hear(status.report, asked_at)
+        self._acknowledgements.record(host, status.report.version)
 
     async def _fetch_configuration(self, link: PeerLink) -> None:
         wanted = ConfigurationWanted(self._replica.version)
         update = await link.ask(wanted)
         if not isinstance(update, ConfigurationUpdate):
-            raise PeerError(f'{link.presence.host} answered beside the point')
+            raise PeerError(f'{link.host} answered beside the point')
         try:
             delta = decode_delta(update.encoded_delta)
             loaded = self._replica.loaded.apply_delta(delta)
@@ -176,10 +170,10 @@
             self._log.info(
                 'configuration_applied',
                 version=loaded.version,
-                source=link.presence.host,
+                source=link.host,
             )
 
     def _note_silent(self, host: str) -> None:
         if not self._directory.is_silent(host):
             self._log.warning('peer_silent', peer=host)
-        self._directory.set_silent(host, is_silent=True)
+        self._directory.note_silence(host, is_silent=True)
--- a/packages/geraniumd/src/geraniumd/platform.py
+++ b/packages/geraniumd/src/geraniumd/platform.py
@@ -1,6 +1,5 @@
 """The adapter to the platform: its objects, lists, orders and reports."""
 
-import asyncio
 from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from http import HTTPStatus
@@ -202,7 +201,7 @@
                 yield response
         except aiohttp.ClientConnectorError as error:
             raise UnavailableError(f'platform: {error}') from error
-        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+        except (TimeoutError, aiohttp.ClientError) as error:
             raise AnswerLostError(f'platform: {error!r}') from error
 
     def _session_for(self, method: str) -> aiohttp.ClientSession:
--- a/packages/geraniumd/src/geraniumd/probes.py
+++ b/packages/geraniumd/src/geraniumd/probes.py
@@ -25,24 +25,26 @@
         self._fleet = fleet
         self._client = client
         self._clock = clock
+        self._tasks_by_name: dict[str, asyncio.Task[None]] = {}
 
     async def run(self) -> None:
         """Probe every engine of the fleet until cancelled."""
-        tasks_by_name: dict[str, asyncio.Task[None]] = {}
         async with asyncio.TaskGroup() as group:
             while True:
-                links_by_name = dict(self._fleet.links_by_name)
-                for name in tasks_by_name.keys() - links_by_name.keys():
-                    tasks_by_name.pop(name).cancel()
-                for name, link in links_by_name.items():
-                    if name in tasks_by_name:
-                        continue
-                    if isinstance(link.target, Engine):
-                        tasks_by_name[name] = group.create_task(
-                            self._probe(name),
-                        )
+                self._reconcile(group)
                 await asyncio.sleep(self._settings.load_interval_s)
 
+    def _reconcile(self, group: asyncio.TaskGroup) -> None:
+        links_by_name = self._fleet.links_by_name
+        for gone in self._tasks_by_name.keys() - links_by_name.keys():
+            self._tasks_by_name.pop(gone).cancel()
+        for name, link in links_by_name.items():
+            if name in self._tasks_by_name:
+                continue
+            if isinstance(link.target, Engine):
+                probing = group.create_task(self._probe(name))
+                self._tasks_by_name[name] = probing
+
     async def _probe(self, name: str) -> None:
         while True:
             link = self._fleet.links_by_name.get(name)
--- a/packages/geraniumd/src/geraniumd/problems.py
+++ b/packages/geraniumd/src/geraniumd/problems.py
@@ -45,10 +45,10 @@
     body = problem_body(outcome, request_id)
     headers = {'Request-Id': request_id}
     match outcome:
-        case NotRun(retry_after_s=float(wait_s) | int(wait_s)):
-            headers['Retry-After'] = str(max(1, math.ceil(wait_s)))
         case NotRun(status=HTTPStatus.UNAUTHORIZED):
             headers['WWW-Authenticate'] = 'Bearer'
+        case NotRun(retry_after_s=wait_s) if wait_s is not None:
+            headers['Retry-After'] = str(max(1, math.ceil(wait_s)))
     return web.Response(
         status=body['status'],
         text=json.dumps(body),
--- a/packages/geraniumd/src/geraniumd/settings.py
+++ b/packages/geraniumd/src/geraniumd/settings.py
@@ -13,6 +13,8 @@
 OPERATOR_TOKEN_VARIABLE = 'GERANIUM_OPERATOR_TOKEN'
 PEER_SECRET_VARIABLE = 'GERANIUM_PEER_SECRET'
 
+MAX_SECONDS = 86400
+
 _STRICT = pydantic.ConfigDict(extra='forbid')
 
 Name = Annotated[
@@ -23,7 +25,7 @@
     str,
     pydantic.StringConstraints(pattern=r'^[\w.-]+:\d{1,5}$'),
 ]
-PositiveSeconds = Annotated[float, pydantic.Field(gt=0, le=86400)]
+PositiveSeconds = Annotated[float, pydantic.Field(gt=0, le=MAX_SECONDS)]
 Bytes = Annotated[int, pydantic.Field(gt=0)]
 
 
@@ -184,13 +186,13 @@
     return _SETTINGS_ADAPTER.json_schema()
 
 
-def _load_secret(field: str, path: str | None, variable: str) -> str:
+def _load_secret(field: str, path: str | None, variable_name: str) -> str:
     if path is None:
-        secret = os.environ.get(variable, '')
+        secret = os.environ.get(variable_name, '')
     else:
         secret = _read_secret(field, pathlib.Path(path))
     if not secret:
-        complaint = f'{field}: no file named and {variable} is not set'
+        complaint = f'{field}: no file named and {variable_name} is not set'
         raise SettingsError((complaint,))
     return secret
 
--- a/packages/geraniumd/src/geraniumd/sinks.py
+++ b/packages/geraniumd/src/geraniumd/sinks.py
@@ -184,9 +184,7 @@
 
 
 def _join_text(chunks: list[_Chunk]) -> _Answer:
-    parts = [
-        choice.text or '' for chunk in chunks for choice in chunk.choices
-    ]
+    parts = [choice.text or '' for chunk in chunks for choice in chunk.choices]
     choice = _Choice(text=''.join(parts), finish_reason=_finish_reason(chunks))
     return _answer('text_completion', chunks, choice)
 
--- a/packages/geraniumd/src/geraniumd/streams.py
+++ b/packages/geraniumd/src/geraniumd/streams.py
@@ -1,6 +1,5 @@
 """The adapter to an engine's completions: streams of events."""
 
-import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -55,7 +54,7 @@
     async def _read(self) -> bytes:
         try:
             chunk = await self._response.content.readany()
-        except asyncio.TimeoutError:
+        except TimeoutError:
             raise TargetLostError('the stream fell silent') from None
         except (aiohttp.ClientError, OSError) as error:
             raise TargetLostError(f'the stream broke: {error!r}') from error
--- a/packages/geraniumd/src/geraniumd/tables.py
+++ b/packages/geraniumd/src/geraniumd/tables.py
@@ -2,19 +2,17 @@
 
 from collections.abc import Callable, Mapping
 
-from geranium_coordination import Clock
 from geranium_model import Engine
 from geranium_statements import Collection, Row, Table, build_table
 
 from .configuration_tables import CONFIGURATION_BUILDERS
-from .directory import HostDirectory
-from .fleet import Fleet, TargetLink
-from .follower import ConfigurationFollower
+from .context import Context
+from .fleet import TargetLink
 from .peering import Peering
-from .records import RequestLog, RequestRecord
-from .settings import Settings
+from .records import RequestRecord
 
 _MS_PER_S = 1000
+_LOAD_COLUMNS = 6
 
 # Collections of which each daemon holds its own part.
 COLLECTIONS_BY_HOST = frozenset(
@@ -30,23 +28,14 @@
 class LocalTables:
     """Builds the table of each collection from this daemon's state."""
 
-    def __init__(
-        self,
-        settings: Settings,
-        follower: ConfigurationFollower,
-        directory: HostDirectory,
-        fleet: Fleet,
-        requests: RequestLog,
-        peering: Peering,
-        clock: Clock,
-    ) -> None:
-        self._host = settings.host
-        self._follower = follower
-        self._directory = directory
-        self._fleet = fleet
-        self._requests = requests
+    def __init__(self, context: Context, peering: Peering) -> None:
+        self._host = context.settings.host
+        self._follower = context.follower
+        self._directory = context.directory
+        self._fleet = context.fleet
+        self._requests = context.requests
+        self._clock = context.clock
         self._peering = peering
-        self._clock = clock
         self._builders_by_collection: Mapping[
             Collection,
             Callable[[], Table],
@@ -151,28 +140,21 @@
         return build_table(columns, rows)
 
     def _engine_row(self, link: TargetLink, engine: Engine) -> Row:
-        head = (engine.name, engine.service, engine.zone)
+        head: Row = (engine.name, engine.service, engine.zone)
+        state = engine.state.value
         load = link.load
         if load is None:
-            return (
-                *head,
-                engine.role.value,
-                engine.state.value,
-                *(None,) * 6,
-                link.running,
-            )
-        return (
-            *head,
-            load.role.value,
-            engine.state.value,
+            unknown: Row = (None,) * _LOAD_COLUMNS
+            return (*head, engine.role.value, state, *unknown, link.running)
+        reported: Row = (
             load.accepting,
             load.running,
             load.waiting,
             load.kv_pieces_used,
             load.kv_pieces,
             self._age_ms(load.sampled_at),
-            link.running,
         )
+        return (*head, load.role.value, state, *reported, link.running)
 
     def _request_rows(self) -> Table:
         records = (
@@ -195,17 +177,10 @@
     def _request_row(self, record: RequestRecord) -> Row:
         ended_at = record.ended_at or self._clock.now()
         duration_ms = round((ended_at - record.arrived_at) * _MS_PER_S, 1)
-        return (
-            record.request_id,
-            self._host,
-            record.team,
-            record.service,
-            record.target,
-            record.attempts,
-            record.outcome,
-            self._age_ms(record.arrived_at),
-            duration_ms,
-        )
+        identity: Row = (record.request_id, self._host, record.team)
+        course: Row = (record.service, record.target, record.attempts)
+        age_ms = self._age_ms(record.arrived_at)
+        return (*identity, *course, record.outcome, age_ms, duration_ms)
 
     def _peers(self) -> Table:
         rows: list[Row] = []
--- a/packages/geraniumd/src/geraniumd/transport.py
+++ b/packages/geraniumd/src/geraniumd/transport.py
@@ -1,6 +1,5 @@
 """HTTP calls to targets, with their failures told apart."""
 
-import asyncio
 from collections.abc import Mapping
 from http import HTTPStatus
 
@@ -82,7 +81,7 @@
             aiohttp.ConnectionTimeoutError,
         ) as error:
             raise TargetRefusedError(repr(error)) from error
-        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+        except (TimeoutError, aiohttp.ClientError) as error:
             raise TargetLostError(repr(error)) from error
 
     def _open_session(self) -> aiohttp.ClientSession:
@@ -112,7 +111,7 @@
     """
     try:
         return await response.read()
-    except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+    except (TimeoutError, aiohttp.ClientError) as error:
         raise TargetLostError(repr(error)) from error
 
 
--- a/packages/geraniumd/src/geraniumd/usage.py
+++ b/packages/geraniumd/src/geraniumd/usage.py
@@ -14,9 +14,7 @@
 
     def add(self, team: str, service: str, usage: Usage) -> None:
         """Count what a request of the team used."""
-        self.usage_by_team[team] = (
-            self.usage_by_team.get(team, Usage()) + usage
-        )
+        self.usage_by_team[team] = self.usage_by_team.get(team, Usage()) + usage
         self._telemetry.tokens.add(
             usage.prompt_tokens,
             {'service': service, 'kind': 'prompt'},
