Add the operators' query and command language

Operators ask and order in statements; until now nothing parsed one. A lark grammar with a contextual LALR lexer was taken over a hand-written parser: keywords count only where they may stand, so a team may be named "order", and the parser itself knows what was expected at an error. Making keywords reserved was weighed and dropped, as names are chosen by operators.

Each statement becomes a frozen dataclass. Show evaluates over tables, commands apply to the configuration document, and describe() gives the canonical text. A key may be created from its secret's digest, so that a repeated command makes no second key and the secret need not travel.

--- /dev/null
+++ b/packages/geranium-statements/src/geranium_statements/comparisons.py
@@ -0,0 +1,189 @@
+"""Compares cells with the literals of a statement."""
+
+import enum
+import math
+import operator
+import re
+import types
+from collections.abc import Callable, Iterable
+from typing import TypeAlias
+
+from . import conditions
+from .exceptions import StatementError
+from .tables import Cell, Column
+
+CellMatcher: TypeAlias = Callable[[Cell], bool]
+
+
+class _Kind(enum.Enum):
+    TEXT = 'texts'
+    NUMBER = 'numbers'
+    TRUTH = 'true or false'
+
+
+_PIECES_BY_WILDCARD = types.MappingProxyType({'%': '.*', '_': '.'})
+_ORDERINGS = types.MappingProxyType(
+    {
+        conditions.Operator.LESS: operator.lt,
+        conditions.Operator.AT_MOST: operator.le,
+        conditions.Operator.GREATER: operator.gt,
+        conditions.Operator.AT_LEAST: operator.ge,
+    }
+)
+
+
+def cell_matcher(
+    comparison: conditions.Comparison,
+    column: Column,
+    cells: Iterable[Cell],
+) -> CellMatcher:
+    """Return a function that tells whether a cell meets the comparison.
+
+    An ordering never holds for a cell that holds nothing.
+
+    Args:
+        comparison: The comparison.
+        column: The column that it names.
+        cells: The column's cells, which tell what kind it holds.
+
+    Raises:
+        StatementError: If the literal is of a kind that the column does not
+            hold, or can't be compared in this way.
+    """
+    _check_kind(comparison, _kinds_of(cells))
+    literal = comparison.literal
+    match comparison.operator:
+        case conditions.Operator.EQUAL:
+            return _equality(comparison, column)
+        case conditions.Operator.NOT_EQUAL:
+            equals = _equality(comparison, column)
+            return lambda cell: not equals(cell)
+        case conditions.Operator.LIKE if isinstance(literal, conditions.Text):
+            pattern = _like_pattern(literal.text)
+            return lambda cell: _is_like(cell, pattern)
+        case _:
+            return _ordering(comparison, column)
+
+
+def _kinds_of(cells: Iterable[Cell]) -> set[_Kind]:
+    kinds = {_kind_of_cell(cell) for cell in cells if cell is not None}
+    return kinds or set(_Kind)
+
+
+def _kind_of_cell(cell: Cell) -> _Kind:
+    match cell:
+        case bool():
+            return _Kind.TRUTH
+        case str():
+            return _Kind.TEXT
+        case _:
+            return _Kind.NUMBER
+
+
+def _check_kind(comparison: conditions.Comparison, held: set[_Kind]) -> None:
+    accepted = _kinds_for(comparison)
+    if accepted and not accepted & held:
+        names = ' and '.join(sorted(kind.value for kind in held))
+        raise _misfit(comparison, f'holds {names}')
+
+
+def _kinds_for(comparison: conditions.Comparison) -> set[_Kind]:
+    """Return the kinds of cells that the comparison can hold for."""
+    match comparison.literal:
+        case conditions.Number() if comparison.operator in _ORDERINGS:
+            return {_Kind.NUMBER}
+        case conditions.Number():
+            # A version such as 1.10 is a text that is written as a number.
+            return {_Kind.NUMBER, _Kind.TEXT}
+        case conditions.Duration():
+            return {_Kind.NUMBER}
+        case conditions.Truth():
+            return {_Kind.TRUTH}
+        case conditions.Text():
+            return {_Kind.TEXT}
+        case conditions.Nothing():
+            return set()
+
+
+def _misfit(comparison: conditions.Comparison, reason: str) -> StatementError:
+    column = comparison.column
+    return StatementError(
+        f'column {column.name!r} {reason}', column.line, column.column
+    )
+
+
+def _equality(comparison: conditions.Comparison, column: Column) -> CellMatcher:
+    match comparison.literal:
+        case conditions.Text(text):
+            return lambda cell: cell == text
+        case conditions.Number(text) as number:
+            return lambda cell: _equals_number(cell, text, number.amount)
+        case conditions.Duration() as duration:
+            amount = _in_unit_of(column, comparison, duration)
+            return lambda cell: _is_close(cell, amount)
+        case conditions.Truth(truth):
+            return lambda cell: cell is truth
+        case conditions.Nothing():
+            return lambda cell: cell is None
+
+
+def _equals_number(cell: Cell, text: str, amount: float) -> bool:
+    if isinstance(cell, str):
+        return cell == text
+    return not isinstance(cell, bool) and cell == amount
+
+
+def _is_close(cell: Cell, amount: float) -> bool:
+    if isinstance(cell, bool | str) or cell is None:
+        return False
+    return math.isclose(cell, amount)
+
+
+def _ordering(comparison: conditions.Comparison, column: Column) -> CellMatcher:
+    compare = _ORDERINGS.get(comparison.operator)
+    if compare is None:
+        raise _misfit(comparison, 'is compared by like with texts only')
+    operand = _operand(comparison, column)
+    kind = _kind_of_cell(operand)
+    return lambda cell: (
+        cell is not None
+        and _kind_of_cell(cell) is kind
+        and compare(cell, operand)
+    )
+
+
+def _operand(comparison: conditions.Comparison, column: Column) -> str | float:
+    match comparison.literal:
+        case conditions.Text(text):
+            return text
+        case conditions.Number() as number:
+            return number.amount
+        case conditions.Duration() as duration:
+            return _in_unit_of(column, comparison, duration)
+        case _:
+            raise _misfit(
+                comparison, 'is compared with true, false or none by = or !='
+            )
+
+
+def _in_unit_of(
+    column: Column,
+    comparison: conditions.Comparison,
+    duration: conditions.Duration,
+) -> float:
+    if column.unit is None:
+        raise _misfit(comparison, 'does not hold times')
+    return duration.seconds / conditions.SECONDS_BY_UNIT[column.unit]
+
+
+def _like_pattern(text: str) -> re.Pattern[str]:
+    """Translate ``%`` (any run) and ``_`` (any one character)."""
+    pieces = (
+        _PIECES_BY_WILDCARD.get(character, re.escape(character))
+        for character in text
+    )
+    return re.compile(''.join(pieces), re.DOTALL)
+
+
+def _is_like(cell: Cell, pattern: re.Pattern[str]) -> bool:
+    return isinstance(cell, str) and pattern.fullmatch(cell) is not None
--- /dev/null
+++ b/packages/geranium-statements/src/geranium_statements/descriptions.py
@@ -0,0 +1,247 @@
+"""The canonical text of statements, for audit logs and for sending on."""
+
+import dataclasses
+import enum
+import json
+import re
+import types
+from collections.abc import Mapping
+from typing import Any
+
+from . import commands, conditions, orders, queries
+from .statements import Change, Statement
+
+_BARE_NAME = re.compile('[A-Za-z0-9_][A-Za-z0-9_.-]*', re.ASCII)
+_LIKE_OTHER_LITERAL = re.compile(
+    r'\d+(\.\d+)?([eE][+-]?\d+|us|ms|s|min|h)?|true|false|none',
+    re.ASCII,
+)
+_ADDRESS = re.compile(r'[A-Za-z0-9_.-]+:\d{1,5}', re.ASCII)
+_PATH = re.compile(r'/[A-Za-z0-9_./{}*-]*', re.ASCII)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Option:
+    """A clause that is left out while the field has its default."""
+
+    field: str
+    wording: str
+
+
+class _Form:
+    """The clauses of a command or an order; the head always stands."""
+
+    def __init__(self, head: str, *options: _Option) -> None:
+        self.head = head
+        self.options = options
+
+
+_SERVICE_OPTIONS = (
+    _Option('version', 'version {0}'),
+    _Option('first_token_ms', 'first-token {0}ms'),
+    _Option('between_tokens_ms', 'between-tokens {0}ms'),
+)
+_PURCHASE_OPTION = _Option('purchase', 'purchase {0}')
+_PLACEMENT = '{name} for service {service} in zone {zone} at {address}'
+_TERMS = 'for service {service} in zone {zone} purchase {purchase}'
+_FORMS_BY_TYPE: Mapping[type, _Form] = types.MappingProxyType(
+    {
+        commands.CreateZone: _Form('create zone {name} in region {region}'),
+        commands.DeleteZone: _Form('delete zone {name}'),
+        commands.CreateTeam: _Form(
+            'create team {name}', _Option('weight', 'weight {0}')
+        ),
+        commands.SetTeam: _Form('set team {name} weight {weight}'),
+        commands.DeleteTeam: _Form('delete team {name}'),
+        commands.CreateKey: _Form(
+            'create key {key_id} for team {team}',
+            _Option('sha256', 'sha256 {0}'),
+        ),
+        commands.WithdrawKey: _Form('withdraw key {key_id}'),
+        commands.CreateModelService: _Form(
+            'create service {name} model {model}',
+            *_SERVICE_OPTIONS,
+        ),
+        commands.CreateApplicationService: _Form(
+            'create service {name} application'
+        ),
+        commands.SetService: _Form(
+            'set service {name}',
+            _Option('model', 'model {0}'),
+            *_SERVICE_OPTIONS,
+        ),
+        commands.DeleteService: _Form('delete service {name}'),
+        commands.AddEngine: _Form(
+            f'add engine {_PLACEMENT}',
+            _Option('role', 'role {0}'),
+            _PURCHASE_OPTION,
+            _Option('honours_fencing', 'fencing {0}'),
+        ),
+        commands.AddTarget: _Form(f'add target {_PLACEMENT}', _PURCHASE_OPTION),
+        commands.RemoveTarget: _Form('remove target {name}'),
+        commands.SetRoute: _Form(
+            'set route {name} for service {service}',
+            _Option('path', 'path {0}'),
+            _Option('methods', 'methods {0}'),
+            _Option('repeatable', 'repeatable {0}'),
+            _Option('open_to_all', 'open to all'),
+            _Option('teams', 'teams {0}'),
+        ),
+        commands.DeleteRoute: _Form('delete route {name}'),
+        commands.SetContract: _Form(
+            f'set contract {_TERMS} committed {{committed}}'
+            ' maximum {maximum} price {hourly_price}',
+        ),
+        commands.DeleteContract: _Form(
+            f'delete contract {_TERMS}',
+        ),
+        commands.Cordon: _Form('cordon zone {zone}'),
+        commands.Uncordon: _Form('uncordon zone {zone}'),
+        orders.DrainEngine: _Form('drain engine {engine}'),
+        orders.ResumeEngine: _Form('resume engine {engine}'),
+        orders.SetEngineRole: _Form('set role {engine} {role}'),
+        orders.LoadModel: _Form(
+            'load model {model} version {version} on engine {engine}'
+        ),
+        orders.LoadAdapter: _Form(
+            'load adapter {adapter} version {version} on engine {engine}'
+        ),
+        orders.StopHost: _Form('stop host {host}'),
+    }
+)
+
+
+def describe(statement: Statement) -> str:
+    """Return the statement's canonical text, which parses to the same.
+
+    It holds no secret: ``create key`` knows at most a secret's digest.
+    """
+    match statement:
+        case queries.Show():
+            return f'show {_selection(statement)}'
+        case queries.Watch(show, interval):
+            return f'watch {_selection(show)} every {_literal(interval)}'
+        case queries.ExplainRequest(request_id):
+            return f'explain request {_name(request_id)}'
+        case Change(command, None):
+            return _directive(command)
+        case Change(command, version):
+            return f'{_directive(command)} if version {version}'
+        case _:
+            return _directive(statement)
+
+
+def _name(text: str) -> str:
+    return _bare_if(_BARE_NAME, text)
+
+
+def _bare_if(pattern: re.Pattern[str], text: str) -> str:
+    return text if pattern.fullmatch(text) else json.dumps(text)
+
+
+def _selection(show: queries.Show) -> str:
+    clauses = [show.collection.value]
+    if show.columns:
+        columns = ', '.join(_column(column) for column in show.columns)
+        clauses.append(f'columns {columns}')
+    if show.where is not None:
+        clauses.append(f'where {_condition(show.where)}')
+    if show.order_by:
+        keys = ', '.join(_sort_key(key) for key in show.order_by)
+        clauses.append(f'order by {keys}')
+    if show.limit is not None:
+        clauses.append(f'limit {show.limit}')
+    return ' '.join(clauses)
+
+
+def _column(column: conditions.ColumnName) -> str:
+    if column.name == 'not':
+        return '"not"'
+    return _name(column.name)
+
+
+def _sort_key(key: queries.OrderBy) -> str:
+    direction = ' desc' if key.descending else ''
+    return f'{_column(key.column)}{direction}'
+
+
+def _condition(condition: conditions.Condition) -> str:
+    match condition:
+        case conditions.AllOf(parts):
+            return ' and '.join(_factor(part) for part in parts)
+        case conditions.AnyOf(parts):
+            return ' or '.join(_factor(part) for part in parts)
+        case conditions.Not(part):
+            return f'not {_factor(part)}'
+        case conditions.Membership(column, literals):
+            listed = ', '.join(_literal(literal) for literal in literals)
+            return f'{_column(column)} in ({listed})'
+        case conditions.Comparison(column, operator, literal):
+            return f'{_column(column)} {operator.value} {_literal(literal)}'
+
+
+def _factor(condition: conditions.Condition) -> str:
+    match condition:
+        case conditions.AllOf() | conditions.AnyOf():
+            return f'({_condition(condition)})'
+        case _:
+            return _condition(condition)
+
+
+def _literal(literal: conditions.Literal) -> str:
+    match literal:
+        case conditions.Text(text) if _LIKE_OTHER_LITERAL.fullmatch(text):
+            return json.dumps(text)
+        case conditions.Text(text):
+            return _name(text)
+        case conditions.Number(text):
+            return text
+        case conditions.Duration(number, unit):
+            return f'{number}{unit}'
+        case conditions.Truth(truth):
+            return 'true' if truth else 'false'
+        case conditions.Nothing():
+            return 'none'
+
+
+def _directive(directive: commands.Command | orders.Order) -> str:
+    """Describe a command or an order by its form."""
+    texts_by_field = {}
+    for field in dataclasses.fields(directive):
+        setting = getattr(directive, field.name)
+        if setting != field.default:
+            texts_by_field[field.name] = _field_text(field.name, setting)
+    form = _FORMS_BY_TYPE[type(directive)]
+    clauses = [form.head.format(**texts_by_field)]
+    clauses.extend(
+        option.wording.format(texts_by_field[option.field])
+        for option in form.options
+        if option.field in texts_by_field
+    )
+    return ' '.join(clauses)
+
+
+def _field_text(field: str, setting: Any) -> str:
+    match field:
+        case 'address':
+            return _bare_if(_ADDRESS, setting)
+        case 'path':
+            return _bare_if(_PATH, setting)
+        case 'honours_fencing':
+            return 'honoured' if setting else 'ignored'
+        case _:
+            return _setting_text(setting)
+
+
+def _setting_text(setting: Any) -> str:
+    match setting:
+        case bool():
+            return 'yes' if setting else 'no'
+        case enum.Enum():
+            return str(setting.value)
+        case tuple():
+            return ', '.join(_name(text) for text in setting)
+        case str():
+            return _name(setting)
+        case _:
+            return str(setting)
--- /dev/null
+++ b/packages/geranium-statements/src/geranium_statements/rendering.py
@@ -0,0 +1,31 @@
+"""Shows where in a statement an error lies."""
+
+from .exceptions import StatementError
+
+
+def render_error(error: StatementError, text: str) -> str:
+    """Return the faulty line with a caret under the place and the message.
+
+    Args:
+        error: The error.
+        text: The text that the error's line and column refer to.
+    """
+    lines = text.expandtabs(1).split('\n')
+    place = f'line {error.line}, column {error.column}'
+    rendered = [
+        *lines[error.line - 1 : error.line],
+        '^'.rjust(error.column),
+        f'{place}: {error.message}',
+    ]
+    if error.expected:
+        rendered.append(f'expected {enumerate_words(error.expected)}')
+    return '\n'.join(rendered)
+
+
+def enumerate_words(words: tuple[str, ...]) -> str:
+    """Return the words as ``a, b or c``."""
+    *rest, last = words
+    if not rest:
+        return last
+    listed = ', '.join(rest)
+    return f'{listed} or {last}'
