--- a/packages/geranium-coordination/src/geranium_coordination/__init__.py
+++ b/packages/geranium-coordination/src/geranium_coordination/__init__.py
@@ -7,6 +7,7 @@
     ChangeConflict,
     ChangeOutcome,
     ChangeRejected,
+    Mutation,
     PendingWithdrawal,
 )
 from .configuration_exceptions import (
@@ -60,6 +61,7 @@
     'CoordinationError',
     'IfAbsent',
     'IfVersion',
+    'Mutation',
     'ObjectStore',
     'StoreError',
     'StoredObject',
--- a/packages/geraniumd/src/geraniumd/applications.py
+++ b/packages/geraniumd/src/geraniumd/applications.py
@@ -58,7 +58,7 @@
             answer = await self._try(call, attempts, link)
             if answer is not None:
                 return answer
-            if attempts.was_sent and not call.is_repeatable:
+            if not _may_go_on(call, attempts):
                 break
         return attempts.give_up('No target answered')
 
@@ -108,3 +108,7 @@
             link.running -= 1
         self._recorder.note_success(link)
         return answer
+
+
+def _may_go_on(call: ApplicationCall, attempts: Attempts) -> bool:
+    return call.is_repeatable or not attempts.was_sent
--- a/packages/geraniumd/src/geraniumd/execution.py
+++ b/packages/geraniumd/src/geraniumd/execution.py
@@ -1,6 +1,7 @@
 """Executes operators' statements."""
 
 import dataclasses
+from functools import partial
 
 from geranium_coordination import (
     AnnouncementError,
@@ -14,7 +15,6 @@
 )
 from geranium_model import (
     ConfigurationDocument,
-    DocumentError,
     ModelError,
     generate_secret,
 )
@@ -32,7 +32,7 @@
     parse_statement,
     run_query,
 )
-from geranium_statements.commands import CreateKey
+from geranium_statements.commands import Command, CreateKey
 
 from .context import Context
 from .exceptions import (
@@ -157,8 +157,6 @@
                 change.description,
                 change.expected_version,
             )
-        except DocumentError as error:
-            raise OperatorRefusedError('; '.join(error.complaints)) from error
         except ModelError as error:
             raise OperatorRefusedError(str(error)) from error
         except ChangeOutcomeUnknownError as error:
@@ -208,13 +206,9 @@
     ) -> Table:
         command = statement.command
         secret = generate_secret()
-
-        def mutate(document: ConfigurationDocument) -> ConfigurationDocument:
-            return apply_command(command, document, secret).document
-
         table = await self.change(
             ConfigurationChange(
-                mutate,
+                partial(_apply, command, secret),
                 request.operation_id,
                 request.author,
                 describe(statement),
@@ -245,6 +239,14 @@
         return merge((HostAnswer(self._host, table), *answers))
 
 
+def _apply(
+    command: Command,
+    secret: str,
+    document: ConfigurationDocument,
+) -> ConfigurationDocument:
+    return apply_command(command, document, secret).document
+
+
 def _with_secret(table: Table, command: CreateKey, secret: str) -> Table:
     version, in_force, hosts = table.rows[0]
     return build_table(
--- a/packages/geraniumd/src/geraniumd/gateway.py
+++ b/packages/geraniumd/src/geraniumd/gateway.py
@@ -59,6 +59,12 @@
         )
         return app
 
+    async def wait_idle(self) -> None:
+        """Return once no request runs."""
+        while self.running:
+            self._idle.clear()
+            await self._idle.wait()
+
     @web.middleware
     async def _guard(
         self,
@@ -78,12 +84,6 @@
         request_id = request.headers.get('Request-Id', _NO_REQUEST_ID)
         return problem_response(refusal, request_id)
 
-    async def wait_idle(self) -> None:
-        """Return once no request runs."""
-        while self.running:
-            self._idle.clear()
-            await self._idle.wait()
-
     def _exit(self) -> None:
         self.running -= 1
         if not self.running:
