--- a/packages/geraniumd/src/geraniumd/wire.py
+++ b/packages/geraniumd/src/geraniumd/wire.py
@@ -1,5 +1,6 @@
 """Encodes messages between daemons with Cap'n Proto."""
 
+import math
 import pathlib
 from typing import Any
 
@@ -62,14 +63,16 @@
                 nonce=bytes(hello.nonce),
                 proof=bytes(hello.proof),
             )
-    except capnp.KjException as error:
+    except (capnp.KjException, ValueError) as error:
         raise FrameError(str(error)) from error
 
 
 def encode(envelope: Envelope) -> bytes:
     """Return a message's bytes."""
-    frame = _schema.Frame.new_message(id=envelope.number)
-    _fill(frame, envelope.message)
+    frame = _schema.Frame.new_message(
+        id=envelope.number,
+        **_union_member(envelope.message),
+    )
     return bytes(frame.to_bytes())
 
 
@@ -82,26 +85,26 @@
     try:
         with _schema.Frame.from_bytes(data) as frame:
             return Envelope(frame.id, _read(frame))
-    except capnp.KjException as error:
+    except (capnp.KjException, ValueError) as error:
         raise FrameError(str(error)) from error
 
 
-def _fill(frame: Any, message: Message) -> None:
+def _union_member(message: Message) -> dict[str, Any]:
     match message:
         case Ping():
-            frame.ping = _ping_fields(message)
+            return {'ping': _ping_fields(message)}
         case Status():
-            frame.status = _status_fields(message)
+            return {'status': _status_fields(message)}
         case ConfigurationWanted():
-            frame.configurationWanted = message.since_version
+            return {'configurationWanted': message.since_version}
         case ConfigurationUpdate():
-            frame.configuration = message.encoded_delta
+            return {'configuration': message.encoded_delta}
         case Announcement():
-            frame.announcement = _withdrawal_fields(message.pending, 0)
+            return {'announcement': _withdrawal_fields(message.pending, 0)}
         case Acknowledgement():
-            frame.acknowledgement = message.counts
+            return {'acknowledgement': message.counts}
         case UsageReplica():
-            frame.usage = _usage_fields(message)
+            return {'usage': _usage_fields(message)}
 
 
 def _read(frame: Any) -> Message:
@@ -252,7 +255,7 @@
 
 def _to_ms(age_s: float | None) -> int:
     # Rounded up: an age on the wire is never younger than it was.
-    return _NO_AGE if age_s is None else int(age_s * _MS_PER_S) + 1
+    return _NO_AGE if age_s is None else math.ceil(age_s * _MS_PER_S)
 
 
 def _to_age(age_ms: int) -> float | None:
--- /dev/null
+++ b/packages/geraniumd/tests/test_wire.py
@@ -0,0 +1,59 @@
+"""Every message between daemons comes back as it was sent."""
+
+import pytest
+from geranium_coordination import (
+    FreshnessReport,
+    HeldWithdrawal,
+    PendingWithdrawal,
+)
+from geraniumd import messages
+from geraniumd.exceptions import FrameError
+from geraniumd.wire import decode, encode
+
+PENDING = PendingWithdrawal('op-1', 7, ('a' * 64, 'b' * 64))
+
+MESSAGES = (
+    messages.Ping(),
+    messages.Ping(
+        dispatches=(messages.EngineDispatch('e-1', 3, 900),),
+        consumption=(messages.TeamConsumption('registry', 'llm', 12345),),
+        suspicions=(messages.Suspicion(2**63, 2, 1.5),),
+    ),
+    messages.ConfigurationWanted(12),
+    messages.ConfigurationUpdate(b'{"delta": 1}'),
+    messages.Announcement(PENDING),
+    messages.Acknowledgement(counts=True),
+    messages.UsageReplica(
+        'khomas-a-1.77',
+        (messages.UsageCounter('w', 'registry', 1, 2, 3),),
+    ),
+)
+
+
+@pytest.mark.parametrize('message', MESSAGES)
+def test_message_comes_back(message):
+    envelope = messages.Envelope(9, message)
+    assert decode(encode(envelope)) == envelope
+
+
+def test_ages_on_the_wire_are_never_younger():
+    report = FreshnessReport(
+        'h',
+        4,
+        store_age_s=0.0125,
+        quorum_age_s=None,
+        votes=True,
+        withdrawals=(HeldWithdrawal(PENDING, 0.5),),
+    )
+    sent = messages.Envelope(1, messages.Status(report, is_leaving=True))
+    received = decode(encode(sent)).message
+    assert isinstance(received, messages.Status)
+    assert received.report.store_age_s >= 0.0125
+    assert received.report.quorum_age_s is None
+    assert received.report.withdrawals[0].age_s >= 0.5
+    assert received.report.withdrawals[0].pending == PENDING
+
+
+def test_malformed_bytes_are_a_frame_error():
+    with pytest.raises(FrameError):
+        decode(b'\x00' * 3)
