--- a/packages/geraniumd/src/geraniumd/engines.py
+++ b/packages/geraniumd/src/geraniumd/engines.py
@@ -21,6 +21,7 @@
 
 MS_PER_S = 1000
 _CALL_TIMEOUT_S = 2
+_LIVE = 'live'
 
 
 class _LoadReport(pydantic.BaseModel):
@@ -75,7 +76,7 @@
         return EngineLoad(
             engine=report.engine,
             role=report.role,
-            accepting=report.state == 'accepting',
+            accepting=report.state == _LIVE,
             running=report.running,
             waiting=report.waiting,
             kv_pieces_used=report.kv_pieces_used,
