--- a/packages/geranium-coordination/src/geranium_coordination/__init__.py
+++ b/packages/geranium-coordination/src/geranium_coordination/__init__.py
@@ -1,6 +1,7 @@
 """Sessions, leases, fencing, journals and replication over an object store."""
 
 from .acknowledgements import Acknowledgements, RolloutProgress
+from .announcements import announce_to_electors
 from .clock import Clock, SystemClock
 from .configuration_changes import (
     ChangeAccepted,
@@ -94,6 +95,7 @@
     'RolloutProgress',
     'Stale',
     'StaleDeltaError',
+    'announce_to_electors',
     'decode_delta',
     'encode_delta',
     'watchers',
--- a/packages/geranium-coordination/src/geranium_coordination/configuration_exceptions.py
+++ b/packages/geranium-coordination/src/geranium_coordination/configuration_exceptions.py
@@ -8,7 +8,11 @@
 
 
 class ConfigurationUnavailableError(ConfigurationError):
-    """The store was not reached: nothing was loaded or changed."""
+    """The store was not reached: this call loaded or changed nothing.
+
+    It says nothing of an earlier call with the same operation id whose
+    outcome was unknown.
+    """
 
 
 class ChangeOutcomeUnknownError(ConfigurationError):
--- /dev/null
+++ b/packages/geranium-coordination/tests/test_withdrawals.py
@@ -0,0 +1,208 @@
+"""A withdrawn key stops within seconds, and admission goes on if it may."""
+
+import dataclasses
+
+import geranium_coordination as coordination
+import pytest
+from geranium_coordination import (
+    AnnouncementError,
+    ConfigurationReplica,
+    Fresh,
+    FreshnessReport,
+    HeldWithdrawal,
+    PendingWithdrawal,
+    Stale,
+)
+from hypothesis import given, settings, strategies
+
+from .withdrawal_network import (
+    HOSTS,
+    KEYS,
+    Admitted,
+    Network,
+    late_admissions,
+    version_without,
+)
+
+SEEDS = strategies.integers(min_value=0, max_value=10**6)
+
+
+@settings(max_examples=200, derandomize=True, deadline=None)
+@given(seed=SEEDS)
+def test_withdrawn_key_is_refused_within_the_limit(seed):
+    assert not Network(seed).run()
+
+
+def test_most_networks_accept_withdrawals_and_admit_others():
+    accepted = 0
+    lasting = 0
+    for seed in range(20):
+        network = Network(seed)
+        network.run()
+        accepted += len(network.accepted_at_by_key)
+        lasting += sum(item.key == KEYS[0] for item in network.admissions)
+    assert accepted > 30
+    assert lasting > 20 * 5 * 45
+
+
+def accept_unannounced(patch):
+    def announce(self, pending, age_s=0):
+        return True
+
+    patch.setattr(ConfigurationReplica, 'announce', announce)
+
+
+def count_from_the_answer(patch):
+    hear = ConfigurationReplica.hear
+    confirm = ConfigurationReplica.confirm
+
+    def late_hear(self, report, asked_at):
+        hear(self, report, self._clock.now())
+
+    def late_confirm(self, version, asked_at):
+        confirm(self, version, max(asked_at, self._clock.now()))
+
+    patch.setattr(ConfigurationReplica, 'hear', late_hear)
+    patch.setattr(ConfigurationReplica, 'confirm', late_confirm)
+
+
+def renew_passed_on_confirmations(patch):
+    hear = ConfigurationReplica.hear
+
+    def ageless(self, report, asked_at):
+        if report.store_age_s is not None:
+            report = dataclasses.replace(report, store_age_s=0)
+        hear(self, report, asked_at)
+
+    patch.setattr(ConfigurationReplica, 'hear', ageless)
+
+
+def vote_at_once(patch):
+    patch.setattr(coordination.freshness.Confirmations, 'votes', True)
+
+
+def take_two_for_a_majority(patch):
+    def heard(self, now, votes):
+        return max(self._heard_at_by_host.values(), default=None)
+
+    patch.setattr(coordination.freshness.Quorum, 'heard_majority_at', heard)
+
+
+@pytest.mark.parametrize(
+    'mutant',
+    [
+        accept_unannounced,
+        count_from_the_answer,
+        renew_passed_on_confirmations,
+        vote_at_once,
+        take_two_for_a_majority,
+    ],
+)
+def test_checker_catches_the_mutant(mutant, monkeypatch):
+    mutant(monkeypatch)
+    assert any(Network(seed).run() for seed in range(300))
+
+
+def test_checker_tells_late_admissions_from_timely_ones():
+    timely = Admitted('host-1', KEYS[1], 14.9)
+    late = Admitted('host-1', KEYS[1], 15.1)
+    other = Admitted('host-1', KEYS[2], 15.1)
+    found = late_admissions({KEYS[1]: 10}, [timely, late, other])
+    assert found == [late]
+
+
+class StillClock:
+    def __init__(self) -> None:
+        self.instant = float(0)
+
+    def now(self):
+        return self.instant
+
+    async def sleep_until(self, instant):
+        self.instant = instant
+
+
+@pytest.fixture
+def clock():
+    return StillClock()
+
+
+@pytest.fixture
+def replica(clock):
+    made = ConfigurationReplica('host-0', None, clock)
+    made.elect(HOSTS)
+    made.apply(version_without(2, frozenset()))
+    return made
+
+
+def test_replica_is_stale_until_the_store_confirms(replica):
+    assert replica.admission(0) == Stale(None)
+    replica.confirm(2, asked_at=1)
+    assert replica.admission(2) == Fresh(until=4)
+    assert replica.admission(4) == Stale(since=4)
+
+
+def test_higher_version_at_the_store_confirms_nothing(replica):
+    replica.confirm(3, asked_at=1)
+    assert replica.admission(1) == Stale(None)
+
+
+def test_peers_confirmation_keeps_its_age(replica):
+    report = FreshnessReport('host-1', 2, store_age_s=2.5)
+    replica.hear(report, asked_at=10)
+    assert replica.admission(10) == Fresh(until=10.5)
+
+
+def test_lower_version_is_never_applied(replica):
+    assert not replica.apply(version_without(1, frozenset()))
+    assert replica.version == 2
+
+
+def test_majority_of_voting_electors_stands_in_for_the_store(replica, clock):
+    clock.instant = 30
+    replica.confirm(2, asked_at=25)
+    for host in HOSTS[1:3]:
+        assert isinstance(replica.admission(30), Stale)
+        replica.hear(FreshnessReport(host, 2, votes=True), asked_at=29)
+    assert replica.admission(30) == Fresh(until=32)
+
+
+def test_reported_withdrawal_is_held_until_it_is_decided(replica, clock):
+    pending = PendingWithdrawal('op', 2, (KEYS[0],))
+    report = FreshnessReport(
+        'host-1', 2, withdrawals=(HeldWithdrawal(pending, 5),)
+    )
+    replica.hear(report, asked_at=0)
+    assert replica.is_withheld(KEYS[0])
+    replica.confirm(2, asked_at=15)
+    assert replica.is_withheld(KEYS[0])
+    replica.confirm(2, asked_at=15.1)
+    assert not replica.is_withheld(KEYS[0])
+
+
+def test_next_version_settles_a_withdrawal(replica):
+    replica.announce(PendingWithdrawal('op', 2, (KEYS[0],)))
+    replica.apply(version_without(3, frozenset()))
+    assert not replica.is_withheld(KEYS[0])
+
+
+async def test_announcement_needs_a_majority():
+    pending = PendingWithdrawal('op', 2, (KEYS[0],))
+
+    async def send(host, announced):
+        if host == 'host-0':
+            raise ConnectionError(host)
+        return host in voters
+
+    voters = {'host-1', 'host-2', 'host-3'}
+    await coordination.announce_to_electors(pending, HOSTS, send, timeout_s=60)
+    voters.remove('host-1')
+    with pytest.raises(AnnouncementError):
+        await coordination.announce_to_electors(
+            pending, HOSTS, send, timeout_s=60
+        )
+
+
+async def test_waiting_for_a_version_ends_with_it(replica):
+    replica.apply(version_without(5, frozenset()))
+    assert (await replica.wait_for(4)).version == 5
--- /dev/null
+++ b/packages/geranium-coordination/tests/withdrawal_network.py
@@ -0,0 +1,273 @@
+"""Hosts that follow a platform and each other, with cuts and outages."""
+
+import dataclasses
+import functools
+import heapq
+import random
+
+from geranium_coordination import (
+    ConfigurationReplica,
+    Fresh,
+    FreshnessSettings,
+    LoadedConfiguration,
+    PendingWithdrawal,
+    manifests,
+)
+from geranium_model import Configuration, Key
+
+PLATFORM = 'platform'
+HOSTS = tuple(f'host-{number}' for number in range(5))
+MAJORITY = 3
+KEYS = tuple(digit * 64 for digit in '0123')
+SETTINGS = FreshnessSettings(confirmation_s=3, withdrawal_hold_s=12)
+LIMIT_S = 5
+BUDGET_S = 6
+POLL_S = 1
+END_S = 90
+FIRST_FAULT_S = 20
+STRIKE_SHARE = 0.3
+PLATFORM_SHARE = 0.5
+
+
+def version_without(version: int, withdrawn: frozenset[str]):
+    keys = {
+        key: Key('key', 'team', key) for key in KEYS if key not in withdrawn
+    }
+    return LoadedConfiguration(
+        manifests.Manifest(version),
+        {},
+        Configuration(version=version, keys_by_sha256=keys),
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class Admitted:
+    host: str
+    key: str
+    at: float
+
+
+def late_admissions(accepted_at_by_key, admissions):
+    """Return the admissions that came too long after a withdrawal."""
+    return [
+        admission
+        for admission in admissions
+        if admission.at > accepted_at_by_key.get(admission.key, END_S) + LIMIT_S
+    ]
+
+
+class Network:
+    """Runs hosts, links and the platform against a clock of its own."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.versions = [version_without(1, frozenset())]
+        self.accepted_at_by_key: dict[str, float] = {}
+        self.admissions: list[Admitted] = []
+        self.replicas: dict[str, ConfigurationReplica] = {}
+        self.cuts: set[frozenset[str]] = set()
+        self.slow_s = 0.1
+        self._now = float(0)
+        self._events: list = []
+        self._count = 0
+
+    def now(self) -> float:
+        return self._now
+
+    async def sleep_until(self, instant: float) -> None:
+        raise NotImplementedError
+
+    def run(self):
+        for host in HOSTS:
+            self._boot(host)
+        self._draw_faults()
+        for key in KEYS[1:]:
+            self._draw_withdrawal(key)
+        while self._events and self._now < END_S:
+            instant, _, event = heapq.heappop(self._events)
+            self._now = instant
+            event()
+        return late_admissions(self.accepted_at_by_key, self.admissions)
+
+    def at(self, instant, event):
+        self._count += 1
+        heapq.heappush(self._events, (instant, self._count, event))
+
+    def restart(self, host: str):
+        replica = ConfigurationReplica(host, SETTINGS, self)
+        replica.elect(HOSTS)
+        self.replicas[host] = replica
+
+    def send(self, source, target, event):
+        """Run the event at the target unless the link is cut by then."""
+        link = frozenset((source, target))
+        if link not in self.cuts:
+            arrival = self._now + self.random.uniform(0, self.slow_s)
+            self.at(arrival, lambda: link in self.cuts or event())
+
+    def commit(self, key: str, base: int) -> bool:
+        if len(self.versions) != base:
+            return False
+        self.accepted_at_by_key[key] = self._now
+        gone = frozenset(self.accepted_at_by_key)
+        self.versions.append(version_without(base + 1, gone))
+        return True
+
+    def strike(self, host: str, acknowledged):
+        """Sometimes hit the very electors that a change relies on."""
+        if self._draws(STRIKE_SHARE):
+            for elector in acknowledged:
+                if elector != host:
+                    self.restart(elector)
+            self._cut_off((host, PLATFORM))
+
+    def _boot(self, host: str):
+        self.restart(host)
+        self.at(self.random.random(), functools.partial(self._poll, host))
+
+    def _draws(self, share: float) -> bool:
+        return self.random.random() < share
+
+    def _draw_withdrawal(self, key: str):
+        instant = self.random.uniform(FIRST_FAULT_S, END_S - 20)
+        operator = Withdrawing(self, self.random.choice(HOSTS), key)
+        until = instant + BUDGET_S
+        self.at(instant, functools.partial(operator.try_once, until))
+
+    def _draw_faults(self):
+        for _ in range(self.random.randrange(2, 9)):
+            instant = self.random.uniform(FIRST_FAULT_S, END_S)
+            fault = self.random.choice(
+                (self._cut_hosts, self._cut_platform, self._restart, self._slow)
+            )
+            self.at(instant, fault)
+
+    def _cut_hosts(self):
+        side = self.random.sample(HOSTS, self.random.randrange(1, 3))
+        if self._draws(PLATFORM_SHARE):
+            side.append(PLATFORM)
+        self._cut_off(side)
+
+    def _cut_off(self, side):
+        nodes = (*HOSTS, PLATFORM)
+        self._cut(
+            frozenset((one, other))
+            for one in side
+            for other in nodes
+            if other not in side
+        )
+
+    def _cut_platform(self):
+        self._cut(frozenset((host, PLATFORM)) for host in HOSTS)
+
+    def _cut(self, links):
+        links = set(links)
+        self.cuts |= links
+        heal_at = self._now + self.random.uniform(2, 40)
+        self.at(heal_at, lambda: self.cuts.difference_update(links))
+
+    def _restart(self):
+        for host in self.random.sample(HOSTS, self.random.randrange(1, 4)):
+            self.restart(host)
+
+    def _slow(self):
+        self.slow_s = self.random.choice((0.1, 1, 4))
+
+    def _poll(self, host: str):
+        replica = self.replicas[host]
+        self._ask_platform(host, replica)
+        for peer in HOSTS:
+            if peer != host:
+                self._ask_peer(host, replica, peer)
+        self._admit(host, replica)
+        self.at(self._now + POLL_S, functools.partial(self._poll, host))
+
+    def _ask_platform(self, host, replica):
+        asked_at = self._now
+
+        def answer():
+            newest = self.versions[-1]
+            self.send(PLATFORM, host, lambda: take(newest))
+
+        def take(newest):
+            replica.apply(newest)
+            replica.confirm(newest.version, asked_at)
+
+        self.send(host, PLATFORM, answer)
+
+    def _ask_peer(self, host, replica, peer):
+        asked_at = self._now
+
+        def answer():
+            report = self.replicas[peer].report()
+            loaded = self.replicas[peer].loaded
+            self.send(peer, host, lambda: take(report, loaded))
+
+        def take(report, loaded):
+            replica.hear(report, asked_at)
+            replica.apply(loaded)
+
+        self.send(host, peer, answer)
+
+    def _admit(self, host, replica):
+        if not isinstance(replica.admission(self._now), Fresh):
+            return
+        for key in replica.loaded.configuration.keys_by_sha256:
+            if not replica.is_withheld(key):
+                self.admissions.append(Admitted(host, key, self._now))
+
+
+class Withdrawing:
+    """An operator's withdrawal of a key through one host."""
+
+    def __init__(self, network: Network, host: str, key: str) -> None:
+        self._network = network
+        self._host = host
+        self._key = key
+
+    def try_once(self, until: float):
+        if self._network.now() > until:
+            return
+
+        def take_head():
+            base = len(self._network.versions)
+            self._network.send(
+                PLATFORM, self._host, lambda: self._announce(base, until)
+            )
+
+        self._network.send(self._host, PLATFORM, take_head)
+
+    def _announce(self, base: int, until: float):
+        pending = PendingWithdrawal(f'withdraw-{self._key}', base, (self._key,))
+        acknowledged = set()
+
+        def hear(elector, votes):
+            before = len(acknowledged)
+            if votes:
+                acknowledged.add(elector)
+            if before < MAJORITY and len(acknowledged) == MAJORITY:
+                self._network.strike(self._host, acknowledged)
+                self._commit(base, until)
+
+        for elector in HOSTS:
+            self._tell(elector, pending, hear)
+
+    def _tell(self, elector, pending, hear):
+        network = self._network
+
+        def receive():
+            votes = network.replicas[elector].announce(pending)
+            network.send(elector, self._host, lambda: hear(elector, votes))
+
+        if elector == self._host:
+            hear(elector, network.replicas[elector].announce(pending))
+        else:
+            network.send(self._host, elector, receive)
+
+    def _commit(self, base: int, until: float):
+        def take():
+            if not self._network.commit(self._key, base):
+                self.try_once(until)
+
+        if self._network.now() <= until:
+            self._network.send(self._host, PLATFORM, take)
