--- a/packages/geranium-statements/src/geranium_statements/comparisons.py
+++ b/packages/geranium-statements/src/geranium_statements/comparisons.py
@@ -173,7 +173,7 @@
 ) -> float:
     if column.unit is None:
         raise _misfit(comparison, 'does not hold times')
-    return duration.seconds / conditions.SECONDS_BY_UNIT[column.unit]
+    return duration.amount_in(column.unit)
 
 
 def _like_pattern(text: str) -> re.Pattern[str]:
--- a/packages/geranium-statements/src/geranium_statements/conditions.py
+++ b/packages/geranium-statements/src/geranium_statements/conditions.py
@@ -4,6 +4,7 @@
 import enum
 import types
 from collections.abc import Mapping
+from decimal import Decimal
 from typing import TypeAlias
 
 
@@ -50,8 +51,14 @@
             return float(self.text)
 
 
-SECONDS_BY_UNIT: Mapping[str, float] = types.MappingProxyType(
-    {'us': 1e-6, 'ms': 1e-3, 's': 1, 'min': 60, 'h': 3600},
+SECONDS_BY_UNIT: Mapping[str, Decimal] = types.MappingProxyType(
+    {
+        'us': Decimal('1e-6'),
+        'ms': Decimal('1e-3'),
+        's': Decimal('1'),
+        'min': Decimal('60'),
+        'h': Decimal('3600'),
+    },
 )
 
 
@@ -65,7 +72,12 @@
     @property
     def seconds(self) -> float:
         """The length in seconds."""
-        return float(self.number) * SECONDS_BY_UNIT[self.unit]
+        return self.amount_in('s')
+
+    def amount_in(self, unit: str) -> float:
+        """Return the length in another unit; ``0.35s`` is exactly 350 ms."""
+        length = Decimal(self.number) * SECONDS_BY_UNIT[self.unit]
+        return float(length / SECONDS_BY_UNIT[unit])
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/geranium-statements/src/geranium_statements/query_builders.py
+++ b/packages/geranium-statements/src/geranium_statements/query_builders.py
@@ -12,8 +12,6 @@
 
 from . import conditions, queries
 
-_MS_PER_S = 1000
-
 
 @lark.v_args(inline=True)
 class _WordBuilder(lark.Transformer[lark.Token, Any]):
@@ -48,7 +46,7 @@
 
     def milliseconds(self, token: lark.Token) -> int:
         """Return a duration in whole milliseconds."""
-        return round(self.duration(token).seconds * _MS_PER_S)
+        return round(self.duration(token).amount_in('ms'))
 
     def amount(self, token: lark.Token) -> float | int:
         """Return the number."""
