Add sessions, leases, duties and order journals

One session object per process is renewed; leases name it and carry an epoch taken from the version of the state that they were taken from, so an epoch is never given twice, also after a deletion. Orders are journalled per receiver before they are sent.

--- /dev/null
+++ b/packages/geranium-coordination/src/geranium_coordination/election.py
@@ -0,0 +1,170 @@
+"""The task of one duty: campaign, hold, run, step down."""
+
+import asyncio
+import logging
+import math
+
+from .duties import Duty, DutyContext
+from .exceptions import StoreError
+from .leases import Lease, LeaseRecord, Leases
+from .membership import Membership, MembershipView
+from .preference import rank_of
+from .presence import Presence
+from .sessions import Session
+from .timeouts import finish_by
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class Election:
+    """Holds one duty whenever it is this process's turn."""
+
+    def __init__(
+        self,
+        context: DutyContext,
+        duty: Duty,
+        membership: Membership,
+        presence: Presence,
+    ) -> None:
+        self.duty = duty
+        self.lease: Lease | None = None
+        self._clock = context.clock
+        self._settings = context.settings
+        self._host = context.host
+        self._hosts = context.hosts
+        self._rng = context.rng
+        self._membership = membership
+        self._presence = presence
+        self._leases = Leases(
+            context.store,
+            context.clock,
+            context.settings.lease,
+            context.rng,
+        )
+        self._free_version = -1
+        self._free_since = -math.inf
+        self._failures = 0
+
+    async def run(self) -> None:
+        """Campaign, hold and run, over and over, until cancelled.
+
+        Cancelling it stops the work, then releases the lease.
+        """
+        while True:
+            found = await self._wait_for_turn()
+            try:
+                async with self._presence.use() as session:
+                    await self._hold(found, session)
+            except StoreError as error:
+                _LOGGER.debug('%s was not taken: %s', self.duty.name, error)
+            await self._back_off()
+
+    def rank(self) -> int:
+        """Return this host's place in the duty's ranking of hosts."""
+        return rank_of(self.duty.name, self._host, self._hosts())
+
+    async def _wait_for_turn(self) -> LeaseRecord | None:
+        while True:
+            view = await self._membership.next_view()
+            found = view.leases_by_duty.get(self.duty.name)
+            if self._is_turn(found, view):
+                return found
+
+    def _is_turn(
+        self,
+        found: LeaseRecord | None,
+        view: MembershipView,
+    ) -> bool:
+        if found and not self._membership.is_free(found):
+            self._free_version = -1
+            return False
+        now = self._clock.now()
+        version = found.version if found else 0
+        if version != self._free_version:
+            self._free_version = version
+            self._free_since = now
+        return now >= self._free_since + self._grace_s(view)
+
+    def _grace_s(self, view: MembershipView) -> float:
+        settings = self._settings
+        grace_s = min(
+            self.rank() * settings.rank_grace_s,
+            settings.grace_limit_s,
+        )
+        if self._has_share(view):
+            grace_s += settings.share_grace_s
+        return grace_s
+
+    def _has_share(self, view: MembershipView) -> bool:
+        """Say whether this host holds its part of all duties already."""
+        holders = tuple(view.holders_by_duty().values())
+        duty_count = max(len(view.leases_by_duty), 1)
+        share = duty_count / max(len(self._hosts()), 1)
+        return holders.count(self._host) >= share
+
+    async def _hold(self, found: LeaseRecord | None, session: Session) -> None:
+        if found is None:
+            found = await self._leases.create(self.duty.name)
+        lease = await self._leases.take(found, session)
+        self.lease = lease
+        try:
+            await self._work(lease)
+        finally:
+            self.lease = None
+            await self._step_down(lease)
+
+    async def _step_down(self, lease: Lease) -> None:
+        if lease.is_held():
+            await self._leases.release(lease)
+        lease.give_up()
+
+    async def _work(self, lease: Lease) -> None:
+        """Run the duty; restart it in place after its first errors."""
+        for _ in range(1 + self._settings.restarts_in_place):
+            if not lease.is_held():
+                return
+            if await self._run_once(lease):
+                self._failures = 0
+                return
+            self._failures += 1
+            await self._back_off_while(lease)
+
+    async def _run_once(self, lease: Lease) -> bool:
+        """Run until the work ends or the lease is lost; say if it is well."""
+        work = asyncio.ensure_future(self.duty.run(lease))
+        loss = asyncio.create_task(lease.wait_until_lost())
+        try:
+            await asyncio.wait(
+                (work, loss),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            await _cancel(loss, work)
+        error = None if work.cancelled() else work.exception()
+        if error is None:
+            return True
+        _LOGGER.error('%s failed', self.duty.name, exc_info=error)
+        return False
+
+    def _backoff_s(self) -> float:
+        ceiling_s = min(
+            math.ldexp(self._settings.backoff_s, self._failures),
+            self._settings.backoff_limit_s,
+        )
+        return ceiling_s * self._rng.uniform(0.5, 1)
+
+    async def _back_off(self) -> None:
+        await self._clock.sleep_until(self._clock.now() + self._backoff_s())
+
+    async def _back_off_while(self, lease: Lease) -> None:
+        deadline = self._clock.now() + self._backoff_s()
+        try:
+            await finish_by(self._clock, deadline, lease.wait_until_lost())
+        except TimeoutError:
+            return
+
+
+async def _cancel(*tasks: asyncio.Future[None]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.wait(tasks)
--- /dev/null
+++ b/packages/geranium-coordination/src/geranium_coordination/journals.py
@@ -0,0 +1,72 @@
+"""The journals that one holder of authority works with."""
+
+import asyncio
+import dataclasses
+import functools
+
+from .authority import Authority
+from .journal import JournalContext, OrderJournal
+from .orders import JournalRecord, Sender, Subject, parse_record
+from .records import JournalObject
+from .timeouts import TimedStore
+
+
+class OrderJournals:
+    """Opens journals under one lease and releases them together."""
+
+    def __init__(self, context: JournalContext, authority: Authority) -> None:
+        self._context = context
+        self._authority = authority
+        self._journals_by_name: dict[str, OrderJournal] = {}
+
+    def open(self, subject: Subject) -> OrderJournal:
+        """Return the subject's journal, the same one each time."""
+        journal = self._journals_by_name.get(subject.name)
+        if journal is None:
+            journal = OrderJournal(self._context, subject, self._authority)
+            self._journals_by_name[subject.name] = journal
+        return journal
+
+    async def release(self) -> None:
+        """Declare for every journal that nothing can arrive any more.
+
+        Call it when the work under the lease has ended, also when the lease
+        was lost. Nothing may be sent after it was called.
+        """
+        async with asyncio.TaskGroup() as group:
+            for journal in self._journals_by_name.values():
+                group.create_task(journal.release())
+
+
+async def release_predecessors(context: JournalContext, host: str) -> None:
+    """Declare for earlier processes of this host that they are gone.
+
+    Call it at the start of a process, before it opens any session, once it
+    is certain that no earlier process of this host runs: holding the
+    host's listening port shows that. It waits out the in-flight bound.
+
+    Raises:
+        StoreError: If the store failed; it may be called again.
+    """
+    settings = context.settings
+    store = TimedStore(context.store, context.clock, settings.call_timeout_s)
+    gone_by_key = {
+        found.key: _senders_on(parse_record(found), host)
+        for found in await store.read_prefix(settings.prefix)
+    }
+    ended_at = context.clock.now()
+    await context.clock.sleep_until(ended_at + settings.in_flight_bound_s)
+    for key, gone in gone_by_key.items():
+        journal = JournalObject(store, key, context.rng)
+        await journal.update(functools.partial(_drop_senders, gone))
+
+
+def _senders_on(record: JournalRecord, host: str) -> frozenset[Sender]:
+    return frozenset(row for row in record.senders if row.host == host)
+
+
+def _drop_senders(
+    gone: frozenset[Sender],
+    record: JournalRecord,
+) -> JournalRecord:
+    return dataclasses.replace(record, senders=record.senders - gone)
--- /dev/null
+++ b/packages/geranium-coordination/src/geranium_coordination/memory.py
@@ -0,0 +1,106 @@
+"""An object store in the process's own memory."""
+
+import asyncio
+import copy
+from typing import Any
+
+from .exceptions import ConflictError
+from .store import (
+    ABSENT_VERSION,
+    Condition,
+    IfAbsent,
+    IfVersion,
+    StoredObject,
+    Unconditional,
+)
+
+
+class MemoryStore:
+    """An :class:`ObjectStore` for tests and for single-process embedders.
+
+    It answers at once and never fails. Every write and deletion takes effect
+    before the method first awaits.
+    """
+
+    def __init__(self) -> None:
+        self._objects_by_key: dict[str, StoredObject] = {}
+        self._last_version = ABSENT_VERSION
+        self._changed = asyncio.Event()
+
+    async def read(self, key: str) -> StoredObject | None:
+        """Return the object, or ``None`` where it is absent."""
+        return copy.deepcopy(self._objects_by_key.get(key))
+
+    async def read_prefix(self, prefix: str) -> tuple[StoredObject, ...]:
+        """Return the objects whose keys begin so, ordered by key."""
+        return tuple(
+            copy.deepcopy(self._objects_by_key[key])
+            for key in sorted(self._objects_by_key)
+            if key.startswith(prefix)
+        )
+
+    async def write(self, key: str, body: Any, condition: Condition) -> int:
+        """Write the object and return its new version.
+
+        Raises:
+            ConflictError: If the condition did not hold.
+        """
+        self._check(key, condition)
+        self._last_version += 1
+        self._objects_by_key[key] = StoredObject(
+            key,
+            self._last_version,
+            copy.deepcopy(body),
+        )
+        self._notify()
+        return self._last_version
+
+    async def delete(self, key: str, condition: Condition) -> None:
+        """Delete the object; an absent one is a conflict.
+
+        Raises:
+            ConflictError: If the condition did not hold.
+        """
+        self._check(key, condition)
+        if self._objects_by_key.pop(key, None) is None:
+            raise ConflictError(key, ABSENT_VERSION)
+        self._last_version += 1
+        self._notify()
+
+    async def watch(
+        self,
+        key: str,
+        seen_version: int,
+        wait_s: float,
+    ) -> StoredObject | None:
+        """Wait until the object's version differs from the one seen."""
+        try:
+            async with asyncio.timeout(wait_s):
+                await self._wait_for_change(key, seen_version)
+        except TimeoutError:
+            return await self.read(key)
+        return await self.read(key)
+
+    async def _wait_for_change(self, key: str, seen_version: int) -> None:
+        while self._version(key) == seen_version:
+            await self._changed.wait()
+
+    def _version(self, key: str) -> int:
+        found = self._objects_by_key.get(key)
+        return ABSENT_VERSION if found is None else found.version
+
+    def _check(self, key: str, condition: Condition) -> None:
+        present = self._version(key)
+        match condition:
+            case Unconditional():
+                return
+            case IfAbsent():
+                expected = ABSENT_VERSION
+            case IfVersion(version):
+                expected = version
+        if present != expected:
+            raise ConflictError(key, present)
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
--- /dev/null
+++ b/packages/geranium-coordination/src/geranium_coordination/operations.py
@@ -0,0 +1,87 @@
+"""Conditional writes that find out what became of a lost answer."""
+
+import random
+from typing import Any
+
+from .exceptions import AnswerLostError, ConflictError, UnavailableError
+from .store import (
+    ABSENT_VERSION,
+    IfAbsent,
+    IfVersion,
+    ObjectStore,
+    StoredObject,
+)
+
+OPERATION_FIELD = 'operation'
+WRITE_ATTEMPTS = 4
+_OPERATION_BYTES = 8
+
+
+def new_operation_id(rng: random.Random) -> str:
+    """Return an identifier that no other operation has."""
+    return rng.randbytes(_OPERATION_BYTES).hex()
+
+
+def operation_of(found: StoredObject | None) -> str | None:
+    """Return the identifier of the operation that wrote the object."""
+    if found is None:
+        return None
+    operation: str | None = found.body.get(OPERATION_FIELD)
+    return operation
+
+
+def expected_version(condition: IfAbsent | IfVersion) -> int:
+    """Return the one version that the condition holds for."""
+    match condition:
+        case IfAbsent():
+            return ABSENT_VERSION
+        case IfVersion(version):
+            return version
+
+
+async def write_once(
+    store: ObjectStore,
+    key: str,
+    body: dict[str, Any],
+    condition: IfAbsent | IfVersion,
+) -> int:
+    """Write a body that carries an operation id and return its version.
+
+    An answer that was lost is read back by that id before anything else is
+    decided. The condition names one version, so that a repeated write takes
+    effect at most once.
+
+    Raises:
+        ConflictError: If another write came first, or came after this one
+            before it could be read back.
+        AnswerLostError: If it is still not known whether the write took
+            effect; it may yet.
+        UnavailableError: If it certainly took no effect.
+    """
+    for _ in range(WRITE_ATTEMPTS):
+        try:
+            return await store.write(key, body, condition)
+        except AnswerLostError:
+            version = await _read_back(store, key, body, condition)
+        if version is not None:
+            return version
+    raise AnswerLostError(f'{key} was not answered')
+
+
+async def _read_back(
+    store: ObjectStore,
+    key: str,
+    body: dict[str, Any],
+    condition: IfAbsent | IfVersion,
+) -> int | None:
+    """Return the write's version, or ``None`` if it took no effect so far."""
+    try:
+        found = await store.read(key)
+    except UnavailableError as error:
+        raise AnswerLostError(f'{key} could not be read back') from error
+    if found and operation_of(found) == body[OPERATION_FIELD]:
+        return found.version
+    present = found.version if found else ABSENT_VERSION
+    if present != expected_version(condition):
+        raise ConflictError(key, present)
+    return None
--- /dev/null
+++ b/packages/geranium-coordination/src/geranium_coordination/preference.py
@@ -0,0 +1,30 @@
+"""Which hosts should rather hold a duty, alike on every host."""
+
+import hashlib
+from collections.abc import Collection
+
+_DIGEST_BYTES = 8
+
+
+def rank_hosts(duty: str, hosts: Collection[str]) -> tuple[str, ...]:
+    """Return the hosts by rendezvous hash, the preferred one first.
+
+    A host that comes or goes changes the order of no two others.
+    """
+    return tuple(sorted(hosts, key=lambda host: _weight(duty, host)))
+
+
+def rank_of(duty: str, host: str, hosts: Collection[str]) -> int:
+    """Return the host's place in the ranking, 0 for the preferred one.
+
+    A host that is not among them comes last.
+    """
+    own = _weight(duty, host)
+    others = set(hosts) - {host}
+    return sum(_weight(duty, other) < own for other in others)
+
+
+def _weight(duty: str, host: str) -> tuple[bytes, str]:
+    text = f'{duty}\n{host}'.encode()
+    digest = hashlib.blake2b(text, digest_size=_DIGEST_BYTES).digest()
+    return digest, host
--- /dev/null
+++ b/packages/geranium-coordination/src/geranium_coordination/runner.py
@@ -0,0 +1,148 @@
+"""All duties of one process: one session, one view, a task for each duty."""
+
+import asyncio
+import dataclasses
+import logging
+
+from .duties import Duty, DutyContext
+from .election import Election
+from .exceptions import StoreError
+from .membership import Membership, SessionView
+from .preference import rank_of
+from .presence import Presence
+
+_LOGGER = logging.getLogger(__name__)
+_SWEEP = 'sweep of sessions'
+_POLL_JITTER = (0.9, 1.1)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Holding:
+    """A duty and who holds it, as this process knows it.
+
+    ``held_until`` is an instant on this process's clock and only known for
+    duties that it holds itself.
+    """
+
+    duty: str
+    epoch: int
+    host: str | None
+    session: str | None
+    held_until: float | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DutiesDump:
+    """What a process knows of duties and sessions, for its state dump."""
+
+    session: str | None
+    session_deadline: float | None
+    holdings: tuple[Holding, ...]
+    sessions: tuple[SessionView, ...]
+
+
+class DutyRunner:
+    """Campaigns for duties and runs those that this process holds."""
+
+    def __init__(self, context: DutyContext) -> None:
+        self._context = context
+        settings = context.settings
+        self._membership = Membership(
+            context.store,
+            context.clock,
+            settings.session,
+            settings.lease,
+        )
+        self._presence = Presence(
+            context.store,
+            context.clock,
+            settings.session,
+            context.host,
+            context.rng,
+        )
+        self._elections_by_duty: dict[str, Election] = {}
+        self._tasks_by_duty: dict[str, asyncio.Task[None]] = {}
+
+    def add(self, duty: Duty) -> None:
+        """Start to campaign for a duty; call it in the running loop."""
+        election = Election(
+            self._context,
+            duty,
+            self._membership,
+            self._presence,
+        )
+        self._elections_by_duty[duty.name] = election
+        self._tasks_by_duty[duty.name] = asyncio.create_task(election.run())
+
+    async def remove(self, name: str) -> None:
+        """Stop a duty's work, release its lease and campaign no more."""
+        self._elections_by_duty.pop(name)
+        task = self._tasks_by_duty.pop(name)
+        task.cancel()
+        await asyncio.wait((task,))
+
+    async def run(self) -> None:
+        """Watch the leases until cancelled; then release all duties."""
+        try:
+            while True:
+                await self._poll()
+                await self._pause()
+        finally:
+            await self._stop()
+
+    def dump(self) -> DutiesDump:
+        """Return what is known of duties and sessions now."""
+        view = self._membership.view
+        session = self._presence.session
+        holdings = tuple(
+            Holding(
+                lease.duty,
+                lease.epoch,
+                lease.host,
+                lease.session,
+                self._held_until(lease.duty),
+            )
+            for lease in view.leases_by_duty.values()
+        )
+        return DutiesDump(
+            session=session.identity if session else None,
+            session_deadline=session.deadline if session else None,
+            holdings=holdings,
+            sessions=tuple(view.sessions_by_identity.values()),
+        )
+
+    def _held_until(self, name: str) -> float | None:
+        election = self._elections_by_duty.get(name)
+        if election is None or election.lease is None:
+            return None
+        return election.lease.held_until()
+
+    async def _poll(self) -> None:
+        try:
+            await self._membership.refresh()
+        except StoreError as error:
+            _LOGGER.debug('leases were not read: %s', error)
+            return
+        if not self._rank(_SWEEP):
+            await self._membership.sweep()
+
+    async def _pause(self) -> None:
+        settings = self._context.settings
+        ranks = (
+            election.rank() for election in self._elections_by_duty.values()
+        )
+        pause_s = settings.idle_poll_s
+        if min(ranks, default=settings.standby_count) < settings.standby_count:
+            pause_s = settings.poll_s
+        pause_s *= self._context.rng.uniform(*_POLL_JITTER)
+        clock = self._context.clock
+        await clock.sleep_until(clock.now() + pause_s)
+
+    def _rank(self, duty: str) -> int:
+        return rank_of(duty, self._context.host, self._context.hosts())
+
+    async def _stop(self) -> None:
+        tasks = tuple(self._tasks_by_duty.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/packages/geranium-coordination/src/geranium_coordination/senders.py
@@ -0,0 +1,112 @@
+"""Which sessions may still have copies of earlier orders under way."""
+
+import dataclasses
+import math
+from typing import Any, Protocol
+
+from .clock import Clock
+from .orders import JournalRecord, LateCopies, OrderState, Sender
+from .transmissions import Transmission
+
+
+class HostList(Protocol):
+    """The platform's list of hosts."""
+
+    async def listed_hosts(self) -> frozenset[str]:
+        """Return the hosts that are live or leaving.
+
+        Raises:
+            StoreError: If the list can't be read.
+        """
+        ...
+
+
+class Senders:
+    """Judges the senders that a journal names, for one session."""
+
+    def __init__(
+        self,
+        own: Sender,
+        hosts: HostList,
+        clock: Clock,
+        in_flight_bound_s: float,
+    ) -> None:
+        self.own = own
+        self._hosts = hosts
+        self._clock = clock
+        self._in_flight_bound_s = in_flight_bound_s
+        self._transmissions: list[Transmission[Any]] = []
+        self._gone_since_by_host: dict[str, float] = {}
+
+    def add(self, transmission: Transmission[Any]) -> None:
+        """Count a copy that this session starts to send."""
+        self._transmissions.append(transmission)
+
+    @property
+    def in_flight_until(self) -> float:
+        """The instant from which no copy of this session can arrive."""
+        now = self._clock.now()
+        self._transmissions = [
+            transmission
+            for transmission in self._transmissions
+            if transmission.in_flight_until > now
+        ]
+        return max(
+            (copy.in_flight_until for copy in self._transmissions),
+            default=-math.inf,
+        )
+
+    async def is_listed(self) -> bool:
+        """Say whether this process's host stands in the host list.
+
+        A host that is not listed yet would be taken for one that is gone.
+        """
+        return self.own.host in await self._hosts.listed_hosts()
+
+    async def look(self, record: JournalRecord) -> None:
+        """Note which senders' hosts are gone from the host list.
+
+        Raises:
+            StoreError: If the list can't be read.
+        """
+        others = {sender.host for sender in record.senders - {self.own}}
+        if not others:
+            return
+        gone = others - await self._hosts.listed_hosts()
+        now = self._clock.now()
+        self._gone_since_by_host = {
+            host: self._gone_since_by_host.get(host, now) for host in gone
+        }
+
+    def remaining(self, record: JournalRecord) -> frozenset[Sender]:
+        """Return the senders whose copies may still arrive."""
+        return frozenset(filter(self._may_send, record.senders))
+
+    def _may_send(self, sender: Sender) -> bool:
+        now = self._clock.now()
+        if sender == self.own:
+            return now < self.in_flight_until
+        gone_since = self._gone_since_by_host.get(sender.host, math.inf)
+        return now < gone_since + self._in_flight_bound_s
+
+
+def are_awaited(late_copies: LateCopies, record: JournalRecord) -> bool:
+    """Say whether the next order has to wait for all senders."""
+    match late_copies:
+        case LateCopies.REFUSED:
+            return False
+        case LateCopies.APPLIED:
+            return True
+        case LateCopies.DEDUPLICATED:
+            order = record.order
+            return order is not None and order.state is OrderState.FAILED
+
+
+def after_end(
+    late_copies: LateCopies,
+    record: JournalRecord,
+) -> JournalRecord:
+    """Drop the senders that don't matter once the order has ended."""
+    if are_awaited(late_copies, record):
+        return record
+    return dataclasses.replace(record, senders=frozenset())
--- /dev/null
+++ b/packages/geranium-coordination/src/geranium_coordination/sessions.py
@@ -0,0 +1,161 @@
+"""Sessions: one renewed object that all leases of a daemon hang on.
+
+A holder counts its validity from the instant before it sent a renewal, on
+its own monotonic clock. Everybody else may judge a session over only after
+its object has kept one version for the whole term plus a margin, which
+started later. Validity lapses by its deadline, without input or output, and
+a lapsed session stays lapsed: a renewal whose answer comes after the
+deadline extends nothing, because others may have judged meanwhile.
+"""
+
+import asyncio
+import dataclasses
+import math
+import random
+
+from .clock import Clock
+from .exceptions import ConflictError, StoreError, UnavailableError
+from .operations import new_operation_id
+from .renewals import Renewal, Renewals
+from .store import ObjectStore
+from .timeouts import TimedStore, finish_by
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SessionSettings:
+    """How sessions are renewed and judged; alike on all daemons.
+
+    ``margin_s`` covers clocks that run at different rates: two clocks may
+    drift apart by ``margin_s / term_s`` of the time that passes.
+    """
+
+    prefix: str = 'coordination/sessions/'
+    term_s: float = 5.0
+    margin_s: float = 0.5
+    renew_every_s: float = 1.0
+    retry_every_s: float = 0.25
+    call_timeout_s: float = 1.0
+
+    @property
+    def standstill_s(self) -> float:
+        """How long an object must keep its version to be judged over."""
+        return self.term_s + self.margin_s
+
+
+class Session:
+    """A session of this process, from its opening to its only end.
+
+    Args:
+        store: Where the session's object lives.
+        clock: The monotonic clock that validity is counted on.
+        settings: The periods.
+        host: The name of the host that this process runs on.
+        rng: Makes the identity and the operation ids unique.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        clock: Clock,
+        settings: SessionSettings,
+        host: str,
+        rng: random.Random,
+    ) -> None:
+        self.host = host
+        self.identity = f'{host}.{new_operation_id(rng)}'
+        self._clock = clock
+        self._settings = settings
+        self._rng = rng
+        self._renewals = Renewals(
+            TimedStore(store, clock, settings.call_timeout_s),
+            clock,
+            settings.prefix + self.identity,
+            rng,
+        )
+        self._deadline = math.inf
+        self._opened = False
+        self._ended = asyncio.Event()
+
+    @property
+    def deadline(self) -> float:
+        """The instant at which the session lapses unless it is renewed."""
+        if self._opened and not self._ended.is_set():
+            return self._deadline
+        return -math.inf
+
+    def is_valid(self) -> bool:
+        """Say whether the session lasts at this instant."""
+        return self._clock.now() < self.deadline
+
+    async def open(self) -> None:
+        """Create the session's object.
+
+        Raises:
+            StoreError: If it is not known to be created; this session can't
+                be used then, and another has to be made.
+        """
+        await self._write()
+        self._opened = True
+
+    async def keep(self) -> None:
+        """Renew the session until it is over; return then."""
+        while self.is_valid():
+            pause_s = await self._renew()
+            await self._pause(self._clock.now() + pause_s)
+
+    async def close(self) -> None:
+        """End the session and delete its object.
+
+        A deletion that fails is left: the object then stands still and is
+        swept by another daemon.
+        """
+        self.end()
+        try:
+            await self._renewals.delete()
+        except StoreError:
+            return
+
+    def end(self) -> None:
+        """Give up the session's validity at once, without any call."""
+        self._ended.set()
+
+    async def wait_until_over(self) -> None:
+        """Return once the session has lapsed or was closed."""
+        while self.is_valid():
+            await self._pause(self.deadline)
+
+    async def _pause(self, instant: float) -> None:
+        wake_at = min(instant, self.deadline)
+        try:
+            await finish_by(self._clock, wake_at, self._ended.wait())
+        except TimeoutError:
+            return
+
+    async def _renew(self) -> float:
+        """Renew once and return how long to wait before the next time."""
+        try:
+            await self._write()
+        except ConflictError:
+            self.end()
+        except UnavailableError as refusal:
+            return max(self._retry_pause_s(), refusal.retry_after_s or 0)
+        except StoreError:
+            return self._retry_pause_s()
+        return self._settings.renew_every_s
+
+    def _retry_pause_s(self) -> float:
+        return self._settings.retry_every_s * self._rng.uniform(1, 2)
+
+    async def _write(self) -> None:
+        renewal = await self._renewals.write(
+            {'host': self.host, 'term_s': self._settings.term_s},
+        )
+        self._extend(renewal)
+
+    def _extend(self, renewal: Renewal) -> None:
+        if self._deadline <= self._clock.now():
+            self.end()
+        self._deadline = self._valid_until(renewal)
+
+    def _valid_until(self, renewal: Renewal) -> float:
+        return renewal.sent_at + self._settings.term_s
