--- a/packages/geranium-coordination/src/geranium_coordination/__init__.py
+++ b/packages/geranium-coordination/src/geranium_coordination/__init__.py
@@ -1,8 +1,22 @@
 """Sessions, leases, fencing, journals and replication over an object store."""
 
-from .acknowledgements import Acknowledgements, RolloutProgress
-from .announcements import announce_to_electors
-from .clock import Clock, SystemClock
+from .acknowledgements import (
+    Acknowledgements,
+    RolloutProgress,
+)
+from .announcements import (
+    announce_to_electors,
+)
+from .authority import (
+    Authority,
+    AuthorityState,
+    Held,
+    Lost,
+)
+from .clock import (
+    Clock,
+    SystemClock,
+)
 from .configuration_changes import (
     ChangeAccepted,
     ChangeConflict,
@@ -19,9 +33,21 @@
     CorruptConfigurationError,
     StaleDeltaError,
 )
-from .configuration_replica import ConfigurationReplica
-from .configuration_repository import ConfigurationRepository
-from .configuration_settings import ConfigurationSettings, FreshnessSettings
+from .configuration_replica import (
+    ConfigurationReplica,
+)
+from .configuration_repository import (
+    ConfigurationRepository,
+)
+from .configuration_settings import (
+    ConfigurationSettings,
+    FreshnessSettings,
+)
+from .duties import (
+    Duty,
+    DutyContext,
+    DutySettings,
+)
 from .exceptions import (
     AnswerLostError,
     ConflictError,
@@ -36,12 +62,71 @@
     HeldWithdrawal,
     Stale,
 )
+from .journal import (
+    JournalContext,
+    JournalSettings,
+    OrderJournal,
+)
+from .journals import (
+    OrderJournals,
+    release_predecessors,
+)
+from .leases import (
+    Lease,
+    LeaseRecord,
+    Leases,
+    LeaseSettings,
+)
 from .loaded_configuration import (
     ConfigurationDelta,
     LoadedConfiguration,
     decode_delta,
     encode_delta,
 )
+from .membership import (
+    Membership,
+    MembershipView,
+    SessionView,
+)
+from .memory import (
+    MemoryStore,
+)
+from .orders import (
+    JournalRecord,
+    LateCopies,
+    Order,
+    OrderState,
+    Sender,
+    Subject,
+)
+from .outcomes import (
+    Blocked,
+    Ended,
+    NotStarted,
+    Planned,
+    PlanOutcome,
+    Started,
+    Unfinished,
+)
+from .preference import (
+    rank_hosts,
+    rank_of,
+)
+from .presence import (
+    Presence,
+)
+from .runner import (
+    DutiesDump,
+    DutyRunner,
+    Holding,
+)
+from .senders import (
+    HostList,
+)
+from .sessions import (
+    Session,
+    SessionSettings,
+)
 from .store import (
     ABSENT_VERSION,
     Condition,
@@ -51,54 +136,102 @@
     StoredObject,
     Unconditional,
 )
-from .watchers import watchers
+from .timeouts import (
+    TimedStore,
+)
+from .transmissions import (
+    Transmission,
+)
+from .watchers import (
+    watchers,
+)
 
 __all__ = [
     'ABSENT_VERSION',
-    'AnswerLostError',
-    'Clock',
-    'Condition',
-    'ConflictError',
-    'CoordinationError',
-    'IfAbsent',
-    'IfVersion',
-    'Mutation',
-    'ObjectStore',
-    'StoreError',
-    'StoredObject',
-    'SystemClock',
-    'UnavailableError',
-    'Unconditional',
-]
-
-# Configuration, claims and usage.
-__all__ += [
     'Acknowledgements',
     'Admission',
     'AnnouncementError',
+    'AnswerLostError',
+    'Authority',
+    'AuthorityState',
+    'Blocked',
     'ChangeAccepted',
     'ChangeConflict',
     'ChangeOutcome',
     'ChangeOutcomeUnknownError',
     'ChangeRejected',
+    'Clock',
+    'Condition',
     'ConfigurationDelta',
     'ConfigurationError',
     'ConfigurationReplica',
     'ConfigurationRepository',
     'ConfigurationSettings',
     'ConfigurationUnavailableError',
+    'ConflictError',
+    'CoordinationError',
     'CorruptConfigurationError',
+    'DutiesDump',
+    'Duty',
+    'DutyContext',
+    'DutyRunner',
+    'DutySettings',
+    'Ended',
     'Fresh',
     'FreshnessReport',
     'FreshnessSettings',
+    'Held',
     'HeldWithdrawal',
+    'Holding',
+    'HostList',
+    'IfAbsent',
+    'IfVersion',
+    'JournalContext',
+    'JournalRecord',
+    'JournalSettings',
+    'LateCopies',
+    'Lease',
+    'LeaseRecord',
+    'LeaseSettings',
+    'Leases',
     'LoadedConfiguration',
+    'Lost',
+    'Membership',
+    'MembershipView',
+    'MemoryStore',
+    'Mutation',
+    'NotStarted',
+    'ObjectStore',
+    'Order',
+    'OrderJournal',
+    'OrderJournals',
+    'OrderState',
     'PendingWithdrawal',
+    'PlanOutcome',
+    'Planned',
+    'Presence',
     'RolloutProgress',
+    'Sender',
+    'Session',
+    'SessionSettings',
+    'SessionView',
     'Stale',
     'StaleDeltaError',
+    'Started',
+    'StoreError',
+    'StoredObject',
+    'Subject',
+    'SystemClock',
+    'TimedStore',
+    'Transmission',
+    'UnavailableError',
+    'Unconditional',
+    'Unfinished',
     'announce_to_electors',
     'decode_delta',
     'encode_delta',
+    'rank_hosts',
+    'rank_of',
+    'release_predecessors',
     'watchers',
 ]
