--- a/packages/geraniumd/src/geraniumd/attempts.py
+++ b/packages/geraniumd/src/geraniumd/attempts.py
@@ -3,10 +3,26 @@
 import dataclasses
 from http import HTTPStatus
 
+from geranium_coordination import Clock
 from geranium_model import NotRun, Outcome, OutcomeUnknown
+from geranium_policy import (
+    Answered5xx,
+    AttemptFailure,
+    FailedAttempt,
+    HealthTracker,
+    Lost,
+    Refused,
+    Silent,
+    Unreachable,
+)
 
-from .exceptions import TargetError
-from .fleet import TargetLink
+from .exceptions import (
+    TargetError,
+    TargetFailedError,
+    TargetRefusedError,
+    TargetSilentError,
+)
+from .fleet import Link
 from .logs import get_logger
 from .records import RequestRecord
 from .telemetry import Telemetry
@@ -19,14 +35,31 @@
     """All attempts at one request.
 
     ``was_sent`` tells that a target may have run it: from then on no
-    refusal may say that it did not run.
+    refusal may say that it did not run. ``deadline`` is an instant of the
+    monotonic clock in seconds.
     """
 
     record: RequestRecord
+    deadline: float
     excluded: set[str] = dataclasses.field(default_factory=set)
+    silent: set[str] = dataclasses.field(default_factory=set)
     was_sent: bool = False
     detail: str = ''
 
+    def failed(
+        self,
+        failure: AttemptFailure,
+        *,
+        idempotent: bool,
+    ) -> FailedAttempt:
+        """Return the last attempt as the retry policy takes it."""
+        return FailedAttempt(
+            failure,
+            idempotent,
+            self.record.attempts,
+            self.deadline,
+        )
+
     def give_up(self, title: str) -> Outcome:
         """Return the outcome of a request that no target answered."""
         if self.was_sent:
@@ -42,38 +75,73 @@
 class AttemptRecorder:
     """Writes each attempt's result to the record, the log and metrics."""
 
-    def __init__(self, telemetry: Telemetry) -> None:
+    def __init__(
+        self,
+        telemetry: Telemetry,
+        health: HealthTracker,
+        clock: Clock,
+    ) -> None:
         self._telemetry = telemetry
+        self._health = health
+        self._clock = clock
         self._log = get_logger()
 
-    def note_success(self, link: TargetLink) -> None:
+    def note_success(self, link: Link) -> None:
         """Take down an attempt that brought the whole answer."""
         self._count(link, 'completed')
 
     def note_failure(
         self,
         attempts: Attempts,
-        link: TargetLink,
-        result: str,
+        link: Link,
         error: TargetError,
-    ) -> None:
-        """Take down a failed attempt; its target isn't tried again."""
-        name = link.target.name
+    ) -> AttemptFailure:
+        """Take down a failed attempt and return it as policies see it.
+
+        A target that failed is not preferred again. One that fell silent
+        gets a second chance on a new connection, since a connection can go
+        silent by itself.
+        """
+        result, failure = _classify(error)
+        if not isinstance(error, TargetFailedError):
+            self._observe(link, error)
+        if isinstance(error, TargetSilentError) and (
+            link.name not in attempts.silent
+        ):
+            attempts.silent.add(link.name)
+        else:
+            attempts.excluded.add(link.name)
         link.last_error = str(error)
-        attempts.excluded.add(name)
-        attempts.detail = f'{name}: {error}'
-        attempts.record.note(f'{result} by {name}: {error}')
+        attempts.detail = f'{link.name}: {error}'
+        attempts.record.note(f'{result} by {link.name}: {error}')
         self._count(link, result)
         self._log.warning(
             'target_attempt_failed',
             request_id=attempts.record.request_id,
             execution_id=attempts.record.execution_id,
             team=attempts.record.team,
-            target=name,
+            target=link.name,
             result=result,
             error=str(error),
         )
+        return failure
+
+    def _observe(self, link: Link, error: TargetError) -> None:
+        observation = Unreachable()
+        if isinstance(error, TargetSilentError):
+            observation = Silent()
+        self._health.observe(link.name, observation, self._clock.now())
 
-    def _count(self, link: TargetLink, result: str) -> None:
-        labels = {'target': link.target.name, 'result': result}
+    def _count(self, link: Link, result: str) -> None:
+        labels = {'target': link.name, 'result': result}
         self._telemetry.attempts.add(1, labels)
+
+
+def _classify(error: TargetError) -> tuple[str, AttemptFailure]:
+    match error:
+        case TargetRefusedError():
+            return 'refused', Refused()
+        case TargetFailedError(status=status):
+            return 'failed', Answered5xx(status)
+        case _:
+            return 'lost', Lost()
--- a/packages/geraniumd/src/geraniumd/engines.py
+++ b/packages/geraniumd/src/geraniumd/engines.py
@@ -16,6 +16,8 @@
     SetRole,
 )
 
+from geranium_policy import CacheEvent, PrefixEvicted, PrefixStored
+
 from .exceptions import TargetError
 from .transport import TargetTransport, raise_for_status, read_body
 
@@ -26,6 +28,7 @@
 
 class _LoadReport(pydantic.BaseModel):
     engine: str
+    instance: str = ''
     role: Role
     state: str
     running: int
@@ -37,16 +40,22 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class CacheEvent:
-    """An engine's word that it stored or evicted a prompt prefix."""
+class LoadReport:
+    """An engine's load, and the name of the process that reports it."""
 
-    seq: int
-    prefix: int
-    stored: bool
+    instance: str
+    load: EngineLoad
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CachePage:
+    """Cache events, and the number after which the next ones come."""
+
+    events: tuple[CacheEvent, ...]
+    next_seq: int
 
 
 class _CacheEventRow(pydantic.BaseModel):
-    seq: int
     kind: str
     prefix: int
 
@@ -62,7 +71,7 @@
     def __init__(self, transport: TargetTransport) -> None:
         self._transport = transport
 
-    async def load(self, engine: Engine, now: float) -> EngineLoad:
+    async def load(self, engine: Engine, now: float) -> LoadReport:
         """Return the engine's lagging load report.
 
         Raises:
@@ -73,7 +82,7 @@
             report = _LoadReport.model_validate_json(text)
         except pydantic.ValidationError as error:
             raise TargetError('malformed load report') from error
-        return EngineLoad(
+        load = EngineLoad(
             engine=report.engine,
             role=report.role,
             accepting=report.state == _LIVE,
@@ -84,12 +93,13 @@
             prefill_tokens_waiting=report.prefill_tokens_waiting,
             sampled_at=now - report.sampled_ms_ago / MS_PER_S,
         )
+        return LoadReport(report.instance, load)
 
     async def cache_events(
         self,
         engine: Engine,
         after: int,
-    ) -> tuple[CacheEvent, ...]:
+    ) -> CachePage:
         """Return the cache events after a sequence number.
 
         Raises:
@@ -100,10 +110,7 @@
             page = _CacheEventPage.model_validate_json(await self._get(url))
         except pydantic.ValidationError as error:
             raise TargetError('malformed cache events') from error
-        return tuple(
-            CacheEvent(row.seq, row.prefix, row.kind == 'stored')
-            for row in page.events
-        )
+        return CachePage(tuple(map(_cache_event, page.events)), page.next)
 
     async def order(
         self,
@@ -166,3 +173,9 @@
             return {'kind': 'drain'}
         case Resume():
             return {'kind': 'resume'}
+
+
+def _cache_event(row: _CacheEventRow) -> CacheEvent:
+    if row.kind == 'stored':
+        return PrefixStored(row.prefix)
+    return PrefixEvicted(row.prefix)
--- a/packages/geraniumd/src/geraniumd/exceptions.py
+++ b/packages/geraniumd/src/geraniumd/exceptions.py
@@ -18,10 +18,7 @@
 
 
 class TargetRefusedError(TargetError):
-    """The target ran nothing of the call.
-
-    ``retry_after_s`` is the target's own word on when to come back.
-    """
+    """The target ran nothing of the call."""
 
 
 class TargetFailedError(TargetError):
@@ -36,6 +33,10 @@
     """The connection ended or went silent after the call was sent."""
 
 
+class TargetSilentError(TargetLostError):
+    """The connection stands, but nothing came by the timeout."""
+
+
 class PeerError(DaemonError):
     """A peer connection failed."""
 
--- a/packages/geraniumd/src/geraniumd/fleet.py
+++ b/packages/geraniumd/src/geraniumd/fleet.py
@@ -2,35 +2,63 @@
 
 import dataclasses
 from collections.abc import Iterator, Mapping
+from typing import TypeAlias
 
 from geranium_model import (
     ApplicationService,
     Backend,
     Configuration,
     Engine,
-    EngineLoad,
     ModelService,
     Target,
     TargetState,
 )
 
+from geranium_policy import EngineView
+
 from .listings import ListedTarget
 
 
 @dataclasses.dataclass(slots=True)
 class TargetLink:
-    """A target as this daemon sees it.
+    """An application target as this daemon sees it.
 
-    ``running`` counts the calls that this daemon has on it. ``load`` is an
-    engine's last report. Instants are in seconds of the monotonic clock.
+    ``running`` counts the calls that this daemon has on it.
     """
 
-    target: Backend
+    target: Target
     running: int = 0
-    load: EngineLoad | None = None
     last_error: str = ''
+
+    @property
+    def name(self) -> str:
+        """The target's name."""
+        return self.target.name
+
+
+@dataclasses.dataclass(slots=True)
+class EngineLink:
+    """An engine as this daemon sees it.
+
+    ``view`` is what routing knows of it. ``instance`` names the engine's
+    process as its last report did, so that one crash is told from the next.
+    """
+
+    target: Engine
+    view: EngineView
+    running: int = 0
+    last_error: str = ''
+    instance: str = ''
     cache_seq: int = 0
 
+    @property
+    def name(self) -> str:
+        """The engine's name."""
+        return self.target.name
+
+
+Link: TypeAlias = TargetLink | EngineLink
+
 
 class Fleet:
     """All targets by name, from the configuration and the platform's list.
@@ -39,7 +67,7 @@
     """
 
     def __init__(self) -> None:
-        self.links_by_name: dict[str, TargetLink] = {}
+        self.links_by_name: dict[str, Link] = {}
         self._configuration = Configuration()
         self._listed_by_name: dict[str, ListedTarget] = {}
 
@@ -53,12 +81,12 @@
         self._listed_by_name = {row.name: row for row in listing}
         self._reconcile()
 
-    def engines(self, service: str) -> tuple[TargetLink, ...]:
+    def engines(self, service: str) -> tuple[EngineLink, ...]:
         """Return the links to a service's live engines."""
         return tuple(
             link
             for link in self._live(service)
-            if isinstance(link.target, Engine)
+            if isinstance(link, EngineLink)
         )
 
     def application_targets(self, service: str) -> tuple[TargetLink, ...]:
@@ -66,10 +94,11 @@
         return tuple(
             link
             for link in self._live(service)
-            if isinstance(link.target, Target)
+            if isinstance(link, TargetLink)
         )
 
-    def _live(self, service: str) -> Iterator[TargetLink]:
+
+    def _live(self, service: str) -> Iterator[Link]:
         cordoned = self._configuration.cordoned_zones
         for link in self.links_by_name.values():
             target = link.target
@@ -78,6 +107,14 @@
             if target.state is TargetState.LIVE:
                 yield link
 
+    def engine_links(self) -> tuple[EngineLink, ...]:
+        """Return the links to all engines, those that leave included."""
+        return tuple(
+            link
+            for link in self.links_by_name.values()
+            if isinstance(link, EngineLink)
+        )
+
     def _reconcile(self) -> None:
         wanted = self._merge()
         for name in self.links_by_name.keys() - wanted.keys():
@@ -85,9 +122,9 @@
         for name, target in wanted.items():
             link = self.links_by_name.get(name)
             if link is None or link.target.address != target.address:
-                self.links_by_name[name] = TargetLink(target)
+                self.links_by_name[name] = _open_link(target)
             else:
-                link.target = target
+                _update_link(link, target)
 
     def _merge(self) -> Mapping[str, Backend]:
         merged: dict[str, Backend] = {}
@@ -109,3 +146,20 @@
             case ApplicationService():
                 return {row.name: Target(**dataclasses.asdict(row))}
         return {}
+
+
+def _open_link(target: Backend) -> Link:
+    match target:
+        case Engine():
+            return EngineLink(target, EngineView(target))
+        case Target():
+            return TargetLink(target)
+
+
+def _update_link(link: Link, target: Backend) -> None:
+    match link, target:
+        case EngineLink(), Engine():
+            link.target = target
+            link.view.engine = target
+        case TargetLink(), Target():
+            link.target = target
--- a/packages/geraniumd/src/geraniumd/probes.py
+++ b/packages/geraniumd/src/geraniumd/probes.py
@@ -3,11 +3,11 @@
 import asyncio
 
 from geranium_coordination import Clock
-from geranium_model import Engine
+from geranium_policy import CacheCleared
 
 from .engines import EngineClient
 from .exceptions import TargetError
-from .fleet import Fleet, TargetLink
+from .fleet import EngineLink, Fleet
 from .settings import TargetSettings
 
 
@@ -35,25 +35,39 @@
                 await asyncio.sleep(self._settings.load_interval_s)
 
     def _reconcile(self, group: asyncio.TaskGroup) -> None:
-        links_by_name = self._fleet.links_by_name
-        for gone in self._tasks_by_name.keys() - links_by_name.keys():
+        links = self._fleet.engine_links()
+        names = {link.name for link in links}
+        for gone in self._tasks_by_name.keys() - names:
             self._tasks_by_name.pop(gone).cancel()
-        for name, link in links_by_name.items():
-            if name in self._tasks_by_name:
-                continue
-            if isinstance(link.target, Engine):
-                probing = group.create_task(self._probe(name))
-                self._tasks_by_name[name] = probing
+        for name in names - self._tasks_by_name.keys():
+            probing = group.create_task(self._probe(name), name=f'probe {name}')
+            self._tasks_by_name[name] = probing
 
     async def _probe(self, name: str) -> None:
         while True:
             link = self._fleet.links_by_name.get(name)
-            if link is not None and isinstance(link.target, Engine):
-                await self._probe_once(link, link.target)
+            if isinstance(link, EngineLink):
+                await self._probe_once(link)
             await asyncio.sleep(self._settings.load_interval_s)
 
-    async def _probe_once(self, link: TargetLink, engine: Engine) -> None:
+    async def _probe_once(self, link: EngineLink) -> None:
         try:
-            link.load = await self._client.load(engine, self._clock.now())
+            await self._read_load(link)
+            await self._read_events(link)
         except TargetError as error:
             link.last_error = str(error)
+
+    async def _read_load(self, link: EngineLink) -> None:
+        report = await self._client.load(link.target, self._clock.now())
+        if report.instance != link.instance:
+            link.instance = report.instance
+            link.cache_seq = 0
+            link.view.prefixes.apply(CacheCleared(), self._clock.now())
+        link.view.apply_load(report.load)
+
+    async def _read_events(self, link: EngineLink) -> None:
+        page = await self._client.cache_events(link.target, link.cache_seq)
+        link.cache_seq = page.next_seq
+        now = self._clock.now()
+        for event in page.events:
+            link.view.prefixes.apply(event, now)
--- a/packages/geraniumd/src/geraniumd/streams.py
+++ b/packages/geraniumd/src/geraniumd/streams.py
@@ -9,7 +9,7 @@
 
 from .calls import CompletionCall
 from .events import Batch, EventBuffer
-from .exceptions import TargetError, TargetLostError
+from .exceptions import TargetError, TargetLostError, TargetSilentError
 from .settings import TargetSettings
 from .transport import TargetTransport, raise_for_status
 
@@ -55,7 +55,7 @@
         try:
             chunk = await self._response.content.readany()
         except TimeoutError:
-            raise TargetLostError('the stream fell silent') from None
+            raise TargetSilentError('the stream fell silent') from None
         except (aiohttp.ClientError, OSError) as error:
             raise TargetLostError(f'the stream broke: {error!r}') from error
         if not chunk:
--- a/packages/geraniumd/src/geraniumd/transport.py
+++ b/packages/geraniumd/src/geraniumd/transport.py
@@ -9,6 +9,7 @@
     TargetFailedError,
     TargetLostError,
     TargetRefusedError,
+    TargetSilentError,
 )
 from .settings import TargetSettings
 
