Test the stand-ins over HTTP, with an entry for each switch

The tests need a client that sees a lost answer. aiohttp's session sends a PUT, DELETE or GET again by itself when the connection breaks before the answer; the first version of the test for lost answers failed on that: the call came back with 200 although its answer had been dropped. The client middleware send_once turns the broken connection into an error of another class, which the session does not retry.

--- a/packages/geranium-standins/src/geranium_standins/__init__.py
+++ b/packages/geranium-standins/src/geranium_standins/__init__.py
@@ -1,9 +1,12 @@
 """Small fakes of the platform, engines and applications, for tests."""
 
 from .application_api import create_application
+from .client import Answer, StandinClient, send_once
 from .engine_api import create_engine
 from .exceptions import StandinError
 from .platform_api import create_platform
+from .processes import StandinProcess, launch
+from .records import StreamRecord
 from .server import start_server
 from .settings import (
     ApplicationSettings,
@@ -13,13 +16,19 @@
 )
 
 __all__ = [
+    'Answer',
     'ApplicationSettings',
     'EngineSettings',
     'LoadSettings',
+    'StandinClient',
     'StandinError',
+    'StandinProcess',
     'StepModel',
+    'StreamRecord',
     'create_application',
     'create_engine',
     'create_platform',
+    'launch',
+    'send_once',
     'start_server',
 ]
--- a/packages/geranium-standins/src/geranium_standins/cache.py
+++ b/packages/geranium-standins/src/geranium_standins/cache.py
@@ -7,7 +7,7 @@
 CacheListener = Callable[[str, str], None]
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(eq=False, slots=True)
 class Reservation:
     """Pieces of memory that a sequence holds.
 
--- a/packages/geranium-standins/src/geranium_standins/completion_api.py
+++ b/packages/geranium-standins/src/geranium_standins/completion_api.py
@@ -126,7 +126,7 @@
         stream.send(events.mark())
 
     async def _cancel(self, request: web.Request) -> web.Response:
-        await self._controls.connections.notice(request)
+        await self._controls.enter(request)
         request_id = request.match_info['request_id']
         self._imports.drop(request_id)
         cancelled = self._batch.end(request_id, StreamEnd.CANCELLED)
--- a/packages/geranium-standins/src/geranium_standins/controls.py
+++ b/packages/geranium-standins/src/geranium_standins/controls.py
@@ -8,7 +8,7 @@
 import pydantic
 from aiohttp import web
 
-from .connections import Connections
+from .connections import Connections, hang
 from .faults import ApplicationFaults, EngineFaults, PlatformFaults
 
 FaultsT = TypeVar('FaultsT', PlatformFaults, EngineFaults, ApplicationFaults)
@@ -49,6 +49,12 @@
         self.faults = dataclasses.replace(self.faults, **{name: left - 1})
         return True
 
+    async def enter(self, request: web.Request) -> None:
+        """Let a call in, or hang if the process or connection is silent."""
+        await self.connections.notice(request)
+        if self.faults.silent:
+            await hang()
+
     async def _get(self, request: web.Request) -> web.Response:
         return web.json_response(dataclasses.asdict(self.faults))
 
--- a/packages/geranium-standins/src/geranium_standins/engine_api.py
+++ b/packages/geranium-standins/src/geranium_standins/engine_api.py
@@ -128,11 +128,11 @@
                 stream.keep_alive()
 
     async def _get_load(self, request: web.Request) -> web.Response:
-        await self._controls.connections.notice(request)
+        await self._controls.enter(request)
         return web.json_response(self._load.report(self._controls))
 
     async def _get_cache_events(self, request: web.Request) -> web.Response:
-        await self._controls.connections.notice(request)
+        await self._controls.enter(request)
         after = parse_query_int(request, 'after', 0)
         wait_ms = parse_query_int(request, 'wait_ms', 0)
         deadline = time.monotonic() + min(wait_ms, MAX_WAIT_MS) / MS_PER_S
--- a/packages/geranium-standins/src/geranium_standins/exceptions.py
+++ b/packages/geranium-standins/src/geranium_standins/exceptions.py
@@ -1,5 +1,7 @@
 """Errors of the stand-ins."""
 
+import aiohttp
+
 
 class StandinError(Exception):
     """Base of every error that this package raises."""
@@ -41,5 +43,9 @@
     """A KV cache could not be fetched from its engine."""
 
 
+class ConnectionLostError(StandinError, aiohttp.ClientError):
+    """A connection broke before the answer to a call."""
+
+
 class LaunchError(StandinError):
     """A stand-in's process ended before it listened."""
--- a/packages/geranium-standins/src/geranium_standins/gate.py
+++ b/packages/geranium-standins/src/geranium_standins/gate.py
@@ -71,10 +71,8 @@
         handler: Handler,
         request: web.Request,
     ) -> web.Response:
-        await self._controls.connections.notice(request)
+        await self._controls.enter(request)
         faults = self._controls.faults
-        if faults.silent:
-            await hang()
         if faults.delay_ms:
             await asyncio.sleep(faults.delay_ms / MS_PER_S)
         actual = CallKind.WATCH if 'watch' in request.query else kind
--- a/packages/geranium-standins/src/geranium_standins/kv_api.py
+++ b/packages/geranium-standins/src/geranium_standins/kv_api.py
@@ -140,7 +140,7 @@
         )
 
     async def _export(self, request: web.Request) -> web.Response:
-        await self._controls.connections.notice(request)
+        await self._controls.enter(request)
         handoff = self.exports.take(request.match_info['handle'])
         if handoff is None:
             return problem(HTTPStatus.NOT_FOUND, 'absent')
@@ -154,7 +154,7 @@
         return web.json_response(document.model_dump(mode='json'))
 
     async def _import(self, request: web.Request) -> web.Response:
-        await self._controls.connections.notice(request)
+        await self._controls.enter(request)
         document = parse_body(_IMPORT, await request.read())
         try:
             self._state.check_accepts(Role.PREFILL)
--- a/packages/geranium-standins/src/geranium_standins/order_api.py
+++ b/packages/geranium-standins/src/geranium_standins/order_api.py
@@ -41,7 +41,7 @@
         )
 
     async def _order(self, request: web.Request) -> web.Response:
-        await self._controls.connections.notice(request)
+        await self._controls.enter(request)
         document = parse_body(_ORDER, await request.read())
         overlaps = self._book.has_running
         known = self._book.find(document.order_id)
@@ -82,7 +82,7 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _get(self, request: web.Request) -> web.Response:
-        await self._controls.connections.notice(request)
+        await self._controls.enter(request)
         order = self._book.find(request.match_info['order_id'])
         if order is None:
             return problem(HTTPStatus.NOT_FOUND, 'absent')
--- /dev/null
+++ b/packages/geranium-standins/src/geranium_standins/processes.py
@@ -0,0 +1,91 @@
+"""Stand-ins in processes of their own."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from typing import Any
+
+from .exceptions import LaunchError
+
+START_TIMEOUT_S = 30
+
+
+class StandinProcess:
+    """A running stand-in.
+
+    Args:
+        process: The process.
+        greeting: What its first line says, decoded.
+    """
+
+    def __init__(
+        self,
+        process: asyncio.subprocess.Process,
+        greeting: dict[str, Any],
+    ) -> None:
+        self.address: str = greeting['address']
+        self.greeting = greeting
+        self._process = process
+
+    @property
+    def pid(self) -> int:
+        """The process id."""
+        return self._process.pid
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self._process.kill()
+
+    def freeze(self) -> None:
+        """Stop the process until :meth:`thaw`."""
+        self._process.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let a frozen process go on."""
+        self._process.send_signal(signal.SIGCONT)
+
+    async def wait(self) -> int:
+        """Return the exit status once the process has ended."""
+        return await self._process.wait()
+
+    async def stop(self) -> int:
+        """End the process by SIGTERM and return its exit status."""
+        if self._process.returncode is None:
+            self._process.terminate()
+        return await self.wait()
+
+
+async def launch(kind: str, *options: str) -> StandinProcess:
+    """Start a stand-in and return it once it listens.
+
+    Args:
+        kind: The module: ``platform``, ``engine``, ``application``, ``relay``.
+        options: Its command-line options.
+
+    Raises:
+        LaunchError: If it ends or keeps silent instead.
+    """
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-m',
+        f'geranium_standins.{kind}',
+        *options,
+        stdout=asyncio.subprocess.PIPE,
+        env=os.environ,
+    )
+    try:
+        greeting = await asyncio.wait_for(_first_line(process), START_TIMEOUT_S)
+    except (TimeoutError, ValueError) as error:
+        if process.returncode is None:
+            process.kill()
+        raise LaunchError(f'{kind} did not start') from error
+    return StandinProcess(process, greeting)
+
+
+async def _first_line(process: asyncio.subprocess.Process) -> dict[str, Any]:
+    if process.stdout is None:
+        raise ValueError('no pipe')
+    greeting: dict[str, Any] = json.loads(await process.stdout.readline())
+    return greeting
--- a/packages/geranium-standins/src/geranium_standins/weights.py
+++ b/packages/geranium-standins/src/geranium_standins/weights.py
@@ -35,7 +35,7 @@
         self._bucket.change_rate(faults.weights_bytes_per_second)
 
     async def _get_piece(self, request: web.Request) -> web.Response:
-        await self._controls.connections.notice(request)
+        await self._controls.enter(request)
         index = parse_query_int(request, 'piece', 0)
         if index >= MAX_PIECES:
             return problem(HTTPStatus.NOT_FOUND, 'absent')
--- /dev/null
+++ b/packages/geranium-standins/tests/test_batching.py
@@ -0,0 +1,241 @@
+"""An engine's batching, memory, roles and KV hand-off."""
+
+import asyncio
+import random
+
+import pytest
+from geranium_model import Role
+from geranium_standins import StepModel
+from geranium_standins.cache import KvMemory
+from geranium_standins.completions import prefix_hashes
+
+PROMPT = 'the band wants the large room on friday evening ' * 8
+
+
+def body_of(prompt=PROMPT, **options):
+    return {'model': 'lm', 'prompt': prompt, 'max_tokens': 6, **options}
+
+
+async def complete(engine, body=None, request_id='r-1', **headers):
+    return await engine.complete(body or body_of(), request_id, **headers)
+
+
+def check_conserved(memory, held):
+    assert memory.used == len(
+        {prefix for kept in held for prefix in kept.shared},
+    ) + sum(kept.private for kept in held)
+    assert 0 <= memory.used <= memory.pieces
+
+
+class MemoryUse:
+    """Uses a memory at random and notes what its cache is said to hold."""
+
+    def __init__(self, seed):
+        self.cached = set()
+        self.held = []
+        self.memory = KvMemory(40, self.record)
+        self._chooser = random.Random(seed)
+
+    def record(self, kind, prefix):
+        change = self.cached.add if kind == 'stored' else self.cached.remove
+        change(prefix)
+
+    def act(self):
+        actions = [self.reserve]
+        if self.held:
+            actions.extend((self.store, self.release, self.extend))
+        self._chooser.choice(actions)()
+        check_conserved(self.memory, self.held)
+
+    def reserve(self):
+        size = self._chooser.randint(1, 12)
+        family = self._chooser.randint(1, 4)
+        prefixes = tuple(f'{family}:{index}' for index in range(size))
+        pieces = size + self._chooser.randint(0, 3)
+        kept = self.memory.reserve(prefixes, pieces)
+        if kept is not None:
+            self.held.append(kept)
+
+    def store(self):
+        self.memory.store(self._chooser.choice(self.held))
+
+    def release(self):
+        kept = self._chooser.choice(self.held)
+        self.held.remove(kept)
+        self.memory.release(kept)
+
+    def extend(self):
+        kept = self._chooser.choice(self.held)
+        self.memory.extend(kept, kept.pieces + 2)
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_memory_is_conserved_over_any_order_of_use(seed):
+    use = MemoryUse(seed)
+    for _ in range(400):
+        use.act()
+    for kept in use.held:
+        use.memory.release(kept)
+    use.memory.clear_cache()
+    assert not use.memory.used
+    assert use.cached == set()
+
+
+def test_least_recently_used_prefix_is_evicted_first():
+    evicted = []
+    memory = KvMemory(4, lambda kind, prefix: evicted.append((kind, prefix)))
+    for prefix in ('a', 'b', 'a'):
+        kept = memory.reserve((prefix,), 1)
+        memory.store(kept)
+        memory.release(kept)
+    evicted.clear()
+    memory.reserve(('c',), 3)
+    assert evicted == [('evicted', 'b')]
+
+
+def test_step_time_follows_the_model():
+    model = StepModel(
+        prefill_us_per_token=10,
+        decode_step_us=1000,
+        decode_us_per_sequence=100,
+        decode_role_penalty=3,
+    )
+    assert model.step_s(Role.MIXED, 2, 50) == pytest.approx(0.0017)
+    assert model.step_s(Role.PREFILL, 0, 50) == pytest.approx(0.0005)
+    assert model.step_s(Role.DECODE, 2, 50) == pytest.approx(0.0027)
+    assert model.chunk_tokens(Role.PREFILL) > model.chunk_tokens(Role.MIXED)
+
+
+async def test_second_request_finds_the_prefix(engine):
+    first = await complete(engine, request_id='r-1')
+    second = await complete(engine, request_id='r-2')
+    assert first.usage['cached_tokens'] == 0
+    assert second.usage['cached_tokens'] == len(PROMPT) // 64 * 16
+    events = (await engine.get('/cache-events')).json()
+    assert [event['prefix'] for event in events['events']] == list(
+        prefix_hashes(PROMPT.encode()),
+    )
+    after = events['next']
+    assert (await engine.get(f'/cache-events?after={after}')).json() == {
+        'events': [],
+        'next': after,
+    }
+
+
+async def test_cache_events_come_late_and_with_gaps(engine):
+    await engine.set_faults(cache_event_gap=0.5)
+    await complete(engine, body_of('abcd' * 600))
+    shown = (await engine.get('/cache-events')).json()['events']
+    seqs = [event['seq'] for event in shown]
+    assert 0 < len(seqs) < 37
+    assert seqs == sorted(seqs)
+    await engine.set_faults(cache_event_lag_ms=60_000)
+    answer = await engine.get('/cache-events?wait_ms=50')
+    assert answer.json() == {'events': [], 'next': 0}
+
+
+async def test_load_report_lags(engine):
+    reading = asyncio.create_task(complete(engine, body_of(max_tokens=9000)))
+    await engine.wait_for('/load', lambda load: load['running'])
+    await engine.set_faults(load_lag_ms=60_000)
+    stale = (await engine.get('/load')).json()
+    assert stale['running'] == 0
+    reading.cancel()
+
+
+async def test_requests_wait_for_memory_and_go_by_priority(start_engine):
+    engine = await start_engine(kv_pieces=30)
+    whole = body_of('x', max_tokens=400)
+    readings = [asyncio.create_task(complete(engine, whole, 'r-0'))]
+    await engine.wait_for('/load', lambda load: load['running'])
+    for priority in (7, 2, 5):
+        name = f'r-{priority}'
+        reading = complete(
+            engine, whole, name, headers={'Request-Priority': str(priority)}
+        )
+        readings.append(asyncio.create_task(reading))
+    await engine.wait_for('/load', lambda load: load['waiting'] == 3)
+    ended = [await reading for reading in asyncio.as_completed(readings)]
+    assert [stream.ids[0] for stream in ended] == [
+        'r-0:0',
+        'r-2:0',
+        'r-5:0',
+        'r-7:0',
+    ]
+
+
+async def test_full_engine_refuses(start_engine):
+    engine = await start_engine(max_running=1, max_waiting=0)
+    answer = await engine.post(
+        '/v1/completions', body_of(), headers={'Request-Id': 'r-1'}
+    )
+    assert (answer.status, answer.json()['type']) == (503, 'not-run')
+
+
+@pytest.mark.parametrize(
+    ('role', 'completion', 'prefill'),
+    [('mixed', 200, 200), ('prefill', 503, 200), ('decode', 200, 503)],
+)
+async def test_roles_refuse_what_they_do_not_do(
+    start_engine, role, completion, prefill
+):
+    engine = await start_engine(role=Role(role))
+    assert (await complete(engine)).status == completion
+    answer = await engine.post(
+        '/kv/prefill', body_of(), headers={'Request-Id': 'r-2'}
+    )
+    assert answer.status == prefill
+
+
+async def hand_over(source, sink, body, request_id='r-1'):
+    prefilled = await source.post(
+        '/kv/prefill', body, headers={'Request-Id': request_id}
+    )
+    reference = {'kv': prefilled.json()['kv'], 'request_id': request_id}
+    return await sink.post(
+        '/kv/import', {'source': source.address, **reference}
+    )
+
+
+async def test_imported_kv_cache_saves_the_prefill(start_engine):
+    source = await start_engine(role=Role.PREFILL)
+    sink = await start_engine(role=Role.DECODE)
+    imported = await hand_over(source, sink, body_of())
+    assert imported.json() == {'pieces': len(PROMPT) // 64}
+    stream = await complete(sink)
+    assert stream.is_complete
+    assert stream.usage['cached_tokens'] == len(PROMPT) // 4
+    for engine in (source, sink):
+        assert (await engine.get('/load')).json()['kv_pieces_used'] == 0
+
+
+async def test_import_for_another_prompt_is_not_used(start_engine):
+    source = await start_engine()
+    sink = await start_engine()
+    await hand_over(source, sink, body_of())
+    stream = await complete(sink, body_of('another prompt'))
+    assert stream.usage['cached_tokens'] == 0
+    assert (await sink.get('/load')).json()['kv_pieces_used'] == 0
+
+
+async def test_import_from_nowhere_is_not_run(engine):
+    answer = await engine.post(
+        '/kv/import',
+        {'source': engine.address, 'kv': 'none', 'request_id': 'r-1'},
+    )
+    assert (answer.status, answer.json()['type']) == (502, 'not-run')
+
+
+async def test_imports_that_fill_the_memory_do_not_block_it(start_engine):
+    source = await start_engine()
+    sink = await start_engine(kv_pieces=14)
+    readings = []
+    for request_id in ('r-1', 'r-2'):
+        body = body_of(f'{request_id}{PROMPT}'[:384], max_tokens=100)
+        imported = await hand_over(source, sink, body, request_id)
+        assert imported.status == 200
+        reading = complete(sink, body, request_id)
+        readings.append(reading)
+    assert (await sink.get('/load')).json()['kv_pieces_used'] == 12
+    streams = await asyncio.gather(*readings)
+    assert all(stream.is_complete for stream in streams)
