Route by cost, admit by fair shares, and test the whole path as processes

The daemon takes its decisions from geranium-policy: least estimated cost over lagging views, fair shares in tokens across daemons, health, retry budgets.

--- a/packages/geranium-policy/src/geranium_policy/__init__.py
+++ b/packages/geranium-policy/src/geranium_policy/__init__.py
@@ -54,8 +54,6 @@
     SuspectRegister,
     SuspectSettings,
     Verdict,
-    _CrashesByKey,
-    _Key,
     isolation_target,
     request_fingerprint,
 )
@@ -114,8 +112,6 @@
     'TeamConsumption',
     'Unreachable',
     'Verdict',
-    '_CrashesByKey',
-    '_Key',
     'isolation_target',
     'prefix_hashes',
     'request_fingerprint',
--- /dev/null
+++ b/packages/geranium-standins/src/geranium_standins/deployment_operator.py
@@ -0,0 +1,52 @@
+"""Speaks to the operators' side of a deployment's daemons."""
+
+from collections.abc import Callable
+from typing import Any
+
+import aiohttp
+
+OPERATOR_TOKEN = 'deployment-operator'
+
+UrlOf = Callable[[str, str], str]
+
+
+class DeploymentOperator:
+    """An operator of a deployment.
+
+    ``url_of`` returns the URL of a path on a host's operators' side.
+    """
+
+    def __init__(self, http: aiohttp.ClientSession, url_of: UrlOf) -> None:
+        self._http = http
+        self._url_of = url_of
+        self._headers = {'Authorization': f'Bearer {OPERATOR_TOKEN}'}
+
+    async def execute(self, statement: str, host: str = 'host-1') -> Any:
+        """Return the decoded answer to a statement.
+
+        Raises:
+            aiohttp.ClientResponseError: If it was refused.
+        """
+        async with self._http.post(
+            self._url_of(host, '/statements'),
+            json={'statement': statement},
+            headers=self._headers,
+            raise_for_status=True,
+        ) as response:
+            return await response.json()
+
+    async def create_key(self, key_id: str, team: str = 'registry') -> str:
+        """Create a key and return its secret."""
+        answer = await self.execute(f'create key {key_id} for team {team}')
+        secret_column = answer['columns'].index('secret')
+        return str(answer['rows'][0][secret_column])
+
+    async def load_configuration(self, document: Any) -> None:
+        """Put a configuration in force."""
+        async with self._http.put(
+            self._url_of('host-1', '/configuration'),
+            json=document,
+            headers=self._headers,
+            raise_for_status=True,
+        ):
+            return
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the daemon by ``python -m geraniumd``."""
+
+from .cli import main
+
+if __name__ == '__main__':
+    main()
--- a/packages/geraniumd/src/geraniumd/access.py
+++ b/packages/geraniumd/src/geraniumd/access.py
@@ -28,9 +28,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Grant:
-    """A request may run: for this team, on this service by this route."""
+    """A request may run: for this team, on this service by this route.
+
+    ``key_id`` is empty if the request carried no key.
+    """
 
     team: str
+    key_id: str
     service: Service
     route: Route
 
@@ -73,7 +77,8 @@
     route = configuration.route_for(service, method, path)
     if route is not None and route.open_to_all:
         team = key.team if key else ANONYMOUS_TEAM
-        return Grant(team, configuration.service(service), route)
+        key_id = key.key_id if key else ''
+        return Grant(team, key_id, configuration.service(service), route)
     if key is None:
         return _NO_KEY
     return _grant(configuration, key, service, route)
@@ -105,4 +110,4 @@
         )
     if route is None or not route.admits(key.team):
         return _NO_ROUTE
-    return Grant(key.team, found, route)
+    return Grant(key.team, key.key_id, found, route)
--- a/packages/geraniumd/src/geraniumd/applications.py
+++ b/packages/geraniumd/src/geraniumd/applications.py
@@ -1,37 +1,38 @@
 """Runs calls to application targets, non-idempotent ones at most once."""
 
 import asyncio
-import random
 from typing import TypeAlias
 
-from geranium_model import Outcome, Target
+from geranium_coordination import Clock
+from geranium_model import Outcome
+from geranium_policy import AttemptFailure, RetryAt, RetryPolicy
 
 from .attempts import AttemptRecorder, Attempts
-from .exceptions import TargetLostError, TargetRefusedError
-from .fleet import Fleet, TargetLink
+from .exceptions import TargetError, TargetRefusedError
+from .fleet import TargetLink
 from .records import RequestRecord
-from .settings import GatewaySettings
+from .selection import TargetSelector
 from .targets import ApplicationAnswer, ApplicationCall, TargetClient
 
 ApplicationResult: TypeAlias = ApplicationAnswer | Outcome
 
 
 class ApplicationRunner:
-    """Runs admitted calls, each to a target's answer or one outcome."""
+    """Runs calls, each to a target's answer or one outcome."""
 
     def __init__(
         self,
-        settings: GatewaySettings,
-        fleet: Fleet,
+        selector: TargetSelector,
         client: TargetClient,
+        retries: RetryPolicy,
         recorder: AttemptRecorder,
-        rng: random.Random,
+        clock: Clock,
     ) -> None:
-        self._settings = settings
-        self._fleet = fleet
+        self._selector = selector
         self._client = client
+        self._retries = retries
         self._recorder = recorder
-        self._rng = rng
+        self._clock = clock
 
     async def run(
         self,
@@ -39,7 +40,7 @@
         record: RequestRecord,
     ) -> ApplicationResult:
         """Run a call by its deadline."""
-        attempts = Attempts(record)
+        attempts = Attempts(record, call.arrival.deadline)
         try:
             async with asyncio.timeout_at(call.arrival.deadline):
                 return await self._attempt_all(call, attempts)
@@ -51,64 +52,41 @@
         call: ApplicationCall,
         attempts: Attempts,
     ) -> ApplicationResult:
-        for _ in range(self._settings.max_attempts):
-            link = self._choose(call.service, attempts)
+        while True:
+            link = self._selector.choose_target(
+                call.service,
+                attempts.excluded,
+            )
             if link is None:
-                break
+                return attempts.give_up('No target available')
             answer = await self._try(call, attempts, link)
-            if answer is not None:
+            if isinstance(answer, ApplicationAnswer):
                 return answer
-            if not _may_go_on(call, attempts):
-                break
-        return attempts.give_up('No target answered')
+            retry = self._retries.decide(
+                attempts.failed(answer, idempotent=call.is_repeatable),
+                self._clock.now(),
+            )
+            if not isinstance(retry, RetryAt):
+                return attempts.give_up('No target answered')
+            await self._clock.sleep_until(retry.instant)
 
     async def _try(
         self,
         call: ApplicationCall,
         attempts: Attempts,
         link: TargetLink,
-    ) -> ApplicationAnswer | None:
-        """Make one attempt; return ``None`` if it brought no answer."""
-        try:
-            return await self._attempt(call, attempts, link)
-        except TargetRefusedError as refusal:
-            self._recorder.note_failure(attempts, link, 'refused', refusal)
-        except TargetLostError as loss:
-            self._recorder.note_failure(attempts, link, 'lost', loss)
-        return None
-
-    def _choose(self, service: str, attempts: Attempts) -> TargetLink | None:
-        links = [
-            link
-            for link in self._fleet.application_targets(service)
-            if link.target.name not in attempts.excluded
-        ]
-        self._rng.shuffle(links)
-        return min(links, key=lambda link: link.running, default=None)
-
-    async def _attempt(
-        self,
-        call: ApplicationCall,
-        attempts: Attempts,
-        link: TargetLink,
-    ) -> ApplicationAnswer:
-        target = link.target
-        if not isinstance(target, Target):
-            raise TargetRefusedError(f'{target.name} is no target')
-        attempts.record.note_attempt(target.name)
+    ) -> ApplicationAnswer | AttemptFailure:
+        attempts.record.note_attempt(link.name)
         was_sent_before = attempts.was_sent
         attempts.was_sent = True
         link.running += 1
         try:
-            answer = await self._client.call(target, call)
-        except TargetRefusedError:
-            attempts.was_sent = was_sent_before
-            raise
+            answer = await self._client.call(link.target, call)
+        except TargetError as error:
+            if isinstance(error, TargetRefusedError):
+                attempts.was_sent = was_sent_before
+            return self._recorder.note_failure(attempts, link, error)
         finally:
             link.running -= 1
         self._recorder.note_success(link)
         return answer
-
-
-def _may_go_on(call: ApplicationCall, attempts: Attempts) -> bool:
-    return call.is_repeatable or not attempts.was_sent
--- a/packages/geraniumd/src/geraniumd/attempts.py
+++ b/packages/geraniumd/src/geraniumd/attempts.py
@@ -11,6 +11,7 @@
     FailedAttempt,
     HealthTracker,
     Lost,
+    Observation,
     Refused,
     Silent,
     Unreachable,
@@ -127,7 +128,7 @@
         return failure
 
     def _observe(self, link: Link, error: TargetError) -> None:
-        observation = Unreachable()
+        observation: Observation = Unreachable()
         if isinstance(error, TargetSilentError):
             observation = Silent()
         self._health.observe(link.name, observation, self._clock.now())
--- a/packages/geraniumd/src/geraniumd/calls.py
+++ b/packages/geraniumd/src/geraniumd/calls.py
@@ -7,6 +7,7 @@
 
 import pydantic
 from geranium_model import ModelService, NotRun, validation_complaints
+from geranium_policy import RequestProfile, prefix_hashes
 
 from .arrivals import Arrival
 
@@ -55,6 +56,7 @@
 
     arrival: Arrival
     team: str
+    key_id: str
     service: ModelService
     path: str
     body: bytes
@@ -62,10 +64,18 @@
     prompt_text: str
     max_tokens: int
 
-    @property
-    def prompt_tokens(self) -> int:
-        """Return the prompt's length in tokens, as estimated."""
-        return len(self.prompt_text) // CHARACTERS_PER_TOKEN + 1
+    def profile(self) -> RequestProfile:
+        """Return what decisions need to know of the call."""
+        return RequestProfile(
+            request_id=self.arrival.execution_id,
+            team=self.team,
+            service=self.service.name,
+            priority=self.arrival.priority,
+            prompt_tokens=len(self.prompt_text) // CHARACTERS_PER_TOKEN + 1,
+            expected_tokens=self.max_tokens,
+            prefix_hashes=prefix_hashes(self.prompt_text),
+            deadline=self.arrival.deadline,
+        )
 
 
 ParsedBody: TypeAlias = CompletionBody | NotRun
--- a/packages/geraniumd/src/geraniumd/completions.py
+++ b/packages/geraniumd/src/geraniumd/completions.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import dataclasses
-import random
+from collections.abc import Callable
 from http import HTTPStatus
 
+from geranium_coordination import Clock
 from geranium_model import (
     Completed,
     Engine,
@@ -14,25 +15,38 @@
     RanAndFailed,
     Usage,
 )
+from geranium_policy import (
+    Answered5xx,
+    AttemptFailure,
+    RequestProfile,
+    RetryAt,
+    RetryPolicy,
+)
 
+from .access import AccessDecision
+from .admission import CompletionAdmission
 from .attempts import AttemptRecorder, Attempts
 from .calls import CompletionCall
 from .events import EventBuffer
-from .exceptions import (
-    CallerGoneError,
-    TargetFailedError,
-    TargetLostError,
-    TargetRefusedError,
-)
-from .fleet import Fleet, TargetLink
+from .exceptions import CallerGoneError, TargetError, TargetRefusedError
 from .records import RequestRecord
-from .settings import GatewaySettings
+from .selection import Selection, TargetSelector
 from .sinks import Sink
 from .streams import StreamClient, final_usage
 
 _CALLER_GONE_STATUS = 499
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CompletionOrder:
+    """A call to run, where its events go, and whether it still may run."""
+
+    call: CompletionCall
+    sink: Sink
+    record: RequestRecord
+    check_access: Callable[[], AccessDecision]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CompletionResult:
     """How a completion ended, and what it used."""
@@ -45,108 +59,148 @@
 class _Run:
     """A completion under way, over all of its attempts."""
 
-    call: CompletionCall
-    sink: Sink
+    order: CompletionOrder
+    profile: RequestProfile
     buffer: EventBuffer
     attempts: Attempts
 
 
 class CompletionRunner:
-    """Runs admitted completions, each to exactly one outcome."""
+    """Runs completions, each to exactly one outcome."""
 
     def __init__(
         self,
-        settings: GatewaySettings,
-        fleet: Fleet,
+        admission: CompletionAdmission,
+        selector: TargetSelector,
         streams: StreamClient,
+        retries: RetryPolicy,
         recorder: AttemptRecorder,
-        rng: random.Random,
+        clock: Clock,
     ) -> None:
-        self._settings = settings
-        self._fleet = fleet
+        self._admission = admission
+        self._selector = selector
         self._streams = streams
+        self._retries = retries
         self._recorder = recorder
-        self._rng = rng
+        self._clock = clock
         self._cancellations: set[asyncio.Task[None]] = set()
 
-    async def run(
-        self,
-        call: CompletionCall,
-        sink: Sink,
-        record: RequestRecord,
-    ) -> CompletionResult:
+    async def run(self, order: CompletionOrder) -> CompletionResult:
         """Run a call by its deadline and return how it ended."""
-        buffer = EventBuffer(call.arrival.execution_id)
-        run = _Run(call, sink, buffer, Attempts(record))
+        call = order.call
+        profile = call.profile()
+        turn = await self._admission.wait_turn(
+            profile,
+            call.service,
+            call.key_id,
+        )
+        if isinstance(turn, NotRun):
+            return CompletionResult(turn, Usage())
+        run = _Run(
+            order,
+            profile,
+            EventBuffer(profile.request_id),
+            Attempts(order.record, profile.deadline),
+        )
+        usage = Usage()
+        try:
+            outcome = await self._run_released(run)
+            usage = _usage(run, outcome)
+        finally:
+            self._admission.settle(profile, call.service, usage)
+        return CompletionResult(outcome, usage)
+
+    async def _run_released(self, run: _Run) -> Outcome:
+        decision = run.order.check_access()
+        if isinstance(decision, NotRun):
+            return decision
         try:
-            async with asyncio.timeout_at(call.arrival.deadline):
-                outcome = await self._attempt_all(run)
+            async with asyncio.timeout_at(run.profile.deadline):
+                return await self._attempt_all(run)
         except TimeoutError:
-            outcome = run.attempts.give_up('Deadline passed')
+            return run.attempts.give_up('Deadline passed')
         except CallerGoneError as error:
-            outcome = _caller_gone(run.attempts, str(error))
-        return CompletionResult(outcome, _usage(run, outcome))
+            return _caller_gone(run.attempts, str(error))
 
     async def _attempt_all(self, run: _Run) -> Outcome:
-        for _ in range(self._settings.max_attempts):
-            link = self._choose(run)
-            if link is None:
-                break
-            outcome = await self._try(run, link)
-            if outcome is not None:
-                return outcome
-        return run.attempts.give_up('No engine answered')
-
-    async def _try(self, run: _Run, link: TargetLink) -> Outcome | None:
-        """Make one attempt; return ``None`` if another may follow."""
         attempts = run.attempts
+        while True:
+            selection = self._selector.choose_engine(
+                run.profile,
+                attempts.excluded,
+            )
+            if selection is None:
+                return attempts.give_up('No engine available')
+            failure = await self._try(run, selection)
+            if failure is None:
+                return Completed()
+            if isinstance(failure, Answered5xx):
+                return _failed(failure, attempts.detail)
+            retry = self._retries.decide(
+                attempts.failed(failure, idempotent=True),
+                self._clock.now(),
+            )
+            if not isinstance(retry, RetryAt):
+                return attempts.give_up('No engine answered')
+            await self._clock.sleep_until(retry.instant)
+
+    async def _try(
+        self,
+        run: _Run,
+        selection: Selection,
+    ) -> AttemptFailure | None:
+        """Make one attempt; return how it failed, or ``None``."""
+        link = selection.link
+        run.order.record.note_choice(selection.choice)
+        link.running += 1
+        link.view.record_dispatch(run.profile, self._clock.now())
         try:
-            await self._attempt(run, link)
-        except TargetFailedError as failure:
-            self._recorder.note_failure(attempts, link, 'failed', failure)
-            return _failed(failure)
-        except TargetRefusedError as refusal:
-            self._recorder.note_failure(attempts, link, 'refused', refusal)
-            return None
-        except TargetLostError as loss:
-            attempts.was_sent = True
-            self._recorder.note_failure(attempts, link, 'lost', loss)
-            return None
+            await self._relay(run, selection)
+        except TargetError as error:
+            if not isinstance(error, TargetRefusedError):
+                run.attempts.was_sent = True
+            return self._recorder.note_failure(run.attempts, link, error)
+        finally:
+            link.running -= 1
+            link.view.record_end(run.profile.request_id, self._clock.now())
         self._recorder.note_success(link)
-        return Completed()
-
-    def _choose(self, run: _Run) -> TargetLink | None:
-        links = [
-            link
-            for link in self._fleet.engines(run.call.service.name)
-            if link.target.name not in run.attempts.excluded
-        ]
-        self._rng.shuffle(links)
-        return min(links, key=_pressure, default=None)
-
-    async def _attempt(self, run: _Run, link: TargetLink) -> None:
-        engine = link.target
-        if not isinstance(engine, Engine):
-            raise TargetRefusedError(f'{engine.name} is no engine')
-        run.attempts.record.note_attempt(engine.name)
-        link.running += 1
+        return None
+
+    async def _relay(self, run: _Run, selection: Selection) -> None:
+        engine = selection.link.target
+        sent_at = self._clock.now()
         try:
-            await self._relay(run, engine)
-        except (TargetRefusedError, TargetFailedError):
+            async with self._streams.open(
+                engine,
+                run.order.call,
+                run.buffer,
+            ) as stream:
+                run.attempts.was_sent = True
+                async for batch in stream.batches():
+                    self._note_token(run, selection, sent_at)
+                    await run.order.sink.write(batch)
+        except TargetRefusedError:
             raise
         except BaseException:
             # The engine would go on for nobody.
-            self._cancel_soon(engine, run.call.arrival.execution_id)
+            self._cancel_soon(engine, run.profile.request_id)
             raise
-        finally:
-            link.running -= 1
 
-    async def _relay(self, run: _Run, engine: Engine) -> None:
-        async with self._streams.open(engine, run.call, run.buffer) as stream:
-            run.attempts.was_sent = True
-            async for batch in stream.batches():
-                run.attempts.record.note_first_token()
-                await run.sink.write(batch)
+    def _note_token(
+        self,
+        run: _Run,
+        selection: Selection,
+        sent_at: float,
+    ) -> None:
+        record = run.order.record
+        if record.first_token_at is not None:
+            return
+        record.note_first_token()
+        selection.link.view.record_first_token(run.profile.request_id)
+        self._admission.observe_first_token(
+            run.order.call.service,
+            self._clock.now() - sent_at,
+        )
 
     def _cancel_soon(self, engine: Engine, execution_id: str) -> None:
         cancellation = asyncio.create_task(
@@ -156,27 +210,18 @@
         cancellation.add_done_callback(self._cancellations.discard)
 
 
-def _pressure(link: TargetLink) -> int:
-    reported = link.load.running + link.load.waiting if link.load else 0
-    return max(link.running, reported)
-
-
 def _usage(run: _Run, outcome: Outcome) -> Usage:
     if isinstance(outcome, Completed):
         return final_usage(run.buffer.last_payload)
     if not run.attempts.was_sent:
         return Usage()
-    return Usage(run.call.prompt_tokens, run.buffer.next_offset, requests=1)
+    return Usage(run.profile.prompt_tokens, run.buffer.next_offset, requests=1)
 
 
-def _failed(failure: TargetFailedError) -> Outcome:
+def _failed(failure: Answered5xx, detail: str) -> Outcome:
     if failure.status < HTTPStatus.INTERNAL_SERVER_ERROR:
-        return RanAndFailed(
-            'Refused by the model',
-            str(failure),
-            failure.status,
-        )
-    return RanAndFailed('Failed on the engine', str(failure))
+        return RanAndFailed('Refused by the model', detail, failure.status)
+    return RanAndFailed('Failed on the engine', detail)
 
 
 def _caller_gone(attempts: Attempts, detail: str) -> Outcome:
--- a/packages/geraniumd/src/geraniumd/context.py
+++ b/packages/geraniumd/src/geraniumd/context.py
@@ -11,10 +11,12 @@
     ConfigurationRepository,
     SystemClock,
 )
+from geranium_policy import SuspectRegister, SuspectSettings
 
 from .directory import HostDirectory
 from .fleet import Fleet
 from .follower import ConfigurationFollower
+from .gossip import Gossip
 from .platform import PlatformClient
 from .presence import PresenceRegistry
 from .records import RequestLog
@@ -41,41 +43,46 @@
     directory: HostDirectory
     acknowledgements: Acknowledgements
     fleet: Fleet
+    suspects: SuspectRegister
+    gossip: Gossip
     requests: RequestLog
     meter: UsageMeter
 
 
 def build_context(settings: Settings, secrets: Secrets) -> Context:
     """Return the context of a daemon that starts now."""
-    clock = SystemClock()
-    rng = random.Random()
     telemetry = Telemetry(settings.host, settings.zone)
+    clock = SystemClock()
     platform = PlatformClient(settings.platform)
     replica = ConfigurationReplica(settings.host, clock=clock)
-    repository = ConfigurationRepository(platform, clock=clock)
-    directory = HostDirectory(rng)
+    directory = HostDirectory(random.Random())
+    fleet = Fleet()
+    suspects = SuspectRegister(SuspectSettings())
+    follower = ConfigurationFollower(
+        settings,
+        ConfigurationRepository(platform, clock=clock),
+        replica,
+        directory,
+        telemetry,
+        clock,
+    )
     return Context(
         settings=settings,
         secrets=secrets,
         incarnation=uuid.uuid4().hex,
         clock=clock,
-        rng=rng,
+        rng=random.Random(),
         telemetry=telemetry,
         platform=platform,
         presences=PresenceRegistry(platform),
         replica=replica,
-        repository=repository,
-        follower=ConfigurationFollower(
-            settings,
-            repository,
-            replica,
-            directory,
-            telemetry,
-            clock,
-        ),
+        repository=follower.repository,
+        follower=follower,
         directory=directory,
         acknowledgements=Acknowledgements(),
-        fleet=Fleet(),
+        fleet=fleet,
+        suspects=suspects,
+        gossip=Gossip(fleet, suspects, clock),
         requests=RequestLog(clock),
         meter=UsageMeter(telemetry),
     )
--- a/packages/geraniumd/src/geraniumd/daemon.py
+++ b/packages/geraniumd/src/geraniumd/daemon.py
@@ -7,7 +7,7 @@
 from collections.abc import Coroutine, Iterator
 from typing import Any, TypeAlias
 
-from geranium_coordination import StoreError
+from geranium_coordination import LoadedConfiguration, StoreError
 
 from .context import build_context
 from .directory import Presence
@@ -16,12 +16,16 @@
 from .listeners import HttpListener, split_address
 from .lists import ListPoller
 from .logs import get_logger
-from .messages import Ping
 from .peer_server import PeerServer
 from .peering import Peering
 from .probes import LoadProber
 from .settings import Secrets, Settings
-from .wiring import build_clients, build_gateway, build_operator_api
+from .wiring import (
+    build_admission,
+    build_clients,
+    build_gateway,
+    build_operator_api,
+)
 
 Duty: TypeAlias = tuple[str, Coroutine[Any, Any, None]]
 
@@ -36,7 +40,12 @@
         self._is_ready = False
         self._presence: Presence | None = None
         self._clients = build_clients(self._context)
-        self._gateway = build_gateway(self._context, self._clients)
+        self._admission = build_admission(self._context)
+        self._gateway = build_gateway(
+            self._context,
+            self._clients,
+            self._admission,
+        )
         self._build_peers()
         self._operator_api = build_operator_api(
             self._context,
@@ -66,11 +75,7 @@
         context = self._context
         await self._operators.start()
         peer_address = await self._listen_for_peers()
-        context.replica.subscribe(
-            lambda loaded: context.fleet.apply_configuration(
-                loaded.configuration,
-            ),
-        )
+        context.replica.subscribe(self._apply_configuration)
         await self._callers.start()
         self._presence = Presence(
             host=context.settings.host,
@@ -90,6 +95,10 @@
         await self._stopping.wait()
         await self._shut_down(self._presence, tasks)
 
+    def _apply_configuration(self, loaded: LoadedConfiguration) -> None:
+        self._context.fleet.apply_configuration(loaded.configuration)
+        self._admission.drop_withdrawn()
+
     def _build_peers(self) -> None:
         context = self._context
         settings = context.settings
@@ -99,12 +108,12 @@
             context.incarnation,
             context.secrets.peer_secret,
         )
-        self._peering = Peering(context, identity, Ping)
+        self._peering = Peering(context, identity, context.gossip.news)
         self._peer_server = PeerServer(
             identity,
             settings.peers,
             context.replica,
-            lambda _host, _ping: None,
+            context.gossip.take,
             context.telemetry,
         )
 
@@ -145,6 +154,7 @@
         yield 'lists', poller.poll_lists()
         yield 'presences', poller.poll_presences()
         yield 'probes', prober.run()
+        yield 'admission', self._admission.run()
         yield 'peering', self._peering.run()
 
     async def _join(self, presence: Presence) -> None:
--- a/packages/geraniumd/src/geraniumd/engines.py
+++ b/packages/geraniumd/src/geraniumd/engines.py
@@ -15,7 +15,6 @@
     Role,
     SetRole,
 )
-
 from geranium_policy import CacheEvent, PrefixEvicted, PrefixStored
 
 from .exceptions import TargetError
--- a/packages/geraniumd/src/geraniumd/fleet.py
+++ b/packages/geraniumd/src/geraniumd/fleet.py
@@ -13,7 +13,6 @@
     Target,
     TargetState,
 )
-
 from geranium_policy import EngineView
 
 from .listings import ListedTarget
@@ -84,19 +83,22 @@
     def engines(self, service: str) -> tuple[EngineLink, ...]:
         """Return the links to a service's live engines."""
         return tuple(
-            link
-            for link in self._live(service)
-            if isinstance(link, EngineLink)
+            link for link in self._live(service) if isinstance(link, EngineLink)
         )
 
     def application_targets(self, service: str) -> tuple[TargetLink, ...]:
         """Return the links to a service's live application targets."""
         return tuple(
-            link
-            for link in self._live(service)
-            if isinstance(link, TargetLink)
+            link for link in self._live(service) if isinstance(link, TargetLink)
         )
 
+    def engine_links(self) -> tuple[EngineLink, ...]:
+        """Return the links to all engines, those that leave included."""
+        return tuple(
+            link
+            for link in self.links_by_name.values()
+            if isinstance(link, EngineLink)
+        )
 
     def _live(self, service: str) -> Iterator[Link]:
         cordoned = self._configuration.cordoned_zones
@@ -107,14 +109,6 @@
             if target.state is TargetState.LIVE:
                 yield link
 
-    def engine_links(self) -> tuple[EngineLink, ...]:
-        """Return the links to all engines, those that leave included."""
-        return tuple(
-            link
-            for link in self.links_by_name.values()
-            if isinstance(link, EngineLink)
-        )
-
     def _reconcile(self) -> None:
         wanted = self._merge()
         for name in self.links_by_name.keys() - wanted.keys():
--- a/packages/geraniumd/src/geraniumd/follower.py
+++ b/packages/geraniumd/src/geraniumd/follower.py
@@ -41,7 +41,7 @@
         clock: Clock,
     ) -> None:
         self._settings = settings
-        self._repository = repository
+        self.repository = repository
         self._directory = directory
         self._telemetry = telemetry
         self._clock = clock
@@ -64,7 +64,7 @@
         while True:
             asked_at = self._clock.now()
             try:
-                loaded = await self._repository.load()
+                loaded = await self.repository.load()
             except ConfigurationError as error:
                 self._note_error(error)
                 await asyncio.sleep(self._settings.platform.retry_interval_s)
@@ -87,7 +87,7 @@
 
     async def _watch_once(self) -> None:
         asked_at = self._clock.now()
-        loaded, store_version = await self._repository.watch(
+        loaded, store_version = await self.repository.watch(
             self.replica.loaded,
             self._store_version,
             _WATCH_WAIT_S,
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/gossip.py
@@ -0,0 +1,108 @@
+"""What daemons tell each other of their traffic, many times a minute."""
+
+from collections.abc import Callable, Iterable, Mapping
+
+from geranium_coordination import Clock
+from geranium_policy import (
+    ConsumptionReport,
+    InFlight,
+    SuspectRegister,
+)
+
+from .fleet import Fleet
+from .messages import EngineDispatch, Ping, ServiceConsumption
+
+_PEER_TIMEOUT_S = 3
+
+
+class Gossip:
+    """Gathers this daemon's news and takes in that of its peers."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        suspects: SuspectRegister,
+        clock: Clock,
+    ) -> None:
+        self._fleet = fleet
+        self._suspects = suspects
+        self._clock = clock
+        self._dispatches_by_peer: dict[str, _PeerDispatches] = {}
+        self._consumption_by_service: dict[str, ConsumptionReport] = {}
+        self._consumers: list[Callable[[ServiceConsumption], None]] = []
+
+    def subscribe(
+        self,
+        consumer: Callable[[ServiceConsumption], None],
+    ) -> None:
+        """Call the consumer with each report of a peer's consumption."""
+        self._consumers.append(consumer)
+
+    def publish(self, consumption: ServiceConsumption) -> None:
+        """Tell peers of this daemon's consumption from now on."""
+        self._consumption_by_service[consumption.service] = consumption.report
+
+    def news(self) -> Ping:
+        """Return what to tell a peer now."""
+        return Ping(
+            dispatches=tuple(
+                EngineDispatch(link.name, link.view.own)
+                for link in self._fleet.engine_links()
+                if link.view.own.requests
+            ),
+            consumption=tuple(
+                ServiceConsumption(service, report)
+                for service, report in self._consumption_by_service.items()
+                if report.large_by_team
+            ),
+            crashes=self._suspects.notices(self._clock.now()),
+        )
+
+    def take(self, host: str, ping: Ping) -> None:
+        """Take in what a peer tells."""
+        now = self._clock.now()
+        self._suspects.apply(ping.crashes, now)
+        self._dispatches_by_peer[host] = _PeerDispatches(
+            ping.dispatches,
+            now + _PEER_TIMEOUT_S,
+        )
+        self._sum_dispatches(now)
+        for consumption in ping.consumption:
+            for consume in self._consumers:
+                consume(consumption)
+
+    def _sum_dispatches(self, now: float) -> None:
+        self._dispatches_by_peer = {
+            host: dispatches
+            for host, dispatches in self._dispatches_by_peer.items()
+            if dispatches.deadline > now
+        }
+        in_flight_by_engine = _summed(
+            dispatch
+            for dispatches in self._dispatches_by_peer.values()
+            for dispatch in dispatches.rows
+        )
+        for link in self._fleet.engine_links():
+            link.view.peers = in_flight_by_engine.get(link.name, InFlight())
+
+
+class _PeerDispatches:
+    """A peer's dispatches; they count until the deadline."""
+
+    def __init__(
+        self,
+        rows: tuple[EngineDispatch, ...],
+        deadline: float,
+    ) -> None:
+        self.rows = rows
+        self.deadline = deadline
+
+
+def _summed(dispatches: Iterable[EngineDispatch]) -> Mapping[str, InFlight]:
+    in_flight_by_engine: dict[str, InFlight] = {}
+    for dispatch in dispatches:
+        total = in_flight_by_engine.setdefault(dispatch.engine, InFlight())
+        total.requests += dispatch.in_flight.requests
+        total.prefill_tokens += dispatch.in_flight.prefill_tokens
+        total.kv_pieces += dispatch.in_flight.kv_pieces
+    return in_flight_by_engine
--- a/packages/geraniumd/src/geraniumd/messages.py
+++ b/packages/geraniumd/src/geraniumd/messages.py
@@ -4,33 +4,23 @@
 from typing import TypeAlias
 
 from geranium_coordination import FreshnessReport, PendingWithdrawal
+from geranium_policy import ConsumptionReport, CrashNotice, InFlight
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EngineDispatch:
-    """What the sender has running on an engine."""
+    """What the sender has in flight on an engine."""
 
     engine: str
-    running: int
-    prompt_tokens: int
+    in_flight: InFlight
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class TeamConsumption:
-    """Tokens that a team consumed of a service through the sender so far."""
+class ServiceConsumption:
+    """What the sender's teams were served of a service, and wait for."""
 
-    team: str
     service: str
-    tokens: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Suspicion:
-    """How often a request crashed its target; ``age_s`` since the last."""
-
-    fingerprint: int
-    crashes: int
-    age_s: float
+    report: ConsumptionReport
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,8 +28,8 @@
     """Asks for the receiver's status and brings the sender's news."""
 
     dispatches: tuple[EngineDispatch, ...] = ()
-    consumption: tuple[TeamConsumption, ...] = ()
-    suspicions: tuple[Suspicion, ...] = ()
+    consumption: tuple[ServiceConsumption, ...] = ()
+    crashes: tuple[CrashNotice, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/geraniumd/src/geraniumd/model_endpoint.py
+++ b/packages/geraniumd/src/geraniumd/model_endpoint.py
@@ -1,5 +1,6 @@
 """The callers' endpoints for completions."""
 
+from functools import partial
 from http import HTTPStatus
 from typing import TypeAlias
 
@@ -9,12 +10,11 @@
 from .accounting import RequestAccounting
 from .arrivals import Arrival, ArrivalDesk
 from .calls import (
-    CompletionBody,
     CompletionCall,
     engine_body,
     parse_completion_body,
 )
-from .completions import CompletionRunner
+from .completions import CompletionOrder, CompletionRunner
 from .endpoints import AccessControl
 from .problems import problem_response
 from .settings import GatewaySettings
@@ -50,7 +50,7 @@
             return problem_response(call, arrival.request_id)
         if call.is_streamed:
             return await self._stream(request, call)
-        return await self._answer_whole(call)
+        return await self._answer_whole(request, call)
 
     async def _read_call(
         self,
@@ -63,10 +63,19 @@
         grant = self._access.check(request, body.model, request.path)
         if isinstance(grant, NotRun):
             return grant
-        if not isinstance(grant.service, ModelService):
+        service = grant.service
+        if not isinstance(service, ModelService):
             return _not_a_model(body.model)
-        return _build_call(
-            request.path, arrival, grant.team, grant.service, body
+        return CompletionCall(
+            arrival=arrival,
+            team=grant.team,
+            key_id=grant.key_id,
+            service=service,
+            path=request.path,
+            body=engine_body(body, service),
+            is_streamed=body.stream,
+            prompt_text=body.prompt_text(),
+            max_tokens=body.token_limit(),
         )
 
     async def _stream(
@@ -75,7 +84,7 @@
         call: CompletionCall,
     ) -> web.StreamResponse:
         sink = StreamSink(request, call, self._settings.caller_stall_s)
-        outcome = await self._run(call, sink)
+        outcome = await self._run(request, call, sink)
         if isinstance(outcome, Completed):
             return await sink.finish()
         if sink.response is None:
@@ -83,15 +92,20 @@
         await sink.fail(outcome)
         return sink.response
 
-    async def _answer_whole(self, call: CompletionCall) -> web.Response:
+    async def _answer_whole(
+        self,
+        request: web.Request,
+        call: CompletionCall,
+    ) -> web.Response:
         sink = WholeSink(call, self._settings.max_buffered_answer_bytes)
-        outcome = await self._run(call, sink)
+        outcome = await self._run(request, call, sink)
         if isinstance(outcome, Completed):
             return sink.finish()
         return problem_response(outcome, call.arrival.request_id)
 
     async def _run(
         self,
+        request: web.Request,
         call: CompletionCall,
         sink: StreamSink | WholeSink,
     ) -> Outcome:
@@ -100,30 +114,17 @@
             call.team,
             call.service.name,
         )
-        result = await self._runner.run(call, sink, record)
+        order = CompletionOrder(
+            call,
+            sink,
+            record,
+            partial(self._access.check, request, call.service.name, call.path),
+        )
+        result = await self._runner.run(order)
         self._accounting.end(record, result.outcome, result.usage)
         return result.outcome
 
 
-def _build_call(
-    path: str,
-    arrival: Arrival,
-    team: str,
-    service: ModelService,
-    body: CompletionBody,
-) -> CompletionCall:
-    return CompletionCall(
-        arrival=arrival,
-        team=team,
-        service=service,
-        path=path,
-        body=engine_body(body, service),
-        is_streamed=body.stream,
-        prompt_text=body.prompt_text(),
-        max_tokens=body.token_limit(),
-    )
-
-
 def _not_a_model(name: str) -> NotRun:
     return NotRun(
         HTTPStatus.NOT_FOUND,
--- a/packages/geraniumd/src/geraniumd/peers.capnp
+++ b/packages/geraniumd/src/geraniumd/peers.capnp
@@ -28,26 +28,38 @@
 
 struct EngineDispatch {
   engine @0 :Text;
-  running @1 :UInt32;
-  promptTokens @2 :UInt32;
+  requests @1 :UInt32;
+  prefillTokens @2 :UInt32;
+  kvPieces @3 :UInt32;
 }
 
-struct TeamConsumption {
+# Costs are in prompt tokens.
+struct Consumption {
   team @0 :Text;
-  service @1 :Text;
-  tokens @2 :UInt64;
+  served @1 :Float64;
+  backlog @2 :Float64;
+  queued @3 :Float64;
 }
 
-struct Suspicion {
+struct ServiceConsumption {
+  service @0 :Text;
+  daemon @1 :Text;
+  large @2 :List(Consumption);
+  tail @3 :Consumption;
+  tailTeams @4 :UInt32;
+}
+
+struct CrashNotice {
   fingerprint @0 :UInt64;
-  crashes @1 :UInt32;
+  crashId @1 :Text;
   ageMs @2 :Int64;
+  cleared @3 :Bool;
 }
 
 struct News {
   dispatches @0 :List(EngineDispatch);
-  consumption @1 :List(TeamConsumption);
-  suspicions @2 :List(Suspicion);
+  consumption @1 :List(ServiceConsumption);
+  crashes @2 :List(CrashNotice);
 }
 
 struct UsageCounter {
--- a/packages/geraniumd/src/geraniumd/records.py
+++ b/packages/geraniumd/src/geraniumd/records.py
@@ -4,8 +4,10 @@
 import dataclasses
 
 from geranium_coordination import Clock
+from geranium_policy import EngineChoice
 
 RECENT_LIMIT = 2000
+_EXPLAINED_ESTIMATES = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,6 +45,13 @@
         self.attempts += 1
         self.note(f'sent to {target}')
 
+    def note_choice(self, choice: EngineChoice) -> None:
+        """Add the step of sending the request to an engine, and why."""
+        self.note_attempt(choice.engine.name)
+        self.note(f'chosen because: {choice.reason}')
+        for estimate in choice.considered[:_EXPLAINED_ESTIMATES]:
+            self.note(f'weighed: {estimate}')
+
     def note_first_token(self) -> None:
         """Take down when the first token came, once."""
         if self.first_token_at is None:
--- a/packages/geraniumd/src/geraniumd/settings.py
+++ b/packages/geraniumd/src/geraniumd/settings.py
@@ -43,13 +43,17 @@
 
 @dataclass(frozen=True, kw_only=True, config=_STRICT)
 class GatewaySettings:
-    """Limits of the callers' side."""
+    """Limits of the callers' side.
+
+    A completion is refused at once if its first token isn't expected within
+    ``first_token_patience`` times the service's objective.
+    """
 
     max_body_bytes: Bytes = 4_194_304
     default_deadline_s: PositiveSeconds = 120
     max_deadline_s: PositiveSeconds = 600
     address_ttl_s: PositiveSeconds = 5
-    max_attempts: Annotated[int, pydantic.Field(ge=1, le=10)] = 4
+    first_token_patience: Annotated[float, pydantic.Field(ge=1)] = 4
     max_buffered_answer_bytes: Bytes = 16_777_216
     caller_stall_s: PositiveSeconds = 30
 
--- a/packages/geraniumd/src/geraniumd/tables.py
+++ b/packages/geraniumd/src/geraniumd/tables.py
@@ -2,12 +2,11 @@
 
 from collections.abc import Callable, Mapping
 
-from geranium_model import Engine
 from geranium_statements import Collection, Row, Table, build_table
 
 from .configuration_tables import CONFIGURATION_BUILDERS
 from .context import Context
-from .fleet import TargetLink
+from .fleet import EngineLink
 from .peering import Peering
 from .records import RequestRecord
 
@@ -118,11 +117,7 @@
         return build_table(columns, rows)
 
     def _engines(self) -> Table:
-        rows = [
-            self._engine_row(link, link.target)
-            for link in self._fleet.links_by_name.values()
-            if isinstance(link.target, Engine)
-        ]
+        rows = map(self._engine_row, self._fleet.engine_links())
         columns = (
             'engine',
             'service',
@@ -139,10 +134,11 @@
         )
         return build_table(columns, rows)
 
-    def _engine_row(self, link: TargetLink, engine: Engine) -> Row:
+    def _engine_row(self, link: EngineLink) -> Row:
+        engine = link.target
         head: Row = (engine.name, engine.service, engine.zone)
         state = engine.state.value
-        load = link.load
+        load = link.view.load
         if load is None:
             unknown: Row = (None,) * _LOAD_COLUMNS
             return (*head, engine.role.value, state, *unknown, link.running)
--- a/packages/geraniumd/src/geraniumd/transport.py
+++ b/packages/geraniumd/src/geraniumd/transport.py
@@ -9,7 +9,6 @@
     TargetFailedError,
     TargetLostError,
     TargetRefusedError,
-    TargetSilentError,
 )
 from .settings import TargetSettings
 
--- a/packages/geraniumd/src/geraniumd/wire.py
+++ b/packages/geraniumd/src/geraniumd/wire.py
@@ -1,6 +1,5 @@
 """Encodes messages between daemons with Cap'n Proto."""
 
-import math
 import pathlib
 from typing import Any
 
@@ -17,20 +16,16 @@
     Announcement,
     ConfigurationUpdate,
     ConfigurationWanted,
-    EngineDispatch,
     Envelope,
     Hello,
     Message,
     Ping,
     Status,
-    Suspicion,
-    TeamConsumption,
     UsageCounter,
     UsageReplica,
 )
-
-_MS_PER_S = 1000
-_NO_AGE = -1
+from .wire_ages import MS_PER_S, age_from_wire, age_on_wire
+from .wire_news import ping_fields, read_ping
 
 _schema = capnp.load(str(pathlib.Path(__file__).with_name('peers.capnp')))
 
@@ -92,7 +87,7 @@
 def _union_member(message: Message) -> dict[str, Any]:
     match message:
         case Ping():
-            return {'ping': _ping_fields(message)}
+            return {'ping': ping_fields(message)}
         case Status():
             return {'status': _status_fields(message)}
         case ConfigurationWanted():
@@ -110,7 +105,7 @@
 def _read(frame: Any) -> Message:
     match str(frame.which()):
         case 'ping':
-            return _read_ping(frame.ping)
+            return read_ping(frame.ping)
         case 'status':
             return _read_status(frame.status)
         case 'configurationWanted':
@@ -126,59 +121,13 @@
     raise FrameError('a message of an unknown kind')
 
 
-def _ping_fields(ping: Ping) -> dict[str, Any]:
-    return {
-        'dispatches': [
-            {
-                'engine': dispatch.engine,
-                'running': dispatch.running,
-                'promptTokens': dispatch.prompt_tokens,
-            }
-            for dispatch in ping.dispatches
-        ],
-        'consumption': [
-            {
-                'team': consumed.team,
-                'service': consumed.service,
-                'tokens': consumed.tokens,
-            }
-            for consumed in ping.consumption
-        ],
-        'suspicions': [
-            {
-                'fingerprint': suspicion.fingerprint,
-                'crashes': suspicion.crashes,
-                'ageMs': _to_ms(suspicion.age_s),
-            }
-            for suspicion in ping.suspicions
-        ],
-    }
-
-
-def _read_ping(ping: Any) -> Ping:
-    return Ping(
-        dispatches=tuple(
-            EngineDispatch(row.engine, row.running, row.promptTokens)
-            for row in ping.dispatches
-        ),
-        consumption=tuple(
-            TeamConsumption(row.team, row.service, row.tokens)
-            for row in ping.consumption
-        ),
-        suspicions=tuple(
-            Suspicion(row.fingerprint, row.crashes, row.ageMs / _MS_PER_S)
-            for row in ping.suspicions
-        ),
-    )
-
-
 def _status_fields(status: Status) -> dict[str, Any]:
     report = status.report
     return {
         'host': report.host,
         'version': report.version,
-        'storeAgeMs': _to_ms(report.store_age_s),
-        'quorumAgeMs': _to_ms(report.quorum_age_s),
+        'storeAgeMs': age_on_wire(report.store_age_s),
+        'quorumAgeMs': age_on_wire(report.quorum_age_s),
         'votes': report.votes,
         'leaving': status.is_leaving,
         'withdrawals': [
@@ -192,8 +141,8 @@
     report = FreshnessReport(
         host=status.host,
         version=status.version,
-        store_age_s=_to_age(status.storeAgeMs),
-        quorum_age_s=_to_age(status.quorumAgeMs),
+        store_age_s=age_from_wire(status.storeAgeMs),
+        quorum_age_s=age_from_wire(status.quorumAgeMs),
         votes=status.votes,
         withdrawals=tuple(
             _read_withdrawal(held) for held in status.withdrawals
@@ -210,7 +159,7 @@
         'operationId': pending.operation_id,
         'baseVersion': pending.base_version,
         'keyDigests': list(pending.key_digests),
-        'ageMs': _to_ms(age_s),
+        'ageMs': age_on_wire(age_s),
     }
 
 
@@ -220,7 +169,7 @@
         held.baseVersion,
         tuple(held.keyDigests),
     )
-    return HeldWithdrawal(pending, held.ageMs / _MS_PER_S)
+    return HeldWithdrawal(pending, held.ageMs / MS_PER_S)
 
 
 def _usage_fields(replica: UsageReplica) -> dict[str, Any]:
@@ -251,12 +200,3 @@
         for row in usage.counters
     )
     return UsageReplica(usage.origin, counters)
-
-
-def _to_ms(age_s: float | None) -> int:
-    # Rounded up: an age on the wire is never younger than it was.
-    return _NO_AGE if age_s is None else math.ceil(age_s * _MS_PER_S)
-
-
-def _to_age(age_ms: int) -> float | None:
-    return None if age_ms == _NO_AGE else age_ms / _MS_PER_S
--- a/packages/geraniumd/src/geraniumd/wiring.py
+++ b/packages/geraniumd/src/geraniumd/wiring.py
@@ -2,7 +2,15 @@
 
 import dataclasses
 
+from geranium_policy import (
+    RetryBudget,
+    RetryPolicy,
+    RetrySettings,
+    RouterSettings,
+)
+
 from .accounting import RequestAccounting
+from .admission import CompletionAdmission
 from .application_endpoint import ApplicationEndpoint
 from .applications import ApplicationRunner
 from .arrivals import ArrivalDesk
@@ -17,11 +25,14 @@
 from .model_endpoint import ModelEndpoint
 from .operator import OperatorApi, ReadyCheck
 from .peering import Peering
+from .selection import TargetSelector
 from .streams import StreamClient
 from .tables import LocalTables
 from .targets import TargetClient
 from .transport import TargetTransport
 
+_SEED_BITS = 32
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Clients:
@@ -48,39 +59,75 @@
     )
 
 
-def build_gateway(context: Context, clients: Clients) -> Gateway:
+def build_admission(context: Context) -> CompletionAdmission:
+    """Return the queues of completions."""
+    return CompletionAdmission(
+        context.settings,
+        context.fleet,
+        context.directory,
+        context.follower,
+        context.gossip,
+        context.clock,
+    )
+
+
+def build_gateway(
+    context: Context,
+    clients: Clients,
+    admission: CompletionAdmission,
+) -> Gateway:
     """Return the callers' side."""
     settings = context.settings.gateway
     access = AccessControl(context.follower)
     desk = ArrivalDesk(settings, context.clock)
-    recorder = AttemptRecorder(context.telemetry)
     accounting = RequestAccounting(
         context.requests,
         context.meter,
         context.telemetry,
         context.clock,
     )
-    completions = CompletionRunner(
+    completions, applications = _build_runners(context, clients, admission)
+    return Gateway(
         settings,
+        context.follower,
+        context.directory,
+        ModelEndpoint(settings, access, desk, completions, accounting),
+        ApplicationEndpoint(access, desk, applications, accounting),
+    )
+
+
+def _build_runners(
+    context: Context,
+    clients: Clients,
+    admission: CompletionAdmission,
+) -> tuple[CompletionRunner, ApplicationRunner]:
+    clock = context.clock
+    selector = TargetSelector(
         context.fleet,
+        RouterSettings(seed=context.rng.getrandbits(_SEED_BITS)),
+        clock,
+        context.rng,
+    )
+    retry_settings = RetrySettings()
+    budget = RetryBudget(retry_settings, clock.now())
+    retries = RetryPolicy(retry_settings, budget, context.rng)
+    recorder = AttemptRecorder(context.telemetry, selector.health, clock)
+    completions = CompletionRunner(
+        admission,
+        selector,
         StreamClient(context.settings.targets, clients.streams),
+        retries,
         recorder,
-        context.rng,
+        clock,
     )
     applications = ApplicationRunner(
-        settings,
-        context.fleet,
+        selector,
         clients.targets,
+        retries,
         recorder,
-        context.rng,
-    )
-    return Gateway(
-        settings,
-        context.follower,
-        context.directory,
-        ModelEndpoint(settings, access, desk, completions, accounting),
-        ApplicationEndpoint(access, desk, applications, accounting),
+        clock,
     )
+    return completions, applications
 
 
 def build_operator_api(
--- a/packages/geraniumd/tests/test_wire.py
+++ b/packages/geraniumd/tests/test_wire.py
@@ -6,18 +6,31 @@
     HeldWithdrawal,
     PendingWithdrawal,
 )
+from geranium_policy import (
+    ConsumptionReport,
+    CrashNotice,
+    InFlight,
+    TeamConsumption,
+)
 from geraniumd import messages
 from geraniumd.exceptions import FrameError
 from geraniumd.wire import decode, encode
 
 PENDING = PendingWithdrawal('op-1', 7, ('a' * 64, 'b' * 64))
 
+REPORT = ConsumptionReport(
+    daemon='khomas-a-1',
+    large_by_team={'registry': TeamConsumption(9000.5, 800, 100)},
+    tail=TeamConsumption(70, 5, 1),
+    tail_teams=4,
+)
+
 MESSAGES = (
     messages.Ping(),
     messages.Ping(
-        dispatches=(messages.EngineDispatch('e-1', 3, 900),),
-        consumption=(messages.TeamConsumption('registry', 'llm', 12345),),
-        suspicions=(messages.Suspicion(2**63, 2, 1.5),),
+        dispatches=(messages.EngineDispatch('e-1', InFlight(3, 900, 60)),),
+        consumption=(messages.ServiceConsumption('llm', REPORT),),
+        crashes=(CrashNotice(2**63, 'e-1/77', 1.5, cleared=True),),
     ),
     messages.ConfigurationWanted(12),
     messages.ConfigurationUpdate(b'{"delta": 1}'),
