Add geraniumctl, the operators' command line

Statements are checked here before any is sent, so that a slip in the fifth line of a script does not leave four in force. Addresses are tried in turn with the operation's id unchanged; by it the hosts see to one effect. A key's secret is generated here and only its digest goes out: letting the host generate it was weighed, but a lost answer would then leave a key whose secret nobody has.

--- a/packages/geranium-statements/src/geranium_statements/__init__.py
+++ b/packages/geranium-statements/src/geranium_statements/__init__.py
@@ -16,7 +16,7 @@
     engine_command,
 )
 from .parsing import completions, keywords, parse_statement
-from .queries import Collection, ExplainRequest, OrderBy, Show, Watch
+from .queries import Collection, ExplainRequest, OrderBy, Query, Show, Watch
 from .rendering import render_error
 from .scripts import ScriptStatement, split_script
 from .statements import Change, Statement
@@ -46,6 +46,7 @@
     'NameInUseError',
     'NoAnswer',
     'OrderBy',
+    'Query',
     'ResumeEngine',
     'Row',
     'ScriptStatement',
--- a/packages/geranium-statements/tests/test_round_trip.py
+++ b/packages/geranium-statements/tests/test_round_trip.py
@@ -17,7 +17,7 @@
 )
 from geranium_statements.descriptions import describe
 from geranium_statements.parsing import parse_statement
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 names = st.one_of(
@@ -73,6 +73,12 @@
     )
 
 
+# A column called like a word that may begin a condition.
+odd_columns = conditions.Not(
+    conditions.Membership(
+        conditions.ColumnName('not'), (conditions.Text('none'),)
+    ),
+)
 sort_keys = st.builds(OrderBy, column_names, st.booleans())
 shows = st.builds(
     Show,
@@ -149,5 +155,6 @@
 
 @settings(max_examples=300, deadline=None, derandomize=True)
 @given(statements)
+@example(Show(Collection.HOSTS, where=odd_columns))
 def test_canonical_text_parses_to_the_same_statement(statement):
     assert parse_statement(describe(statement)) == statement
--- /dev/null
+++ b/packages/geraniumctl/src/geraniumctl/exceptions.py
@@ -0,0 +1,58 @@
+"""Errors of the command line."""
+
+import dataclasses
+
+
+class ClientError(Exception):
+    """Base of every error that this package raises."""
+
+
+class SettingsError(ClientError):
+    """Settings are missing or malformed; the message names the field."""
+
+
+class DocumentFileError(ClientError):
+    """A configuration file is malformed.
+
+    Each complaint names the place.
+    """
+
+    def __init__(self, complaints: tuple[str, ...]) -> None:
+        super().__init__('\n'.join(complaints))
+        self.complaints = complaints
+
+
+class RefusedError(ClientError):
+    """A host answered that it does not do what was asked."""
+
+    def __init__(self, status: int, title: str, detail: str = '') -> None:
+        super().__init__(f'{title}: {detail}' if detail else title)
+        self.status = status
+        self.title = title
+        self.detail = detail
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Attempt:
+    """A host that gave no usable answer.
+
+    ``maybe_sent`` says whether the request may have reached it.
+    """
+
+    address: str
+    reason: str
+    maybe_sent: bool
+
+
+class UnreachableError(ClientError):
+    """No host answered."""
+
+    def __init__(self, attempts: tuple[Attempt, ...]) -> None:
+        lines = (f'{attempt.address}: {attempt.reason}' for attempt in attempts)
+        super().__init__('; '.join(lines))
+        self.attempts = attempts
+
+    @property
+    def maybe_sent(self) -> bool:
+        """Whether the request may have reached a host."""
+        return any(attempt.maybe_sent for attempt in self.attempts)
--- /dev/null
+++ b/packages/geraniumctl/src/geraniumctl/failures.py
@@ -0,0 +1,65 @@
+"""Tells the operator what went wrong."""
+
+import shlex
+
+import click
+from geranium_statements import StatementError, render_error
+
+from .exceptions import (
+    ClientError,
+    DocumentFileError,
+    RefusedError,
+    SettingsError,
+    UnreachableError,
+)
+from .execution import UnconfirmedError
+from .exit_codes import ExitCode
+
+
+def report_statement_error(error: StatementError, text: str) -> ExitCode:
+    """Print a statement's error under its place in the text."""
+    click.echo(render_error(error, text), err=True)
+    return ExitCode.USAGE
+
+
+def report_failure(error: ClientError) -> ExitCode:
+    """Print an error and return the exit code that it leads to."""
+    match error:
+        case UnconfirmedError():
+            _report_unconfirmed(error)
+            return ExitCode.UNREACHABLE
+        case UnreachableError():
+            _report_unreachable(error)
+            return ExitCode.UNREACHABLE
+        case RefusedError():
+            click.echo(f'refused: {error}', err=True)
+            return ExitCode.REFUSED
+        case DocumentFileError() | SettingsError():
+            click.echo(str(error), err=True)
+            return ExitCode.USAGE
+        case _:
+            click.echo(f'error: {error}', err=True)
+            return ExitCode.REFUSED
+
+
+def _report_unreachable(error: UnreachableError) -> None:
+    click.echo('no host answered:', err=True)
+    for attempt in error.attempts:
+        click.echo(f'  {attempt.address}: {attempt.reason}', err=True)
+
+
+def _report_unconfirmed(error: UnconfirmedError) -> None:
+    _report_unreachable(error)
+    execution = error.execution
+    click.echo(
+        'It may have taken effect. This repeats it with one effect:\n'
+        f'  geraniumctl run --operation-id {execution.operation_id}'
+        f' {shlex.quote(execution.text)}',
+        err=True,
+    )
+    if execution.new_key is not None:
+        key = execution.new_key
+        click.echo(
+            f'If it did, the secret of key {key.key_id} is {key.secret}',
+            err=True,
+        )
