--- a/packages/geraniumctl/tests/test_cli.py
+++ b/packages/geraniumctl/tests/test_cli.py
@@ -15,7 +15,8 @@
     """An address on which nothing listens."""
     with socket.socket() as bound:
         bound.bind(('127.0.0.1', 0))
-        yield f'127.0.0.1:{bound.getsockname()[1]}'
+        _, port = bound.getsockname()
+        yield f'127.0.0.1:{port}'
 
 
 async def test_table_and_notes_are_printed(invoke):
