Add a relay for faults between two processes

It carries TCP connections with a delay in each direction, resets them, holds their bytes, or lets those that are open swallow everything while new ones work. A reset is now sent as RST (SO_LINGER 0), in the relay and in the other stand-ins: an aborted transport ends with FIN if nothing is left unread, which the first run of the relay's test showed.

--- a/packages/geranium-standins/src/geranium_standins/__init__.py
+++ b/packages/geranium-standins/src/geranium_standins/__init__.py
@@ -7,6 +7,7 @@
 from .platform_api import create_platform
 from .processes import StandinProcess, launch
 from .records import StreamRecord
+from .relay_server import Relay
 from .server import start_server
 from .settings import (
     ApplicationSettings,
@@ -20,6 +21,7 @@
     'ApplicationSettings',
     'EngineSettings',
     'LoadSettings',
+    'Relay',
     'StandinClient',
     'StandinError',
     'StandinProcess',
--- a/packages/geranium-standins/src/geranium_standins/connections.py
+++ b/packages/geranium-standins/src/geranium_standins/connections.py
@@ -1,11 +1,15 @@
 """Open connections, and those that have gone silent."""
 
 import asyncio
+import socket
+import struct
 import weakref
 from typing import NoReturn
 
 from aiohttp import web
 
+_NO_LINGER = struct.pack('ii', 1, 0)
+
 
 class Connections:
     """Knows the connections of a server and lets them go silent.
@@ -49,5 +53,13 @@
 def drop_connection(request: web.Request) -> web.Response:
     """Reset the connection; the response returned is never sent."""
     if request.transport is not None:
-        request.transport.abort()
+        reset(request.transport)
     return web.Response()
+
+
+def reset(transport: asyncio.WriteTransport) -> None:
+    """Reset a connection at once; the peer gets RST, not the stream's end."""
+    raw_socket = transport.get_extra_info('socket')
+    if raw_socket is not None and not transport.is_closing():
+        raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+    transport.abort()
--- a/packages/geranium-standins/src/geranium_standins/faults.py
+++ b/packages/geranium-standins/src/geranium_standins/faults.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import enum
 from typing import Annotated, TypeAlias
 
 import pydantic
@@ -86,3 +87,28 @@
     drop_after_run: Count = 0
     crash_marker: str = ''
     silence_connections: bool = False
+
+
+class RelayMode(enum.Enum):
+    """What a relay does with bytes and connections."""
+
+    PASS = 'pass'
+    DROP = 'drop'
+    SILENT = 'silent'
+    HOLD = 'hold'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayFaults:
+    """Faults of a relay.
+
+    ``drop`` resets the connections and each new one. ``silent`` lets the
+    connections that are open when it is set swallow all bytes for good,
+    while new ones work. ``hold`` keeps bytes and delivers them once the mode
+    is another. ``delay_ms`` is how long bytes take in each direction.
+    """
+
+    __pydantic_config__ = _STRICT
+
+    mode: RelayMode = RelayMode.PASS
+    delay_ms: Count = 0
--- /dev/null
+++ b/packages/geranium-standins/src/geranium_standins/relay_server.py
@@ -0,0 +1,119 @@
+"""A TCP relay with fault switches."""
+
+import asyncio
+import dataclasses
+import logging
+from http import HTTPStatus
+
+import pydantic
+from aiohttp import web
+
+from .connections import reset
+from .controls import parse_body
+from .faults import RelayFaults, RelayMode
+from .links import End, Link, LinkConditions
+
+logger = logging.getLogger(__name__)
+_FAULTS = pydantic.TypeAdapter(RelayFaults)
+
+
+class Relay:
+    """Carries each connection to the target on one of its own.
+
+    Args:
+        host: The target's host.
+        port: The target's port.
+    """
+
+    def __init__(self, host: str, port: int) -> None:
+        self._host = host
+        self._port = port
+        self._conditions = LinkConditions()
+        self._links: set[Link] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self, host: str, port: int) -> str:
+        """Listen and return the address as ``host:port``."""
+        self._server = await asyncio.start_server(self._accept, host, port)
+        bound_port = self._server.sockets[0].getsockname()[1]
+        return f'{host}:{bound_port}'
+
+    async def stop(self) -> None:
+        """Stop listening and reset all connections."""
+        if self._server is not None:
+            self._server.close()
+        self._reset_links()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def create_app(self) -> web.Application:
+        """Return the web application that controls the relay."""
+        app = web.Application()
+        app.add_routes(
+            (
+                web.get('/faults', self._get_faults),
+                web.put('/faults', self._put_faults),
+                web.get('/stats', self._get_stats),
+            ),
+        )
+        return app
+
+    def _accept(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        task = asyncio.create_task(self._serve(End(reader, writer)))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, caller: End) -> None:
+        try:
+            await self._connect(caller)
+        except* OSError as errors:
+            logger.debug('link ended', exc_info=errors)
+        finally:
+            reset(caller.writer.transport)
+
+    async def _connect(self, caller: End) -> None:
+        if self._conditions.faults.mode is RelayMode.DROP:
+            return
+        streams = await asyncio.open_connection(self._host, self._port)
+        link = Link(caller, End(*streams), self._conditions)
+        self._links.add(link)
+        try:
+            await link.carry()
+        finally:
+            self._links.discard(link)
+            link.reset()
+
+    def _reset_links(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+
+    async def _get_faults(self, request: web.Request) -> web.Response:
+        faults = self._conditions.faults
+        body = {**dataclasses.asdict(faults), 'mode': faults.mode.value}
+        return web.json_response(body)
+
+    async def _put_faults(self, request: web.Request) -> web.Response:
+        faults = parse_body(_FAULTS, await request.read())
+        self._conditions.change(faults)
+        match faults.mode:
+            case RelayMode.DROP:
+                self._reset_links()
+            case RelayMode.SILENT:
+                self._silence_links()
+            case RelayMode.PASS | RelayMode.HOLD:
+                ...
+        return web.Response(status=HTTPStatus.NO_CONTENT)
+
+    def _silence_links(self) -> None:
+        for link in self._links:
+            link.is_silent = True
+
+    async def _get_stats(self, request: web.Request) -> web.Response:
+        silent = sum(link.is_silent for link in self._links)
+        return web.json_response(
+            {'connections': len(self._links), 'silent': silent},
+        )
--- a/packages/geranium-standins/src/geranium_standins/server.py
+++ b/packages/geranium-standins/src/geranium_standins/server.py
@@ -39,18 +39,23 @@
 
 
 async def _serve(app: web.Application, port: int) -> None:
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for signal_number in SHUTDOWN_SIGNALS:
-        loop.add_signal_handler(signal_number, stopped.set)
     runner, address = await start_server(app, port)
-    click.echo(json.dumps({'address': address}))
     try:
-        await stopped.wait()
+        await greet_and_wait({'address': address})
     finally:
         await runner.cleanup()
 
 
+async def greet_and_wait(greeting: dict[str, str]) -> None:
+    """Print a line of JSON, and return at SIGTERM or SIGINT."""
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signal_number in SHUTDOWN_SIGNALS:
+        loop.add_signal_handler(signal_number, stopped.set)
+    click.echo(json.dumps(greeting))
+    await stopped.wait()
+
+
 async def start_server(
     app: web.Application,
     port: int,
--- a/packages/geranium-standins/src/geranium_standins/streams.py
+++ b/packages/geranium-standins/src/geranium_standins/streams.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 
-from .connections import Connections, hang
+from .connections import Connections, hang, reset
 from .controls import Controls
 from .events import KEEP_ALIVE
 from .faults import EngineFaults
@@ -98,5 +98,5 @@
         if end is StreamEnd.COMPLETED or end is StreamEnd.CANCELLED:
             await self._response.write_eof()
         elif transport is not None:
-            transport.abort()
+            reset(transport)
         return self._response
