Admit by fair shares across daemons and refuse early

A team that calls nine hosts got nine shares where each host was fair by itself. Two mechanisms together give one share: virtual token counters that take in what peers have served, and a window per daemon, the max-min fair division of the capacity over what teams wait for and where. The counters alone were not enough: a team that waits at one host only could get no more than that host's even part.

Reports carry cumulative counts, so lost ones are made up for, name only the largest teams with traffic and give the others as a sum. A daemon counts peers that have not reported as using an even part: before, a fresh daemon took the whole capacity for its first period.

A request whose first token would come too late is refused at once with a retry_after_s from the estimated wait, which follows a fluid model of the counters. First come first served, per-host limits and per-host fair shares stay as baselines.

--- a/packages/geranium-policy/src/geranium_policy/__init__.py
+++ b/packages/geranium-policy/src/geranium_policy/__init__.py
@@ -1,5 +1,12 @@
 """Routing, admission, retry, role and spend decisions as plain objects."""
 
+from .admission import Fleet, Refusal, ServiceQueue
+from .admission_settings import (
+    AdmissionPolicy,
+    AdmissionSettings,
+    FairShares,
+    QueueBounds,
+)
 from .attempts import (
     Answered5xx,
     AttemptFailure,
@@ -8,9 +15,8 @@
     NotSent,
     Refused,
 )
-from .candidates import CandidateSettings
+from .consumption import ConsumptionReport, ConsumptionSettings, TeamConsumption
 from .cost_routing import EngineChoice, LeastCost
-from .costs import CostEstimate, CostSettings
 from .dispatches import InFlight
 from .engine_views import EngineSpeed, EngineView, EngineViewSettings
 from .health import (
@@ -22,16 +28,17 @@
     Silent,
     Unreachable,
 )
+from .limits import AdaptiveLimit, Limit
 from .prefixes import (
     CacheCleared,
     CachedPrefixes,
     CacheEvent,
-    PrefixCacheSettings,
     PrefixEvicted,
     PrefixStored,
     prefix_hashes,
 )
 from .profiles import RequestProfile
+from .queues import QueueEntry
 from .retries import (
     GiveUp,
     RetryAt,
@@ -40,15 +47,8 @@
     RetryPolicy,
     RetrySettings,
 )
-from .routing import (
-    LeastLoaded,
-    RandomOfTwo,
-    RoundRobin,
-    Router,
-    RouterSettings,
-    RoutingPolicy,
-)
-from .spreads import BestOfSample, Cheapest, NearEqual, OwnedFirst, Spread
+from .routing import Router, RouterSettings, RoutingPolicy
+from .spreads import NearEqual, Spread
 from .suspects import (
     CrashNotice,
     SuspectRegister,
@@ -61,39 +61,41 @@
 )
 
 __all__ = [
+    'AdaptiveLimit',
+    'AdmissionPolicy',
+    'AdmissionSettings',
     'Answered',
     'Answered5xx',
     'AttemptFailure',
     'Availability',
-    'BestOfSample',
     'CacheCleared',
     'CacheEvent',
     'CachedPrefixes',
-    'CandidateSettings',
-    'Cheapest',
-    'CostEstimate',
-    'CostSettings',
+    'ConsumptionReport',
+    'ConsumptionSettings',
     'CrashNotice',
     'EngineChoice',
     'EngineSpeed',
     'EngineView',
     'EngineViewSettings',
     'FailedAttempt',
+    'FairShares',
+    'Fleet',
     'GiveUp',
     'HealthSettings',
     'HealthTracker',
     'InFlight',
     'LeastCost',
-    'LeastLoaded',
+    'Limit',
     'Lost',
     'NearEqual',
     'NotSent',
     'Observation',
-    'OwnedFirst',
-    'PrefixCacheSettings',
     'PrefixEvicted',
     'PrefixStored',
-    'RandomOfTwo',
+    'QueueBounds',
+    'QueueEntry',
+    'Refusal',
     'Refused',
     'RequestProfile',
     'RetryAt',
@@ -101,14 +103,15 @@
     'RetryDecision',
     'RetryPolicy',
     'RetrySettings',
-    'RoundRobin',
     'Router',
     'RouterSettings',
     'RoutingPolicy',
+    'ServiceQueue',
     'Silent',
     'Spread',
     'SuspectRegister',
     'SuspectSettings',
+    'TeamConsumption',
     'Unreachable',
     'Verdict',
     '_CrashesByKey',
--- /dev/null
+++ b/packages/geranium-policy/src/geranium_policy/admission.py
@@ -0,0 +1,223 @@
+"""Admission: which request of a service runs next, and which are refused."""
+
+import dataclasses
+import http
+import random
+from collections.abc import Callable, Mapping
+
+from geranium_model import NotRun
+
+from .admission_settings import AdmissionSettings, FairShares
+from .consumption import ConsumptionReport, OwnConsumption
+from .limits import EngineLimit
+from .peer_consumption import PeerConsumption
+from .queues import QueueEntry
+from .shares import TeamShares
+from .team_queues import TeamQueues
+from .waits import ServiceRate
+from .windows import daemon_window
+
+LEAST_RETRY_AFTER_S = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """An entry that was refused, and the outcome for its caller."""
+
+    entry: QueueEntry
+    outcome: NotRun
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fleet:
+    """What serves a service now, and for whom.
+
+    Args:
+        engines: Engines that serve it.
+        daemons: Daemons that send to them, this one included.
+        weight_by_team: The teams' weights, 1 where there is none.
+    """
+
+    engines: int
+    daemons: int = 1
+    weight_by_team: Mapping[str, float] = dataclasses.field(
+        default_factory=dict,
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Running:
+    team: str
+    cost: float
+
+
+class ServiceQueue:
+    """The requests of one service that wait or run on this daemon.
+
+    The daemon offers each request, releases the next one whenever it could
+    send one, settles each at its end, and calls :meth:`rebalance` some times
+    a second, sending what it returns to the peers, whose reports it applies.
+    """
+
+    def __init__(self, settings: AdmissionSettings, now: float) -> None:
+        self.limit = EngineLimit(settings.limit)
+        self._settings = settings
+        self._random = random.Random(settings.seed)
+        self._teams = TeamQueues(settings.prices, settings.bounds)
+        self._rate = ServiceRate(settings.rate, now)
+        self._own = OwnConsumption(settings.daemon, settings.exchange)
+        self._peers = PeerConsumption(settings.exchange)
+        self._shares = TeamShares(settings)
+        self._running_by_id: dict[str, _Running] = {}
+        self._running_by_team: dict[str, float] = {}
+        self._window = self.limit.cost
+
+    def __len__(self) -> int:
+        """Return how many requests wait."""
+        return len(self._teams)
+
+    def offer(
+        self,
+        entry: QueueEntry,
+        first_token_s: float,
+        now: float,
+    ) -> tuple[Refusal, ...]:
+        """Queue a request or refuse it.
+
+        Args:
+            entry: The request.
+            first_token_s: Time to the first token once it is released.
+            now: The present instant.
+
+        Returns:
+            What is refused: the entry itself if it can't be served in time
+            or the queue is full, or an entry of the largest team that made
+            room for it. Empty if the entry was just queued.
+        """
+        late_s = now + self.wait_s(entry, now) + first_token_s
+        late_s -= entry.first_token_deadline
+        if self._settings.bounds.refuse_early and late_s > 0:
+            return (self._refuse(entry, late_s, 'no answer in time'),)
+        team = entry.profile.team
+        if team not in self._teams.queues_by_team:
+            self._shares.counters.lift(team)
+        displaced = self._teams.push(entry)
+        return tuple(
+            self._refuse(unlucky, self.wait_s(unlucky, now), 'queue is full')
+            for unlucky in displaced
+        )
+
+    def wait_s(self, entry: QueueEntry, now: float) -> float:
+        """Estimate how long a new entry would wait for its release."""
+        ahead = self._shares.cost_ahead(entry, self._teams)
+        rate = self._rate.per_second(now)
+        return ahead / rate if ahead and rate else 0
+
+    def release(self, now: float) -> QueueEntry | None:
+        """Take out the request to send next.
+
+        Returns:
+            ``None`` if nothing waits or this daemon's part of the service's
+            capacity is in use.
+        """
+        team = self._shares.next_team(self._teams, self._running_by_team)
+        if team is None:
+            return None
+        first = self._teams.first(team)
+        running = sum(self._running_by_team.values())
+        if running and running + first.cost > self._window:
+            return None
+        self._teams.pop_first(team)
+        profile = first.entry.profile
+        self._running_by_id[profile.request_id] = _Running(team, first.cost)
+        self._add_running(team, first.cost)
+        self._rate.record(first.cost, now)
+        self._charge(team, first.cost)
+        return first.entry
+
+    def settle(
+        self,
+        request_id: str,
+        prompt_tokens: int,
+        generated_tokens: int,
+    ) -> None:
+        """Count a released request as ended with what it really took."""
+        running = self._running_by_id.pop(request_id, None)
+        if running is None:
+            return
+        self._add_running(running.team, -running.cost)
+        cost = self._settings.prices.cost(prompt_tokens, generated_tokens)
+        self._charge(running.team, cost - running.cost)
+
+    def expire(self, first_token_s: float, now: float) -> tuple[Refusal, ...]:
+        """Refuse what waits and can no longer be served in time."""
+        latest = now + first_token_s
+        expired = self._teams.remove(
+            lambda entry: entry.first_token_deadline < latest,
+        )
+        return tuple(
+            self._refuse(entry, 0, 'waited too long') for entry in expired
+        )
+
+    def withdraw(
+        self,
+        unwanted: Callable[[QueueEntry], bool],
+    ) -> tuple[QueueEntry, ...]:
+        """Take out entries, as of a withdrawn key or team, and return them."""
+        return self._teams.remove(unwanted)
+
+    def rebalance(self, fleet: Fleet, now: float) -> ConsumptionReport:
+        """Compute this daemon's part of the capacity anew.
+
+        Daemons that have not reported are taken to use an even part.
+
+        Returns:
+            The report for the peers.
+        """
+        self._shares.counters.weight_by_team = fleet.weight_by_team
+        report = self._own.report(
+            self._teams.cost_by_team(),
+            self._running_by_team,
+        )
+        peers = tuple(self._peers.reports(now))
+        reporting = len(peers) + 1
+        known_share = reporting / max(fleet.daemons, reporting)
+        capacity = self.limit.cost * fleet.engines * known_share
+        match self._settings.policy:
+            case FairShares(across_daemons=True):
+                self._window = daemon_window(
+                    report,
+                    peers,
+                    fleet.weight_by_team,
+                    capacity,
+                )
+            case _:
+                self._window = capacity / reporting
+        self._shares.raise_floor(self._teams, peers)
+        return report
+
+    def apply(self, report: ConsumptionReport, now: float) -> None:
+        """Take in a peer's report."""
+        served = self._peers.apply(report, now)
+        self._shares.charge_peer(served, self._teams)
+
+    def _charge(self, team: str, cost: float) -> None:
+        self._shares.counters.charge(team, cost)
+        self._own.record(team, cost)
+
+    def _add_running(self, team: str, cost: float) -> None:
+        running = self._running_by_team.get(team, 0) + cost
+        self._running_by_team[team] = running
+        if running <= 0:
+            self._running_by_team.pop(team)
+
+    def _refuse(self, entry: QueueEntry, late_s: float, why: str) -> Refusal:
+        jitter = self._settings.bounds.retry_jitter * self._random.random()
+        retry_after_s = max(late_s, LEAST_RETRY_AFTER_S) * (1 + jitter)
+        outcome = NotRun(
+            http.HTTPStatus.SERVICE_UNAVAILABLE,
+            'overloaded',
+            why,
+            retry_after_s,
+        )
+        return Refusal(entry, outcome)
--- a/packages/geranium-policy/tests/test_prefixes.py
+++ b/packages/geranium-policy/tests/test_prefixes.py
@@ -1,13 +1,14 @@
 """Prefixes are hashed by blocks and believed cached for a while."""
 
-from geranium_policy import (
+from geranium_policy.prefixes import (
+    PREFIX_BLOCK_CHARACTERS,
     CacheCleared,
+    CachedPrefixes,
     PrefixCacheSettings,
     PrefixEvicted,
     PrefixStored,
     prefix_hashes,
 )
-from geranium_policy.prefixes import PREFIX_BLOCK_CHARACTERS, CachedPrefixes
 
 TEXT = ''.join(letter * PREFIX_BLOCK_CHARACTERS for letter in 'abcdefghi')
 HASHES = prefix_hashes(TEXT)
