Plan roles, placement, rollouts and target spend

Roles follow admitted work, which is known before engines report it, by a fast and a slow average. A change is made when the split would be better by a margin for long enough, beyond the comfort of the present one, and wins more engine-seconds than it costs; few engines change at once, each drained to its last request.

Loads queue for the weight store. A rollout goes engine by engine after the new version has proved itself and is undone when it fails.

Purchases use what is committed, then the cheapest targets for each bound on a zone's spot ones, so that losing any zone's spot leaves the floor. A fall in demand is followed once it has lasted, after a drain.

Weighed: state of a change under way in the planner was ruled out, since another daemon may take the duty over; it is in the views.

--- a/packages/geranium-policy/src/geranium_policy/__init__.py
+++ b/packages/geranium-policy/src/geranium_policy/__init__.py
@@ -1,96 +1,70 @@
-"""Routing, admission, retry, role and spend decisions as plain objects."""
+"""Routing, admission, retry, role and spend decisions as plain objects.
+
+This is what a daemon needs; baselines and further settings are in the modules.
+"""
 
 from .admission import Fleet, Refusal, ServiceQueue
-from .admission_settings import (
-    AdmissionPolicy,
-    AdmissionSettings,
-    FairShares,
-    QueueBounds,
-)
-from .attempts import (
-    Answered5xx,
-    AttemptFailure,
-    FailedAttempt,
-    Lost,
-    NotSent,
-    Refused,
-)
-from .consumption import ConsumptionReport, ConsumptionSettings, TeamConsumption
+from .admission_settings import AdmissionSettings, FairShares, QueueBounds
+from .attempts import Answered5xx, FailedAttempt, Lost, NotSent, Refused
+from .consumption import ConsumptionReport, TeamConsumption
 from .cost_routing import EngineChoice, LeastCost
 from .dispatches import InFlight
 from .engine_views import EngineSpeed, EngineView, EngineViewSettings
+from .forecasts import DemandForecast, ForecastSettings, RoleDemand
 from .health import (
     Answered,
     Availability,
     HealthSettings,
     HealthTracker,
-    Observation,
     Silent,
     Unreachable,
 )
-from .limits import AdaptiveLimit, Limit
-from .prefixes import (
-    CacheCleared,
-    CachedPrefixes,
-    CacheEvent,
-    PrefixEvicted,
-    PrefixStored,
-    prefix_hashes,
+from .placement import (
+    EngineHoldings,
+    Load,
+    LoadPlanner,
+    WantedHoldings,
+    WeightStoreSettings,
 )
+from .prefixes import CacheCleared, PrefixEvicted, PrefixStored, prefix_hashes
 from .profiles import RequestProfile
 from .queues import QueueEntry
-from .retries import (
-    GiveUp,
-    RetryAt,
-    RetryBudget,
-    RetryDecision,
-    RetryPolicy,
-    RetrySettings,
-)
-from .routing import Router, RouterSettings, RoutingPolicy
-from .spreads import NearEqual, Spread
-from .suspects import (
-    CrashNotice,
-    SuspectRegister,
-    SuspectSettings,
-    Verdict,
-    _CrashesByKey,
-    _Key,
-    isolation_target,
-    request_fingerprint,
-)
+from .retries import GiveUp, RetryAt, RetryBudget, RetryPolicy, RetrySettings
+from .roles import EngineRole, RolePlanner, RoleSettings
+from .rollouts import EngineVersion, Rollout, RolloutPlan, plan_rollout
+from .routing import Router, RouterSettings
+from .spend import SpendSettings, TargetPlanner, TargetUse
+from .suspects import CrashNotice, SuspectRegister, Verdict, request_fingerprint
 
 __all__ = [
-    'AdaptiveLimit',
-    'AdmissionPolicy',
     'AdmissionSettings',
     'Answered',
     'Answered5xx',
-    'AttemptFailure',
     'Availability',
     'CacheCleared',
-    'CacheEvent',
-    'CachedPrefixes',
     'ConsumptionReport',
-    'ConsumptionSettings',
     'CrashNotice',
+    'DemandForecast',
     'EngineChoice',
+    'EngineHoldings',
+    'EngineRole',
     'EngineSpeed',
+    'EngineVersion',
     'EngineView',
     'EngineViewSettings',
     'FailedAttempt',
     'FairShares',
     'Fleet',
+    'ForecastSettings',
     'GiveUp',
     'HealthSettings',
     'HealthTracker',
     'InFlight',
     'LeastCost',
-    'Limit',
+    'Load',
+    'LoadPlanner',
     'Lost',
-    'NearEqual',
     'NotSent',
-    'Observation',
     'PrefixEvicted',
     'PrefixStored',
     'QueueBounds',
@@ -100,23 +74,27 @@
     'RequestProfile',
     'RetryAt',
     'RetryBudget',
-    'RetryDecision',
     'RetryPolicy',
     'RetrySettings',
+    'RoleDemand',
+    'RolePlanner',
+    'RoleSettings',
+    'Rollout',
+    'RolloutPlan',
     'Router',
     'RouterSettings',
-    'RoutingPolicy',
     'ServiceQueue',
     'Silent',
-    'Spread',
+    'SpendSettings',
     'SuspectRegister',
-    'SuspectSettings',
+    'TargetPlanner',
+    'TargetUse',
     'TeamConsumption',
     'Unreachable',
     'Verdict',
-    '_CrashesByKey',
-    '_Key',
-    'isolation_target',
+    'WantedHoldings',
+    'WeightStoreSettings',
+    'plan_rollout',
     'prefix_hashes',
     'request_fingerprint',
 ]
--- a/packages/geranium-policy/src/geranium_policy/admission.py
+++ b/packages/geranium-policy/src/geranium_policy/admission.py
@@ -12,9 +12,9 @@
 from .limits import EngineLimit
 from .peer_consumption import PeerConsumption
 from .queues import QueueEntry
+from .rates import DecayingRate
 from .shares import TeamShares
 from .team_queues import TeamQueues
-from .waits import ServiceRate
 from .windows import daemon_window
 
 LEAST_RETRY_AFTER_S = 1
@@ -64,7 +64,7 @@
         self._settings = settings
         self._random = random.Random(settings.seed)
         self._teams = TeamQueues(settings.prices, settings.bounds)
-        self._rate = ServiceRate(settings.rate, now)
+        self._rate = DecayingRate(settings.rate, now)
         self._own = OwnConsumption(settings.daemon, settings.exchange)
         self._peers = PeerConsumption(settings.exchange)
         self._shares = TeamShares(settings)
--- a/packages/geranium-policy/src/geranium_policy/admission_settings.py
+++ b/packages/geranium-policy/src/geranium_policy/admission_settings.py
@@ -6,7 +6,7 @@
 from .consumption import ConsumptionSettings
 from .limits import AdaptiveLimit, Limit
 from .queues import TokenPrices
-from .waits import RateSettings
+from .rates import RateSettings
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/geranium-policy/src/geranium_policy/waits.py
+++ b/packages/geranium-policy/src/geranium_policy/rates.py
@@ -1,4 +1,4 @@
-"""Waits: how fast a queue is served, measured as it is."""
+"""Rates: amounts for each second, the recent ones counting most."""
 
 import dataclasses
 import math
@@ -6,10 +6,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RateSettings:
-    """How a service rate is measured.
+    """How a rate is measured.
 
     Args:
-        time_constant_s: Older releases count less by the factor e after
+        time_constant_s: Older amounts count less by the factor e after
             this time.
         least_period_s: No rate is given before so much time has passed.
     """
@@ -18,8 +18,8 @@
     least_period_s: float = 0.5
 
 
-class ServiceRate:
-    """An exponentially weighted rate of released cost for each second."""
+class DecayingRate:
+    """An exponentially weighted amount for each second."""
 
     def __init__(self, settings: RateSettings, now: float) -> None:
         self._settings = settings
@@ -27,10 +27,10 @@
         self._updated_at = now
         self._weighted: float = 0
 
-    def record(self, cost: float, now: float) -> None:
-        """Count released cost."""
+    def record(self, amount: float, now: float) -> None:
+        """Count an amount."""
         self._decay(now)
-        self._weighted += cost
+        self._weighted += amount
 
     def per_second(self, now: float) -> float | None:
         """Return the rate, ``None`` while it can't be told."""
