Claim non-idempotent calls in the store before they are sent

Claims are kept in bucket objects by the hash of team and key. One task per bucket commits whatever gathered while its last write was on its way, so that many claims share a write.

A lost answer is followed by a fresh read: an own attempt found there is the claim. A claim that is given up while a write of it may still land is remembered, and the bucket is written once more, which keeps the late write from landing and takes the entry out. Without that, a caller that was told "not run" would find its key in progress for ever.

Claims age by ticks that a process makes only after it saw the last one stand for the whole period: no wall clock is compared. Weighed against time stamps, which a clock that jumps ahead would expire too early.

200 drawn histories of three hosts with kills, lost and late answers, an outage and holders wrongly taken for gone: no call ran twice. Each of five mutants is caught by the checker.

--- a/packages/geranium-coordination/src/geranium_coordination/__init__.py
+++ b/packages/geranium-coordination/src/geranium_coordination/__init__.py
@@ -2,6 +2,24 @@
 
 from .acknowledgements import Acknowledgements, RolloutProgress
 from .announcements import announce_to_electors
+from .calls import (
+    CallOutcome,
+    ClaimTicket,
+    call_fingerprint,
+    make_call_outcome,
+)
+from .claim_buckets import CorruptClaimsError
+from .claim_outcomes import (
+    AlreadyCompleted,
+    Claimed,
+    ClaimOutcome,
+    ClaimUnavailable,
+    InProgress,
+    Mismatch,
+    Unknown,
+)
+from .claim_settings import ClaimSettings
+from .claims import ClaimJournal
 from .clock import Clock, SystemClock
 from .configuration_changes import (
     ChangeAccepted,
@@ -73,30 +91,44 @@
 __all__ += [
     'Acknowledgements',
     'Admission',
+    'AlreadyCompleted',
     'AnnouncementError',
+    'CallOutcome',
     'ChangeAccepted',
     'ChangeConflict',
     'ChangeOutcome',
     'ChangeOutcomeUnknownError',
     'ChangeRejected',
+    'ClaimJournal',
+    'ClaimOutcome',
+    'ClaimSettings',
+    'ClaimTicket',
+    'ClaimUnavailable',
+    'Claimed',
     'ConfigurationDelta',
     'ConfigurationError',
     'ConfigurationReplica',
     'ConfigurationRepository',
     'ConfigurationSettings',
     'ConfigurationUnavailableError',
+    'CorruptClaimsError',
     'CorruptConfigurationError',
     'Fresh',
     'FreshnessReport',
     'FreshnessSettings',
     'HeldWithdrawal',
+    'InProgress',
     'LoadedConfiguration',
+    'Mismatch',
     'PendingWithdrawal',
     'RolloutProgress',
     'Stale',
     'StaleDeltaError',
+    'Unknown',
     'announce_to_electors',
+    'call_fingerprint',
     'decode_delta',
     'encode_delta',
+    'make_call_outcome',
     'watchers',
 ]
--- /dev/null
+++ b/packages/geranium-coordination/src/geranium_coordination/calls.py
@@ -0,0 +1,60 @@
+"""Calls that may not be repeated: their attempts and their outcomes."""
+
+import dataclasses
+import hashlib
+
+import pydantic
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallOutcome:
+    """What a target answered, as far as it is kept for a resend.
+
+    ``body`` is ``None`` where it was too large to keep; ``body_sha256`` in
+    hex is there in any case.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body_sha256: str
+    body: pydantic.Base64Bytes | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimTicket:
+    """One attempt at a call.
+
+    Args:
+        claim_id: Hash of the team and its idempotency key.
+        fingerprint: Hash of the call, the same for a resend.
+        holder: The host that asks, with its incarnation.
+        attempt: Unique name of this attempt.
+    """
+
+    claim_id: str
+    fingerprint: str
+    holder: str
+    attempt: str
+
+
+def call_fingerprint(method: str, path: str, body: bytes) -> str:
+    """Return the hash by which a resend is told from another call."""
+    return digest_parts(method.encode(), path.encode(), body)
+
+
+def make_call_outcome(
+    status: int,
+    headers: tuple[tuple[str, str], ...],
+    body: bytes,
+) -> CallOutcome:
+    """Return the outcome of a call with its body and the body's hash."""
+    return CallOutcome(status, headers, hashlib.sha256(body).hexdigest(), body)
+
+
+def digest_parts(*parts: bytes) -> str:
+    """Return the SHA-256 in hex of a sequence of byte strings."""
+    hashed = hashlib.sha256()
+    for part in parts:
+        hashed.update(len(part).to_bytes(8))
+        hashed.update(part)
+    return hashed.hexdigest()
--- a/packages/geranium-coordination/tests/config_store.py
+++ b/packages/geranium-coordination/tests/config_store.py
@@ -86,6 +86,11 @@
         heapq.heappush(self._sleepers, (instant, self._count, woken))
         await woken
 
+    async def idle(self, seconds: int) -> None:
+        """Let time pass in steps, so that waiting calls get their turns."""
+        for _ in range(seconds):
+            await self.sleep_until(self._now + 1)
+
     async def submit(self, name: str, effect: Callable[[], Any]) -> Any:
         answer = asyncio.get_running_loop().create_future()
         self.calls.append(_Call(name, effect, answer))
--- /dev/null
+++ b/packages/geranium-coordination/tests/test_claims.py
@@ -0,0 +1,294 @@
+"""A call with a key runs at most once, whatever fails."""
+
+import asyncio
+import contextlib
+
+import geranium_coordination as coordination
+import pytest
+from geranium_coordination import (
+    AlreadyCompleted,
+    Claimed,
+    ClaimUnavailable,
+    InProgress,
+    Mismatch,
+    Unknown,
+    claim_buckets,
+    claim_committer,
+)
+from hypothesis import given, settings, strategies
+
+from .claim_history import (
+    AnsweredNotRun,
+    Executed,
+    Replayed,
+    Stuck,
+    complaints,
+)
+from .claim_run import QUIET_S, Run
+from .config_store import Faults, Schedule, ScheduledStore
+
+SEEDS = strategies.integers(min_value=0, max_value=10**6)
+
+
+@settings(max_examples=200, derandomize=True, deadline=None)
+@given(seed=SEEDS)
+def test_no_call_runs_twice_or_stays_stuck(seed):
+    assert not list(complaints(Run(seed).play()))
+
+
+def test_most_calls_are_run_or_replayed():
+    histories = [Run(seed).play() for seed in range(30)]
+    ran = sum(
+        isinstance(event, Executed) for played in histories for event in played
+    )
+    replayed = sum(
+        isinstance(event, Replayed) for played in histories for event in played
+    )
+    assert ran > 60
+    assert replayed > 30
+
+
+def send_before_claiming(patch):
+    serve = Run.serve
+
+    async def eager(self, host, call):
+        ticket = host.journal._ticket('team', call, f'print of {call}')
+        await self._send(host, call, ticket)
+        return await serve(self, host, call)
+
+    patch.setattr(Run, 'serve', eager)
+
+
+def overwrite(patch):
+    patch.setattr(
+        claim_committer, 'IfVersion', lambda _: coordination.Unconditional()
+    )
+
+
+def rerun_after_a_gone_holder(patch):
+    claim = claim_buckets.ClaimBucket.claim
+
+    def free(self, ticket, is_gone):
+        entry = self.entries.get(ticket.claim_id)
+        if entry and entry.outcome is None and is_gone(entry.holder):
+            self.entries.pop(ticket.claim_id)
+        return claim(self, ticket, is_gone)
+
+    patch.setattr(claim_buckets.ClaimBucket, 'claim', free)
+
+
+def take_lost_claims_for_absent(patch):
+    abandon = claim_committer.ClaimCommitter._abandon
+
+    def forget(self, queued):
+        queued.sent = False
+        abandon(self, queued)
+
+    patch.setattr(claim_committer.ClaimCommitter, '_abandon', forget)
+
+
+def answer_lost_claims_as_made(patch):
+    fail = claim_committer.ClaimCommitter._fail
+
+    def hopeful(self, batch, error):
+        if isinstance(error, coordination.AnswerLostError):
+            for claim in batch:
+                if isinstance(claim.operation, claim_buckets.Claim):
+                    claim.finish(Claimed(claim.operation.ticket))
+                    self._queue.remove(claim)
+            batch = [left for left in batch if left in self._queue]
+        fail(self, batch, error)
+
+    patch.setattr(claim_committer.ClaimCommitter, '_fail', hopeful)
+
+
+@pytest.mark.parametrize(
+    'mutant',
+    [
+        send_before_claiming,
+        overwrite,
+        rerun_after_a_gone_holder,
+        take_lost_claims_for_absent,
+        answer_lost_claims_as_made,
+    ],
+)
+def test_checker_catches_the_mutant(mutant, monkeypatch):
+    mutant(monkeypatch)
+    histories = (Run(seed).play() for seed in range(100))
+    assert any(list(complaints(history)) for history in histories)
+
+
+@pytest.mark.parametrize(
+    'history',
+    [
+        [Executed('c', 'a/1'), Executed('c', 'b/1')],
+        [Executed('c', 'a/1'), AnsweredNotRun('c', 'a/1')],
+        [Executed('c', 'a/1'), Replayed('c', 'b/1')],
+        [Stuck('c')],
+    ],
+)
+def test_checker_rejects(history):
+    assert list(complaints(history))
+
+
+def test_checker_accepts_a_right_history():
+    history = [
+        AnsweredNotRun('c', 'a/1'),
+        Executed('c', 'a/2'),
+        Replayed('c', 'a/2'),
+    ]
+    assert not list(complaints(history))
+
+
+class Journals:
+    """Journals of several hosts upon one store, driven by a schedule."""
+
+    def __init__(self, **changed) -> None:
+        self.schedule = Schedule()
+        self.store = ScheduledStore(self.schedule)
+        self.gone: set[str] = set()
+        self.settings = coordination.ClaimSettings(buckets=1, **changed)
+
+    @contextlib.asynccontextmanager
+    async def journal(self, holder: str):
+        journal = coordination.ClaimJournal(
+            holder,
+            self.store,
+            self.gone.__contains__,
+            self.settings,
+            self.schedule,
+        )
+        running = asyncio.create_task(journal.run())
+        yield journal
+        running.cancel()
+
+    async def ask(self, *coroutines):
+        answers = await self.schedule.run(*coroutines)
+        return answers[0] if len(answers) == 1 else answers
+
+
+OUTCOME = coordination.make_call_outcome(201, (('Location', '/1'),), b'done')
+
+
+async def test_resend_gets_the_outcome_through_any_host():
+    journals = Journals()
+    async with journals.journal('a#1') as one, journals.journal('b#1') as two:
+        claimed = await journals.ask(one.claim('team', 'key', 'print'))
+        running = await journals.ask(two.claim('team', 'key', 'print'))
+        await journals.ask(one.complete(claimed.ticket, OUTCOME))
+        kept = await journals.ask(two.claim('team', 'key', 'print'))
+    assert running == InProgress('a#1')
+    assert kept == AlreadyCompleted(OUTCOME)
+
+
+async def test_key_belongs_to_its_team_and_its_call():
+    journals = Journals()
+    async with journals.journal('a#1') as one:
+        first = await journals.ask(one.claim('team', 'key', 'print'))
+        other = await journals.ask(one.claim('other', 'key', 'print'))
+        changed = await journals.ask(one.claim('team', 'key', 'altered'))
+    assert isinstance(first, Claimed)
+    assert isinstance(other, Claimed)
+    assert changed == Mismatch()
+
+
+async def test_call_of_a_gone_host_is_unknown_for_good():
+    journals = Journals()
+    async with journals.journal('a#1') as one, journals.journal('b#1') as two:
+        await journals.ask(one.claim('team', 'key', 'print'))
+        journals.gone.add('a#1')
+        assert (
+            await journals.ask(two.claim('team', 'key', 'print')) == Unknown()
+        )
+        journals.gone.clear()
+        assert (
+            await journals.ask(one.claim('team', 'key', 'print')) == Unknown()
+        )
+
+
+async def test_released_and_cancelled_calls_may_be_sent_again():
+    journals = Journals()
+    async with journals.journal('a#1') as one, journals.journal('b#1') as two:
+        first = await journals.ask(one.claim('team', 'key', 'print'))
+        await journals.ask(one.release(first.ticket))
+        left = asyncio.create_task(one.claim('team', 'key', 'print'))
+        await asyncio.sleep(0)
+        left.cancel()
+        await journals.ask(one.claim('team', 'another', 'print'))
+        again = await journals.ask(two.claim('team', 'key', 'print'))
+    assert isinstance(again, Claimed)
+
+
+async def test_claims_of_a_moment_share_writes():
+    journals = Journals()
+    async with journals.journal('a#1') as one:
+        answers = await journals.ask(
+            *(one.claim('team', f'key-{number}', 'p') for number in range(200))
+        )
+    assert all(isinstance(answer, Claimed) for answer in answers)
+    assert journals.store.counts['write'] <= 2
+
+
+async def test_outage_is_answered_as_not_run_and_leaves_nothing():
+    journals = Journals()
+    journals.schedule.faults = Faults(refused=1)
+    async with journals.journal('a#1') as one, journals.journal('b#1') as two:
+        refused = await journals.ask(one.claim('team', 'key', 'print'))
+        journals.schedule.faults = Faults()
+        again = await journals.ask(two.claim('team', 'key', 'print'))
+    assert isinstance(refused, ClaimUnavailable)
+    assert isinstance(again, Claimed)
+
+
+async def test_claim_whose_answer_was_lost_is_taken_back():
+    journals = Journals()
+    async with journals.journal('a#1') as one, journals.journal('b#1') as two:
+        await journals.ask(one.claim('team', 'before', 'print'))
+        journals.schedule.faults = Faults(lost_after=1)
+        refused = await journals.ask(one.claim('team', 'key', 'print'))
+        landed = journals.store.stored['claims/0'].body
+        journals.schedule.faults = Faults()
+        await journals.ask(journals.schedule.idle(QUIET_S))
+        again = await journals.ask(two.claim('team', 'key', 'print'))
+    assert len(landed['entries']) == 2
+    assert isinstance(refused, ClaimUnavailable)
+    assert isinstance(again, Claimed)
+
+
+async def test_full_bucket_refuses_new_claims_and_knows_old_ones():
+    journals = Journals(bucket_limit_bytes=800)
+    async with journals.journal('a#1') as one:
+        for number in range(3):
+            last = await journals.ask(one.claim('team', f'{number}', 'print'))
+        known = await journals.ask(one.claim('team', '0', 'print'))
+    assert isinstance(last, ClaimUnavailable)
+    assert known == InProgress('a#1')
+
+
+async def test_claims_are_forgotten_after_the_retention_ticks():
+    journals = Journals(tick_s=100, retention_ticks=2)
+    async with journals.journal('a#1') as one:
+        first = await journals.ask(one.claim('team', 'key', 'print'))
+        await journals.ask(one.complete(first.ticket, OUTCOME))
+        answers = []
+        for number in range(5):
+            later = journals.schedule.now() + 100
+            await journals.ask(journals.schedule.sleep_until(later))
+            answers.append(
+                await journals.ask(one.claim('team', f'{number}', ''))
+            )
+            answers.append(
+                await journals.ask(one.claim('team', 'key', 'print'))
+            )
+    assert answers.count(AlreadyCompleted(OUTCOME)) == 2
+    assert isinstance(answers[-1], Claimed | InProgress)
+
+
+async def test_large_body_is_kept_by_its_hash_only():
+    journals = Journals(body_limit_bytes=3)
+    async with journals.journal('a#1') as one:
+        first = await journals.ask(one.claim('team', 'key', 'print'))
+        await journals.ask(one.complete(first.ticket, OUTCOME))
+        kept = await journals.ask(one.claim('team', 'key', 'print'))
+    assert kept.outcome.body is None
+    assert kept.outcome.body_sha256 == OUTCOME.body_sha256
