--- a/packages/geranium-coordination/src/geranium_coordination/__init__.py
+++ b/packages/geranium-coordination/src/geranium_coordination/__init__.py
@@ -13,6 +13,30 @@
     Held,
     Lost,
 )
+from .calls import (
+    CallOutcome,
+    ClaimTicket,
+    call_fingerprint,
+    make_call_outcome,
+)
+from .claim_buckets import (
+    CorruptClaimsError,
+)
+from .claim_outcomes import (
+    AlreadyCompleted,
+    Claimed,
+    ClaimOutcome,
+    ClaimUnavailable,
+    InProgress,
+    Mismatch,
+    Unknown,
+)
+from .claim_settings import (
+    ClaimSettings,
+)
+from .claims import (
+    ClaimJournal,
+)
 from .clock import (
     Clock,
     SystemClock,
@@ -77,6 +101,9 @@
     Leases,
     LeaseSettings,
 )
+from .ledger import (
+    UsageLedger,
+)
 from .loaded_configuration import (
     ConfigurationDelta,
     LoadedConfiguration,
@@ -142,6 +169,29 @@
 from .transmissions import (
     Transmission,
 )
+from .usage_accounts import (
+    UsageAccounts,
+)
+from .usage_batches import (
+    ReplicationError,
+    UsageBatch,
+    UsageReplicator,
+)
+from .usage_reporter import (
+    AuthorityLostError,
+    LedgerUnavailableError,
+    UsageCollector,
+    UsageReport,
+    UsageReporter,
+    UsageSubmitter,
+)
+from .usage_seals import (
+    CorruptLedgerError,
+    SealedWindow,
+)
+from .usage_settings import (
+    UsageSettings,
+)
 from .watchers import (
     watchers,
 )
@@ -150,16 +200,25 @@
     'ABSENT_VERSION',
     'Acknowledgements',
     'Admission',
+    'AlreadyCompleted',
     'AnnouncementError',
     'AnswerLostError',
     'Authority',
+    'AuthorityLostError',
     'AuthorityState',
     'Blocked',
+    'CallOutcome',
     'ChangeAccepted',
     'ChangeConflict',
     'ChangeOutcome',
     'ChangeOutcomeUnknownError',
     'ChangeRejected',
+    'ClaimJournal',
+    'ClaimOutcome',
+    'ClaimSettings',
+    'ClaimTicket',
+    'ClaimUnavailable',
+    'Claimed',
     'Clock',
     'Condition',
     'ConfigurationDelta',
@@ -170,7 +229,9 @@
     'ConfigurationUnavailableError',
     'ConflictError',
     'CoordinationError',
+    'CorruptClaimsError',
     'CorruptConfigurationError',
+    'CorruptLedgerError',
     'DutiesDump',
     'Duty',
     'DutyContext',
@@ -186,6 +247,7 @@
     'HostList',
     'IfAbsent',
     'IfVersion',
+    'InProgress',
     'JournalContext',
     'JournalRecord',
     'JournalSettings',
@@ -194,11 +256,13 @@
     'LeaseRecord',
     'LeaseSettings',
     'Leases',
+    'LedgerUnavailableError',
     'LoadedConfiguration',
     'Lost',
     'Membership',
     'MembershipView',
     'MemoryStore',
+    'Mismatch',
     'Mutation',
     'NotStarted',
     'ObjectStore',
@@ -210,7 +274,9 @@
     'PlanOutcome',
     'Planned',
     'Presence',
+    'ReplicationError',
     'RolloutProgress',
+    'SealedWindow',
     'Sender',
     'Session',
     'SessionSettings',
@@ -227,9 +293,21 @@
     'UnavailableError',
     'Unconditional',
     'Unfinished',
+    'Unknown',
+    'UsageAccounts',
+    'UsageBatch',
+    'UsageCollector',
+    'UsageLedger',
+    'UsageReplicator',
+    'UsageReport',
+    'UsageReporter',
+    'UsageSettings',
+    'UsageSubmitter',
     'announce_to_electors',
+    'call_fingerprint',
     'decode_delta',
     'encode_delta',
+    'make_call_outcome',
     'rank_hosts',
     'rank_of',
     'release_predecessors',
