--- a/packages/geranium-coordination/src/geranium_coordination/__init__.py
+++ b/packages/geranium-coordination/src/geranium_coordination/__init__.py
@@ -101,9 +101,6 @@
     Leases,
     LeaseSettings,
 )
-from .ledger import (
-    UsageLedger,
-)
 from .loaded_configuration import (
     ConfigurationDelta,
     LoadedConfiguration,
@@ -169,29 +166,6 @@
 from .transmissions import (
     Transmission,
 )
-from .usage_accounts import (
-    UsageAccounts,
-)
-from .usage_batches import (
-    ReplicationError,
-    UsageBatch,
-    UsageReplicator,
-)
-from .usage_reporter import (
-    AuthorityLostError,
-    LedgerUnavailableError,
-    UsageCollector,
-    UsageReport,
-    UsageReporter,
-    UsageSubmitter,
-)
-from .usage_seals import (
-    CorruptLedgerError,
-    SealedWindow,
-)
-from .usage_settings import (
-    UsageSettings,
-)
 from .watchers import (
     watchers,
 )
@@ -204,7 +178,6 @@
     'AnnouncementError',
     'AnswerLostError',
     'Authority',
-    'AuthorityLostError',
     'AuthorityState',
     'Blocked',
     'CallOutcome',
@@ -231,7 +204,6 @@
     'CoordinationError',
     'CorruptClaimsError',
     'CorruptConfigurationError',
-    'CorruptLedgerError',
     'DutiesDump',
     'Duty',
     'DutyContext',
@@ -256,7 +228,6 @@
     'LeaseRecord',
     'LeaseSettings',
     'Leases',
-    'LedgerUnavailableError',
     'LoadedConfiguration',
     'Lost',
     'Membership',
@@ -274,9 +245,7 @@
     'PlanOutcome',
     'Planned',
     'Presence',
-    'ReplicationError',
     'RolloutProgress',
-    'SealedWindow',
     'Sender',
     'Session',
     'SessionSettings',
@@ -294,15 +263,6 @@
     'Unconditional',
     'Unfinished',
     'Unknown',
-    'UsageAccounts',
-    'UsageBatch',
-    'UsageCollector',
-    'UsageLedger',
-    'UsageReplicator',
-    'UsageReport',
-    'UsageReporter',
-    'UsageSettings',
-    'UsageSubmitter',
     'announce_to_electors',
     'call_fingerprint',
     'decode_delta',
--- a/packages/geraniumd/src/geraniumd/admission.py
+++ b/packages/geraniumd/src/geraniumd/admission.py
@@ -10,7 +10,6 @@
 from geranium_coordination import Clock
 from geranium_model import ModelService, NotRun, Usage
 from geranium_policy import (
-    AdaptiveLimit,
     AdmissionSettings,
     QueueEntry,
     Refusal,
@@ -18,6 +17,7 @@
     ServiceQueue,
 )
 from geranium_policy import Fleet as ServingFleet
+from geranium_policy.limits import AdaptiveLimit
 
 from .directory import HostDirectory
 from .fleet import Fleet
--- a/packages/geraniumd/src/geraniumd/applications.py
+++ b/packages/geraniumd/src/geraniumd/applications.py
@@ -5,7 +5,8 @@
 
 from geranium_coordination import Clock
 from geranium_model import Outcome
-from geranium_policy import AttemptFailure, RetryAt, RetryPolicy
+from geranium_policy import RetryAt, RetryPolicy
+from geranium_policy.attempts import AttemptFailure
 
 from .attempts import AttemptRecorder, Attempts
 from .exceptions import TargetError, TargetRefusedError
--- a/packages/geraniumd/src/geraniumd/attempts.py
+++ b/packages/geraniumd/src/geraniumd/attempts.py
@@ -7,15 +7,15 @@
 from geranium_model import NotRun, Outcome, OutcomeUnknown
 from geranium_policy import (
     Answered5xx,
-    AttemptFailure,
     FailedAttempt,
     HealthTracker,
     Lost,
-    Observation,
     Refused,
     Silent,
     Unreachable,
 )
+from geranium_policy.attempts import AttemptFailure
+from geranium_policy.health import Observation
 
 from .exceptions import (
     TargetError,
--- a/packages/geraniumd/src/geraniumd/completions.py
+++ b/packages/geraniumd/src/geraniumd/completions.py
@@ -17,11 +17,11 @@
 )
 from geranium_policy import (
     Answered5xx,
-    AttemptFailure,
     RequestProfile,
     RetryAt,
     RetryPolicy,
 )
+from geranium_policy.attempts import AttemptFailure
 
 from .access import AccessDecision
 from .admission import CompletionAdmission
--- a/packages/geraniumd/src/geraniumd/context.py
+++ b/packages/geraniumd/src/geraniumd/context.py
@@ -11,7 +11,8 @@
     ConfigurationRepository,
     SystemClock,
 )
-from geranium_policy import SuspectRegister, SuspectSettings
+from geranium_policy import SuspectRegister
+from geranium_policy.suspects import SuspectSettings
 
 from .directory import HostDirectory
 from .fleet import Fleet
--- a/packages/geraniumd/src/geraniumd/engines.py
+++ b/packages/geraniumd/src/geraniumd/engines.py
@@ -15,7 +15,8 @@
     Role,
     SetRole,
 )
-from geranium_policy import CacheEvent, PrefixEvicted, PrefixStored
+from geranium_policy import PrefixEvicted, PrefixStored
+from geranium_policy.prefixes import CacheEvent
 
 from .exceptions import TargetError
 from .transport import TargetTransport, raise_for_status, read_body
