Keep usage in numbered batches and seal each window once

Weighed: cumulative counters per window and origin, merged by maximum. They are as idempotent, but a correction then needs every counter of every team and origin in each sealed window to subtract, which is past a megabyte for 470 hosts and 11,000 teams. Batches with sequence numbers need one number per origin, and the few sequences that were not at hand.

A window is an object that must not exist when it is written; only what stands in the store is submitted. Windows are sealed in order from a head object that is created once, since two first reporters that began at different windows would else both count from nothing.

--- a/packages/geranium-coordination/src/geranium_coordination/__init__.py
+++ b/packages/geranium-coordination/src/geranium_coordination/__init__.py
@@ -1,3 +1,4 @@
+# flake8: noqa: WPS203 - the one public surface of the package
 """Sessions, leases, fencing, journals and replication over an object store."""
 
 from .acknowledgements import Acknowledgements, RolloutProgress
@@ -53,6 +54,7 @@
     HeldWithdrawal,
     Stale,
 )
+from .ledger import UsageLedger
 from .loaded_configuration import (
     ConfigurationDelta,
     LoadedConfiguration,
@@ -68,6 +70,18 @@
     StoredObject,
     Unconditional,
 )
+from .usage_accounts import UsageAccounts
+from .usage_batches import ReplicationError, UsageBatch, UsageReplicator
+from .usage_reporter import (
+    AuthorityLostError,
+    LedgerUnavailableError,
+    UsageCollector,
+    UsageReport,
+    UsageReporter,
+    UsageSubmitter,
+)
+from .usage_seals import CorruptLedgerError, SealedWindow
+from .usage_settings import UsageSettings
 from .watchers import watchers
 
 __all__ = [
@@ -93,6 +107,7 @@
     'Admission',
     'AlreadyCompleted',
     'AnnouncementError',
+    'AuthorityLostError',
     'CallOutcome',
     'ChangeAccepted',
     'ChangeConflict',
@@ -113,18 +128,31 @@
     'ConfigurationUnavailableError',
     'CorruptClaimsError',
     'CorruptConfigurationError',
+    'CorruptLedgerError',
     'Fresh',
     'FreshnessReport',
     'FreshnessSettings',
     'HeldWithdrawal',
     'InProgress',
+    'LedgerUnavailableError',
     'LoadedConfiguration',
     'Mismatch',
     'PendingWithdrawal',
+    'ReplicationError',
     'RolloutProgress',
+    'SealedWindow',
     'Stale',
     'StaleDeltaError',
     'Unknown',
+    'UsageAccounts',
+    'UsageBatch',
+    'UsageCollector',
+    'UsageLedger',
+    'UsageReplicator',
+    'UsageReport',
+    'UsageReporter',
+    'UsageSettings',
+    'UsageSubmitter',
     'announce_to_electors',
     'call_fingerprint',
     'decode_delta',
--- /dev/null
+++ b/packages/geranium-coordination/src/geranium_coordination/usage_reporter.py
@@ -0,0 +1,245 @@
+"""Seals windows and reports them; run by the host that holds the lease."""
+
+import dataclasses
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any, Protocol, TypeAlias, TypeVar
+
+import pydantic
+from geranium_model import Usage
+
+from .clock import Clock, SystemClock
+from .exceptions import ConflictError, CoordinationError, StoreError
+from .retries import Retries
+from .store import IfAbsent, IfVersion, ObjectStore, StoredObject
+from .usage_accounts import UsageAccounts
+from .usage_batches import UsageBatch
+from .usage_seals import (
+    CorruptLedgerError,
+    SealedWindow,
+    decode_seal,
+    encode_seal,
+    seal_key,
+    seal_window,
+)
+from .usage_settings import UsageSettings
+
+HEAD_KEY = 'usage/head'
+
+_Answer = TypeVar('_Answer')
+
+
+class LedgerUnavailableError(CoordinationError):
+    """The store was not reached; the same call later goes on."""
+
+
+class AuthorityLostError(CoordinationError):
+    """The reporter's lease is over: nothing was submitted."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UsageReport:
+    """A sealed window as the platform takes it.
+
+    The same window always has the same ``report_id`` and figures.
+    """
+
+    window: int
+    report_id: str
+    epoch: int
+    usage_by_team: Mapping[str, Usage]
+
+
+class UsageCollector(Protocol):
+    """Gathers batches from all reachable hosts; the daemon brings it."""
+
+    async def collect(self, through_window: int) -> tuple[UsageBatch, ...]:
+        """Return batches of this window and earlier ones."""
+        ...
+
+
+class UsageSubmitter(Protocol):
+    """Sends reports to the platform; the daemon brings it."""
+
+    async def submit(self, report: UsageReport) -> None:
+        """Return once the platform has taken the report.
+
+        Any error leaves the window to be submitted again.
+        """
+        ...
+
+
+_Authority: TypeAlias = Callable[[], int | None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Head:
+    """The first window of all and the last one that was submitted."""
+
+    first_window: int
+    submitted_to: int
+    stored_version: int
+
+
+_HEAD_ADAPTER = pydantic.TypeAdapter(_Head)
+
+
+class UsageReporter:
+    """Seals each window once and submits it as sealed.
+
+    Any number of reporters may work at once: a window is sealed by creating
+    an object that must not exist, and only what stands in the store is ever
+    submitted.
+
+    Args:
+        store: Where sealed windows are kept.
+        collector: Gathers the batches of all hosts.
+        submitter: Sends reports to the platform.
+        authority: Returns the lease's epoch while it outlasts a report,
+            else ``None``.
+        settings: Time limits.
+        clock: The clock of the time limits.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        collector: UsageCollector,
+        submitter: UsageSubmitter,
+        authority: _Authority,
+        settings: UsageSettings | None = None,
+        clock: Clock | None = None,
+    ) -> None:
+        self._store = store
+        self._collector = collector
+        self._submitter = submitter
+        self._authority = authority
+        self._settings = settings or UsageSettings()
+        self._clock = clock or SystemClock()
+        self._retries = Retries(self._clock, self._settings.retry_delay_s)
+
+    async def report(self, through_window: int) -> UsageAccounts:
+        """Seal and submit every window that is not, up to this one.
+
+        The caller says when a window is over and late batches had their
+        time. The first call of all decides which window is the first.
+        Returns the accounts by which ledgers forget batches.
+
+        Raises:
+            LedgerUnavailableError: If the store was not reached.
+            AuthorityLostError: If the lease is over.
+            CorruptLedgerError: If a stored object is malformed.
+        """
+        head = await self._read_head(through_window)
+        accounts = await self._accounts_after(head.submitted_to, head)
+        for window in range(head.submitted_to + 1, through_window + 1):
+            sealed = await self._seal(window, accounts)
+            await self._submit(sealed)
+            accounts = sealed.accounts
+            head = await self._advance(head, window)
+        return accounts
+
+    async def _accounts_after(self, window: int, head: _Head) -> UsageAccounts:
+        if window < head.first_window:
+            return UsageAccounts()
+        sealed = await self._read_seal(window)
+        if sealed is None:
+            raise CorruptLedgerError(f'window {window} is gone')
+        return sealed.accounts
+
+    async def _seal(
+        self,
+        window: int,
+        accounts: UsageAccounts,
+    ) -> SealedWindow:
+        """Return the window as it stands sealed, by whoever was first."""
+        sealed = await self._read_seal(window)
+        if sealed is not None:
+            return sealed
+        batches = await self._collector.collect(window)
+        proposed = seal_window(
+            window,
+            accounts,
+            batches,
+            self._settings.late_windows,
+        )
+        await self._create(seal_key(window), encode_seal(proposed))
+        sealed = await self._read_seal(window)
+        if sealed is None:
+            raise LedgerUnavailableError(f'window {window} was not sealed')
+        return sealed
+
+    async def _submit(self, sealed: SealedWindow) -> None:
+        epoch = self._authority()
+        if epoch is None:
+            raise AuthorityLostError(f'window {sealed.window}')
+        await self._submitter.submit(
+            UsageReport(
+                sealed.window,
+                f'window-{sealed.window}',
+                epoch,
+                sealed.usage_by_team,
+            ),
+        )
+
+    async def _read_seal(self, window: int) -> SealedWindow | None:
+        stored = await self._retried(
+            lambda: self._store.read(seal_key(window)),
+        )
+        return None if stored is None else decode_seal(stored.body)
+
+    async def _read_head(self, window: int) -> _Head:
+        stored = await self._retried(lambda: self._store.read(HEAD_KEY))
+        if stored is None:
+            await self._create(HEAD_KEY, _encode_head(window, window - 1))
+            stored = await self._retried(lambda: self._store.read(HEAD_KEY))
+        if stored is None:
+            raise LedgerUnavailableError('the head was not created')
+        return _decode_head(stored)
+
+    async def _advance(self, head: _Head, window: int) -> _Head:
+        """Note the window as submitted, unless that is known already."""
+        if head.submitted_to >= window:
+            return head
+        body = _encode_head(head.first_window, window)
+        condition = IfVersion(head.stored_version)
+        try:
+            version = await self._retried(
+                lambda: self._store.write(HEAD_KEY, body, condition),
+            )
+        except ConflictError:
+            return await self._read_head(window)
+        return _Head(head.first_window, window, version)
+
+    async def _create(self, key: str, body: Any) -> None:
+        try:
+            await self._retried(
+                lambda: self._store.write(key, body, IfAbsent()),
+            )
+        except ConflictError:
+            # Another reporter, or a write whose answer was lost, was first.
+            return
+
+    async def _retried(
+        self,
+        call: Callable[[], Awaitable[_Answer]],
+    ) -> _Answer:
+        deadline = self._clock.now() + self._settings.call_budget_s
+        try:
+            return await self._retries.run(call, deadline)
+        except ConflictError:
+            raise
+        except StoreError as error:
+            raise LedgerUnavailableError(str(error)) from error
+
+
+def _encode_head(first_window: int, submitted_to: int) -> Any:
+    return {'first_window': first_window, 'submitted_to': submitted_to}
+
+
+def _decode_head(stored: StoredObject) -> _Head:
+    try:
+        return _HEAD_ADAPTER.validate_python(
+            {**stored.body, 'stored_version': stored.version},
+        )
+    except (pydantic.ValidationError, TypeError) as error:
+        raise CorruptLedgerError(str(error)) from error
--- /dev/null
+++ b/packages/geranium-coordination/src/geranium_coordination/usage_seals.py
@@ -0,0 +1,93 @@
+"""Sealed windows: the one figure of each window."""
+
+import dataclasses
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+import pydantic
+from geranium_model import Usage
+
+from .exceptions import CoordinationError
+from .usage_accounts import UsageAccounts
+from .usage_batches import UsageBatch, sum_usage
+
+SEAL_PREFIX = 'usage/sealed/'
+
+
+class CorruptLedgerError(CoordinationError):
+    """A stored object of the ledger is malformed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SealedWindow:
+    """A window's figures, which never change after it was sealed.
+
+    Args:
+        window: Number of the window.
+        usage_by_team: Usage of the window with all corrections.
+        corrections: How much of it fell into which earlier window.
+        accounts: The batches that are in this window or an earlier one.
+    """
+
+    window: int
+    usage_by_team: Mapping[str, Usage]
+    corrections: Mapping[int, Usage]
+    accounts: UsageAccounts
+
+
+def seal_window(
+    window: int,
+    accounts: UsageAccounts,
+    batches: Iterable[UsageBatch],
+    late_windows: int,
+) -> SealedWindow:
+    """Return the window with all batches that earlier ones did not count.
+
+    A batch that is given twice is counted once.
+    """
+    awaited = {
+        (batch.origin, batch.sequence): batch
+        for batch in batches
+        if batch.window <= window and accounts.awaits(batch)
+    }
+    counted = awaited.values()
+    return SealedWindow(
+        window,
+        sum_usage(counted),
+        _corrections(batch for batch in counted if batch.window < window),
+        accounts.count(counted, window, late_windows),
+    )
+
+
+def _corrections(batches: Iterable[UsageBatch]) -> dict[int, Usage]:
+    corrections: dict[int, Usage] = {}
+    for batch in batches:
+        late = sum(batch.usage_by_team.values(), Usage())
+        known = corrections.get(batch.window, Usage())
+        corrections[batch.window] = known + late
+    return corrections
+
+
+_ADAPTER = pydantic.TypeAdapter(SealedWindow)
+
+
+def decode_seal(body: Any) -> SealedWindow:
+    """Return the sealed window that a stored body describes.
+
+    Raises:
+        CorruptLedgerError: If the body is malformed.
+    """
+    try:
+        return _ADAPTER.validate_python(body)
+    except pydantic.ValidationError as error:
+        raise CorruptLedgerError(str(error)) from error
+
+
+def encode_seal(sealed: SealedWindow) -> Any:
+    """Return the sealed window as a JSON value."""
+    return _ADAPTER.dump_python(sealed, mode='json')
+
+
+def seal_key(window: int) -> str:
+    """Return the object key of a sealed window."""
+    return f'{SEAL_PREFIX}{window}'
