--- a/packages/geranium-model/src/geranium_model/outcomes.py
+++ b/packages/geranium-model/src/geranium_model/outcomes.py
@@ -33,11 +33,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OutcomeUnknown:
-    """A target may have run the request; its answer was lost."""
+    """A target may have run the request; its answer was lost.
+
+    ``retry_after_s`` says when asking again helps, ``None`` that it doesn't.
+    """
 
     title: str
     detail: str = ''
     status: int = 504
+    retry_after_s: float | None = None
 
 
 Outcome: TypeAlias = Completed | NotRun | RanAndFailed | OutcomeUnknown
--- a/packages/geraniumd/src/geraniumd/application_endpoint.py
+++ b/packages/geraniumd/src/geraniumd/application_endpoint.py
@@ -3,14 +3,15 @@
 from http import HTTPStatus
 
 from aiohttp import web
-from geranium_model import ApplicationService, Completed, NotRun, Outcome, Usage
+from geranium_model import ApplicationService, Completed, NotRun, Usage
 
 from .access import Grant
 from .accounting import RequestAccounting
-from .applications import ApplicationRunner
 from .arrivals import Arrival, ArrivalDesk
+from .claimed_calls import ClaimingRunner
 from .endpoints import AccessControl, AccessResult
 from .problems import problem_response
+from .records import RequestRecord
 from .targets import ApplicationAnswer, ApplicationCall
 
 _PREFIX = '/apps/'
@@ -23,7 +24,7 @@
         self,
         access: AccessControl,
         desk: ArrivalDesk,
-        runner: ApplicationRunner,
+        runner: ClaimingRunner,
         accounting: RequestAccounting,
     ) -> None:
         self._access = access
@@ -57,9 +58,9 @@
         answer = await self._runner.run(call, record)
         request_id = call.arrival.request_id
         if isinstance(answer, ApplicationAnswer):
-            self._accounting.end(record, Completed(), Usage(requests=1))
+            self._accounting.end(record, Completed(), _usage(record))
             return _to_response(answer, request_id)
-        self._accounting.end(record, answer, _usage(answer))
+        self._accounting.end(record, answer, _usage(record))
         return problem_response(answer, request_id)
 
 
@@ -92,7 +93,6 @@
     return response
 
 
-def _usage(outcome: Outcome) -> Usage:
-    if isinstance(outcome, NotRun):
-        return Usage()
-    return Usage(requests=1)
+def _usage(record: RequestRecord) -> Usage:
+    """Return the usage of a call; one that was not sent costs nothing."""
+    return Usage(requests=1) if record.attempts else Usage()
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/claimed_calls.py
@@ -0,0 +1,162 @@
+"""Runs non-idempotent calls that carry an ``Idempotency-Key`` once."""
+
+import asyncio
+from http import HTTPStatus
+
+from geranium_coordination import (
+    AlreadyCompleted,
+    CallOutcome,
+    Claimed,
+    ClaimJournal,
+    ClaimTicket,
+    ClaimUnavailable,
+    InProgress,
+    Mismatch,
+    Unknown,
+    call_fingerprint,
+    make_call_outcome,
+)
+from geranium_model import NotRun, OutcomeUnknown
+from multidict import CIMultiDict
+
+from .applications import ApplicationResult, ApplicationRunner
+from .records import RequestRecord
+from .targets import ApplicationAnswer, ApplicationCall
+
+IDEMPOTENCY_KEY_HEADER = 'Idempotency-Key'
+MAX_KEY_CHARACTERS = 255
+
+# How long an answer waits for its outcome to be stored for resends.
+_STORE_WAIT_S = 0.5
+_IN_PROGRESS_RETRY_AFTER_S = 1
+
+
+class ClaimingRunner:
+    """Claims a call in the platform before the first byte of it goes out.
+
+    A call without the header, or one that may be repeated, needs no claim.
+    """
+
+    def __init__(
+        self,
+        runner: ApplicationRunner,
+        journal: ClaimJournal,
+    ) -> None:
+        self._runner = runner
+        self._journal = journal
+        self._settlements: set[asyncio.Task[None]] = set()
+
+    async def run(
+        self,
+        call: ApplicationCall,
+        record: RequestRecord,
+    ) -> ApplicationResult:
+        """Run a call by its deadline, or answer as it ended before."""
+        key = call.headers.get(IDEMPOTENCY_KEY_HEADER)
+        if call.is_repeatable or key is None:
+            return await self._runner.run(call, record)
+        if not 0 < len(key) <= MAX_KEY_CHARACTERS:
+            return NotRun(
+                HTTPStatus.BAD_REQUEST,
+                'Malformed header',
+                f'{IDEMPOTENCY_KEY_HEADER}: wants 1 to '
+                f'{MAX_KEY_CHARACTERS} characters',
+            )
+        return await self._run_claimed(call, key, record)
+
+    async def settle(self) -> None:
+        """Return once every outcome so far is stored."""
+        if self._settlements:
+            await asyncio.wait(self._settlements)
+
+    async def _run_claimed(
+        self,
+        call: ApplicationCall,
+        key: str,
+        record: RequestRecord,
+    ) -> ApplicationResult:
+        fingerprint = call_fingerprint(call.method, call.path, call.body)
+        outcome = await self._journal.claim(call.team, key, fingerprint)
+        record.note(f'claim: {type(outcome).__name__}')
+        match outcome:
+            case Claimed(ticket=ticket):
+                return await self._run_once(call, ticket, record)
+            case AlreadyCompleted(outcome=stored):
+                return _replay(stored)
+            case InProgress() | Unknown() | Mismatch() | ClaimUnavailable():
+                return _refusal(outcome)
+
+    async def _run_once(
+        self,
+        call: ApplicationCall,
+        ticket: ClaimTicket,
+        record: RequestRecord,
+    ) -> ApplicationResult:
+        answer = await self._runner.run(call, record)
+        settlement = asyncio.create_task(self._settle(ticket, answer))
+        self._settlements.add(settlement)
+        settlement.add_done_callback(self._settlements.discard)
+        await asyncio.wait({settlement}, timeout=_STORE_WAIT_S)
+        return answer
+
+    async def _settle(
+        self,
+        ticket: ClaimTicket,
+        answer: ApplicationResult,
+    ) -> None:
+        match answer:
+            case ApplicationAnswer():
+                outcome = make_call_outcome(
+                    answer.status,
+                    tuple(answer.headers.items()),
+                    answer.body,
+                )
+                await self._journal.complete(ticket, outcome)
+            case NotRun():
+                await self._journal.release(ticket)
+            case _:
+                await self._journal.give_up(ticket)
+
+
+def _replay(stored: CallOutcome) -> ApplicationResult:
+    if stored.body is None:
+        return OutcomeUnknown(
+            'Answer not kept',
+            'The call ran before; its answer was too large to keep.',
+            HTTPStatus.CONFLICT,
+        )
+    headers = CIMultiDict(stored.headers)
+    headers['Idempotency-Replayed'] = 'true'
+    return ApplicationAnswer(stored.status, headers, stored.body)
+
+
+def _refusal(
+    outcome: InProgress | Unknown | Mismatch | ClaimUnavailable,
+) -> ApplicationResult:
+    match outcome:
+        case InProgress(holder=holder):
+            return OutcomeUnknown(
+                'Still running',
+                f'The same call is running through {holder}.',
+                HTTPStatus.CONFLICT,
+                retry_after_s=_IN_PROGRESS_RETRY_AFTER_S,
+            )
+        case Unknown():
+            return OutcomeUnknown(
+                'Outcome unknown',
+                'The call may have run before; it is not sent again.',
+                HTTPStatus.CONFLICT,
+            )
+        case Mismatch():
+            return NotRun(
+                HTTPStatus.UNPROCESSABLE_ENTITY,
+                'Key used for another call',
+                'The idempotency key was used for a different request.',
+            )
+        case ClaimUnavailable(detail=detail, retry_after_s=retry_after_s):
+            return NotRun(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                'Claim not possible',
+                detail,
+                retry_after_s=retry_after_s,
+            )
--- a/packages/geraniumd/src/geraniumd/context.py
+++ b/packages/geraniumd/src/geraniumd/context.py
@@ -3,9 +3,11 @@
 import dataclasses
 import random
 import uuid
+from functools import partial
 
 from geranium_coordination import (
     Acknowledgements,
+    ClaimJournal,
     Clock,
     ConfigurationReplica,
     ConfigurationRepository,
@@ -14,7 +16,7 @@
 from geranium_policy import SuspectRegister
 from geranium_policy.suspects import SuspectSettings
 
-from .directory import HostDirectory
+from .directory import HostDirectory, holder_name
 from .fleet import Fleet
 from .follower import ConfigurationFollower
 from .gossip import Gossip
@@ -44,6 +46,7 @@
     directory: HostDirectory
     acknowledgements: Acknowledgements
     fleet: Fleet
+    claims: ClaimJournal
     suspects: SuspectRegister
     gossip: Gossip
     requests: RequestLog
@@ -52,38 +55,58 @@
 
 def build_context(settings: Settings, secrets: Secrets) -> Context:
     """Return the context of a daemon that starts now."""
-    telemetry = Telemetry(settings.host, settings.zone)
+    incarnation = uuid.uuid4().hex
     clock = SystemClock()
     platform = PlatformClient(settings.platform)
-    replica = ConfigurationReplica(settings.host, clock=clock)
     directory = HostDirectory(random.Random())
     fleet = Fleet()
     suspects = SuspectRegister(SuspectSettings())
-    follower = ConfigurationFollower(
-        settings,
-        ConfigurationRepository(platform, clock=clock),
-        replica,
-        directory,
-        telemetry,
-        clock,
-    )
+    follower = _build_follower(settings, platform, directory, clock)
     return Context(
         settings=settings,
         secrets=secrets,
-        incarnation=uuid.uuid4().hex,
+        incarnation=incarnation,
         clock=clock,
         rng=random.Random(),
-        telemetry=telemetry,
+        telemetry=follower.telemetry,
         platform=platform,
         presences=PresenceRegistry(platform),
-        replica=replica,
+        replica=follower.replica,
         repository=follower.repository,
         follower=follower,
         directory=directory,
         acknowledgements=Acknowledgements(),
         fleet=fleet,
+        claims=_build_claims(settings, incarnation, platform, directory),
         suspects=suspects,
         gossip=Gossip(fleet, suspects, clock),
         requests=RequestLog(clock),
-        meter=UsageMeter(telemetry),
+        meter=UsageMeter(follower.telemetry),
+    )
+
+
+def _build_follower(
+    settings: Settings,
+    platform: PlatformClient,
+    directory: HostDirectory,
+    clock: Clock,
+) -> ConfigurationFollower:
+    return ConfigurationFollower(
+        settings,
+        ConfigurationRepository(platform, clock=clock),
+        ConfigurationReplica(settings.host, clock=clock),
+        directory,
+        Telemetry(settings.host, settings.zone),
+        clock,
     )
+
+
+def _build_claims(
+    settings: Settings,
+    incarnation: str,
+    platform: PlatformClient,
+    directory: HostDirectory,
+) -> ClaimJournal:
+    holder = holder_name(settings.host, incarnation)
+    is_gone = partial(directory.is_gone, own=holder)
+    return ClaimJournal(holder, platform, is_gone)
--- a/packages/geraniumd/src/geraniumd/daemon.py
+++ b/packages/geraniumd/src/geraniumd/daemon.py
@@ -154,6 +154,7 @@
         yield 'lists', poller.poll_lists()
         yield 'presences', poller.poll_presences()
         yield 'probes', prober.run()
+        yield 'claims', context.claims.run()
         yield 'admission', self._admission.run()
         yield 'peering', self._peering.run()
 
--- a/packages/geraniumd/src/geraniumd/directory.py
+++ b/packages/geraniumd/src/geraniumd/directory.py
@@ -6,6 +6,13 @@
 
 from geranium_model import Host, HostKind, HostState
 
+_HOLDER_SEPARATOR = '.'
+
+
+def holder_name(host: str, incarnation: str) -> str:
+    """Return the name of one start of a daemon."""
+    return f'{host}{_HOLDER_SEPARATOR}{incarnation}'
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Presence:
@@ -32,6 +39,7 @@
         self._own: Presence | None = None
         self._listed_by_host: dict[str, Host] = {}
         self._leaving: set[str] = set()
+        self._has_read = False
         self._silent: set[str] = set()
         self.presences_by_host: dict[str, Presence] = {}
 
@@ -42,6 +50,7 @@
 
     def apply_presences(self, presences: Iterable[Presence]) -> None:
         """Take over the presences that the platform holds."""
+        self._has_read = True
         self.presences_by_host = {
             presence.host: presence for presence in presences
         }
@@ -96,6 +105,17 @@
         hosts.sort(key=lambda presence: presence.zone != zone)
         return tuple(hosts)
 
+    def is_gone(self, holder: str, own: str) -> bool:
+        """Tell whether a start of a daemon is known to be over.
+
+        That is so once its host has no presence, or a newer start's.
+        """
+        if holder == own or not self._has_read:
+            return False
+        host, _, incarnation = holder.rpartition(_HOLDER_SEPARATOR)
+        presence = self.presences_by_host.get(host)
+        return presence is None or presence.incarnation != incarnation
+
     def is_silent(self, host: str) -> bool:
         """Tell whether a peer does not answer."""
         return host in self._silent
--- a/packages/geraniumd/src/geraniumd/follower.py
+++ b/packages/geraniumd/src/geraniumd/follower.py
@@ -43,7 +43,7 @@
         self._settings = settings
         self.repository = repository
         self._directory = directory
-        self._telemetry = telemetry
+        self.telemetry = telemetry
         self._clock = clock
         self._log = get_logger()
         self._store_version = ABSENT_VERSION
@@ -112,5 +112,5 @@
         return True
 
     def _note_error(self, error: ConfigurationError) -> None:
-        self._telemetry.platform_errors.add(1, {'kind': 'configuration'})
+        self.telemetry.platform_errors.add(1, {'kind': 'configuration'})
         self._log.warning('configuration_not_read', error=str(error))
--- a/packages/geraniumd/src/geraniumd/problems.py
+++ b/packages/geraniumd/src/geraniumd/problems.py
@@ -47,7 +47,9 @@
     match outcome:
         case NotRun(status=HTTPStatus.UNAUTHORIZED):
             headers['WWW-Authenticate'] = 'Bearer'
-        case NotRun(retry_after_s=wait_s) if wait_s is not None:
+        case (
+            NotRun(retry_after_s=wait_s) | OutcomeUnknown(retry_after_s=wait_s)
+        ) if wait_s is not None:
             headers['Retry-After'] = str(max(1, math.ceil(wait_s)))
     return web.Response(
         status=body['status'],
--- a/packages/geraniumd/src/geraniumd/tables.py
+++ b/packages/geraniumd/src/geraniumd/tables.py
@@ -1,15 +1,19 @@
 """What this daemon can tell operators, as tables."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
+from operator import attrgetter
+from typing import TypeVar
 
 from geranium_statements import Collection, Row, Table, build_table
 
 from .configuration_tables import CONFIGURATION_BUILDERS
 from .context import Context
-from .fleet import EngineLink
+from .fleet import EngineLink, Link
 from .peering import Peering
 from .records import RequestRecord
 
+_Link = TypeVar('_Link', bound=Link)
+
 _MS_PER_S = 1000
 _LOAD_COLUMNS = 6
 
@@ -102,7 +106,7 @@
                 link.running,
                 link.last_error,
             )
-            for link in self._fleet.links_by_name.values()
+            for link in _by_name(self._fleet.links_by_name.values())
         ]
         columns = (
             'target',
@@ -117,7 +121,7 @@
         return build_table(columns, rows)
 
     def _engines(self) -> Table:
-        rows = map(self._engine_row, self._fleet.engine_links())
+        rows = map(self._engine_row, _by_name(self._fleet.engine_links()))
         columns = (
             'engine',
             'service',
@@ -216,3 +220,7 @@
         if instant is None:
             return None
         return round((self._clock.now() - instant) * _MS_PER_S, 1)
+
+
+def _by_name(links: Iterable[_Link]) -> list[_Link]:
+    return sorted(links, key=attrgetter('name'))
--- a/packages/geraniumd/src/geraniumd/wiring.py
+++ b/packages/geraniumd/src/geraniumd/wiring.py
@@ -15,6 +15,7 @@
 from .applications import ApplicationRunner
 from .arrivals import ArrivalDesk
 from .attempts import AttemptRecorder
+from .claimed_calls import ClaimingRunner
 from .completions import CompletionRunner
 from .context import Context
 from .dumps import StateDump
@@ -92,7 +93,12 @@
         context.follower,
         context.directory,
         ModelEndpoint(settings, access, desk, completions, accounting),
-        ApplicationEndpoint(access, desk, applications, accounting),
+        ApplicationEndpoint(
+            access,
+            desk,
+            ClaimingRunner(applications, context.claims),
+            accounting,
+        ),
     )
 
 
--- a/packages/geraniumd/tests/test_whole_path.py
+++ b/packages/geraniumd/tests/test_whole_path.py
@@ -188,3 +188,45 @@
     steps = [row[-1] for row in answer['rows']]
     assert any(step.startswith('sent to engine-') for step in steps)
     assert steps[-1] == 'ended: completed'
+
+
+async def executions(deployment, request_id):
+    logs = [
+        await process.read_log()
+        for process in deployment.targets_by_name.values()
+    ]
+    return [
+        execution
+        for log in logs
+        for execution in log['executions']
+        if execution['request_id'].startswith(request_id)
+    ]
+
+
+async def test_order_sent_twice_through_two_hosts_runs_once(deployment, secret):
+    answers = []
+    for host in ('host-1', 'host-2'):
+        async with deployment.http.post(
+            deployment.caller_url(host, '/apps/app/orders'),
+            data=b'{"cards": 40}',
+            headers={
+                'Authorization': f'Bearer {secret}',
+                'Idempotency-Key': 'order-40',
+                'Request-Id': 'order-40',
+            },
+        ) as response:
+            answers.append((response.status, await response.read()))
+    assert answers[0][0] == 200
+    assert answers[0] == answers[1]
+    assert len(await executions(deployment, 'order-40')) == 1
+
+
+async def test_key_of_another_order_is_a_mismatch(deployment, secret):
+    statuses = []
+    for body in (b'{"cards": 41}', b'{"cards": 42}'):
+        headers = {'Idempotency-Key': 'order-41'}
+        response, _ = await post(
+            deployment, '/apps/app/orders', secret, data=body, headers=headers
+        )
+        statuses.append(response.status)
+    assert statuses == [200, 422]
