Show a host's refusal in its own words

Against three daemons a refusal read 'refused: Refused: ...'. The host's title says already what kind it is: Refused, Conflict or Token not accepted.

--- a/packages/geraniumctl/src/geraniumctl/failures.py
+++ b/packages/geraniumctl/src/geraniumctl/failures.py
@@ -32,7 +32,7 @@
             _report_unreachable(error)
             return ExitCode.UNREACHABLE
         case RefusedError():
-            click.echo(f'refused: {error}', err=True)
+            click.echo(str(error), err=True)
             return ExitCode.REFUSED
         case DocumentFileError() | SettingsError():
             click.echo(str(error), err=True)
