--- a/packages/geranium-standins/src/geranium_standins/deployment.py
+++ b/packages/geranium-standins/src/geranium_standins/deployment.py
@@ -110,6 +110,10 @@
         """Return once a daemon is ready."""
         await until(partial(self._is_ready, host))
 
+    async def wait_joined(self, host: str) -> None:
+        """Return once a daemon is linked to all the others."""
+        await until(partial(self._is_joined, host))
+
     async def _start(self) -> None:
         await self.platform.start(('geranium_standins.platform', '--port=0'))
         settings = self.settings
@@ -127,6 +131,7 @@
             starting.append(self.add_daemon(f'host-{number}', zone))
         await asyncio.gather(*starting)
         await asyncio.gather(*map(self.wait_ready, self.daemons_by_host))
+        await asyncio.gather(*map(self.wait_joined, self.daemons_by_host))
         await self.operator.load_configuration(self.document())
 
     async def _is_ready(self, host: str) -> bool:
@@ -134,6 +139,13 @@
         async with self.http.get(url) as response:
             return response.ok
 
+    async def _is_joined(self, host: str) -> bool:
+        answer = await self.operator.execute('show peers', host)
+        connected = answer['columns'].index('connected')
+        links = [row for row in answer['rows'] if row[0] == host]
+        linked = sum(bool(row[connected]) for row in links)
+        return linked >= len(self.daemons_by_host) - 1
+
     def _processes(self) -> tuple[ManagedProcess, ...]:
         return (
             *self.daemons_by_host.values(),
--- a/packages/geraniumd/src/geraniumd/context.py
+++ b/packages/geraniumd/src/geraniumd/context.py
@@ -11,15 +11,19 @@
     Clock,
     ConfigurationReplica,
     ConfigurationRepository,
+    ConfigurationSettings,
+    FreshnessSettings,
     SystemClock,
 )
 from geranium_policy import SuspectRegister
 from geranium_policy.suspects import SuspectSettings
 
 from .directory import HostDirectory, holder_name
+from .electors import WithdrawalAnnouncer
 from .fleet import Fleet
 from .follower import ConfigurationFollower
 from .gossip import Gossip
+from .peer_links import PeerLink
 from .platform import PlatformClient
 from .presence import PresenceRegistry
 from .records import RequestLog
@@ -27,6 +31,11 @@
 from .telemetry import Telemetry
 from .usage import UsageMeter
 
+# A host counts as an elector once the hold has passed since its start; the
+# hold outlasts the time that a change may take.
+_CONFIGURATION = ConfigurationSettings(call_budget_s=4)
+_FRESHNESS = FreshnessSettings(confirmation_s=3, withdrawal_hold_s=6)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Context:
@@ -46,6 +55,8 @@
     directory: HostDirectory
     acknowledgements: Acknowledgements
     fleet: Fleet
+    links_by_host: dict[str, PeerLink]
+    announcer: WithdrawalAnnouncer
     claims: ClaimJournal
     suspects: SuspectRegister
     gossip: Gossip
@@ -55,50 +66,87 @@
 
 def build_context(settings: Settings, secrets: Secrets) -> Context:
     """Return the context of a daemon that starts now."""
-    incarnation = uuid.uuid4().hex
     clock = SystemClock()
     platform = PlatformClient(settings.platform)
     directory = HostDirectory(random.Random())
-    fleet = Fleet()
-    suspects = SuspectRegister(SuspectSettings())
-    follower = _build_follower(settings, platform, directory, clock)
+    telemetry = Telemetry(settings.host, settings.zone)
+    links_by_host: dict[str, PeerLink] = {}
+    replication = _build_replication(
+        settings, platform, directory, links_by_host
+    )
+    traffic = _build_traffic(clock)
+    incarnation = uuid.uuid4().hex
     return Context(
         settings=settings,
         secrets=secrets,
         incarnation=incarnation,
         clock=clock,
         rng=random.Random(),
-        telemetry=follower.telemetry,
+        telemetry=telemetry,
         platform=platform,
         presences=PresenceRegistry(platform),
-        replica=follower.replica,
-        repository=follower.repository,
-        follower=follower,
         directory=directory,
+        links_by_host=links_by_host,
+        replica=replication.replica,
+        repository=replication.repository,
+        announcer=replication.announcer,
+        follower=ConfigurationFollower(
+            settings,
+            replication.repository,
+            replication.replica,
+            directory,
+            telemetry,
+            clock,
+        ),
         acknowledgements=Acknowledgements(),
-        fleet=fleet,
         claims=_build_claims(settings, incarnation, platform, directory),
-        suspects=suspects,
-        gossip=Gossip(fleet, suspects, clock),
+        fleet=traffic.fleet,
+        suspects=traffic.suspects,
+        gossip=traffic.gossip,
         requests=RequestLog(clock),
-        meter=UsageMeter(follower.telemetry),
+        meter=UsageMeter(telemetry),
     )
 
 
-def _build_follower(
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Replication:
+    replica: ConfigurationReplica
+    announcer: WithdrawalAnnouncer
+    repository: ConfigurationRepository
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Traffic:
+    fleet: Fleet
+    suspects: SuspectRegister
+    gossip: Gossip
+
+
+def _build_replication(
     settings: Settings,
     platform: PlatformClient,
     directory: HostDirectory,
-    clock: Clock,
-) -> ConfigurationFollower:
-    return ConfigurationFollower(
-        settings,
-        ConfigurationRepository(platform, clock=clock),
-        ConfigurationReplica(settings.host, clock=clock),
+    links_by_host: dict[str, PeerLink],
+) -> _Replication:
+    replica = ConfigurationReplica(settings.host, _FRESHNESS)
+    announcer = WithdrawalAnnouncer(
+        settings.host,
+        replica,
         directory,
-        Telemetry(settings.host, settings.zone),
-        clock,
+        links_by_host,
     )
+    repository = ConfigurationRepository(
+        platform,
+        _CONFIGURATION,
+        announcer=announcer.announce,
+    )
+    return _Replication(replica, announcer, repository)
+
+
+def _build_traffic(clock: Clock) -> _Traffic:
+    fleet = Fleet()
+    suspects = SuspectRegister(SuspectSettings())
+    return _Traffic(fleet, suspects, Gossip(fleet, suspects, clock))
 
 
 def _build_claims(
--- a/packages/geraniumd/src/geraniumd/daemon.py
+++ b/packages/geraniumd/src/geraniumd/daemon.py
@@ -135,14 +135,7 @@
 
     def _duties(self, presence: Presence) -> Iterator[Duty]:
         context = self._context
-        poller = ListPoller(
-            context.settings,
-            context.platform,
-            context.presences,
-            context.directory,
-            context.fleet,
-            context.telemetry,
-        )
+        poller = ListPoller(context)
         prober = LoadProber(
             context.settings.targets,
             context.fleet,
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/electors.py
@@ -0,0 +1,81 @@
+"""The hosts whose majority stands in for the platform during an outage."""
+
+import hashlib
+from collections.abc import Iterable, Mapping
+
+from geranium_coordination import (
+    ConfigurationReplica,
+    PendingWithdrawal,
+    announce_to_electors,
+)
+
+from .directory import HostDirectory
+from .exceptions import PeerError
+from .messages import Acknowledgement, Announcement
+from .peer_links import PeerLink
+
+ELECTOR_COUNT = 7
+_ANNOUNCE_TIMEOUT_S = 3
+
+
+def choose_electors(hosts: Iterable[str]) -> tuple[str, ...]:
+    """Return a bounded number of hosts, the same for the same membership."""
+    return tuple(sorted(hosts, key=_weight)[:ELECTOR_COUNT])
+
+
+class WithdrawalAnnouncer:
+    """Tells electors of a withdrawn key before its withdrawal is accepted.
+
+    While the platform is down daemons go on with what they hold as long as
+    a majority of the electors answers. A withdrawal that the platform took
+    right before is known to that majority by then.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        replica: ConfigurationReplica,
+        directory: HostDirectory,
+        links_by_host: Mapping[str, PeerLink],
+    ) -> None:
+        self._host = host
+        self._replica = replica
+        self._directory = directory
+        self._links_by_host = links_by_host
+
+    def elect(self) -> None:
+        """Take over who the electors are from the membership."""
+        self._replica.elect(self._electors())
+
+    async def announce(self, pending: PendingWithdrawal) -> None:
+        """Return once a majority of the electors holds the keys back.
+
+        Raises:
+            AnnouncementError: If it does not in time.
+        """
+        await announce_to_electors(
+            pending,
+            self._electors(),
+            self._send,
+            _ANNOUNCE_TIMEOUT_S,
+        )
+
+    def _electors(self) -> tuple[str, ...]:
+        hosts = [member.host for member in self._directory.members()]
+        return choose_electors(hosts)
+
+    async def _send(self, host: str, pending: PendingWithdrawal) -> bool:
+        if host == self._host:
+            return self._replica.announce(pending)
+        link = self._links_by_host.get(host)
+        if link is None:
+            return False
+        try:
+            answer = await link.ask(Announcement(pending))
+        except PeerError:
+            return False
+        return isinstance(answer, Acknowledgement) and answer.counts
+
+
+def _weight(host: str) -> bytes:
+    return hashlib.sha256(f'elector\0{host}'.encode()).digest()
--- a/packages/geraniumd/src/geraniumd/endpoints.py
+++ b/packages/geraniumd/src/geraniumd/endpoints.py
@@ -18,6 +18,13 @@
     retry_after_s=_RETRY_AFTER_S,
 )
 
+_WITHHELD = NotRun(
+    HTTPStatus.SERVICE_UNAVAILABLE,
+    'Key may be withdrawn',
+    'A withdrawal of the key is under way.',
+    retry_after_s=_RETRY_AFTER_S,
+)
+
 AccessResult: TypeAlias = Grant | NotRun
 
 
@@ -38,9 +45,10 @@
         Called again right before a request is sent to a target, since a
         key may have been withdrawn while it waited.
         """
+        credentials = read_credentials(request.headers)
         decision = decide_access(
             self._follower.configuration,
-            read_credentials(request.headers),
+            credentials,
             service,
             request.method,
             path,
@@ -49,4 +57,6 @@
             return decision
         if not self._follower.is_fresh():
             return _STALE
+        if self._follower.replica.is_withheld(credentials.sha256 or ''):
+            return _WITHHELD
         return decision
--- a/packages/geraniumd/src/geraniumd/follower.py
+++ b/packages/geraniumd/src/geraniumd/follower.py
@@ -41,9 +41,9 @@
         clock: Clock,
     ) -> None:
         self._settings = settings
-        self.repository = repository
+        self._repository = repository
         self._directory = directory
-        self.telemetry = telemetry
+        self._telemetry = telemetry
         self._clock = clock
         self._log = get_logger()
         self._store_version = ABSENT_VERSION
@@ -64,7 +64,7 @@
         while True:
             asked_at = self._clock.now()
             try:
-                loaded = await self.repository.load()
+                loaded = await self._repository.load()
             except ConfigurationError as error:
                 self._note_error(error)
                 await asyncio.sleep(self._settings.platform.retry_interval_s)
@@ -87,7 +87,7 @@
 
     async def _watch_once(self) -> None:
         asked_at = self._clock.now()
-        loaded, store_version = await self.repository.watch(
+        loaded, store_version = await self._repository.watch(
             self.replica.loaded,
             self._store_version,
             _WATCH_WAIT_S,
@@ -112,5 +112,5 @@
         return True
 
     def _note_error(self, error: ConfigurationError) -> None:
-        self.telemetry.platform_errors.add(1, {'kind': 'configuration'})
+        self._telemetry.platform_errors.add(1, {'kind': 'configuration'})
         self._log.warning('configuration_not_read', error=str(error))
--- a/packages/geraniumd/src/geraniumd/lists.py
+++ b/packages/geraniumd/src/geraniumd/lists.py
@@ -5,13 +5,8 @@
 
 from geranium_coordination import StoreError
 
-from .directory import HostDirectory
-from .fleet import Fleet
+from .context import Context
 from .logs import get_logger
-from .platform import PlatformClient
-from .presence import PresenceRegistry
-from .settings import Settings
-from .telemetry import Telemetry
 
 
 class ListPoller:
@@ -20,21 +15,14 @@
     A list that can't be had leaves the last one in force.
     """
 
-    def __init__(
-        self,
-        settings: Settings,
-        platform: PlatformClient,
-        presences: PresenceRegistry,
-        directory: HostDirectory,
-        fleet: Fleet,
-        telemetry: Telemetry,
-    ) -> None:
-        self._settings = settings
-        self._platform = platform
-        self._presences = presences
-        self._directory = directory
-        self._fleet = fleet
-        self._telemetry = telemetry
+    def __init__(self, context: Context) -> None:
+        self._settings = context.settings
+        self._platform = context.platform
+        self._presences = context.presences
+        self._directory = context.directory
+        self._announcer = context.announcer
+        self._fleet = context.fleet
+        self._telemetry = context.telemetry
         self._log = get_logger()
 
     async def poll_lists(self) -> None:
@@ -63,6 +51,7 @@
             StoreError: If the platform was not reached.
         """
         self._directory.apply_presences(await self._presences.list())
+        self._announcer.elect()
 
     async def _poll(
         self,
--- a/packages/geraniumd/src/geraniumd/peering.py
+++ b/packages/geraniumd/src/geraniumd/peering.py
@@ -6,7 +6,6 @@
 
 from geranium_coordination import (
     CoordinationError,
-    PendingWithdrawal,
     decode_delta,
 )
 
@@ -17,7 +16,6 @@
 from .logs import get_logger
 from .messages import (
     Acknowledgement,
-    Announcement,
     ConfigurationUpdate,
     ConfigurationWanted,
     Ping,
@@ -42,6 +40,7 @@
         news: NewsSource,
     ) -> None:
         self._identity = identity
+        self.links_by_host = context.links_by_host
         self._news = news
         self._settings = context.settings.peers
         self._directory = context.directory
@@ -52,7 +51,6 @@
         self._log = get_logger()
         self._tasks_by_host: dict[str, asyncio.Task[None]] = {}
         self._has_news = asyncio.Event()
-        self.links_by_host: dict[str, PeerLink] = {}
 
     async def run(self) -> None:
         """Keep the links up until cancelled."""
@@ -82,10 +80,6 @@
             if isinstance(answer, Acknowledgement) and answer.counts
         )
 
-    async def announce(self, pending: PendingWithdrawal) -> tuple[str, ...]:
-        """Tell peers of a pending withdrawal; return who counts it."""
-        return await self.ask_all(Announcement(pending))
-
     def _reconcile(self, group: asyncio.TaskGroup) -> None:
         wanted = {
             peer.host: peer
