--- a/packages/geranium-standins/src/geranium_standins/deployment.py
+++ b/packages/geranium-standins/src/geranium_standins/deployment.py
@@ -95,6 +95,7 @@
         """Start a daemon, again if there was one on this host."""
         process = ManagedProcess(host, self.folder)
         self.daemons_by_host[host] = process
+        await self.operator.list_host(self.platform.url, host, zone)
         place = DaemonPlace(host, zone, self.platform.addresses['address'])
         await launch_daemon(process, self.settings, place, overrides)
         return process
--- a/packages/geranium-standins/src/geranium_standins/deployment_operator.py
+++ b/packages/geranium-standins/src/geranium_standins/deployment_operator.py
@@ -50,3 +50,13 @@
             raise_for_status=True,
         ):
             return
+
+    async def list_host(self, platform_url: str, host: str, zone: str) -> None:
+        """Enter an entry host into the platform's host list."""
+        row = {'host': host, 'zone': zone, 'kind': 'entry', 'state': 'live'}
+        async with self._http.put(
+            f'{platform_url}/hosts/{host}',
+            json=row,
+            raise_for_status=True,
+        ):
+            return
--- a/packages/geraniumd/src/geraniumd/admission.py
+++ b/packages/geraniumd/src/geraniumd/admission.py
@@ -7,7 +7,6 @@
 from http import HTTPStatus
 from typing import TypeAlias
 
-from geranium_coordination import Clock
 from geranium_model import ModelService, NotRun, Usage
 from geranium_policy import (
     AdmissionSettings,
@@ -19,12 +18,8 @@
 from geranium_policy import Fleet as ServingFleet
 from geranium_policy.limits import AdaptiveLimit
 
-from .directory import HostDirectory
-from .fleet import Fleet
-from .follower import ConfigurationFollower
-from .gossip import Gossip
+from .context import Context
 from .messages import ServiceConsumption
-from .settings import Settings
 
 _REBALANCE_INTERVAL_S = 0.25
 _MS_PER_S = 1000
@@ -56,24 +51,17 @@
 class CompletionAdmission:
     """The queues of all model services on this daemon."""
 
-    def __init__(
-        self,
-        settings: Settings,
-        fleet: Fleet,
-        directory: HostDirectory,
-        follower: ConfigurationFollower,
-        gossip: Gossip,
-        clock: Clock,
-    ) -> None:
-        self._settings = settings
-        self._fleet = fleet
-        self._directory = directory
-        self._follower = follower
-        self._gossip = gossip
-        self._clock = clock
+    def __init__(self, context: Context) -> None:
+        self._settings = context.settings
+        self._fleet = context.fleet
+        self._directory = context.directory
+        self._follower = context.follower
+        self._gossip = context.gossip
+        self._demand = context.demand
+        self._clock = context.clock
         self._turns_by_execution: dict[str, asyncio.Future[Turn]] = {}
         self.queues_by_service: dict[str, ServiceQueue] = {}
-        gossip.subscribe(self._take_consumption)
+        context.gossip.subscribe(self._take_consumption)
 
     async def wait_turn(
         self,
@@ -83,6 +71,7 @@
     ) -> Turn:
         """Return once the request may be sent, or why it won't be."""
         now = self._clock.now()
+        self._demand.record(service, profile)
         queue = self._queue(service)
         entry = QueueEntry(
             profile,
--- a/packages/geraniumd/src/geraniumd/context.py
+++ b/packages/geraniumd/src/geraniumd/context.py
@@ -18,11 +18,13 @@
 from geranium_policy import SuspectRegister
 from geranium_policy.suspects import SuspectSettings
 
+from .demand import DemandBoard
 from .directory import HostDirectory, holder_name
 from .electors import WithdrawalAnnouncer
 from .fleet import Fleet
 from .follower import ConfigurationFollower
 from .gossip import Gossip
+from .intents import EngineIntents
 from .peer_links import PeerLink
 from .platform import PlatformClient
 from .presence import PresenceRegistry
@@ -55,6 +57,8 @@
     directory: HostDirectory
     acknowledgements: Acknowledgements
     fleet: Fleet
+    demand: DemandBoard
+    intents: EngineIntents
     links_by_host: dict[str, PeerLink]
     announcer: WithdrawalAnnouncer
     claims: ClaimJournal
@@ -101,6 +105,8 @@
         acknowledgements=Acknowledgements(),
         claims=_build_claims(settings, incarnation, platform, directory),
         fleet=traffic.fleet,
+        demand=traffic.demand,
+        intents=EngineIntents(platform),
         suspects=traffic.suspects,
         gossip=traffic.gossip,
         requests=RequestLog(clock),
@@ -118,6 +124,7 @@
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Traffic:
     fleet: Fleet
+    demand: DemandBoard
     suspects: SuspectRegister
     gossip: Gossip
 
@@ -146,7 +153,9 @@
 def _build_traffic(clock: Clock) -> _Traffic:
     fleet = Fleet()
     suspects = SuspectRegister(SuspectSettings())
-    return _Traffic(fleet, suspects, Gossip(fleet, suspects, clock))
+    demand = DemandBoard(clock)
+    gossip = Gossip(fleet, demand, suspects, clock)
+    return _Traffic(fleet, demand, suspects, gossip)
 
 
 def _build_claims(
--- a/packages/geraniumd/src/geraniumd/daemon.py
+++ b/packages/geraniumd/src/geraniumd/daemon.py
@@ -9,8 +9,10 @@
 
 from geranium_coordination import LoadedConfiguration, StoreError
 
+from .admission import CompletionAdmission
 from .context import build_context
 from .directory import Presence
+from .duties import DutyManager
 from .engines import EngineClient
 from .handshake import Identity
 from .listeners import HttpListener, split_address
@@ -21,7 +23,6 @@
 from .probes import LoadProber
 from .settings import Secrets, Settings
 from .wiring import (
-    build_admission,
     build_clients,
     build_gateway,
     build_operator_api,
@@ -40,18 +41,20 @@
         self._is_ready = False
         self._presence: Presence | None = None
         self._clients = build_clients(self._context)
-        self._admission = build_admission(self._context)
+        self._admission = CompletionAdmission(self._context)
         self._gateway = build_gateway(
             self._context,
             self._clients,
             self._admission,
         )
         self._build_peers()
+        self._control = DutyManager(self._context, self._clients.streams)
         self._operator_api = build_operator_api(
             self._context,
             self._clients,
-            self._peering,
+            self._control,
             lambda: self._is_ready,
+            self.stop,
         )
         self._callers = HttpListener(
             self._gateway.application(),
@@ -149,6 +152,7 @@
         yield 'probes', prober.run()
         yield 'claims', context.claims.run()
         yield 'admission', self._admission.run()
+        yield 'duties', self._control.run()
         yield 'peering', self._peering.run()
 
     async def _join(self, presence: Presence) -> None:
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/demand.py
@@ -0,0 +1,77 @@
+"""The work that services are about to have, over all daemons."""
+
+import dataclasses
+
+from geranium_coordination import Clock
+from geranium_model import ModelService
+from geranium_policy import (
+    DemandForecast,
+    EngineSpeed,
+    ForecastSettings,
+    RequestProfile,
+    RoleDemand,
+)
+
+_PEER_TIMEOUT_S = 3
+_MS_PER_S = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _PeerDemand:
+    demand_by_service: dict[str, RoleDemand]
+    deadline: float
+
+
+class DemandBoard:
+    """This daemon's forecasts and its peers' last ones."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._forecasts_by_service: dict[str, DemandForecast] = {}
+        self._peers_by_host: dict[str, _PeerDemand] = {}
+
+    def record(
+        self,
+        service: ModelService,
+        profile: RequestProfile,
+    ) -> None:
+        """Count a request that was let in here."""
+        now = self._clock.now()
+        forecast = self._forecasts_by_service.get(service.name)
+        if forecast is None:
+            forecast = DemandForecast(
+                ForecastSettings(),
+                EngineSpeed(),
+                service.between_tokens_ms / _MS_PER_S,
+                now,
+            )
+            self._forecasts_by_service[service.name] = forecast
+        forecast.record(profile.prompt_tokens, profile.expected_tokens, now)
+
+    def take(self, host: str, demand_by_service: dict[str, RoleDemand]) -> None:
+        """Take in what a peer forecasts."""
+        deadline = self._clock.now() + _PEER_TIMEOUT_S
+        self._peers_by_host[host] = _PeerDemand(demand_by_service, deadline)
+
+    def own(self) -> dict[str, RoleDemand]:
+        """Return this daemon's forecasts by service."""
+        now = self._clock.now()
+        return {
+            service: forecast.demand(now)
+            for service, forecast in self._forecasts_by_service.items()
+        }
+
+    def total(self, service: str) -> RoleDemand:
+        """Return the service's forecast over all daemons heard lately."""
+        now = self._clock.now()
+        parts = [self.own().get(service, _NONE)]
+        for peer in self._peers_by_host.values():
+            if peer.deadline > now:
+                parts.append(peer.demand_by_service.get(service, _NONE))
+        return RoleDemand(
+            prefill=sum(part.prefill for part in parts),
+            decode=sum(part.decode for part in parts),
+        )
+
+
+_NONE = RoleDemand(0, 0)
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/director.py
@@ -0,0 +1,227 @@
+"""The duty of directing a service's engines: their orders and roles."""
+
+import asyncio
+import uuid
+from collections.abc import Iterable, Mapping
+from functools import partial
+
+from geranium_coordination import (
+    JournalContext,
+    Lease,
+    OrderJournals,
+    StoreError,
+)
+from geranium_coordination.orders import JournalRecord, parse_record
+from geranium_model import Role
+from geranium_policy import EngineRole, RolePlanner, RoleSettings
+
+from .demand import DemandBoard
+from .engine_orders import (
+    ENGINE_JOURNALS,
+    WANTED_ROLE,
+    EngineOrder,
+    EngineOrderSender,
+    engine_subject,
+)
+from .engines import command_body
+from .fleet import EngineLink, Fleet
+from .intents import EngineIntents, StoredIntent
+from .logs import get_logger
+from .stages import KIND, RESUME, is_carried_out, next_order
+
+TICK_S = 1
+
+
+class EngineDirector:
+    """Carries operators' orders out and moves roles with the demand."""
+
+    def __init__(
+        self,
+        service: str,
+        journals: JournalContext,
+        intents: EngineIntents,
+        sender: EngineOrderSender,
+        fleet: Fleet,
+        demand: DemandBoard,
+    ) -> None:
+        self._service = service
+        self._journals = journals
+        self._intents = intents
+        self._sender = sender
+        self._fleet = fleet
+        self._demand = demand
+        self._clock = journals.clock
+        self._planner = RolePlanner(RoleSettings())
+        self._log = get_logger()
+        self._carrying_by_engine: dict[str, asyncio.Task[None]] = {}
+
+    async def run(self, lease: Lease) -> None:
+        """Direct the engines under a lease until cancelled."""
+        journals = OrderJournals(self._journals, lease)
+        try:
+            while True:
+                await self._tick(journals, lease)
+                await asyncio.sleep(TICK_S)
+        finally:
+            await self._stop_carrying()
+            await journals.release()
+
+    async def _tick(self, journals: OrderJournals, lease: Lease) -> None:
+        try:
+            intents = await self._intents.list(self._service)
+            records_by_engine = await self._read_journals()
+        except StoreError as error:
+            self._log.warning('orders_not_read', error=str(error))
+            return
+        for order in self._due_orders(intents, records_by_engine):
+            engine = order.engine.name
+            if engine not in self._carrying_by_engine:
+                carrying = asyncio.create_task(
+                    self._carry(journals, lease, order),
+                    name=f'order {engine}',
+                )
+                self._carrying_by_engine[engine] = carrying
+                carrying.add_done_callback(
+                    partial(self._end_carrying, engine),
+                )
+        await self._remove_done(intents, records_by_engine)
+
+    def _due_orders(
+        self,
+        intents: Iterable[StoredIntent],
+        records_by_engine: Mapping[str, JournalRecord],
+    ) -> Iterable[EngineOrder]:
+        """Return at most one order for each engine, by precedence.
+
+        An unfinished order goes first, then what an operator wants, then
+        what the planner wants.
+        """
+        links_by_name = {
+            link.name: link for link in self._fleet.engines(self._service)
+        }
+        orders_by_engine = {
+            order.engine.name: order
+            for order in self._planned_orders(links_by_name, records_by_engine)
+        }
+        for stored in intents:
+            link = links_by_name.get(stored.intent.engine)
+            if link is None:
+                continue
+            record = records_by_engine.get(link.name)
+            orders_by_engine.pop(link.name, None)
+            due = next_order(stored.intent, link, record)
+            if due is not None:
+                orders_by_engine[link.name] = due
+        for engine, record in records_by_engine.items():
+            unfinished = record.unfinished
+            if unfinished and engine in links_by_name:
+                orders_by_engine[engine] = EngineOrder(
+                    links_by_name[engine].target,
+                    unfinished.order_id,
+                    unfinished.command,
+                )
+        return orders_by_engine.values()
+
+    def _planned_orders(
+        self,
+        links_by_name: Mapping[str, EngineLink],
+        records_by_engine: Mapping[str, JournalRecord],
+    ) -> Iterable[EngineOrder]:
+        views = [
+            _engine_role(link, records_by_engine.get(link.name))
+            for link in links_by_name.values()
+            if link.view.load is not None
+        ]
+        now = self._clock.now()
+        demand = self._demand.total(self._service)
+        for step in self._planner.plan(views, demand, now):
+            self._log.info(
+                'role_step',
+                engine=step.engine,
+                command=str(step.command),
+                wanted=step.wanted.value,
+                reason=step.reason,
+            )
+            yield EngineOrder(
+                links_by_name[step.engine].target,
+                _new_order_id(),
+                {
+                    **command_body(step.command),
+                    WANTED_ROLE: step.wanted.value,
+                },
+            )
+
+    async def _carry(
+        self,
+        journals: OrderJournals,
+        lease: Lease,
+        order: EngineOrder,
+    ) -> None:
+        journal = journals.open(engine_subject(order.engine))
+        try:
+            await self._sender.carry(journal, lease, order)
+        except StoreError as error:
+            self._log.warning(
+                'order_not_carried',
+                engine=order.engine.name,
+                error=str(error),
+            )
+
+    def _end_carrying(self, engine: str, task: asyncio.Task[None]) -> None:
+        self._carrying_by_engine.pop(engine, None)
+        if not task.cancelled() and task.exception() is not None:
+            self._log.error('order_failed', error=repr(task.exception()))
+
+    async def _remove_done(
+        self,
+        intents: Iterable[StoredIntent],
+        records_by_engine: Mapping[str, JournalRecord],
+    ) -> None:
+        for stored in intents:
+            record = records_by_engine.get(stored.intent.engine)
+            if not is_carried_out(stored.intent, record):
+                continue
+            try:
+                await self._intents.remove(stored)
+            except StoreError as error:
+                self._log.warning('intent_not_removed', error=str(error))
+
+    async def _read_journals(self) -> Mapping[str, JournalRecord]:
+        root = self._journals.settings.prefix
+        prefix = f'{root}{ENGINE_JOURNALS}/{self._service}/'
+        listing = await self._journals.store.read_prefix(prefix)
+        return {
+            found.key.removeprefix(prefix): parse_record(found)
+            for found in listing
+        }
+
+    async def _stop_carrying(self) -> None:
+        tasks = tuple(self._carrying_by_engine.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def _new_order_id() -> str:
+    return f'role-{uuid.uuid4()}'
+
+
+def _engine_role(link: EngineLink, record: JournalRecord | None) -> EngineRole:
+    return EngineRole(
+        engine=link.name,
+        role=link.view.role,
+        wanted=_wanted_role(record),
+        draining=not link.view.accepting,
+        sequences=link.view.sequences(),
+    )
+
+
+def _wanted_role(record: JournalRecord | None) -> Role | None:
+    """Return the role that a change under way is meant for."""
+    if record is None or record.order is None:
+        return None
+    command = record.order.command
+    if command[KIND] == RESUME and record.unfinished is None:
+        return None
+    wanted = command.get(WANTED_ROLE)
+    return None if wanted is None else Role(wanted)
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/duties.py
@@ -0,0 +1,126 @@
+"""The control duties of this daemon, which it takes under leases."""
+
+import asyncio
+
+from geranium_coordination import (
+    Duty,
+    DutyContext,
+    DutyRunner,
+    DutySettings,
+    JournalContext,
+    JournalSettings,
+    StoreError,
+    release_predecessors,
+)
+from geranium_model import Configuration, ModelService
+
+from .context import Context
+from .control_transport import ControlTransport
+from .director import EngineDirector
+from .engine_orders import EngineOrderSender
+from .logs import get_logger
+from .platform import PlatformClient
+from .transport import TargetTransport
+
+_DIRECTOR = 'director'
+
+
+class PlatformHosts:
+    """The platform's host list as the order journal asks for it."""
+
+    def __init__(self, platform: PlatformClient) -> None:
+        self._platform = platform
+
+    async def listed_hosts(self) -> frozenset[str]:
+        """Return the hosts that are live or leaving.
+
+        Raises:
+            StoreError: If the list can't be read.
+        """
+        return frozenset(host.name for host in await self._platform.hosts())
+
+
+class DutyManager:
+    """Campaigns for the duties of the services that are configured."""
+
+    def __init__(self, context: Context, targets: TargetTransport) -> None:
+        self._context = context
+        self._log = get_logger()
+        self._journals = JournalContext(
+            context.platform,
+            context.clock,
+            JournalSettings(),
+            PlatformHosts(context.platform),
+            context.rng,
+        )
+        self._intents = context.intents
+        self._sender = EngineOrderSender(
+            ControlTransport(),
+            targets,
+            context.clock,
+        )
+        self._duty_names: set[str] = set()
+        self.runner = DutyRunner(
+            DutyContext(
+                context.platform,
+                context.clock,
+                DutySettings(),
+                context.settings.host,
+                self._hosts,
+                context.rng,
+            ),
+        )
+
+    async def run(self) -> None:
+        """Campaign until cancelled; then step down from every duty."""
+        await self._release_predecessors()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._reconcile_always())
+            group.create_task(self.runner.run())
+
+    async def _release_predecessors(self) -> None:
+        while True:
+            try:
+                await release_predecessors(
+                    self._journals,
+                    self._context.settings.host,
+                )
+            except StoreError as error:
+                self._log.warning('predecessors_not_released', error=str(error))
+                await asyncio.sleep(
+                    self._context.settings.platform.retry_interval_s,
+                )
+            else:
+                return
+
+    async def _reconcile_always(self) -> None:
+        while True:
+            await self._reconcile(self._context.follower.configuration)
+            await asyncio.sleep(1)
+
+    async def _reconcile(self, configuration: Configuration) -> None:
+        wanted = {
+            f'{_DIRECTOR}-{service.name}': service
+            for service in configuration.services_by_name.values()
+            if isinstance(service, ModelService)
+        }
+        for gone in self._duty_names - wanted.keys():
+            await self.runner.remove(gone)
+        for name in wanted.keys() - self._duty_names:
+            director = self._director(wanted[name])
+            self.runner.add(Duty(name, director.run))
+        self._duty_names = set(wanted)
+
+    def _director(self, service: ModelService) -> EngineDirector:
+        return EngineDirector(
+            service.name,
+            self._journals,
+            self._intents,
+            self._sender,
+            self._context.fleet,
+            self._context.demand,
+        )
+
+    def _hosts(self) -> frozenset[str]:
+        members = self._context.directory.members()
+        return frozenset(member.host for member in members)
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/engine_orders.py
@@ -0,0 +1,199 @@
+"""Carries orders to engines through their journals."""
+
+import asyncio
+import dataclasses
+from collections.abc import Mapping
+from http import HTTPStatus
+from typing import Any
+
+from geranium_coordination import (
+    Authority,
+    Clock,
+    Ended,
+    Held,
+    Order,
+    OrderJournal,
+    OrderState,
+    Planned,
+    PlanOutcome,
+    Started,
+    Subject,
+    Unfinished,
+)
+from geranium_coordination.orders import LateCopies
+from geranium_model import Engine
+
+from .control_transport import ControlAnswer, ControlTransport, NoAnswer
+from .exceptions import TargetError
+from .logs import get_logger
+from .transport import TargetTransport, raise_for_status, read_body
+
+ORDER_TIMEOUT_S = 1.5
+ENGINE_JOURNALS = 'engines'
+_DONE = '"done"'
+_POLL_INTERVAL_S = 0.1
+_POLL_LIMIT_S = 30
+
+# A key of the journalled command that is not sent to the engine.
+WANTED_ROLE = 'wanted_role'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineOrder:
+    """An order for an engine; ``command`` has the wire's shape."""
+
+    engine: Engine
+    order_id: str
+    command: Mapping[str, Any]
+
+
+def engine_subject(engine: Engine) -> Subject:
+    """Return the journal's subject of an engine."""
+    late_copies = LateCopies.APPLIED
+    if engine.honours_fencing:
+        late_copies = LateCopies.REFUSED
+    return Subject(
+        f'{ENGINE_JOURNALS}/{engine.service}/{engine.name}',
+        late_copies,
+    )
+
+
+class EngineOrderSender:
+    """Plans an order, sends it and waits until the engine has done it."""
+
+    def __init__(
+        self,
+        transport: ControlTransport,
+        targets: TargetTransport,
+        clock: Clock,
+    ) -> None:
+        self._transport = transport
+        self._targets = targets
+        self._clock = clock
+        self._log = get_logger()
+
+    async def carry(
+        self,
+        journal: OrderJournal,
+        authority: Authority,
+        wanted: EngineOrder,
+    ) -> PlanOutcome:
+        """Carry the engine's unfinished order, or else this one, further.
+
+        Returns how planning it turned out: ``Ended`` once it is done.
+
+        Raises:
+            StoreError: If the platform was not reached.
+        """
+        outcome = await journal.plan(wanted.order_id, dict(wanted.command))
+        match outcome:
+            case Planned(order=order) | Unfinished(order=order):
+                await self._send(journal, authority, wanted.engine, order)
+            case Ended():
+                return outcome
+            case _:
+                self._log.info(
+                    'order_waits',
+                    engine=wanted.engine.name,
+                    order_id=wanted.order_id,
+                    reason=str(outcome),
+                )
+        return outcome
+
+    async def _send(
+        self,
+        journal: OrderJournal,
+        authority: Authority,
+        engine: Engine,
+        order: Order,
+    ) -> None:
+        deadline = self._clock.now() + ORDER_TIMEOUT_S
+        started = await journal.send(
+            order,
+            lambda claimed: asyncio.create_task(
+                self._transmit(authority, engine, claimed, deadline),
+            ),
+            deadline,
+        )
+        if not isinstance(started, Started):
+            return
+        state = await started.transmission.transport
+        if state is None:
+            return
+        await journal.finish(started, state)
+        self._log.info(
+            'order_ended',
+            engine=engine.name,
+            order_id=order.order_id,
+            number=started.order.number,
+            epoch=started.order.epoch,
+            state=state.value,
+        )
+
+    async def _transmit(
+        self,
+        authority: Authority,
+        engine: Engine,
+        order: Order,
+        deadline: float,
+    ) -> OrderState | None:
+        """Send a copy; return the order's end if the answer tells it."""
+        command = dict(order.command)
+        command.pop(WANTED_ROLE, None)
+        body = {
+            'order_id': order.order_id,
+            'epoch': order.number,
+            'order': command,
+        }
+        self._log.info(
+            'order_sent',
+            engine=engine.name,
+            order_id=order.order_id,
+            number=order.number,
+            epoch=order.epoch,
+            command=command,
+        )
+        answer = await self._transport.send(
+            f'http://{engine.address}/orders',
+            body,
+            lambda: isinstance(authority.check(deadline), Held),
+            deadline - self._clock.now(),
+        )
+        match answer:
+            case NoAnswer():
+                return None
+            case ControlAnswer(status=HTTPStatus.ACCEPTED):
+                return await self._wait_done(engine, order)
+            case ControlAnswer(status=HTTPStatus.CONFLICT):
+                return None
+            case ControlAnswer(status=status):
+                is_final = status < HTTPStatus.INTERNAL_SERVER_ERROR
+                return OrderState.FAILED if is_final else None
+
+    async def _wait_done(
+        self,
+        engine: Engine,
+        order: Order,
+    ) -> OrderState | None:
+        deadline = self._clock.now() + _POLL_LIMIT_S
+        while self._clock.now() < deadline:
+            try:
+                text = await self._read_order(engine, order)
+            except TargetError:
+                return None
+            if _DONE in text:
+                return OrderState.DONE
+            await asyncio.sleep(_POLL_INTERVAL_S)
+        return None
+
+    async def _read_order(self, engine: Engine, order: Order) -> str:
+        response = await self._targets.send(
+            'GET',
+            f'http://{engine.address}/orders/{order.order_id}',
+            total_timeout_s=ORDER_TIMEOUT_S,
+        )
+        try:
+            await raise_for_status(response)
+            return (await read_body(response)).decode()
+        finally:
+            response.release()
--- a/packages/geraniumd/src/geraniumd/execution.py
+++ b/packages/geraniumd/src/geraniumd/execution.py
@@ -1,6 +1,7 @@
 """Executes operators' statements."""
 
 import dataclasses
+from collections.abc import Callable
 from functools import partial
 
 from geranium_coordination import (
@@ -20,9 +21,11 @@
 )
 from geranium_statements import (
     Change,
+    Collection,
     ExplainRequest,
     HostAnswer,
     Show,
+    StopHost,
     Table,
     Watch,
     apply_command,
@@ -35,6 +38,7 @@
 from geranium_statements.commands import Command, CreateKey
 
 from .context import Context
+from .engine_order_desk import EngineOrderDesk
 from .exceptions import (
     OperatorConflictError,
     OperatorRefusedError,
@@ -42,22 +46,13 @@
 )
 from .fanout import Fanout, HostQuestion
 from .logs import get_logger
+from .operator_requests import OperatorRequest
+from .stored_tables import STORED_COLLECTIONS, StoredTables
 from .tables import COLLECTIONS_BY_HOST, LocalTables
 
 _ROLLOUT_WAIT_S = 5
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class OperatorRequest:
-    """A statement as an operator sent it."""
-
-    text: str
-    operation_id: str
-    author: str
-    token: str
-    is_local: bool = False
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigurationChange:
     """A change of the configuration as an operator ordered it."""
@@ -77,6 +72,7 @@
         context: Context,
         tables: LocalTables,
         fanout: Fanout,
+        stop: Callable[[], None],
     ) -> None:
         self._host = context.settings.host
         self._repository = context.repository
@@ -85,6 +81,9 @@
         self._directory = context.directory
         self._tables = tables
         self._fanout = fanout
+        self._stop = stop
+        self._engine_orders = EngineOrderDesk(context)
+        self._stored_tables = StoredTables(context.platform)
         self._log = get_logger()
 
     async def execute(self, request: OperatorRequest) -> Table:
@@ -105,10 +104,10 @@
                 return await self._with_other_hosts(local, request)
             case Change():
                 return await self._change(statement, request)
+            case StopHost():
+                return await self._stop_host(statement, request)
             case _:
-                raise OperatorRefusedError(
-                    f'{describe(statement)}: not supported by this version',
-                )
+                return await self._engine_orders.order(statement, request)
 
     async def replace_configuration(
         self,
@@ -220,13 +219,33 @@
         return table
 
     async def _show(self, show: Show, request: OperatorRequest) -> Table:
-        table = self._tables.build(show.collection)
+        table = await self._build(show.collection)
         if show.collection in COLLECTIONS_BY_HOST:
             table = await self._with_other_hosts(table, request)
         if request.is_local:
             return table
         return run_query(show, table)
 
+    async def _stop_host(
+        self,
+        statement: StopHost,
+        request: OperatorRequest,
+    ) -> Table:
+        if statement.host == self._host:
+            self._log.info('stop_ordered', author=request.author)
+            self._stop()
+            return build_table(('host', 'state'), ((self._host, 'leaving'),))
+        if request.is_local:
+            return build_table(('host', 'state'))
+        question = HostQuestion(request.text, request.token)
+        answer = await self._fanout.ask_one(statement.host, question)
+        return merge((answer,))
+
+    async def _build(self, collection: Collection) -> Table:
+        if collection in STORED_COLLECTIONS:
+            return await self._stored_tables.build(collection)
+        return self._tables.build(collection)
+
     async def _with_other_hosts(
         self,
         table: Table,
--- a/packages/geraniumd/src/geraniumd/fanout.py
+++ b/packages/geraniumd/src/geraniumd/fanout.py
@@ -41,19 +41,33 @@
         question: HostQuestion,
     ) -> tuple[HostAnswer | NoAnswer, ...]:
         """Return each host's part, or that it did not answer in time."""
+        session = self._open_session()
+        answers = await asyncio.gather(
+            *(
+                _ask_host(session, peer, question)
+                for peer in self._directory.peers()
+            ),
+        )
+        return tuple(answers)
+
+    async def ask_one(
+        self,
+        host: str,
+        question: HostQuestion,
+    ) -> HostAnswer | NoAnswer:
+        """Return one host's answer, or that there is none."""
+        for peer in self._directory.peers():
+            if peer.host == host:
+                session = self._open_session()
+                return await _ask_host(session, peer, question)
+        return NoAnswer(host, 'it is not known')
+
+    def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             self._session = aiohttp.ClientSession(
                 timeout=aiohttp.ClientTimeout(total=_TIMEOUT_S),
             )
-        session = self._session
-        return tuple(
-            await asyncio.gather(
-                *(
-                    _ask_host(session, peer, question)
-                    for peer in self._directory.peers()
-                ),
-            ),
-        )
+        return self._session
 
 
 async def _ask_host(
--- a/packages/geraniumd/src/geraniumd/gossip.py
+++ b/packages/geraniumd/src/geraniumd/gossip.py
@@ -9,8 +9,9 @@
     SuspectRegister,
 )
 
+from .demand import DemandBoard
 from .fleet import Fleet
-from .messages import EngineDispatch, Ping, ServiceConsumption
+from .messages import EngineDispatch, Ping, ServiceConsumption, ServiceDemand
 
 _PEER_TIMEOUT_S = 3
 
@@ -21,10 +22,12 @@
     def __init__(
         self,
         fleet: Fleet,
+        demand: DemandBoard,
         suspects: SuspectRegister,
         clock: Clock,
     ) -> None:
         self._fleet = fleet
+        self._demand = demand
         self._suspects = suspects
         self._clock = clock
         self._dispatches_by_peer: dict[str, _PeerDispatches] = {}
@@ -55,6 +58,10 @@
                 for service, report in self._consumption_by_service.items()
                 if report.large_by_team
             ),
+            demand=tuple(
+                ServiceDemand(service, demand)
+                for service, demand in self._demand.own().items()
+            ),
             crashes=self._suspects.notices(self._clock.now()),
         )
 
@@ -62,6 +69,10 @@
         """Take in what a peer tells."""
         now = self._clock.now()
         self._suspects.apply(ping.crashes, now)
+        self._demand.take(
+            host,
+            {row.service: row.demand for row in ping.demand},
+        )
         self._dispatches_by_peer[host] = _PeerDispatches(
             ping.dispatches,
             now + _PEER_TIMEOUT_S,
--- a/packages/geraniumd/src/geraniumd/messages.py
+++ b/packages/geraniumd/src/geraniumd/messages.py
@@ -4,7 +4,12 @@
 from typing import TypeAlias
 
 from geranium_coordination import FreshnessReport, PendingWithdrawal
-from geranium_policy import ConsumptionReport, CrashNotice, InFlight
+from geranium_policy import (
+    ConsumptionReport,
+    CrashNotice,
+    InFlight,
+    RoleDemand,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -23,12 +28,21 @@
     report: ConsumptionReport
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceDemand:
+    """The work that the sender forecasts for a service."""
+
+    service: str
+    demand: RoleDemand
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ping:
     """Asks for the receiver's status and brings the sender's news."""
 
     dispatches: tuple[EngineDispatch, ...] = ()
     consumption: tuple[ServiceConsumption, ...] = ()
+    demand: tuple[ServiceDemand, ...] = ()
     crashes: tuple[CrashNotice, ...] = ()
 
 
--- a/packages/geraniumd/src/geraniumd/operator.py
+++ b/packages/geraniumd/src/geraniumd/operator.py
@@ -19,8 +19,9 @@
     OperatorError,
     OperatorUnavailableError,
 )
-from .execution import OperatorRequest, StatementExecutor
+from .execution import StatementExecutor
 from .fanout import HOST_SCOPE, SCOPE_PARAMETER, STATEMENTS_PATH
+from .operator_requests import OperatorRequest
 from .settings import Secrets
 from .telemetry import Telemetry
 
--- a/packages/geraniumd/src/geraniumd/peers.capnp
+++ b/packages/geraniumd/src/geraniumd/peers.capnp
@@ -56,10 +56,18 @@
   cleared @3 :Bool;
 }
 
+# Work in engines that it keeps busy.
+struct ServiceDemand {
+  service @0 :Text;
+  prefill @1 :Float32;
+  decode @2 :Float32;
+}
+
 struct News {
   dispatches @0 :List(EngineDispatch);
   consumption @1 :List(ServiceConsumption);
   crashes @2 :List(CrashNotice);
+  demand @3 :List(ServiceDemand);
 }
 
 struct UsageCounter {
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/stored_tables.py
@@ -0,0 +1,83 @@
+"""Tables of what is kept in the platform: orders and reported windows."""
+
+from geranium_coordination import JournalSettings, ObjectStore, StoreError
+from geranium_coordination.orders import JournalRecord, parse_record
+from geranium_coordination.usage_seals import SEAL_PREFIX, decode_seal
+from geranium_statements import Collection, Row, Table, build_table
+
+from .exceptions import OperatorUnavailableError
+
+STORED_COLLECTIONS = frozenset((Collection.ORDERS, Collection.WINDOWS))
+
+_ORDER_COLUMNS = (
+    'subject',
+    'order',
+    'state',
+    'number',
+    'epoch',
+    'sender',
+    'command',
+)
+_WINDOW_COLUMNS = (
+    'window',
+    'team',
+    'prompt_tokens',
+    'generated_tokens',
+    'requests',
+)
+
+
+class StoredTables:
+    """Reads tables from the platform on request."""
+
+    def __init__(self, store: ObjectStore) -> None:
+        self._store = store
+
+    async def build(self, collection: Collection) -> Table:
+        """Return the collection as the platform has it now.
+
+        Raises:
+            OperatorUnavailableError: If the platform was not reached.
+        """
+        try:
+            if collection is Collection.ORDERS:
+                return await self._orders()
+            return await self._windows()
+        except StoreError as error:
+            raise OperatorUnavailableError(str(error)) from error
+
+    async def _orders(self) -> Table:
+        prefix = JournalSettings().prefix
+        listing = await self._store.read_prefix(prefix)
+        rows = [
+            _order_row(found.key.removeprefix(prefix), parse_record(found))
+            for found in listing
+        ]
+        return build_table(_ORDER_COLUMNS, rows)
+
+    async def _windows(self) -> Table:
+        listing = await self._store.read_prefix(SEAL_PREFIX)
+        rows: list[Row] = []
+        for found in listing:
+            sealed = decode_seal(found.body)
+            rows.extend(
+                (
+                    sealed.window,
+                    team,
+                    usage.prompt_tokens,
+                    usage.generated_tokens,
+                    usage.requests,
+                )
+                for team, usage in sealed.usage_by_team.items()
+            )
+        return build_table(_WINDOW_COLUMNS, rows)
+
+
+def _order_row(subject: str, record: JournalRecord) -> Row:
+    order = record.order
+    if order is None:
+        unknown: Row = (None,) * (len(_ORDER_COLUMNS) - 1)
+        return (subject, *unknown)
+    head: Row = (subject, order.order_id, order.state.value)
+    authority: Row = (order.number, order.epoch, order.sender.session)
+    return (*head, *authority, str(order.command))
--- a/packages/geraniumd/src/geraniumd/tables.py
+++ b/packages/geraniumd/src/geraniumd/tables.py
@@ -8,8 +8,8 @@
 
 from .configuration_tables import CONFIGURATION_BUILDERS
 from .context import Context
+from .duties import DutyManager
 from .fleet import EngineLink, Link
-from .peering import Peering
 from .records import RequestRecord
 
 _Link = TypeVar('_Link', bound=Link)
@@ -31,14 +31,15 @@
 class LocalTables:
     """Builds the table of each collection from this daemon's state."""
 
-    def __init__(self, context: Context, peering: Peering) -> None:
+    def __init__(self, context: Context, duties: DutyManager) -> None:
         self._host = context.settings.host
         self._follower = context.follower
         self._directory = context.directory
         self._fleet = context.fleet
         self._requests = context.requests
         self._clock = context.clock
-        self._peering = peering
+        self._links_by_host = context.links_by_host
+        self._duties = duties
         self._builders_by_collection: Mapping[
             Collection,
             Callable[[], Table],
@@ -47,6 +48,7 @@
             Collection.TARGETS: self._targets,
             Collection.ENGINES: self._engines,
             Collection.REQUESTS: self._request_rows,
+            Collection.LEASES: self._leases,
             Collection.PEERS: self._peers,
             Collection.CONFIGURATION: self._configuration,
         }
@@ -184,7 +186,7 @@
 
     def _peers(self) -> Table:
         rows: list[Row] = []
-        for link in self._peering.links_by_host.values():
+        for link in self._links_by_host.values():
             version = link.status.report.version if link.status else None
             rows.append(
                 (
@@ -208,6 +210,22 @@
         )
         return build_table(columns, rows)
 
+    def _leases(self) -> Table:
+        holdings = self._duties.runner.dump().holdings
+        rows = [
+            (
+                holding.duty,
+                holding.epoch,
+                holding.host,
+                holding.session,
+                self._remaining_ms(holding.held_until),
+            )
+            for holding in holdings
+            if holding.host == self._host
+        ]
+        columns = ('duty', 'epoch', 'host', 'session', 'held_for_ms')
+        return build_table(columns, rows)
+
     def _configuration(self) -> Table:
         row = (
             self._host,
@@ -216,6 +234,10 @@
         )
         return build_table(('host', 'version', 'fresh'), (row,))
 
+    def _remaining_ms(self, deadline: float | None) -> float | None:
+        age_ms = self._age_ms(deadline)
+        return None if age_ms is None else -age_ms
+
     def _age_ms(self, instant: float | None) -> float | None:
         if instant is None:
             return None
--- a/packages/geraniumd/src/geraniumd/wire_news.py
+++ b/packages/geraniumd/src/geraniumd/wire_news.py
@@ -6,10 +6,11 @@
     ConsumptionReport,
     CrashNotice,
     InFlight,
+    RoleDemand,
     TeamConsumption,
 )
 
-from .messages import EngineDispatch, Ping, ServiceConsumption
+from .messages import EngineDispatch, Ping, ServiceConsumption, ServiceDemand
 from .wire_ages import MS_PER_S, age_on_wire
 
 
@@ -18,6 +19,7 @@
     return {
         'dispatches': [_dispatch_fields(row) for row in ping.dispatches],
         'consumption': [_consumption_fields(row) for row in ping.consumption],
+        'demand': [_demand_fields(row) for row in ping.demand],
         'crashes': [_crash_fields(row) for row in ping.crashes],
     }
 
@@ -27,6 +29,7 @@
     return Ping(
         dispatches=tuple(map(_read_dispatch, ping.dispatches)),
         consumption=tuple(map(_read_consumption, ping.consumption)),
+        demand=tuple(map(_read_demand, ping.demand)),
         crashes=tuple(map(_read_crash, ping.crashes)),
     )
 
@@ -84,6 +87,18 @@
     return TeamConsumption(row.served, row.backlog, row.queued)
 
 
+def _demand_fields(demand: ServiceDemand) -> dict[str, Any]:
+    return {
+        'service': demand.service,
+        'prefill': demand.demand.prefill,
+        'decode': demand.demand.decode,
+    }
+
+
+def _read_demand(row: Any) -> ServiceDemand:
+    return ServiceDemand(row.service, RoleDemand(row.prefill, row.decode))
+
+
 def _crash_fields(notice: CrashNotice) -> dict[str, Any]:
     return {
         'fingerprint': notice.fingerprint,
--- a/packages/geraniumd/src/geraniumd/wiring.py
+++ b/packages/geraniumd/src/geraniumd/wiring.py
@@ -1,6 +1,7 @@
 """Puts the callers' and the operators' side of a daemon together."""
 
 import dataclasses
+from collections.abc import Callable
 
 from geranium_policy import (
     RetryBudget,
@@ -19,13 +20,13 @@
 from .completions import CompletionRunner
 from .context import Context
 from .dumps import StateDump
+from .duties import DutyManager
 from .endpoints import AccessControl
 from .execution import StatementExecutor
 from .fanout import Fanout
 from .gateway import Gateway
 from .model_endpoint import ModelEndpoint
 from .operator import OperatorApi, ReadyCheck
-from .peering import Peering
 from .selection import TargetSelector
 from .streams import StreamClient
 from .tables import LocalTables
@@ -60,18 +61,6 @@
     )
 
 
-def build_admission(context: Context) -> CompletionAdmission:
-    """Return the queues of completions."""
-    return CompletionAdmission(
-        context.settings,
-        context.fleet,
-        context.directory,
-        context.follower,
-        context.gossip,
-        context.clock,
-    )
-
-
 def build_gateway(
     context: Context,
     clients: Clients,
@@ -139,13 +128,14 @@
 def build_operator_api(
     context: Context,
     clients: Clients,
-    peering: Peering,
+    duties: DutyManager,
     is_ready: ReadyCheck,
+    stop: Callable[[], None],
 ) -> OperatorApi:
     """Return the operators' side."""
-    tables = LocalTables(context, peering)
+    tables = LocalTables(context, duties)
     dump = StateDump(context, tables)
-    executor = StatementExecutor(context, tables, clients.fanout)
+    executor = StatementExecutor(context, tables, clients.fanout, stop)
     return OperatorApi(
         context.secrets,
         executor,
--- /dev/null
+++ b/packages/geraniumd/tests/test_engine_orders.py
@@ -0,0 +1,64 @@
+"""Operators' orders reach engines through their journals, and cut nothing."""
+
+import asyncio
+
+import pytest
+import pytest_asyncio
+from geranium_standins.deployment import Deployment, DeploymentSettings
+
+pytestmark = pytest.mark.asyncio(loop_scope='module')
+
+
+@pytest_asyncio.fixture(scope='module', loop_scope='module')
+async def deployment():
+    settings = DeploymentSettings(
+        engine_options=('--role-change-ms=300',),
+        unfenced_engines=frozenset(('engine-2',)),
+    )
+    async with Deployment(settings) as running:
+        yield running
+
+
+async def stream_chat(deployment, secret, max_tokens):
+    async with deployment.http.post(
+        deployment.caller_url('host-1', '/v1/chat/completions'),
+        json={
+            'model': 'llm',
+            'stream': True,
+            'max_tokens': max_tokens,
+            'messages': [{'role': 'user', 'content': 'A long card'}],
+        },
+        headers={'Authorization': f'Bearer {secret}'},
+    ) as response:
+        return (await response.read()).decode()
+
+
+@pytest.mark.parametrize('engine', ['engine-1', 'engine-2'])
+async def test_role_change_drains_first_and_cuts_no_stream(deployment, engine):
+    secret = await deployment.operator.create_key(f'key-{engine}')
+    chats = [
+        asyncio.create_task(stream_chat(deployment, secret, 150))
+        for _ in range(6)
+    ]
+    answer = await deployment.operator.execute(f'set role {engine} decode')
+    assert answer['rows'][0][-1] == 'done'
+    for text in await asyncio.gather(*chats):
+        assert text.endswith('data: [DONE]\n\n')
+        assert 'event: error' not in text
+    log = await deployment.engines_by_name[engine].read_log()
+    kinds = [order['order']['kind'] for order in log['orders']]
+    assert kinds == ['drain', 'set-role', 'resume']
+    outcomes = {row['outcome'] for row in log['requests']}
+    assert 'cut' not in outcomes
+
+
+async def test_orders_and_leases_are_shown(deployment):
+    leases = await deployment.operator.execute('show leases')
+    assert [row[0] for row in leases['rows']] == ['director-llm']
+    orders = await deployment.operator.execute('show orders')
+    assert {row[2] for row in orders['rows']} == {'done'}
+
+
+async def test_unknown_engine_is_refused(deployment):
+    with pytest.raises(Exception, match='422'):
+        await deployment.operator.execute('drain engine none')
--- a/packages/geraniumd/tests/test_wire.py
+++ b/packages/geraniumd/tests/test_wire.py
@@ -10,6 +10,7 @@
     ConsumptionReport,
     CrashNotice,
     InFlight,
+    RoleDemand,
     TeamConsumption,
 )
 from geraniumd import messages
@@ -30,6 +31,7 @@
     messages.Ping(
         dispatches=(messages.EngineDispatch('e-1', InFlight(3, 900, 60)),),
         consumption=(messages.ServiceConsumption('llm', REPORT),),
+        demand=(messages.ServiceDemand('llm', RoleDemand(0.5, 2)),),
         crashes=(CrashNotice(2**63, 'e-1/77', 1.5, cleared=True),),
     ),
     messages.ConfigurationWanted(12),
