Give changes more time than queries, and trust a host's "not run"

Changes now wait 20 s, queries 5 s so that a frozen host is passed over sooner. A 503 whose problem says "outcome": "not-run" no longer brings the warning that the change may have taken effect.

--- a/packages/geraniumctl/src/geraniumctl/client.py
+++ b/packages/geraniumctl/src/geraniumctl/client.py
@@ -16,12 +16,14 @@
 _STATEMENTS_PATH = '/operator/v1/statements'
 _CONFIGURATION_PATH = '/operator/v1/configuration'
 _STATE_PATH = '/operator/v1/state'
+_NOT_RUN = 'not-run'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Call:
     method: str
     path: str
+    timeout_s: float
     body: Any = None
     operation_id: str = ''
 
@@ -30,6 +32,7 @@
     title: str = ''
     detail: str = ''
     line: int | None = None
+    outcome: str = ''
 
 
 class _NoAnswerError(Exception):
@@ -58,16 +61,29 @@
         settings: Settings,
         session: aiohttp.ClientSession,
     ) -> None:
+        self._settings = settings
         self._addresses = list(settings.addresses)
         self._session = session
-        self._timeout = aiohttp.ClientTimeout(total=settings.timeout_s)
         self._headers = {
             'Authorization': f'Bearer {settings.token}',
             'Operator': settings.operator,
         }
 
-    async def run_statement(self, statement: str, operation_id: str) -> Table:
-        """Return the answer to a statement.
+    async def ask(self, query: str) -> Table:
+        """Return the answer to a statement that changes nothing.
+
+        Raises:
+            StatementError: If the host finds the statement malformed.
+            RefusedError: If the host refuses it.
+            UnreachableError: If no host answers.
+        """
+        body = {'statement': query, 'operation_id': ''}
+        timeout_s = self._settings.query_timeout_s
+        call = _Call('POST', _STATEMENTS_PATH, timeout_s, body)
+        return _parse_table(await self._exchange(call))
+
+    async def change(self, statement: str, operation_id: str) -> Table:
+        """Return the answer to a statement that changes something.
 
         Raises:
             StatementError: If the host finds the statement malformed.
@@ -75,7 +91,8 @@
             UnreachableError: If no host answers.
         """
         body = {'statement': statement, 'operation_id': operation_id}
-        call = _Call('POST', _STATEMENTS_PATH, body, operation_id)
+        timeout_s = self._settings.timeout_s
+        call = _Call('POST', _STATEMENTS_PATH, timeout_s, body, operation_id)
         return _parse_table(await self._exchange(call))
 
     async def put_configuration(
@@ -87,7 +104,13 @@
             RefusedError: If the host refuses it.
             UnreachableError: If no host answers.
         """
-        call = _Call('PUT', _CONFIGURATION_PATH, document, operation_id)
+        call = _Call(
+            'PUT',
+            _CONFIGURATION_PATH,
+            self._settings.timeout_s,
+            document,
+            operation_id,
+        )
         return _parse_table(await self._exchange(call))
 
     async def read_state(self) -> Any:
@@ -97,7 +120,8 @@
             RefusedError: If the host refuses it.
             UnreachableError: If no host answers.
         """
-        return await self._exchange(_Call('GET', _STATE_PATH))
+        timeout_s = self._settings.query_timeout_s
+        return await self._exchange(_Call('GET', _STATE_PATH, timeout_s))
 
     async def _exchange(self, call: _Call) -> Any:
         attempts = []
@@ -132,7 +156,7 @@
             f'{url}{call.path}',
             json=call.body,
             headers={**self._headers, 'Operation-Id': call.operation_id},
-            timeout=self._timeout,
+            timeout=aiohttp.ClientTimeout(total=call.timeout_s),
         ) as response:
             return _parse_answer(response.status, await response.read())
 
@@ -146,7 +170,10 @@
         return answer
     problem = _parse_problem(answer)
     if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
-        raise _NoAnswerError(f'answered {status}: {_wording_of(problem)}')
+        raise _NoAnswerError(
+            f'answered {status}: {_wording_of(problem)}',
+            maybe_sent=problem.outcome != _NOT_RUN,
+        )
     if problem.line is not None:
         raise error_from_json(answer)
     title = problem.title or HTTPStatus(status).phrase
--- a/packages/geraniumctl/src/geraniumctl/execution.py
+++ b/packages/geraniumctl/src/geraniumctl/execution.py
@@ -97,12 +97,12 @@
         RefusedError: If the host refuses it.
         UnreachableError: If no host answers.
     """
+    if not execution.has_effect:
+        return await client.ask(execution.text)
     try:
-        table = await client.run_statement(
-            execution.text, execution.operation_id
-        )
+        table = await client.change(execution.text, execution.operation_id)
     except UnreachableError as error:
-        if error.maybe_sent and execution.has_effect:
+        if error.maybe_sent:
             raise UnconfirmedError(error, execution) from error
         raise
     if execution.new_key is None:
--- a/packages/geraniumctl/src/geraniumctl/options.py
+++ b/packages/geraniumctl/src/geraniumctl/options.py
@@ -57,13 +57,14 @@
         'settings_path',
         type=FILE_TYPE,
         help='JSON file with addresses, token_file, output, timeout_s, '
-        'history_file and operator; options go before it.',
+        'query_timeout_s, history_file and operator; options go before it.',
     ),
     click.option(
         '--timeout',
         'timeout_s',
         type=float,
-        help='Seconds that each host may take to answer.',
+        help='Seconds that each host may take to answer; 5 for a query and 20 '
+        'for a change if not given.',
     ),
     output_option,
 )
--- a/packages/geraniumctl/src/geraniumctl/settings.py
+++ b/packages/geraniumctl/src/geraniumctl/settings.py
@@ -12,7 +12,9 @@
 
 from .exceptions import SettingsError
 
-DEFAULT_TIMEOUT_S = 10.0
+# A change may wait for the platform and then for the hosts to take it over.
+DEFAULT_TIMEOUT_S = 20.0
+DEFAULT_QUERY_TIMEOUT_S = 5.0
 
 
 class Output(enum.Enum):
@@ -42,6 +44,7 @@
     token_file: pathlib.Path | None = None
     output: Output = Output.TABLE
     timeout_s: pydantic.PositiveFloat = DEFAULT_TIMEOUT_S
+    query_timeout_s: pydantic.PositiveFloat = DEFAULT_QUERY_TIMEOUT_S
     history_file: pathlib.Path = pathlib.Path('~/.geraniumctl-history')
     operator: OperatorName | None = None
 
@@ -54,7 +57,8 @@
         addresses: Operator addresses, tried in turn; ``host:port`` or a URL.
         token: The operator's token, empty if there is none.
         output: How answers are printed.
-        timeout_s: How long each host may take to answer.
+        timeout_s: How long each host may take to make a change.
+        query_timeout_s: How long each host may take to answer a query.
         history_file: Where the prompt keeps its history.
         operator: Who gives the statements, for the audit log.
     """
@@ -63,6 +67,7 @@
     token: str = dataclasses.field(default='', repr=False)
     output: Output = Output.TABLE
     timeout_s: float = DEFAULT_TIMEOUT_S
+    query_timeout_s: float = DEFAULT_QUERY_TIMEOUT_S
     history_file: pathlib.Path = pathlib.Path('~/.geraniumctl-history')
     operator: str = ''
 
@@ -102,6 +107,7 @@
         token=_token(document, overrides),
         output=document.output,
         timeout_s=document.timeout_s,
+        query_timeout_s=document.query_timeout_s,
         history_file=document.history_file.expanduser(),
         operator=document.operator or getpass.getuser(),
     )
@@ -113,6 +119,7 @@
         'token_file': overrides.token_file,
         'output': overrides.output,
         'timeout_s': overrides.timeout_s,
+        'query_timeout_s': overrides.timeout_s,
     }
     return {
         name: setting for name, setting in fields.items() if setting is not None
--- a/packages/geraniumctl/tests/conftest.py
+++ b/packages/geraniumctl/tests/conftest.py
@@ -47,6 +47,7 @@
         self.received = []
         self.loses_answers = False
         self.is_unavailable = False
+        self.outcome = 'unknown'
         self.missing_hosts = ()
 
     def application(self):
@@ -63,7 +64,8 @@
                 {'title': 'Token not accepted'}, status=401
             )
         if self.is_unavailable:
-            return web.json_response({'title': 'Unavailable'}, status=503)
+            problem = {'title': 'Unavailable', 'outcome': self.outcome}
+            return web.json_response(problem, status=503)
         try:
             response = await handler(request)
         except gs.StatementError as error:
--- a/packages/geraniumctl/tests/test_cli.py
+++ b/packages/geraniumctl/tests/test_cli.py
@@ -177,6 +177,22 @@
     assert 'may have taken effect' not in result.stderr
 
 
+@pytest.mark.parametrize(
+    ('outcome', 'is_doubtful'), [('not-run', False), ('unknown', True)]
+)
+async def test_unavailable_host_says_whether_a_change_is_doubtful(
+    invoke,
+    operator,
+    outcome,
+    is_doubtful,
+):
+    operator.is_unavailable = True
+    operator.outcome = outcome
+    result = await invoke('run', 'create zone a in region r')
+    assert result.exit_code == 3
+    assert ('may have taken effect' in result.stderr) is is_doubtful
+
+
 async def test_partial_answer_has_its_exit_code(invoke, operator):
     operator.missing_hosts = ('khomas-b-2',)
     result = await invoke('run', 'show engines', 'create zone a in region r')
