--- a/packages/geranium-statements/tests/test_documentation.py
+++ b/packages/geranium-statements/tests/test_documentation.py
@@ -1,4 +1,4 @@
-"""The page of statements is true to the parser."""
+"""The pages that hold statements are true to the parser."""
 
 import pathlib
 import re
@@ -18,15 +18,20 @@
 from geranium_statements.parsing import parse_statement
 from geranium_statements.rendering import render_error
 
-PAGE = pathlib.Path(__file__).parents[3] / 'docs/STATEMENTS.md'
-EXAMPLES = [
-    line
-    for block in re.findall(r'```statement\n(.*?)```', PAGE.read_text(), re.S)
-    for line in block.splitlines()
-]
+DOCS = pathlib.Path(__file__).parents[3] / 'docs'
+PAGE = DOCS / 'STATEMENTS.md'
 
 
-@pytest.mark.parametrize('example', EXAMPLES)
+def _examples(page):
+    blocks = re.findall(r'```statement\n(.*?)```', page.read_text(), re.S)
+    return ''.join(blocks).splitlines()
+
+
+EXAMPLES = _examples(PAGE)
+PROCEDURES = _examples(DOCS / 'OPERATIONS.md')
+
+
+@pytest.mark.parametrize('example', EXAMPLES + PROCEDURES)
 def test_example_parses(example):
     assert parse_statement(example)
 
