--- a/packages/geranium-standins/tests/test_application.py
+++ b/packages/geranium-standins/tests/test_application.py
@@ -6,6 +6,7 @@
 import pytest
 from geranium_standins import (
     ApplicationSettings,
+    StandinClient,
     StandinError,
     create_application,
 )
@@ -82,8 +83,12 @@
         await control.put(f'{address}/faults', json=body)
         with pytest.raises(TimeoutError):
             await asyncio.wait_for(application.get('/x'), timeout=0.3)
-        async with control.get(f'{address}/x') as response:
+        async with control.get(f'{address}/new') as response:
             assert response.status == 200
+        executions = await StandinClient(control, application.address).log(
+            'executions',
+        )
+    assert [entry['path'] for entry in executions] == ['/x', '/new']
 
 
 async def test_unknown_switch_is_named(application):
--- a/packages/geranium-standins/tests/test_orders.py
+++ b/packages/geranium-standins/tests/test_orders.py
@@ -110,7 +110,8 @@
     await wait_done(engine, 'o-2')
     again = await order(engine, 'o-1', SET_ROLE, epoch=2)
     assert again.json() == {'order_id': 'o-1', 'state': 'done'}
-    assert (await load_of(engine))['role'] == 'mixed'
+    load = await load_of(engine)
+    assert (load['role'], load['state']) == ('mixed', 'live')
     reused = await order(engine, 'o-1', {'kind': 'drain'}, epoch=2)
     assert (reused.status, reused.json()['type']) == (409, 'order-id-reused')
     repeated = [row['repeated'] for row in await engine.log('orders')]
