Let a slow write take effect after its caller gave up

With handlers that are cancelled when the caller goes, a delayed write whose caller timed out never happened, which is the kind case. A write now runs to its end in a task of its own, with half of the delay before it takes effect and half after.

--- a/packages/geranium-standins/src/geranium_standins/gate.py
+++ b/packages/geranium-standins/src/geranium_standins/gate.py
@@ -55,6 +55,7 @@
         faults = controls.faults
         self._reads = TokenBucket(faults.reads_per_second)
         self._writes = TokenBucket(faults.writes_per_second)
+        self._running_writes: set[asyncio.Task[web.Response]] = set()
 
     def guard(self, kind: CallKind, handler: Handler) -> Handler:
         """Return the handler behind the limits and faults."""
@@ -72,18 +73,41 @@
         request: web.Request,
     ) -> web.Response:
         await self._controls.enter(request)
-        faults = self._controls.faults
-        if faults.delay_ms:
-            await asyncio.sleep(faults.delay_ms / MS_PER_S)
-        actual = CallKind.WATCH if 'watch' in request.query else kind
-        refusal = self._refuse(actual)
-        if refusal is not None:
-            return refusal
-        response = await handler(request)
-        if kind is CallKind.WRITE and response.status < HTTPStatus.BAD_REQUEST:
+        if kind is not CallKind.WRITE:
+            return await self._run(kind, handler, request)
+        await request.read()
+        response = await self._run_to_the_end(handler, request)
+        if response.status < HTTPStatus.BAD_REQUEST:
             return await self._answer_write(request, response)
         return response
 
+    async def _run_to_the_end(
+        self,
+        handler: Handler,
+        request: web.Request,
+    ) -> web.Response:
+        # A slow write takes effect also after its caller has given up.
+        running = self._run(CallKind.WRITE, handler, request)
+        task = asyncio.create_task(running)
+        self._running_writes.add(task)
+        task.add_done_callback(self._running_writes.discard)
+        return await asyncio.shield(task)
+
+    async def _run(
+        self,
+        kind: CallKind,
+        handler: Handler,
+        request: web.Request,
+    ) -> web.Response:
+        half_delay_s = self._controls.faults.delay_ms / MS_PER_S / 2
+        await asyncio.sleep(half_delay_s)
+        actual = CallKind.WATCH if 'watch' in request.query else kind
+        response = self._refuse(actual)
+        if response is None:
+            response = await handler(request)
+        await asyncio.sleep(half_delay_s)
+        return response
+
     def _refuse(self, kind: CallKind) -> web.Response | None:
         if self._controls.faults.outage:
             self.counts.refused += 1
--- a/packages/geranium-standins/tests/test_objects.py
+++ b/packages/geranium-standins/tests/test_objects.py
@@ -122,6 +122,14 @@
     assert (await platform.get('/objects/k')).json() == 1
 
 
+async def test_slow_write_takes_effect_after_its_caller_gave_up(platform):
+    await platform.set_faults(delay_ms=1000)
+    with pytest.raises(TimeoutError):
+        await asyncio.wait_for(platform.put('/objects/k', 1), timeout=0.1)
+    assert not await platform.log('writes')
+    await platform.wait_for('/log', lambda log: log['writes'])
+
+
 async def test_refused_write_uses_up_no_lost_answer(platform):
     await platform.put('/objects/k', 1)
     await platform.set_faults(lose_answers=1)
