Bound decode work by memory and admit without a refusal spiral

Forecasts took a decode engine to hold 110 sequences where its memory holds 29: the bound is now the smaller of both.

--- a/packages/geranium-policy/src/geranium_policy/admission.py
+++ b/packages/geranium-policy/src/geranium_policy/admission.py
@@ -12,7 +12,7 @@
 from .limits import EngineLimit
 from .peer_consumption import PeerConsumption
 from .queues import QueueEntry
-from .rates import DecayingRate
+from .rates import DecayingMean, DecayingRate
 from .shares import TeamShares
 from .team_queues import TeamQueues
 from .windows import daemon_window
@@ -60,8 +60,9 @@
     """
 
     def __init__(self, settings: AdmissionSettings, now: float) -> None:
-        self.limit = EngineLimit(settings.limit)
         self._settings = settings
+        self._limit = EngineLimit(settings.limit)
+        self._first_token = DecayingMean(settings.first_token)
         self._random = random.Random(settings.seed)
         self._teams = TeamQueues(settings.prices, settings.bounds)
         self._rate = DecayingRate(settings.rate, now)
@@ -70,33 +71,30 @@
         self._shares = TeamShares(settings)
         self._running_by_id: dict[str, _Running] = {}
         self._running_by_team: dict[str, float] = {}
-        self._window = self.limit.cost
+        self._window = self._limit.cost
 
     def __len__(self) -> int:
         """Return how many requests wait."""
         return len(self._teams)
 
-    def offer(
-        self,
-        entry: QueueEntry,
-        first_token_s: float,
-        now: float,
-    ) -> tuple[Refusal, ...]:
+    def offer(self, entry: QueueEntry, now: float) -> tuple[Refusal, ...]:
         """Queue a request or refuse it.
 
-        Args:
-            entry: The request.
-            first_token_s: Time to the first token once it is released.
-            now: The present instant.
-
         Returns:
             What is refused: the entry itself if it can't be served in time
             or the queue is full, or an entry of the largest team that made
             room for it. Empty if the entry was just queued.
         """
-        late_s = now + self.wait_s(entry, now) + first_token_s
-        late_s -= entry.first_token_deadline
-        if self._settings.bounds.refuse_early and late_s > 0:
+        bounds = self._settings.bounds
+        left_s = entry.first_token_deadline - now
+        # The mean is bounded, as late first tokens must not lead to refusals
+        # while nothing waits: the mean would never be measured again.
+        first_token_s = min(
+            self._first_token.mean,
+            bounds.max_service_share * left_s,
+        )
+        late_s = self.wait_s(entry, now) + first_token_s - left_s
+        if bounds.refuse_early and late_s > 0:
             return (self._refuse(entry, late_s, 'no answer in time'),)
         team = entry.profile.team
         if team not in self._teams.queues_by_team:
@@ -149,11 +147,15 @@
         cost = self._settings.prices.cost(prompt_tokens, generated_tokens)
         self._charge(running.team, cost - running.cost)
 
-    def expire(self, first_token_s: float, now: float) -> tuple[Refusal, ...]:
-        """Refuse what waits and can no longer be served in time."""
-        latest = now + first_token_s
+    def record_first_token(self, first_token_s: float) -> None:
+        """Take in how long after its release a first token came."""
+        self._first_token.record(first_token_s)
+        self._limit.observe(first_token_s, binding=bool(self._teams))
+
+    def expire(self, now: float) -> tuple[Refusal, ...]:
+        """Refuse what has waited past the deadline of its first token."""
         expired = self._teams.remove(
-            lambda entry: entry.first_token_deadline < latest,
+            lambda entry: entry.first_token_deadline < now,
         )
         return tuple(
             self._refuse(entry, 0, 'waited too long') for entry in expired
@@ -182,7 +184,7 @@
         peers = tuple(self._peers.reports(now))
         reporting = len(peers) + 1
         known_share = reporting / max(fleet.daemons, reporting)
-        capacity = self.limit.cost * fleet.engines * known_share
+        capacity = self._limit.cost * fleet.engines * known_share
         match self._settings.policy:
             case FairShares(across_daemons=True):
                 self._window = daemon_window(
--- a/packages/geranium-policy/src/geranium_policy/admission_settings.py
+++ b/packages/geranium-policy/src/geranium_policy/admission_settings.py
@@ -6,7 +6,7 @@
 from .consumption import ConsumptionSettings
 from .limits import AdaptiveLimit, Limit
 from .queues import TokenPrices
-from .rates import RateSettings
+from .rates import MeanSettings, RateSettings
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,6 +50,8 @@
         aging_s: A priority level is worth so much waiting.
         refuse_early: Whether a request is refused on arrival if its first
             token is not expected in time.
+        max_service_share: So much of the time to the deadline is taken to
+            pass between release and first token at most.
         retry_jitter: Random lengthening of ``retry_after_s``, so that
             refused callers don't come back at once.
     """
@@ -58,6 +60,7 @@
     max_team_length: int = 512
     aging_s: float = 0.25
     refuse_early: bool = True
+    max_service_share: float = 0.7
     retry_jitter: float = 0.5
 
 
@@ -74,4 +77,7 @@
         default_factory=ConsumptionSettings,
     )
     rate: RateSettings = dataclasses.field(default_factory=RateSettings)
+    first_token: MeanSettings = dataclasses.field(
+        default_factory=MeanSettings,
+    )
     seed: int = 0
--- a/packages/geranium-policy/src/geranium_policy/forecasts.py
+++ b/packages/geranium-policy/src/geranium_policy/forecasts.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from .engine_views import EngineSpeed
+from .profiles import RequestProfile
 from .rates import DecayingRate, RateSettings
 
 FAST_TIME_CONSTANT_S = 5
@@ -17,8 +18,17 @@
 
     The forecast is the fast average plus ``trend_gain`` times what it is
     above or below the slow one.
+
+    Args:
+        between_tokens_objective_s: Time between tokens that is promised.
+        kv_pieces: KV memory of an engine.
+        fast: The fast average.
+        slow: The slow average.
+        trend_gain: Weight of the difference.
     """
 
+    between_tokens_objective_s: float = 0.043
+    kv_pieces: int = 2000
     fast: RateSettings = FAST
     slow: RateSettings = SLOW
     trend_gain: float = 0.5
@@ -51,6 +61,13 @@
     prefill: float
     decode: float
 
+    def __add__(self, other: 'RoleDemand') -> 'RoleDemand':
+        """Return the sum of both."""
+        return RoleDemand(
+            self.prefill + other.prefill,
+            self.decode + other.decode,
+        )
+
 
 class DemandForecast:
     """Forecasts a service's work from its admitted requests.
@@ -63,35 +80,50 @@
         self,
         settings: ForecastSettings,
         speed: EngineSpeed,
-        between_tokens_objective_s: float,
         now: float,
     ) -> None:
+        self._settings = settings
+        self._speed = speed
         self._prompt = RateForecast(settings, now)
         self._generated = RateForecast(settings, now)
-        self._speed = speed
-        self._objective_s = between_tokens_objective_s
+        self._held = RateForecast(settings, now)
 
     def record(
         self,
+        profile: RequestProfile,
         uncached_tokens: int,
-        expected_tokens: int,
         now: float,
     ) -> None:
-        """Count an admitted request."""
+        """Count an admitted request, of whose prompt so much is uncached."""
+        length = profile.prompt_tokens + profile.expected_tokens
         self._prompt.record(uncached_tokens, now)
-        self._generated.record(expected_tokens, now)
+        self._generated.record(profile.expected_tokens, now)
+        self._held.record(profile.expected_tokens * length, now)
 
     def demand(self, now: float) -> RoleDemand:
-        """Return the work that is expected.
-
-        A decode engine is full once its step takes the objective between
-        tokens, which bounds its sequences and so its tokens a second.
+        """Return the work that is expected."""
+        generated = self._generated.per_second(now)
+        prompt = self._prompt.per_second(now)
+        decode: float = 0
+        if generated:
+            length = self._held.per_second(now) / generated
+            decode = generated / self._tokens_per_s(length)
+        return RoleDemand(prompt * self._speed.prefill_s_per_token, decode)
+
+    def _tokens_per_s(self, length: float) -> float:
+        """Return what a decode engine generates with sequences so long.
+
+        It is full once its step takes the objective between tokens or its
+        memory is filled, whichever comes first.
         """
         speed = self._speed
-        room_s = self._objective_s - speed.decode_step_s
-        sequences = max(room_s / speed.decode_s_per_sequence, 1)
-        tokens_per_s = sequences / self._objective_s
-        return RoleDemand(
-            prefill=self._prompt.per_second(now) * speed.prefill_s_per_token,
-            decode=self._generated.per_second(now) / tokens_per_s,
+        objective_s = self._settings.between_tokens_objective_s
+        room_s = objective_s - speed.decode_step_s
+        tokens = self._settings.kv_pieces * speed.tokens_per_piece
+        sequences = min(
+            room_s / speed.decode_s_per_sequence,
+            tokens / max(length, 1),
         )
+        sequences = max(sequences, 1)
+        step_s = speed.decode_step_s + sequences * speed.decode_s_per_sequence
+        return sequences / step_s
--- a/packages/geranium-policy/src/geranium_policy/limits.py
+++ b/packages/geranium-policy/src/geranium_policy/limits.py
@@ -15,19 +15,20 @@
 class AdaptiveLimit:
     """The cost that may run on an engine follows the first tokens' times.
 
-    It grows by ``increase`` for each first token that came within
-    ``headroom`` of the objective and is cut by the factor ``decrease`` for
-    each one that did not, at most once in ``interval_s``.
+    While it binds, each first token later than ``late_share`` of the
+    objective shrinks it by ``decrease`` and each other one lets it grow by
+    ``increase``, so that it settles where ``increase / (increase +
+    decrease)`` of the first tokens are late. While it does not bind it is
+    left alone, as it is not what makes them late.
     """
 
     objective_s: float = 0.56
-    headroom: float = 0.7
-    start_cost: float = 60_000
-    least_cost: float = 8_000
-    greatest_cost: float = 400_000
-    increase: float = 200
-    decrease: float = 0.9
-    interval_s: float = 0.5
+    late_share: float = 0.8
+    start_cost: float = 150_000
+    least_cost: float = 20_000
+    greatest_cost: float = 1_000_000
+    increase: float = 0.01
+    decrease: float = 0.09
 
 
 Limit: TypeAlias = FixedLimit | AdaptiveLimit
@@ -38,35 +39,27 @@
 
     def __init__(self, settings: Limit) -> None:
         self._settings = settings
-        self._cut_at = float('-inf')
         match settings:
             case FixedLimit():
                 self.cost = settings.cost_per_engine
             case AdaptiveLimit():
                 self.cost = settings.start_cost
 
-    def observe(self, first_token_s: float, now: float) -> None:
-        """Take in how long after its dispatch a first token came."""
+    def observe(self, first_token_s: float, *, binding: bool) -> None:
+        """Take in how long after its dispatch a first token came.
+
+        ``binding`` says whether the limit keeps requests waiting.
+        """
         match self._settings:
-            case AdaptiveLimit():
-                self._adapt(self._settings, first_token_s, now)
-            case FixedLimit():
+            case AdaptiveLimit() if binding:
+                self._adapt(self._settings, first_token_s)
+            case _:
                 return
 
-    def _adapt(
-        self,
-        settings: AdaptiveLimit,
-        first_token_s: float,
-        now: float,
-    ) -> None:
-        if first_token_s <= settings.headroom * settings.objective_s:
-            self.cost = min(
-                self.cost + settings.increase,
-                settings.greatest_cost,
-            )
-        elif now - self._cut_at >= settings.interval_s:
-            self._cut_at = now
-            self.cost = max(
-                self.cost * settings.decrease,
-                settings.least_cost,
-            )
+    def _adapt(self, settings: AdaptiveLimit, first_token_s: float) -> None:
+        if first_token_s > settings.late_share * settings.objective_s:
+            self.cost *= 1 - settings.decrease
+        else:
+            self.cost *= 1 + settings.increase
+        self.cost = max(self.cost, settings.least_cost)
+        self.cost = min(self.cost, settings.greatest_cost)
--- a/packages/geranium-policy/src/geranium_policy/rates.py
+++ b/packages/geranium-policy/src/geranium_policy/rates.py
@@ -49,3 +49,22 @@
                 -passed_s / self._settings.time_constant_s,
             )
             self._updated_at = now
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MeanSettings:
+    """The weight that each new value has in a mean."""
+
+    weight: float = 0.05
+
+
+class DecayingMean:
+    """A mean in which older values count less; 0 without any."""
+
+    def __init__(self, settings: MeanSettings) -> None:
+        self.mean: float = 0
+        self._weight = settings.weight
+
+    def record(self, value: float) -> None:
+        """Take in a value."""
+        self.mean += self._weight * (value - self.mean)
--- a/packages/geranium-policy/tests/test_roles.py
+++ b/packages/geranium-policy/tests/test_roles.py
@@ -164,16 +164,41 @@
     assert planner.plan(engines_of(3, 6), PROMPTS_SWING, now=0)
 
 
-def test_forecast_follows_admitted_work_and_its_trend(make_view):
+def record(forecast, profile, uncached_tokens, seconds):
+    for second in seconds:
+        forecast.record(profile, uncached_tokens, second)
+
+
+def test_forecast_follows_admitted_work_and_its_trend(make_view, profile):
     speed = make_view('e-1').settings.speed
-    forecast = DemandForecast(ForecastSettings(), speed, 0.043, now=0)
-    for second in range(1, 120):
-        forecast.record(40_000, 1000, second)
+    forecast = DemandForecast(ForecastSettings(), speed, now=0)
+    record(forecast, profile, 40_000, range(1, 120))
     steady = forecast.demand(120)
     assert steady.prefill == pytest.approx(2, rel=0.15)
-    assert steady.decode == pytest.approx(1000 / 2558, rel=0.15)
-    for second in range(120, 125):
-        forecast.record(80_000, 1000, second)
+    record(forecast, profile, 80_000, range(120, 125))
     rising = forecast.demand(125)
     assert rising.prefill > steady.prefill * 1.6
     assert rising.decode < steady.decode * 1.2
+
+
+@pytest.mark.parametrize(
+    ('prompt_tokens', 'tokens_per_s'),
+    [(0, 110 / 0.043), (6200, 10 / 0.013)],
+)
+def test_decode_work_is_bounded_by_steps_or_by_memory(
+    make_view,
+    profile,
+    prompt_tokens,
+    tokens_per_s,
+):
+    """Ten sequences of 6,400 tokens fill 2,000 pieces of 32."""
+    speed = make_view('e-1').settings.speed
+    forecast = DemandForecast(ForecastSettings(), speed, now=0)
+    long = dataclasses.replace(
+        profile,
+        prompt_tokens=prompt_tokens,
+        expected_tokens=200,
+    )
+    record(forecast, long, 0, range(1, 300))
+    decode = forecast.demand(300).decode
+    assert decode == pytest.approx(200 / tokens_per_s, rel=0.15)
--- a/packages/geranium-policy/tests/test_shares.py
+++ b/packages/geranium-policy/tests/test_shares.py
@@ -79,9 +79,9 @@
     ]
     for host in hosts:
         for _ in range(300):
-            host.queue.offer(make_entry('printers'), 0, 0)
+            host.queue.offer(make_entry('printers'), 0)
     for _ in range(300):
-        hosts[0].queue.offer(make_entry('couples'), 0, 0)
+        hosts[0].queue.offer(make_entry('couples'), 0)
     for second in range(20):
         exchange(hosts, second)
         for host in hosts:
