--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 	PATH="$(CURDIR)/$(BIN):$$PATH" bash examples/demo.sh
 
 test: $(STAMP)
-	$(BIN)/pytest -n 4
+	$(BIN)/pytest -n 4 --dist loadscope
 
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
--- a/packages/geraniumd/src/geraniumd/admission.py
+++ b/packages/geraniumd/src/geraniumd/admission.py
@@ -81,7 +81,7 @@
         )
         turn: asyncio.Future[Turn] = asyncio.Future()
         self._turns_by_execution[profile.request_id] = turn
-        self._refuse(queue.offer(entry, 0, now))
+        self._refuse(queue.offer(entry, now))
         self._release(queue)
         try:
             async with asyncio.timeout_at(profile.deadline):
@@ -102,7 +102,7 @@
         first_token_s: float,
     ) -> None:
         """Take in how long after its dispatch a first token came."""
-        self._queue(service).limit.observe(first_token_s, self._clock.now())
+        self._queue(service).record_first_token(first_token_s)
 
     def settle(
         self,
@@ -148,7 +148,7 @@
         )
         report = queue.rebalance(serving, now)
         self._gossip.publish(ServiceConsumption(service, report))
-        self._refuse(queue.expire(0, now))
+        self._refuse(queue.expire(now))
         self._release(queue)
 
     def _take_consumption(self, consumption: ServiceConsumption) -> None:
--- a/packages/geraniumd/src/geraniumd/demand.py
+++ b/packages/geraniumd/src/geraniumd/demand.py
@@ -40,13 +40,16 @@
         forecast = self._forecasts_by_service.get(service.name)
         if forecast is None:
             forecast = DemandForecast(
-                ForecastSettings(),
+                ForecastSettings(
+                    between_tokens_objective_s=(
+                        service.between_tokens_ms / _MS_PER_S
+                    ),
+                ),
                 EngineSpeed(),
-                service.between_tokens_ms / _MS_PER_S,
                 now,
             )
             self._forecasts_by_service[service.name] = forecast
-        forecast.record(profile.prompt_tokens, profile.expected_tokens, now)
+        forecast.record(profile, profile.prompt_tokens, now)
 
     def take(self, host: str, demand_by_service: dict[str, RoleDemand]) -> None:
         """Take in what a peer forecasts."""
--- a/packages/geraniumd/src/geraniumd/execution.py
+++ b/packages/geraniumd/src/geraniumd/execution.py
@@ -138,9 +138,9 @@
         match outcome:
             case ChangeConflict():
                 raise OperatorConflictError(
-                    f'version {outcome.version} by {outcome.author} came '
-                    f'first: {outcome.description} '
-                    f'(operation {outcome.operation_id})',
+                    f'{outcome.author} came first: {outcome.description} '
+                    f'(operation {outcome.operation_id}); the version is '
+                    f'{outcome.version} now',
                 )
             case ChangeRejected(complaints=complaints):
                 raise OperatorRefusedError('; '.join(complaints))
--- a/packages/geraniumd/tests/test_engine_orders.py
+++ b/packages/geraniumd/tests/test_engine_orders.py
@@ -53,10 +53,15 @@
 
 
 async def test_orders_and_leases_are_shown(deployment):
+    answer = await deployment.operator.execute('drain engine engine-3')
+    order_id = answer['rows'][0][1]
+    assert answer['rows'][0][-1] == 'done'
     leases = await deployment.operator.execute('show leases')
     assert [row[0] for row in leases['rows']] == ['director-llm']
-    orders = await deployment.operator.execute('show orders')
-    assert {row[2] for row in orders['rows']} == {'done'}
+    orders = await deployment.operator.execute(
+        f'show orders where order = "{order_id}"',
+    )
+    assert [row[2] for row in orders['rows']] == ['done']
 
 
 async def test_unknown_engine_is_refused(deployment):
