Let one host write each bucket of claims, and send small deltas

A delta carried the whole manifest: 44,012 bytes for one withdrawn key of 33,000. It now carries the entries that changed, compressed: 4,897. For that, an emptied segment stays in the manifest.

--- a/packages/geranium-coordination/src/geranium_coordination/__init__.py
+++ b/packages/geranium-coordination/src/geranium_coordination/__init__.py
@@ -9,7 +9,8 @@
     call_fingerprint,
     make_call_outcome,
 )
-from .claim_buckets import CorruptClaimsError
+from .claim_buckets import ClaimOperation, CorruptClaimsError
+from .claim_messages import decode_claim_message, encode_claim_message
 from .claim_outcomes import (
     AlreadyCompleted,
     Claimed,
@@ -19,6 +20,7 @@
     Mismatch,
     Unknown,
 )
+from .claim_peers import ClaimPeers
 from .claim_settings import ClaimSettings
 from .claims import ClaimJournal
 from .clock import Clock, SystemClock
@@ -61,6 +63,7 @@
     decode_delta,
     encode_delta,
 )
+from .rendezvous import claim_bucket_owner
 from .store import (
     ABSENT_VERSION,
     Condition,
@@ -115,7 +118,9 @@
     'ChangeOutcomeUnknownError',
     'ChangeRejected',
     'ClaimJournal',
+    'ClaimOperation',
     'ClaimOutcome',
+    'ClaimPeers',
     'ClaimSettings',
     'ClaimTicket',
     'ClaimUnavailable',
@@ -155,7 +160,10 @@
     'UsageSubmitter',
     'announce_to_electors',
     'call_fingerprint',
+    'claim_bucket_owner',
+    'decode_claim_message',
     'decode_delta',
+    'encode_claim_message',
     'encode_delta',
     'make_call_outcome',
     'watchers',
--- a/packages/geranium-coordination/src/geranium_coordination/claim_buckets.py
+++ b/packages/geranium-coordination/src/geranium_coordination/claim_buckets.py
@@ -17,15 +17,16 @@
     Mismatch,
     Unknown,
 )
-from .exceptions import CoordinationError
+from .exceptions import StoreError
 
 ENTRY_BYTES = 400
+REVOKED_TICKS = 1
 
 _IsGone: TypeAlias = Callable[[str], bool]
 
 
-class CorruptClaimsError(CoordinationError):
-    """A bucket object is malformed."""
+class CorruptClaimsError(StoreError):
+    """A bucket object or a message about claims is malformed."""
 
 
 class ClaimState(enum.Enum):
@@ -77,23 +78,40 @@
     ticket: ClaimTicket
 
 
-ClaimOperation: TypeAlias = Claim | Complete | GiveUp | Release
+@dataclasses.dataclass(frozen=True, slots=True)
+class Revoke:
+    """Free a call that was certainly not run, and won't be.
+
+    Its claim may still be queued on another host: it is refused there.
+    """
+
+    ticket: ClaimTicket
+
+
+Settlement: TypeAlias = Complete | GiveUp | Release | Revoke
+ClaimOperation: TypeAlias = Claim | Settlement
 
 
 @dataclasses.dataclass(slots=True)
 class ClaimBucket:
-    """The claims of a bucket by their ids, with the present tick."""
+    """The claims of a bucket by their ids, with the present tick.
+
+    ``revoked`` holds attempts that must not be claimed any more, with the
+    tick in which they were revoked.
+    """
 
     tick: int = 0
     entries: dict[str, ClaimEntry] = dataclasses.field(default_factory=dict)
+    revoked: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def copy(self) -> 'ClaimBucket':
         """Return a bucket that can be changed apart from this one."""
-        return ClaimBucket(self.tick, dict(self.entries))
+        return ClaimBucket(self.tick, dict(self.entries), dict(self.revoked))
 
     def size_bytes(self) -> int:
         """Return about how long the stored body is."""
-        return sum(_size_bytes(entry) for entry in self.entries.values())
+        size = len(self.revoked) * ENTRY_BYTES
+        return size + sum(map(_size_bytes, self.entries.values()))
 
     def expire(self, retention_ticks: int) -> None:
         """Forget claims that are older than the retention period."""
@@ -103,38 +121,45 @@
             for claim_id, entry in self.entries.items()
             if entry.tick >= oldest
         }
+        self.revoked = {
+            attempt: tick
+            for attempt, tick in self.revoked.items()
+            if tick + REVOKED_TICKS >= self.tick
+        }
 
-    def drop(self, attempts: Collection[str]) -> None:
-        """Free the calls of attempts that were certainly not sent."""
+    def revoke(self, attempts: Collection[str]) -> None:
+        """Free the calls of attempts that were not sent and won't be."""
         self.entries = {
             claim_id: entry
             for claim_id, entry in self.entries.items()
             if entry.attempt not in attempts
         }
+        self.revoked.update(dict.fromkeys(attempts, self.tick))
 
-    def claim(self, ticket: ClaimTicket, is_gone: _IsGone) -> ClaimAnswer:
-        """Enter the claim, or return what stands in its way."""
+    def claim(
+        self,
+        ticket: ClaimTicket,
+        is_gone: _IsGone,
+    ) -> ClaimAnswer | None:
+        """Enter the claim, or return what stands in its way.
+
+        Returns ``None`` for an attempt that was revoked.
+        """
+        if ticket.attempt in self.revoked:
+            return None
         entry = self.entries.get(ticket.claim_id)
         if entry is None:
             self._put(ticket, ClaimState.CLAIMED)
             return Claimed(ticket)
         if entry.attempt == ticket.attempt:
             return Claimed(ticket)
-        if entry.fingerprint != ticket.fingerprint:
-            return Mismatch()
-        if entry.outcome is not None:
-            return AlreadyCompleted(entry.outcome)
-        if entry.state is ClaimState.CLAIMED and not is_gone(entry.holder):
-            return InProgress(entry.holder)
-        self.entries[ticket.claim_id] = dataclasses.replace(
-            entry,
-            state=ClaimState.UNKNOWN,
-        )
-        return Unknown()
+        return self._refuse(ticket, entry, is_gone)
 
-    def settle(self, operation: Complete | GiveUp | Release) -> None:
+    def settle(self, operation: Settlement) -> None:
         """End the attempt's claim, unless it is not in the bucket."""
         ticket = operation.ticket
+        if isinstance(operation, Revoke):
+            self.revoke((ticket.attempt,))
         entry = self.entries.get(ticket.claim_id)
         if entry is None or entry.attempt != ticket.attempt:
             return
@@ -146,6 +171,24 @@
             case Release():
                 self.entries.pop(ticket.claim_id)
 
+    def _refuse(
+        self,
+        ticket: ClaimTicket,
+        entry: ClaimEntry,
+        is_gone: _IsGone,
+    ) -> ClaimAnswer:
+        if entry.fingerprint != ticket.fingerprint:
+            return Mismatch()
+        if entry.outcome is not None:
+            return AlreadyCompleted(entry.outcome)
+        if entry.state is ClaimState.CLAIMED and not is_gone(entry.holder):
+            return InProgress(entry.holder)
+        self.entries[ticket.claim_id] = dataclasses.replace(
+            entry,
+            state=ClaimState.UNKNOWN,
+        )
+        return Unknown()
+
     def _put(
         self,
         ticket: ClaimTicket,
--- a/packages/geranium-coordination/src/geranium_coordination/claim_committer.py
+++ b/packages/geranium-coordination/src/geranium_coordination/claim_committer.py
@@ -13,9 +13,9 @@
     encode_bucket,
 )
 from .claim_outcomes import (
+    AlreadyCompleted,
     ClaimOutcome,
     ClaimUnavailable,
-    InProgress,
 )
 from .claim_settings import ClaimSettings
 from .clock import Clock
@@ -31,7 +31,7 @@
 class _Queued:
     """An operation with the instant at which it is given up, if any.
 
-    ``sent`` tells whether a write that holds it was sent unanswered.
+    ``sent`` tells whether it may be written without an answer to that.
     """
 
     operation: ClaimOperation
@@ -107,6 +107,7 @@
         self._queue: list[_Queued] = []
         self._wake = asyncio.Event()
         self._head: _Head | None = None
+        self._contended = False
         self._abandoned: set[str] = set()
         self._ticks = _Ticks(clock, settings.tick_s)
 
@@ -137,19 +138,22 @@
             answers = await self._commit(batch)
         except StoreError as error:
             self._head = None
+            self._contended |= isinstance(error, ConflictError)
             self._fail(batch, error)
-            await self._pause(error)
+            if not isinstance(error, ConflictError):
+                await self._retries.pause(error)
         else:
             self._finish(batch, answers)
 
     async def _commit(self, batch: Sequence[_Queued]) -> list[_Answer]:
-        head = self._head or await self._read()
+        head = await self._current_head()
         bucket = head.bucket.copy()
         answers = self._apply(bucket, batch)
         if bucket != head.bucket or self._abandoned:
             # Writing also keeps an abandoned write from landing later.
             await self._write(head, bucket)
-        elif _rests_on_state(answers) and not head.just_read:
+        elif not head.just_read and not _are_final(answers):
+            # Another host may have written what would change the answers.
             await self._read()
             return await self._commit(batch)
         else:
@@ -163,7 +167,7 @@
     ) -> list[_Answer]:
         self._ticks.advance(bucket)
         bucket.expire(self._settings.retention_ticks)
-        bucket.drop(self._abandoned)
+        bucket.revoke(self._abandoned)
         room = bucket.size_bytes() < self._settings.bucket_limit_bytes
         return [self._apply_one(bucket, queued, room) for queued in batch]
 
@@ -178,9 +182,25 @@
             bucket.settle(operation)
             return None
         ticket = operation.ticket
-        if room or ticket.claim_id in bucket.entries:
-            return bucket.claim(ticket, self._is_gone)
-        return self._unavailable('the bucket of claims is full')
+        if not room and ticket.claim_id not in bucket.entries:
+            return self._unavailable('the bucket of claims is full')
+        answer = bucket.claim(ticket, self._is_gone)
+        return answer or self._unavailable('the attempt was given up')
+
+    async def _current_head(self) -> _Head:
+        """Return the bucket to build upon.
+
+        Another host that writes the bucket makes what is remembered stale
+        before each turn: then it is read anew, until it stands still.
+        """
+        remembered = self._head
+        if remembered is None:
+            return await self._read()
+        if not self._contended or remembered.just_read:
+            return remembered
+        present = await self._read()
+        self._contended = present.condition != remembered.condition
+        return present
 
     async def _read(self) -> _Head:
         stored = await self._store.read(self._key)
@@ -208,9 +228,9 @@
         batch: Sequence[_Queued],
         answers: Sequence[_Answer],
     ) -> None:
+        self._queue = self._queue[len(batch) :]
         for queued, answer in zip(batch, answers, strict=True):
             queued.finish(answer)
-            self._queue.remove(queued)
 
     def _fail(self, batch: Sequence[_Queued], error: StoreError) -> None:
         """Give up what is overdue and note what may have been written."""
@@ -221,21 +241,26 @@
             if queued.deadline is not None and now >= queued.deadline:
                 self._abandon(queued)
 
-    async def _pause(self, error: StoreError) -> None:
-        """Wait before the next try; a conflict is only read again."""
-        if not isinstance(error, ConflictError):
-            await self._retries.pause(error)
-
     def _abandon(self, queued: _Queued) -> None:
         self._queue.remove(queued)
         if queued.sent:
             self._abandoned.add(queued.operation.ticket.attempt)
-        queued.finish(self._unavailable('the store is unavailable'))
+        queued.finish(
+            self._unavailable('the store is unavailable', queued.sent),
+        )
 
-    def _unavailable(self, detail: str) -> ClaimUnavailable:
-        return ClaimUnavailable(detail, self._settings.claim_timeout_s)
+    def _unavailable(
+        self,
+        detail: str,
+        lingers: bool = False,
+    ) -> ClaimUnavailable:
+        return ClaimUnavailable(
+            detail,
+            self._settings.claim_timeout_s,
+            lingers,
+        )
 
 
-def _rests_on_state(answers: Sequence[_Answer]) -> bool:
-    """Tell whether an answer may have changed since the bucket was read."""
-    return any(isinstance(answer, InProgress) for answer in answers)
+def _are_final(answers: Sequence[_Answer]) -> bool:
+    """Tell whether the answers hold whatever was written since."""
+    return all(isinstance(answer, AlreadyCompleted) for answer in answers)
--- a/packages/geranium-coordination/src/geranium_coordination/claim_outcomes.py
+++ b/packages/geranium-coordination/src/geranium_coordination/claim_outcomes.py
@@ -41,11 +41,13 @@
 class ClaimUnavailable:
     """No claim could be made, so this attempt was not run.
 
-    ``retry_after_s`` says when coming back may help.
+    ``retry_after_s`` says when coming back may help. ``lingers`` tells that
+    the claim may yet be found in the store until it is revoked.
     """
 
     detail: str
     retry_after_s: float
+    lingers: bool = False
 
 
 ClaimAnswer: TypeAlias = (
--- a/packages/geranium-coordination/src/geranium_coordination/configuration_plans.py
+++ b/packages/geranium-coordination/src/geranium_coordination/configuration_plans.py
@@ -19,7 +19,13 @@
 from .configuration_settings import ConfigurationSettings
 from .loaded_configuration import LoadedConfiguration
 from .manifests import ChangeRecord, Manifest, RetiredSegment, SegmentEntry
-from .segments import Segment, make_segment, split_document, withdrawn_digests
+from .segments import (
+    EMPTY_TEXT,
+    Segment,
+    make_segment,
+    split_document,
+    withdrawn_digests,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,6 +58,9 @@
         settings.team_buckets,
         settings.target_buckets,
     )
+    for emptied in held.segments_by_name.keys() - texts_by_name.keys():
+        # Kept, so that what changed between versions needs no list of names.
+        texts_by_name[emptied] = EMPTY_TEXT
     oversized = tuple(_oversized(texts_by_name, settings.segment_limit_bytes))
     if oversized:
         return ChangeRejected(oversized)
@@ -109,9 +118,7 @@
         written: Iterable[Segment],
     ) -> dict[str, SegmentEntry]:
         entries = {
-            name: entry
-            for name, entry in self._held.manifest.segments.items()
-            if name in texts_by_name
+            name: entry for name, entry in self._held.manifest.segments.items()
         }
         for segment in written:
             entries[segment.name] = SegmentEntry(segment.digest, self._version)
--- a/packages/geranium-coordination/src/geranium_coordination/loaded_configuration.py
+++ b/packages/geranium-coordination/src/geranium_coordination/loaded_configuration.py
@@ -1,6 +1,7 @@
 """A version of the configuration as a daemon holds it."""
 
 import dataclasses
+import zlib
 from collections.abc import Iterable, Mapping
 from typing import TypeAlias, TypeVar
 
@@ -15,7 +16,7 @@
     CorruptConfigurationError,
     StaleDeltaError,
 )
-from .manifests import Manifest, SegmentEntry
+from .manifests import ChangeRecord, Manifest, SegmentEntry
 from .segments import BASE_SEGMENT, Segment, join_document, make_segment
 
 _SegmentsByName: TypeAlias = Mapping[str, Segment]
@@ -26,12 +27,19 @@
 class ConfigurationDelta:
     """What turns one version into a later one, for sending to a peer.
 
-    ``segments`` are those that changed since ``base_version``.
+    Args:
+        base_version: The version that the delta starts from.
+        version: The version that it leads to.
+        entries: The manifest's entries that changed in between.
+        segments: The segments that belong to them.
+        changes: The changes that were made in between, as far as known.
     """
 
     base_version: int
-    manifest: Manifest
+    version: int
+    entries: Mapping[str, SegmentEntry]
     segments: tuple[Segment, ...]
+    changes: tuple[ChangeRecord, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -95,15 +103,28 @@
 
     def delta_since(self, version: int) -> ConfigurationDelta:
         """Return what a peer that holds a lower version lacks."""
-        changed = tuple(
-            segment
-            for name, segment in self.segments_by_name.items()
-            if self.manifest.segments[name].version > version
+        entries = {
+            name: entry
+            for name, entry in self.manifest.segments.items()
+            if entry.version > version
+        }
+        return ConfigurationDelta(
+            version,
+            self.version,
+            entries,
+            tuple(self.segments_by_name[name] for name in entries),
+            tuple(
+                change
+                for change in self.manifest.changes
+                if change.version > version
+            ),
         )
-        return ConfigurationDelta(version, self.manifest, changed)
 
     def apply_delta(self, delta: ConfigurationDelta) -> 'LoadedConfiguration':
-        """Return the delta's version.
+        """Return the delta's version, or this one if it is higher.
+
+        The manifest that comes of it does not tell retired segments; a
+        change is only ever planned upon one from the store.
 
         Raises:
             StaleDeltaError: If the delta starts above the version held here.
@@ -111,11 +132,18 @@
         """
         if delta.base_version > self.version:
             raise StaleDeltaError(f'delta from {delta.base_version}')
+        if delta.version <= self.version:
+            return self
         verified = [
             make_segment(segment.name, segment.text, segment.origin)
             for segment in delta.segments
         ]
-        return self.advance(delta.manifest, verified)
+        manifest = Manifest(
+            delta.version,
+            {**self.manifest.segments, **delta.entries},
+            delta.changes,
+        )
+        return self.advance(manifest, verified)
 
     def _pick(
         self,
@@ -134,8 +162,8 @@
 
 
 def encode_delta(delta: ConfigurationDelta) -> bytes:
-    """Return the delta as JSON for the way to a peer."""
-    return _DELTA_ADAPTER.dump_json(delta)
+    """Return the delta as compressed JSON for the way to a peer."""
+    return zlib.compress(_DELTA_ADAPTER.dump_json(delta))
 
 
 def decode_delta(encoded: bytes) -> ConfigurationDelta:
@@ -145,8 +173,8 @@
         CorruptConfigurationError: If it is malformed.
     """
     try:
-        return _DELTA_ADAPTER.validate_json(encoded)
-    except pydantic.ValidationError as error:
+        return _DELTA_ADAPTER.validate_json(zlib.decompress(encoded))
+    except (zlib.error, pydantic.ValidationError) as error:
         raise CorruptConfigurationError(f'delta: {error}') from error
 
 
--- a/packages/geranium-coordination/src/geranium_coordination/segments.py
+++ b/packages/geranium-coordination/src/geranium_coordination/segments.py
@@ -21,6 +21,7 @@
 BASE_FIELDS = ('zones', 'services', 'routes', 'contracts', 'cordoned_zones')
 BUCKETED_FIELDS = ('targets', 'teams', 'keys')
 BUCKET_HASH_BYTES = 4
+EMPTY_TEXT = '{}'
 
 _Part: TypeAlias = dict[str, list[Any]]
 _PartsByName: TypeAlias = dict[str, _Part]
