--- a/packages/geranium-coordination/src/geranium_coordination/__init__.py
+++ b/packages/geranium-coordination/src/geranium_coordination/__init__.py
@@ -20,8 +20,13 @@
     make_call_outcome,
 )
 from .claim_buckets import (
+    ClaimOperation,
     CorruptClaimsError,
 )
+from .claim_messages import (
+    decode_claim_message,
+    encode_claim_message,
+)
 from .claim_outcomes import (
     AlreadyCompleted,
     Claimed,
@@ -31,6 +36,9 @@
     Mismatch,
     Unknown,
 )
+from .claim_peers import (
+    ClaimPeers,
+)
 from .claim_settings import (
     ClaimSettings,
 )
@@ -142,6 +150,9 @@
 from .presence import (
     Presence,
 )
+from .rendezvous import (
+    claim_bucket_owner,
+)
 from .runner import (
     DutiesDump,
     DutyRunner,
@@ -214,7 +225,9 @@
     'ChangeOutcomeUnknownError',
     'ChangeRejected',
     'ClaimJournal',
+    'ClaimOperation',
     'ClaimOutcome',
+    'ClaimPeers',
     'ClaimSettings',
     'ClaimTicket',
     'ClaimUnavailable',
@@ -305,7 +318,10 @@
     'UsageSubmitter',
     'announce_to_electors',
     'call_fingerprint',
+    'claim_bucket_owner',
+    'decode_claim_message',
     'decode_delta',
+    'encode_claim_message',
     'encode_delta',
     'make_call_outcome',
     'rank_hosts',
