Log how a request ended that an engine never began

A request with an offset behind its answer, one larger than the memory and one whose caller left during the delay stayed in the log as running.

--- a/packages/geranium-standins/src/geranium_standins/completion_api.py
+++ b/packages/geranium-standins/src/geranium_standins/completion_api.py
@@ -13,7 +13,7 @@
 from .completions import Completion, CompletionKind
 from .controls import Controls, problem
 from .events import EventBuilder
-from .exceptions import RefusedError
+from .exceptions import RefusedError, UnfitRequestError
 from .faults import EngineFaults
 from .handoff import HandoffTable
 from .intake import (
@@ -86,7 +86,7 @@
         self._state.check_accepts(Role.PREFILL)
         check_capacity(self._settings, self._batch, completion)
         if completion.offset > completion.length + 1:
-            raise web.HTTPBadRequest(text='the answer ends before the offset')
+            raise UnfitRequestError('the answer ends before the offset')
 
     async def _stream(
         self,
--- a/packages/geranium-standins/src/geranium_standins/exceptions.py
+++ b/packages/geranium-standins/src/geranium_standins/exceptions.py
@@ -35,6 +35,10 @@
     """A request is refused before any of it ran."""
 
 
+class UnfitRequestError(RefusedError):
+    """A request is refused because it could never run."""
+
+
 class WeightsError(StandinError):
     """The weight store did not deliver a piece."""
 
--- a/packages/geranium-standins/src/geranium_standins/intake.py
+++ b/packages/geranium-standins/src/geranium_standins/intake.py
@@ -16,7 +16,7 @@
 )
 from .connections import hang
 from .controls import Controls, parse_body, problem
-from .exceptions import RefusedError
+from .exceptions import RefusedError, UnfitRequestError
 from .faults import EngineFaults
 from .logs import Log, LogEntry
 from .sequences import Sequence
@@ -77,8 +77,11 @@
     if faults.silent:
         entry['outcome'] = 'silent'
         await hang()
-    if faults.delay_ms:
+    try:
         await asyncio.sleep(faults.delay_ms / MS_PER_S)
+    except asyncio.CancelledError:
+        entry['outcome'] = StreamEnd.DISCONNECTED.value
+        raise
 
 
 def check_capacity(
@@ -90,16 +93,18 @@
 
     Raises:
         RefusedError: If too many wait.
-        web.HTTPBadRequest: If it is larger than the whole memory.
+        UnfitRequestError: If it is larger than the whole memory.
     """
     if batch.roster.waiting_count >= settings.max_waiting:
         raise RefusedError('too many requests wait')
     if completion.pieces > settings.kv_pieces:
-        raise web.HTTPBadRequest(text='larger than the KV memory')
+        raise UnfitRequestError('larger than the KV memory')
 
 
 def refusal(error: RefusedError) -> web.Response:
     """Return the answer that says that nothing ran."""
+    if isinstance(error, UnfitRequestError):
+        return problem(HTTPStatus.BAD_REQUEST, 'unfit', str(error))
     return problem(HTTPStatus.SERVICE_UNAVAILABLE, 'not-run', str(error))
 
 
--- a/packages/geranium-standins/tests/test_completions.py
+++ b/packages/geranium-standins/tests/test_completions.py
@@ -95,16 +95,17 @@
 
 
 @pytest.mark.parametrize(
-    ('headers', 'body'),
+    ('headers', 'body', 'outcomes'),
     [
-        ({'Resume-Offset': '9'}, None),
-        ({'Resume-Offset': 'x'}, None),
-        ({'Request-Id': ''}, None),
-        ({}, body_of(max_tokens=100_000)),
+        ({'Resume-Offset': '9'}, None, ['refused']),
+        ({'Resume-Offset': 'x'}, None, []),
+        ({'Request-Id': ''}, None, []),
+        ({}, body_of(max_tokens=100_000), ['refused']),
     ],
 )
-async def test_malformed_request_is_refused(engine, headers, body):
+async def test_malformed_request_is_refused(engine, headers, body, outcomes):
     assert (await complete(engine, body, headers=headers)).status == 400
+    assert await outcome_of(engine, 'r-1') == outcomes
 
 
 async def test_cut_stream_has_no_mark(engine):
@@ -174,6 +175,17 @@
     assert stream.is_complete
 
 
+async def test_caller_that_gives_up_on_a_late_engine_is_logged(engine):
+    await engine.set_faults(delay_ms=60_000)
+    with pytest.raises(TimeoutError):
+        await asyncio.wait_for(complete(engine), timeout=0.3)
+    log = await engine.wait_for(
+        '/log',
+        lambda log: log['requests'][0]['outcome'] != 'running',
+    )
+    assert log['requests'][0]['outcome'] == 'disconnected'
+
+
 async def test_running_stream_goes_silent_with_its_connection(engine):
     reading = asyncio.create_task(complete(engine, LONG))
     await wait_running(engine)
