Report usage once per window, replicated to peers before it counts

Each daemon's ledger hands numbered batches to peers in other zones; the holder of the reporter's lease seals a window by creating its object and submits it as sealed.

--- a/packages/geraniumd/src/geraniumd/context.py
+++ b/packages/geraniumd/src/geraniumd/context.py
@@ -3,7 +3,6 @@
 import dataclasses
 import random
 import uuid
-from functools import partial
 
 from geranium_coordination import (
     Acknowledgements,
@@ -14,10 +13,13 @@
     ConfigurationSettings,
     FreshnessSettings,
     SystemClock,
+    UsageLedger,
 )
+from geranium_coordination import UsageSettings as LedgerSettings
 from geranium_policy import SuspectRegister
 from geranium_policy.suspects import SuspectSettings
 
+from .claim_peers import ClaimOwners
 from .demand import DemandBoard
 from .directory import HostDirectory, holder_name
 from .electors import WithdrawalAnnouncer
@@ -32,6 +34,7 @@
 from .settings import Secrets, Settings
 from .telemetry import Telemetry
 from .usage import UsageMeter
+from .usage_peers import PeerReplicator
 
 # A host counts as an elector once the hold has passed since its start; the
 # hold outlasts the time that a change may take.
@@ -103,19 +106,22 @@
             clock,
         ),
         acknowledgements=Acknowledgements(),
-        claims=_build_claims(settings, incarnation, platform, directory),
+        claims=_build_claims(settings, incarnation, replication),
         fleet=traffic.fleet,
         demand=traffic.demand,
         intents=EngineIntents(platform),
         suspects=traffic.suspects,
         gossip=traffic.gossip,
         requests=RequestLog(clock),
-        meter=UsageMeter(telemetry),
+        meter=_build_meter(settings, incarnation, links_by_host, telemetry),
     )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Replication:
+    platform: PlatformClient
+    directory: HostDirectory
+    links_by_host: dict[str, PeerLink]
     replica: ConfigurationReplica
     announcer: WithdrawalAnnouncer
     repository: ConfigurationRepository
@@ -147,7 +153,14 @@
         _CONFIGURATION,
         announcer=announcer.announce,
     )
-    return _Replication(replica, announcer, repository)
+    return _Replication(
+        platform,
+        directory,
+        links_by_host,
+        replica,
+        announcer,
+        repository,
+    )
 
 
 def _build_traffic(clock: Clock) -> _Traffic:
@@ -161,9 +174,27 @@
 def _build_claims(
     settings: Settings,
     incarnation: str,
-    platform: PlatformClient,
-    directory: HostDirectory,
+    replication: _Replication,
 ) -> ClaimJournal:
+    owners = ClaimOwners(
+        settings.host,
+        incarnation,
+        replication.directory,
+        replication.links_by_host,
+    )
     holder = holder_name(settings.host, incarnation)
-    is_gone = partial(directory.is_gone, own=holder)
-    return ClaimJournal(holder, platform, is_gone)
+    return ClaimJournal(holder, replication.platform, owners)
+
+
+def _build_meter(
+    settings: Settings,
+    incarnation: str,
+    links_by_host: dict[str, PeerLink],
+    telemetry: Telemetry,
+) -> UsageMeter:
+    ledger = UsageLedger(
+        holder_name(settings.host, incarnation),
+        PeerReplicator(settings.zone, links_by_host),
+        LedgerSettings(batch_interval_s=settings.usage.batch_interval_s),
+    )
+    return UsageMeter(settings.usage, ledger, telemetry)
--- a/packages/geraniumd/src/geraniumd/daemon.py
+++ b/packages/geraniumd/src/geraniumd/daemon.py
@@ -21,6 +21,7 @@
 from .peer_server import PeerServer
 from .peering import Peering
 from .probes import LoadProber
+from .reporter import UsageForgetter
 from .settings import Secrets, Settings
 from .wiring import (
     build_clients,
@@ -112,13 +113,7 @@
             context.secrets.peer_secret,
         )
         self._peering = Peering(context, identity, context.gossip.news)
-        self._peer_server = PeerServer(
-            identity,
-            settings.peers,
-            context.replica,
-            context.gossip.take,
-            context.telemetry,
-        )
+        self._peer_server = PeerServer(context, identity)
 
     async def _listen_for_peers(self) -> str:
         endpoint = self._context.settings.peer
@@ -152,6 +147,8 @@
         yield 'probes', prober.run()
         yield 'claims', context.claims.run()
         yield 'admission', self._admission.run()
+        yield 'usage', context.meter.ledger.run()
+        yield 'accounts', UsageForgetter(context).run()
         yield 'duties', self._control.run()
         yield 'peering', self._peering.run()
 
--- a/packages/geraniumd/src/geraniumd/duties.py
+++ b/packages/geraniumd/src/geraniumd/duties.py
@@ -20,6 +20,7 @@
 from .engine_orders import EngineOrderSender
 from .logs import get_logger
 from .platform import PlatformClient
+from .reporter import REPORTER_DUTY, UsageDuty
 from .transport import TargetTransport
 
 _DIRECTOR = 'director'
@@ -59,7 +60,7 @@
             targets,
             context.clock,
         )
-        self._duty_names: set[str] = set()
+        self._directed: set[str] = set()
         self.runner = DutyRunner(
             DutyContext(
                 context.platform,
@@ -74,6 +75,7 @@
     async def run(self) -> None:
         """Campaign until cancelled; then step down from every duty."""
         await self._release_predecessors()
+        self.runner.add(Duty(REPORTER_DUTY, UsageDuty(self._context).run))
         async with asyncio.TaskGroup() as group:
             group.create_task(self._reconcile_always())
             group.create_task(self.runner.run())
@@ -104,12 +106,12 @@
             for service in configuration.services_by_name.values()
             if isinstance(service, ModelService)
         }
-        for gone in self._duty_names - wanted.keys():
+        for gone in self._directed - wanted.keys():
             await self.runner.remove(gone)
-        for name in wanted.keys() - self._duty_names:
+        for name in wanted.keys() - self._directed:
             director = self._director(wanted[name])
             self.runner.add(Duty(name, director.run))
-        self._duty_names = set(wanted)
+        self._directed = set(wanted)
 
     def _director(self, service: ModelService) -> EngineDirector:
         return EngineDirector(
--- a/packages/geraniumd/src/geraniumd/messages.py
+++ b/packages/geraniumd/src/geraniumd/messages.py
@@ -3,7 +3,11 @@
 import dataclasses
 from typing import TypeAlias
 
-from geranium_coordination import FreshnessReport, PendingWithdrawal
+from geranium_coordination import (
+    FreshnessReport,
+    PendingWithdrawal,
+    UsageBatch,
+)
 from geranium_policy import (
     ConsumptionReport,
     CrashNotice,
@@ -83,26 +87,44 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class UsageCounter:
-    """A team's usage in a window through the origin so far."""
+class UsageReplica:
+    """Asks the receiver to keep usage batches, or answers with some."""
 
-    window: str
-    team: str
-    prompt_tokens: int
-    generated_tokens: int
-    requests: int
+    batches: tuple[UsageBatch, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class UsageReplica:
-    """Asks the receiver to keep an origin's usage counters."""
+class UsageWanted:
+    """Asks for the usage batches of a window and of those before it."""
+
+    through_window: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimQuestion:
+    """Asks the receiver to commit an encoded claim operation."""
 
-    origin: str
-    counters: tuple[UsageCounter, ...]
+    encoded_operation: bytes
 
 
-Question: TypeAlias = Ping | ConfigurationWanted | Announcement | UsageReplica
-Answer: TypeAlias = Status | ConfigurationUpdate | Acknowledgement
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimAnswer:
+    """Answers with an encoded claim outcome, empty where there is none."""
+
+    encoded_outcome: bytes
+
+
+Question: TypeAlias = (
+    Ping
+    | ConfigurationWanted
+    | Announcement
+    | UsageReplica
+    | UsageWanted
+    | ClaimQuestion
+)
+Answer: TypeAlias = (
+    Status | ConfigurationUpdate | Acknowledgement | UsageReplica | ClaimAnswer
+)
 Message: TypeAlias = Question | Answer
 
 
--- a/packages/geraniumd/src/geraniumd/peer_links.py
+++ b/packages/geraniumd/src/geraniumd/peer_links.py
@@ -12,10 +12,12 @@
 from .messages import (
     Acknowledgement,
     Answer,
+    ClaimAnswer,
     ConfigurationUpdate,
     Envelope,
     Question,
     Status,
+    UsageReplica,
 )
 from .settings import PeerSettings
 from .telemetry import Telemetry
@@ -128,7 +130,13 @@
 
     def _deliver(self, envelope: Envelope) -> None:
         match envelope.message:
-            case Status() | ConfigurationUpdate() | Acknowledgement() as answer:
+            case (
+                Status()
+                | ConfigurationUpdate()
+                | Acknowledgement()
+                | UsageReplica()
+                | ClaimAnswer()
+            ) as answer:
                 waiting = self._answers_by_number.get(envelope.number)
                 if waiting is not None and not waiting.done():
                     waiting.set_result(answer)
--- a/packages/geraniumd/src/geraniumd/peer_server.py
+++ b/packages/geraniumd/src/geraniumd/peer_server.py
@@ -1,14 +1,16 @@
 """Answers other daemons' questions, one task a connection."""
 
 import asyncio
-from collections.abc import Callable
 
 from geranium_coordination import (
-    ConfigurationReplica,
+    CorruptClaimsError,
+    decode_claim_message,
+    encode_claim_message,
     encode_delta,
 )
 
 from .channel import Channel
+from .context import Context
 from .exceptions import FrameError, PeerError
 from .handshake import Identity, accept
 from .logs import get_logger
@@ -16,41 +18,35 @@
     Acknowledgement,
     Announcement,
     Answer,
+    ClaimAnswer,
+    ClaimQuestion,
     ConfigurationUpdate,
     ConfigurationWanted,
     Envelope,
-    Hello,
     Message,
     Ping,
     Status,
     UsageReplica,
+    UsageWanted,
 )
-from .settings import PeerSettings
-from .telemetry import Telemetry
 from .wire import decode, encode
 
-NewsSink = Callable[[str, Ping], None]
-
 
 class PeerServer:
     """Listens for other daemons."""
 
-    def __init__(
-        self,
-        identity: Identity,
-        settings: PeerSettings,
-        replica: ConfigurationReplica,
-        news: NewsSink,
-        telemetry: Telemetry,
-    ) -> None:
+    def __init__(self, context: Context, identity: Identity) -> None:
         self._identity = identity
-        self._settings = settings
-        self._replica = replica
-        self._news = news
-        self._telemetry = telemetry
+        self._settings = context.settings.peers
+        self._replica = context.replica
+        self._gossip = context.gossip
+        self._ledger = context.meter.ledger
+        self._claims = context.claims
+        self._telemetry = context.telemetry
         self._log = get_logger()
         self._server: asyncio.Server | None = None
         self._channels: set[Channel] = set()
+        self._commits: set[asyncio.Task[None]] = set()
         self.is_leaving = False
 
     async def start(self, address: str, port: int) -> int:
@@ -94,20 +90,57 @@
             raise PeerError('no handshake in time') from None
         while True:
             envelope = decode(await channel.receive())
-            answer = self._answer(hello, envelope.message)
+            question = envelope.message
+            if isinstance(question, ClaimQuestion):
+                # A commit takes a write to the platform: pings go on.
+                self._commit_soon(channel, envelope.number, question)
+                continue
+            answer = self._answer(hello.host, question)
             await channel.send(encode(Envelope(envelope.number, answer)))
 
-    def _answer(self, hello: Hello, question: Message) -> Answer:
+    def _answer(self, host: str, question: Message) -> Answer:
         match question:
             case Ping():
-                self._news(hello.host, question)
+                self._gossip.take(host, question)
                 return Status(self._replica.report(), self.is_leaving)
             case ConfigurationWanted(since_version=version):
                 delta = self._replica.loaded.delta_since(version)
                 return ConfigurationUpdate(encode_delta(delta))
             case Announcement(pending=pending):
                 return Acknowledgement(self._replica.announce(pending))
-            case UsageReplica():
-                return Acknowledgement(counts=False)
+            case UsageReplica(batches=batches):
+                self._ledger.merge(batches)
+                return Acknowledgement(counts=True)
+            case UsageWanted(through_window=window):
+                return UsageReplica(self._ledger.batches(window))
             case _:
                 raise FrameError('an answer where a question was due')
+
+    def _commit_soon(
+        self,
+        channel: Channel,
+        number: int,
+        question: ClaimQuestion,
+    ) -> None:
+        commit = asyncio.create_task(self._commit(channel, number, question))
+        self._commits.add(commit)
+        commit.add_done_callback(self._commits.discard)
+
+    async def _commit(
+        self,
+        channel: Channel,
+        number: int,
+        question: ClaimQuestion,
+    ) -> None:
+        try:
+            operation = decode_claim_message(question.encoded_operation)
+        except CorruptClaimsError as error:
+            self._log.warning('claim_not_read', error=str(error))
+            return
+        outcome = await self._claims.serve(operation)
+        encoded = encode_claim_message(outcome) if outcome else b''
+        answer = Envelope(number, ClaimAnswer(encoded))
+        try:
+            await channel.send(encode(answer))
+        except PeerError as error:
+            self._log.debug('claim_not_answered', error=str(error))
--- a/packages/geraniumd/src/geraniumd/peers.capnp
+++ b/packages/geraniumd/src/geraniumd/peers.capnp
@@ -70,17 +70,18 @@
   demand @3 :List(ServiceDemand);
 }
 
-struct UsageCounter {
-  window @0 :Text;
-  team @1 :Text;
-  promptTokens @2 :UInt64;
-  generatedTokens @3 :UInt64;
-  requests @4 :UInt64;
+struct TeamUsage {
+  team @0 :Text;
+  promptTokens @1 :UInt64;
+  generatedTokens @2 :UInt64;
+  requests @3 :UInt64;
 }
 
-struct UsageReplica {
+struct UsageBatch {
   origin @0 :Text;
-  counters @1 :List(UsageCounter);
+  sequence @1 :UInt64;
+  window @2 :UInt64;
+  usage @3 :List(TeamUsage);
 }
 
 struct Frame {
@@ -92,6 +93,9 @@
     configuration @4 :Data;
     announcement @5 :Withdrawal;
     acknowledgement @6 :Bool;
-    usage @7 :UsageReplica;
+    usage @7 :List(UsageBatch);
+    usageWanted @8 :UInt64;
+    claim @9 :Data;
+    claimAnswer @10 :Data;
   }
 }
--- a/packages/geraniumd/src/geraniumd/platform.py
+++ b/packages/geraniumd/src/geraniumd/platform.py
@@ -21,6 +21,7 @@
 from yarl import URL
 
 from .listings import ListedTarget, parse_hosts, parse_targets
+from .resends import send_once
 from .settings import PlatformSettings
 
 MS_PER_S = 1000
@@ -37,15 +38,13 @@
     def __init__(self, settings: PlatformSettings) -> None:
         self._settings = settings
         self._base = URL(f'http://{settings.address}')
-        self._read_session: aiohttp.ClientSession | None = None
-        self._write_session: aiohttp.ClientSession | None = None
+        self._session: aiohttp.ClientSession | None = None
         self.calls_by_kind = {'read': 0, 'write': 0, 'watch': 0}
 
     async def close(self) -> None:
         """Close the connections."""
-        for session in (self._read_session, self._write_session):
-            if session is not None:
-                await session.close()
+        if self._session is not None:
+            await self._session.close()
 
     async def read(self, key: str) -> StoredObject | None:
         """Return the object, or ``None`` where it is absent."""
@@ -190,7 +189,7 @@
             total=timeout_s or self._settings.call_timeout_s,
         )
         try:
-            async with self._session_for(method).request(
+            async with self._open_session().request(
                 method,
                 url,
                 json=json,
@@ -204,18 +203,10 @@
         except (TimeoutError, aiohttp.ClientError) as error:
             raise AnswerLostError(f'platform: {error!r}') from error
 
-    def _session_for(self, method: str) -> aiohttp.ClientSession:
-        if method == 'GET':
-            if self._read_session is None:
-                self._read_session = aiohttp.ClientSession()
-            return self._read_session
-        if self._write_session is None:
-            # aiohttp sends a PUT or DELETE again by itself when a reused
-            # connection was closed; a conditional write whose answer was
-            # lost would then be told of a conflict with itself.
-            connector = aiohttp.TCPConnector(force_close=True)
-            self._write_session = aiohttp.ClientSession(connector=connector)
-        return self._write_session
+    def _open_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(middlewares=(send_once,))
+        return self._session
 
 
 def _condition_headers(condition: Condition) -> Mapping[str, str]:
--- a/packages/geraniumd/src/geraniumd/settings.py
+++ b/packages/geraniumd/src/geraniumd/settings.py
@@ -94,6 +94,18 @@
     links_per_other_zone: Annotated[int, pydantic.Field(ge=1)] = 4
 
 
+@dataclass(frozen=True, kw_only=True, config=_STRICT)
+class UsageSettings:
+    """How usage is gathered and reported.
+
+    A window is reported once ``late_s`` have passed since its end.
+    """
+
+    window_s: PositiveSeconds = 60
+    late_s: PositiveSeconds = 15
+    batch_interval_s: PositiveSeconds = 5
+
+
 @dataclass(frozen=True, kw_only=True, config=_STRICT)
 class ShutdownSettings:
     """How long each step of a graceful shutdown may take."""
@@ -122,6 +134,7 @@
     gateway: GatewaySettings = GatewaySettings()
     targets: TargetSettings = TargetSettings()
     peers: PeerSettings = PeerSettings()
+    usage: UsageSettings = UsageSettings()
     shutdown: ShutdownSettings = ShutdownSettings()
 
 
--- a/packages/geraniumd/src/geraniumd/transport.py
+++ b/packages/geraniumd/src/geraniumd/transport.py
@@ -10,6 +10,7 @@
     TargetLostError,
     TargetRefusedError,
 )
+from .resends import send_once
 from .settings import TargetSettings
 
 _DETAIL_BYTES = 512
@@ -26,9 +27,8 @@
     Args:
         settings: Time limits of the connections.
         reuses_connections: Whether a connection serves several calls. A
-            call that may not be repeated wants one of its own, since the
-            HTTP client sends some calls again by itself when a reused
-            connection turns out to be closed.
+            call that may not be repeated wants one of its own: a reused
+            one may turn out to be closed when it is too late to try again.
     """
 
     def __init__(
@@ -91,6 +91,7 @@
                 read_bufsize=_READ_BYTES,
                 auto_decompress=False,
                 cookie_jar=aiohttp.DummyCookieJar(),
+                middlewares=(send_once,),
             )
         return self._session
 
--- a/packages/geraniumd/src/geraniumd/usage.py
+++ b/packages/geraniumd/src/geraniumd/usage.py
@@ -1,19 +1,34 @@
-"""Meters what teams use on this daemon."""
+"""Meters what teams use on this daemon, window by window."""
 
+import time
+
+from geranium_coordination import UsageLedger
 from geranium_model import Usage
 
+from .settings import UsageSettings
 from .telemetry import Telemetry
 
 
 class UsageMeter:
-    """Sums the usage of each team since the daemon started."""
+    """Counts the usage of each team into the ledger of the present window.
+
+    Windows are numbered by wall-clock time, which names them only.
+    """
 
-    def __init__(self, telemetry: Telemetry) -> None:
+    def __init__(
+        self,
+        settings: UsageSettings,
+        ledger: UsageLedger,
+        telemetry: Telemetry,
+    ) -> None:
+        self._settings = settings
         self._telemetry = telemetry
+        self.ledger = ledger
         self.usage_by_team: dict[str, Usage] = {}
 
     def add(self, team: str, service: str, usage: Usage) -> None:
         """Count what a request of the team used."""
+        self.ledger.record(self.present_window(), team, usage)
         self.usage_by_team[team] = self.usage_by_team.get(team, Usage()) + usage
         self._telemetry.tokens.add(
             usage.prompt_tokens,
@@ -23,3 +38,12 @@
             usage.generated_tokens,
             {'service': service, 'kind': 'generated'},
         )
+
+    def present_window(self) -> int:
+        """Return the number of the window that usage falls into now."""
+        return int(time.time() // self._settings.window_s)
+
+    def due_window(self) -> int:
+        """Return the number of the last window that is to be reported."""
+        late_at = time.time() - self._settings.late_s
+        return int(late_at // self._settings.window_s) - 1
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/usage_peers.py
@@ -0,0 +1,116 @@
+"""Replicates usage to peers in other zones and gathers it again."""
+
+import asyncio
+from collections.abc import Mapping
+
+from geranium_coordination import (
+    ReplicationError,
+    UsageBatch,
+    UsageLedger,
+    UsageReport,
+)
+
+from .exceptions import PeerError
+from .messages import Acknowledgement, UsageReplica, UsageWanted
+from .peer_links import PeerLink
+from .platform import PlatformClient
+
+REPLICA_COUNT = 2
+
+
+class PeerReplicator:
+    """Hands each batch to peers, of other zones where there are some."""
+
+    def __init__(
+        self,
+        zone: str,
+        links_by_host: Mapping[str, PeerLink],
+    ) -> None:
+        self._zone = zone
+        self._links_by_host = links_by_host
+
+    async def replicate(self, batch: UsageBatch) -> None:
+        """Return once a peer, better two, hold the batch.
+
+        Raises:
+            ReplicationError: If there are peers and none took it.
+        """
+        links = sorted(
+            self._links_by_host.values(),
+            key=lambda link: link.presence.zone == self._zone,
+        )
+        if not links:
+            return
+        held = 0
+        for link in links:
+            held += await _holds(link, batch)
+            if held >= REPLICA_COUNT:
+                return
+        if not held:
+            raise ReplicationError('no peer took the batch')
+
+
+class PeerCollector:
+    """Gathers the batches of this host and of its peers."""
+
+    def __init__(
+        self,
+        ledger: UsageLedger,
+        links_by_host: Mapping[str, PeerLink],
+    ) -> None:
+        self._ledger = ledger
+        self._links_by_host = links_by_host
+
+    async def collect(self, through_window: int) -> tuple[UsageBatch, ...]:
+        """Return batches of this window and earlier ones.
+
+        A peer that does not answer is left out: what only it holds goes
+        into a later window as a correction.
+        """
+        gathered = await asyncio.gather(
+            *(
+                _batches(link, through_window)
+                for link in self._links_by_host.values()
+            ),
+        )
+        own = self._ledger.batches(through_window)
+        return (*own, *(batch for batches in gathered for batch in batches))
+
+
+class PlatformSubmitter:
+    """Sends sealed windows to the platform."""
+
+    def __init__(self, platform: PlatformClient) -> None:
+        self._platform = platform
+
+    async def submit(self, report: UsageReport) -> None:
+        """Return once the platform has taken the report.
+
+        Raises:
+            StoreError: If that is not known.
+        """
+        await self._platform.report_usage(
+            str(report.window),
+            report.report_id,
+            report.epoch,
+            report.usage_by_team,
+        )
+
+
+async def _holds(link: PeerLink, batch: UsageBatch) -> bool:
+    try:
+        answer = await link.ask(UsageReplica((batch,)))
+    except PeerError:
+        return False
+    return isinstance(answer, Acknowledgement) and answer.counts
+
+
+async def _batches(
+    link: PeerLink,
+    through_window: int,
+) -> tuple[UsageBatch, ...]:
+    try:
+        answer = await link.ask(UsageWanted(through_window))
+    except PeerError:
+        return ()
+    return answer.batches if isinstance(answer, UsageReplica) else ()
--- a/packages/geraniumd/src/geraniumd/wire.py
+++ b/packages/geraniumd/src/geraniumd/wire.py
@@ -14,6 +14,8 @@
 from .messages import (
     Acknowledgement,
     Announcement,
+    ClaimAnswer,
+    ClaimQuestion,
     ConfigurationUpdate,
     ConfigurationWanted,
     Envelope,
@@ -21,11 +23,12 @@
     Message,
     Ping,
     Status,
-    UsageCounter,
     UsageReplica,
+    UsageWanted,
 )
 from .wire_ages import MS_PER_S, age_from_wire, age_on_wire
 from .wire_news import ping_fields, read_ping
+from .wire_usage import batch_fields, read_batch
 
 _schema = capnp.load(str(pathlib.Path(__file__).with_name('peers.capnp')))
 
@@ -98,8 +101,22 @@
             return {'announcement': _withdrawal_fields(message.pending, 0)}
         case Acknowledgement():
             return {'acknowledgement': message.counts}
-        case UsageReplica():
-            return {'usage': _usage_fields(message)}
+        case _:
+            return _work_member(message)
+
+
+def _work_member(
+    message: UsageReplica | UsageWanted | ClaimQuestion | ClaimAnswer,
+) -> dict[str, Any]:
+    match message:
+        case UsageReplica(batches=batches):
+            return {'usage': list(map(batch_fields, batches))}
+        case UsageWanted(through_window=window):
+            return {'usageWanted': window}
+        case ClaimQuestion(encoded_operation=encoded):
+            return {'claim': encoded}
+        case ClaimAnswer(encoded_outcome=encoded):
+            return {'claimAnswer': encoded}
 
 
 def _read(frame: Any) -> Message:
@@ -116,8 +133,20 @@
             return Announcement(_read_withdrawal(frame.announcement).pending)
         case 'acknowledgement':
             return Acknowledgement(frame.acknowledgement)
+        case kind:
+            return _read_work(frame, kind)
+
+
+def _read_work(frame: Any, kind: str) -> Message:
+    match kind:
         case 'usage':
-            return _read_usage(frame.usage)
+            return UsageReplica(tuple(map(read_batch, frame.usage)))
+        case 'usageWanted':
+            return UsageWanted(frame.usageWanted)
+        case 'claim':
+            return ClaimQuestion(bytes(frame.claim))
+        case 'claimAnswer':
+            return ClaimAnswer(bytes(frame.claimAnswer))
     raise FrameError('a message of an unknown kind')
 
 
@@ -170,33 +199,3 @@
         tuple(held.keyDigests),
     )
     return HeldWithdrawal(pending, held.ageMs / MS_PER_S)
-
-
-def _usage_fields(replica: UsageReplica) -> dict[str, Any]:
-    return {
-        'origin': replica.origin,
-        'counters': [
-            {
-                'window': counter.window,
-                'team': counter.team,
-                'promptTokens': counter.prompt_tokens,
-                'generatedTokens': counter.generated_tokens,
-                'requests': counter.requests,
-            }
-            for counter in replica.counters
-        ],
-    }
-
-
-def _read_usage(usage: Any) -> UsageReplica:
-    counters = tuple(
-        UsageCounter(
-            window=row.window,
-            team=row.team,
-            prompt_tokens=row.promptTokens,
-            generated_tokens=row.generatedTokens,
-            requests=row.requests,
-        )
-        for row in usage.counters
-    )
-    return UsageReplica(usage.origin, counters)
--- a/packages/geraniumd/tests/test_engine_orders.py
+++ b/packages/geraniumd/tests/test_engine_orders.py
@@ -1,10 +1,12 @@
 """Operators' orders reach engines through their journals, and cut nothing."""
 
 import asyncio
+from functools import partial
 
 import pytest
 import pytest_asyncio
 from geranium_standins.deployment import Deployment, DeploymentSettings
+from geranium_standins.managed import until
 
 pytestmark = pytest.mark.asyncio(loop_scope='module')
 
@@ -52,12 +54,17 @@
     assert 'cut' not in outcomes
 
 
+async def duties_are_held(deployment):
+    leases = await deployment.operator.execute('show leases')
+    duties = sorted(row[0] for row in leases['rows'])
+    return duties == ['director-llm', 'usage-reporter']
+
+
 async def test_orders_and_leases_are_shown(deployment):
     answer = await deployment.operator.execute('drain engine engine-3')
     order_id = answer['rows'][0][1]
     assert answer['rows'][0][-1] == 'done'
-    leases = await deployment.operator.execute('show leases')
-    assert [row[0] for row in leases['rows']] == ['director-llm']
+    await until(partial(duties_are_held, deployment))
     orders = await deployment.operator.execute(
         f'show orders where order = "{order_id}"',
     )
--- a/packages/geraniumd/tests/test_wire.py
+++ b/packages/geraniumd/tests/test_wire.py
@@ -5,7 +5,9 @@
     FreshnessReport,
     HeldWithdrawal,
     PendingWithdrawal,
+    UsageBatch,
 )
+from geranium_model import Usage
 from geranium_policy import (
     ConsumptionReport,
     CrashNotice,
@@ -39,9 +41,11 @@
     messages.Announcement(PENDING),
     messages.Acknowledgement(counts=True),
     messages.UsageReplica(
-        'khomas-a-1.77',
-        (messages.UsageCounter('w', 'registry', 1, 2, 3),),
+        (UsageBatch('khomas-a-1.77', 4, 9, {'registry': Usage(1, 2, 3)}),)
     ),
+    messages.UsageWanted(9),
+    messages.ClaimQuestion(b'{"kind": "Claim"}'),
+    messages.ClaimAnswer(b''),
 )
 
 
