Set a write's timer only for callers that are behind

Cause: profiling the relay of 40,400 token events showed an asyncio.timeout around each write to cost about as much as the write. Ruled out: joining reads (a read already brings 3.6 events) and the event check (4% of the time).

--- a/packages/geraniumd/src/geraniumd/sinks.py
+++ b/packages/geraniumd/src/geraniumd/sinks.py
@@ -70,14 +70,28 @@
 
     async def _send(self, data: bytes) -> None:
         try:
-            async with asyncio.timeout(self._stall_s):
-                response = await self._begin()
-                await response.write(data)
+            if self._is_behind():
+                async with asyncio.timeout(self._stall_s):
+                    await self._write(data)
+            else:
+                await self._write(data)
         except TimeoutError:
             raise CallerGoneError('the caller stopped reading') from None
         except (ConnectionError, RuntimeError) as error:
             raise CallerGoneError(repr(error)) from error
 
+    def _is_behind(self) -> bool:
+        """Tell whether a write may have to wait for the caller.
+
+        A timer for each write would cost more than the write itself.
+        """
+        transport = self._request.transport
+        return transport is None or transport.get_write_buffer_size() > 0
+
+    async def _write(self, data: bytes) -> None:
+        response = await self._begin()
+        await response.write(data)
+
     async def _begin(self) -> web.StreamResponse:
         if self._response is None:
             headers = {
