--- a/packages/geraniumd/benchmarks/gateway_overhead.py
+++ b/packages/geraniumd/benchmarks/gateway_overhead.py
@@ -18,7 +18,7 @@
 import statistics
 import sys
 import time
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 from typing import Any
 
 import aiohttp
@@ -26,7 +26,8 @@
 
 MS_PER_S = 1000
 PERCENTILES = 100
-PROMPT = 'A card for Ndapewa and Tuli, in gold on cream. ' * 20
+PROMPT_REPEATS = 20
+PROMPT = 'A card for Ndapewa and Tuli, in gold on cream. ' * PROMPT_REPEATS
 FAST_ENGINE = (
     '--decode-step-us=2000',
     '--decode-us-per-sequence=20',
@@ -103,15 +104,9 @@
         send: Callable[[], Awaitable[int]],
     ) -> dict[str, float]:
         """Return how much goes through; ``send`` returns its events."""
-        waiting = asyncio.Semaphore(self._load.concurrency)
-
-        async def bounded() -> int:
-            async with waiting:
-                return await send()
-
         started_at = time.monotonic()
         cpu_before_s = _cpu_s(self._pid)
-        events = sum(await asyncio.gather(*(bounded() for _ in range(count))))
+        events = await self._send_all(count, send)
         cpu_s = _cpu_s(self._pid) - cpu_before_s
         elapsed_s = time.monotonic() - started_at
         return {
@@ -137,6 +132,18 @@
             text = await response.read()
         return text.count(b'\n\n')
 
+    async def _send_all(
+        self,
+        count: int,
+        send: Callable[[], Awaitable[int]],
+    ) -> int:
+        """Send so often, bounded in concurrency; return all events."""
+        numbers = iter(range(count))
+        workers = [
+            _repeat(numbers, send) for _ in range(self._load.concurrency)
+        ]
+        return sum(await asyncio.gather(*workers))
+
     async def _first_token(self, url: str) -> float:
         started_at = time.perf_counter()
         async with self._post(url, 2) as response:
@@ -159,6 +166,17 @@
         )
 
 
+async def _repeat(
+    numbers: Iterator[int],
+    send: Callable[[], Awaitable[int]],
+) -> int:
+    """Send once for each number that no other worker took."""
+    events = 0
+    for _ in numbers:
+        events += await send()
+    return events
+
+
 def _cpu_s(pid: int) -> float:
     fields = pathlib.Path(f'/proc/{pid}/stat').read_text().split()
     user_ticks, system_ticks = fields[13:15]
