Prove leases and journals under drawn and scripted faults

Processes with own clocks run in virtual time between one store and three kinds of receivers. The checker has histories that it must reject, and each mechanism is taken out once to see the checker find it.

That a lapsed session is never extended could not be shown this way: the duty's task ends the session by then.

--- /dev/null
+++ b/packages/geranium-coordination/tests/processes.py
@@ -0,0 +1,223 @@
+"""A process that campaigns for duties and gives orders under them."""
+
+import asyncio
+import contextlib
+import math
+
+import geranium_coordination as coordination
+from geranium_coordination.timeouts import finish_by
+
+from .world import (
+    HOLDER,
+    HOST_LIST_LAG_S,
+    Fate,
+    Fault,
+    Machine,
+    MachineStore,
+    World,
+)
+
+ORDER_TIMEOUT_S = 1.0
+
+
+class Process:
+    """One daemon between its start and its kill."""
+
+    def __init__(self, machine: Machine, names: tuple[str, ...]) -> None:
+        world = machine.world
+        self.machine = machine
+        self.is_dead = False
+        self.leases: list[coordination.Lease] = []
+        self.store = MachineStore(machine, world.store)
+        self._names = names
+        self._order_count = 0
+        self.runner = coordination.DutyRunner(
+            coordination.DutyContext(
+                self.store,
+                machine,
+                world.duties,
+                machine.host,
+                self._hosts,
+                machine.rng,
+            ),
+        )
+        self._journals = coordination.JournalContext(
+            self.store,
+            machine,
+            world.journals,
+            world,
+            machine.rng,
+        )
+        world.processes.append(self)
+        self.task = asyncio.create_task(self._run())
+
+    def believed(self, instant: float) -> list[coordination.Lease]:
+        """Return the leases that it would believe in if it looked."""
+        if self.is_dead:
+            return []
+        reading = self.machine.reading(instant)
+        return [lease for lease in self.leases if lease.is_held(reading)]
+
+    def kill(self) -> None:
+        self.is_dead = True
+        self.machine.freeze(math.inf)
+
+    def _hosts(self) -> frozenset[str]:
+        processes = self.machine.world.processes
+        return frozenset(process.machine.host for process in processes)
+
+    async def _run(self) -> None:
+        for name in self._names:
+            self.runner.add(coordination.Duty(name, self._direct))
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.runner.run())
+            group.create_task(self._release_predecessors())
+
+    async def _release_predecessors(self) -> None:
+        while True:
+            try:
+                await coordination.release_predecessors(
+                    self._journals, self.machine.host
+                )
+            except coordination.StoreError:
+                await self._pause(1)
+            else:
+                return
+
+    async def _direct(self, lease: coordination.Lease) -> None:
+        """Give one order after another to the duty's subjects."""
+        self.leases.append(lease)
+        self.machine.world.sample()
+        journals = coordination.OrderJournals(self._journals, lease)
+        try:
+            async with asyncio.TaskGroup() as group:
+                for subject in self.machine.world.subjects:
+                    journal = journals.open(subject)
+                    group.create_task(self._order(journal, subject, lease))
+                group.create_task(self._pause(math.inf))
+        finally:
+            await journals.release()
+
+    async def _order(
+        self,
+        journal: coordination.OrderJournal,
+        subject: coordination.Subject,
+        lease: coordination.Lease,
+    ) -> None:
+        while True:
+            self._order_count += 1
+            order_id = f'{lease.session}-{self._order_count}'
+            with contextlib.suppress(coordination.StoreError):
+                outcome = await journal.plan(order_id, {'number': order_id})
+                await self._follow(outcome, journal, subject, lease)
+            await self._pause(0.7)
+
+    async def _follow(
+        self,
+        outcome: coordination.PlanOutcome,
+        journal: coordination.OrderJournal,
+        subject: coordination.Subject,
+        lease: coordination.Lease,
+    ) -> None:
+        if isinstance(
+            outcome,
+            (coordination.Planned, coordination.Unfinished),
+        ):
+            await self._carry(journal, subject, lease, outcome.order)
+
+    async def _carry(
+        self,
+        journal: coordination.OrderJournal,
+        subject: coordination.Subject,
+        lease: coordination.Lease,
+        order: coordination.Order,
+    ) -> None:
+        deadline = self.machine.now() + ORDER_TIMEOUT_S
+        sent = await journal.send(
+            order,
+            lambda fenced: self.machine.world.transmit(
+                self.machine,
+                subject,
+                fenced,
+                lease.is_held(),
+            ),
+            deadline,
+        )
+        if isinstance(sent, coordination.NotStarted):
+            return
+        with contextlib.suppress(TimeoutError):
+            answer = sent.transmission.transport
+            if await finish_by(self.machine, deadline, answer):
+                await journal.finish(sent, coordination.OrderState.DONE)
+
+    async def _pause(self, length_s: float) -> None:
+        await self.machine.sleep_until(self.machine.now() + length_s)
+
+
+class Fleet:
+    """Several processes, and the faults that befall them."""
+
+    def __init__(
+        self,
+        world: World,
+        rates: tuple[float, ...],
+        names: tuple[str, ...],
+        seed: int,
+    ) -> None:
+        self._world = world
+        self._rates = rates
+        self._names = names
+        self._seed = seed
+        self._restarts: list[asyncio.Task] = []
+        self.members = [self._start(place) for place in range(len(rates))]
+
+    async def suffer(self, faults: list[Fault]) -> None:
+        for fault in sorted(faults, key=lambda fault: fault.at):
+            await self._world.sleep_until(fault.at)
+            self._strike(fault, self._world.now() + fault.length_s)
+
+    def _start(self, place: int) -> Process:
+        self._seed += 1
+        machine = Machine(self._world, place, self._seed, self._rates[place])
+        return Process(machine, self._names)
+
+    def _struck(self, place: int) -> Process:
+        if place != HOLDER:
+            return self.members[place]
+        return max(
+            self.members,
+            key=lambda member: any(lease.is_held() for lease in member.leases),
+        )
+
+    def _strike(self, fault: Fault, until: float) -> None:
+        process = self._struck(fault.place)
+        machine = process.machine
+        match fault.fate:
+            case Fate.KILL | Fate.REPLACE if not process.is_dead:
+                process.kill()
+                self._restarts.append(
+                    asyncio.create_task(
+                        self._restart(fault, machine.place, until),
+                    ),
+                )
+            case Fate.FREEZE:
+                machine.freeze(until)
+            case Fate.FREEZE_IN_HAND:
+                machine.frozen_in_hand_s = fault.length_s
+            case Fate.BUFFER:
+                machine.buffered_s = fault.length_s
+            case Fate.OUTAGE:
+                for member in self.members:
+                    member.machine.until_by_fate[Fate.OUTAGE] = until
+            case _:
+                machine.until_by_fate[fault.fate] = until
+
+    async def _restart(self, fault: Fault, place: int, until: float) -> None:
+        """Start the host anew, or for good leave the list without it."""
+        if fault.fate is Fate.REPLACE:
+            host = self.members[place].machine.host
+            gone_at = self._world.now() + HOST_LIST_LAG_S
+            self._world.gone_at_by_host[host] = gone_at
+            return
+        await self._world.sleep_until(until)
+        self.members[place] = self._start(place)
--- /dev/null
+++ b/packages/geranium-coordination/tests/test_interleavings.py
@@ -0,0 +1,74 @@
+"""No two believe, epochs grow, orders never conflict, whatever happens."""
+
+import pytest
+
+from .exploration import explore
+from .history import Applied, Begun, Checker, Taken
+from .scripts import (
+    FAULTS_BY_SCRIPT,
+    HONOURS,
+    IGNORES,
+    KNOWS,
+    SEEDS,
+    scripted,
+)
+from .simulation import simulate
+
+SUBJECTS = (HONOURS, IGNORES, KNOWS)
+IN_HAND = 'frozen with order in hand'
+
+
+def test_leases_under_drawn_faults():
+    explore(subjects=(), interleavings=60)()
+
+
+@pytest.mark.parametrize('subject', SUBJECTS, ids=lambda row: row.name)
+def test_orders_under_drawn_faults(subject):
+    explore(subjects=(subject,), interleavings=40)()
+
+
+@pytest.mark.parametrize('name', FAULTS_BY_SCRIPT)
+@pytest.mark.parametrize('subject', SUBJECTS, ids=lambda row: row.name)
+def test_orders_under_scripted_faults(name, subject):
+    for seed in SEEDS:
+        scenario = scripted(name, seed, subject)
+        Checker().check(simulate(scenario).history)
+
+
+def test_order_in_hand_of_a_frozen_sender_is_refused():
+    """The successor works on, and the late copy reaches a closed door."""
+    refused = 0
+    for seed in SEEDS:
+        scenario = scripted(IN_HAND, seed, HONOURS)
+        world = simulate(scenario)
+        holders = [
+            event.session for event in world.history if isinstance(event, Taken)
+        ]
+        assert len(set(holders)) > 1
+        last = [row for row in world.history if isinstance(row, Applied)][-1]
+        assert last.at > scenario.length_s - 3
+        refused += world.receivers_by_name[HONOURS.name].refused_count
+    assert refused
+
+
+def test_nothing_different_until_the_frozen_sender_released():
+    """An engine that ignores fencing waits for the frozen sender."""
+    for seed in SEEDS:
+        scenario = scripted(IN_HAND, seed, IGNORES)
+        events = simulate(scenario).history
+        thaw_at = next(
+            row.at for row in events if isinstance(row, Begun) and row.at > 3
+        )
+        thaw_at += 12
+        during = {
+            row.order_id
+            for row in events
+            if isinstance(row, Applied) and thaw_at - 5 < row.at < thaw_at
+        }
+        after = {
+            row.order_id
+            for row in events
+            if isinstance(row, Applied) and row.at > thaw_at
+        }
+        assert len(during) < 2
+        assert len(after) > 2
--- /dev/null
+++ b/packages/geranium-coordination/tests/test_mutants.py
@@ -0,0 +1,178 @@
+"""Each mechanism taken out: the checker has to find what it prevents."""
+
+import dataclasses
+import math
+
+import geranium_coordination as coordination
+import pytest
+from geranium_coordination import journal
+from geranium_coordination.senders import Senders
+
+from .exploration import explore
+from .history import Checker, Violation
+from .scripts import (
+    HONOURS,
+    IGNORES,
+    KNOWS,
+    SEEDS,
+    scripted,
+)
+from .simulation import history_of
+from .world import Fate
+
+SEARCHED = 200
+ORDER_FATES = (
+    Fate.FREEZE_IN_HAND,
+    Fate.HOLD,
+    Fate.CUT,
+    Fate.LOSE,
+    Fate.KILL,
+)
+
+
+def found(promise, fates, *subjects):
+    with pytest.raises(Violation, match=promise):
+        explore(fates, subjects, SEARCHED)()
+
+
+def found_in(promise, name, *subjects):
+    with pytest.raises(Violation, match=promise):
+        for seed in SEEDS:
+            Checker().check(history_of(scripted(name, seed, *subjects)))
+
+
+def test_validity_counted_from_the_answer(monkeypatch):
+    def count_from_answer(self, renewal):
+        return self._clock.now() + self._settings.term_s
+
+    monkeypatch.setattr(coordination.Session, '_valid_until', count_from_answer)
+    found_in('two believe', 'answer meets freeze')
+
+
+@pytest.mark.parametrize('share', [0.5, 1])
+def test_standstill_cut_short(monkeypatch, share):
+    """Half a term is too short; a term without the margin for drift too."""
+
+    def judge_early(self, settings):
+        standing_s = self.confirmed_at - self.standing_since
+        return standing_s >= settings.term_s * share
+
+    monkeypatch.setattr(coordination.SessionView, 'is_over', judge_early)
+    found('two believe', (Fate.FREEZE, Fate.CUT))
+
+
+def test_sessions_read_before_leases(monkeypatch):
+    async def read_sessions_first(self):
+        sessions = await self._read_sessions()
+        self.view = coordination.MembershipView(
+            sessions, await self._read_leases()
+        )
+        self._refreshed.set()
+        self._refreshed = type(self._refreshed)()
+
+    monkeypatch.setattr(coordination.Membership, 'refresh', read_sessions_first)
+    found_in('two believe', 'slow beside a killed holder')
+
+
+def test_epoch_kept_on_a_take(monkeypatch):
+    write = coordination.Leases._write
+
+    async def write_same(self, wanted, condition):
+        if wanted.session:
+            wanted = dataclasses.replace(wanted, epoch=1)
+        return await write(self, wanted, condition)
+
+    monkeypatch.setattr(coordination.Leases, '_write', write_same)
+    found('epoch', (Fate.KILL,))
+
+
+def test_authority_not_checked(monkeypatch):
+    def hold_always(self, deadline_needed):
+        return coordination.Held(self.epoch, math.inf)
+
+    monkeypatch.setattr(coordination.Lease, 'check', hold_always)
+    found_in('without authority', 'frozen while journalling', HONOURS)
+
+
+def test_sent_before_journalled(monkeypatch):
+    async def claim_unwritten(self, order):
+        return dataclasses.replace(order, number=order.number + 1)
+
+    monkeypatch.setattr(coordination.OrderJournal, '_claim', claim_unwritten)
+    found('conflicting', ORDER_FATES, IGNORES)
+
+
+@pytest.mark.parametrize('subject', [IGNORES, KNOWS])
+def test_unfinished_order_not_carried_on(monkeypatch, subject):
+    def append_any(self, record, wanted):
+        senders = self._senders.remaining(record)
+        return dataclasses.replace(record, order=wanted, senders=senders)
+
+    monkeypatch.setattr(coordination.OrderJournal, '_append', append_any)
+    found('conflicting', ORDER_FATES, subject)
+
+
+def test_fencing_number_kept(monkeypatch):
+    claim = coordination.OrderJournal._with_own
+
+    def claim_same_number(self, record, order):
+        claimed = claim(self, record, order)
+        if not isinstance(claimed, coordination.JournalRecord):
+            return claimed
+        same = dataclasses.replace(claimed.order, number=1)
+        return dataclasses.replace(claimed, number=1, order=same)
+
+    monkeypatch.setattr(
+        coordination.OrderJournal, '_with_own', claim_same_number
+    )
+    found_in('conflicting', 'frozen with order in hand', HONOURS)
+
+
+def test_former_senders_not_awaited(monkeypatch):
+    monkeypatch.setattr(journal, 'are_awaited', lambda late_copies, record: 0)
+    found_in('conflicting', 'frozen with order in hand', IGNORES)
+
+
+def test_own_copies_not_awaited(monkeypatch):
+    monkeypatch.setattr(
+        Senders,
+        'in_flight_until',
+        property(lambda senders: -math.inf),
+    )
+    found('conflicting', (Fate.BUFFER,), IGNORES)
+
+
+def test_host_gone_but_copies_not_awaited(monkeypatch):
+    def may_send(self, sender):
+        if sender == self.own:
+            return self._clock.now() < self.in_flight_until
+        return sender.host not in self._gone_since_by_host
+
+    monkeypatch.setattr(Senders, '_may_send', may_send)
+    found_in('conflicting', 'host replaced', IGNORES)
+
+
+def test_released_with_copies_in_flight(monkeypatch):
+    release = coordination.OrderJournal.release
+
+    async def release_at_once(self):
+        self._senders.__init__(
+            self._senders.own,
+            self._senders._hosts,
+            self._clock,
+            0,
+        )
+        await release(self)
+
+    monkeypatch.setattr(coordination.OrderJournal, 'release', release_at_once)
+    found_in('conflicting', 'copy in buffer', IGNORES)
+
+
+def test_in_flight_bound_counted_from_before_the_start(monkeypatch):
+    def begin(self, start, deadline, in_flight_bound_s):
+        latest = max(deadline, self._clock.now())
+        self._in_flight_until = latest + in_flight_bound_s
+        self.transport = start()
+
+    monkeypatch.setattr(coordination.Transmission, 'begin', begin)
+    found('conflicting', (Fate.FREEZE_IN_HAND, Fate.BUFFER), IGNORES)
--- /dev/null
+++ b/packages/geranium-coordination/tests/world.py
@@ -0,0 +1,310 @@
+"""Processes with own clocks between one store and some receivers."""
+
+import asyncio
+import dataclasses
+import enum
+import math
+import random
+from collections.abc import Callable
+from typing import Any
+
+from geranium_coordination import (
+    AnswerLostError,
+    DutySettings,
+    JournalSettings,
+    LateCopies,
+    MemoryStore,
+    Order,
+    Subject,
+    UnavailableError,
+)
+
+from .history import Applied, Begun, Believed, Event, Journalled, Taken
+
+SAMPLE_EVERY_S = 0.05
+HOST_LIST_LAG_S = 3.0
+HOLDER = -1
+
+
+class Fate(enum.Enum):
+    """What befalls a process, or all of them at once (an outage)."""
+
+    KILL = enum.auto()
+    FREEZE = enum.auto()
+    FREEZE_IN_HAND = enum.auto()
+    CUT = enum.auto()
+    HOLD = enum.auto()
+    LOSE = enum.auto()
+    SLOW = enum.auto()
+    OUTAGE = enum.auto()
+    REPLACE = enum.auto()
+    BUFFER = enum.auto()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fault:
+    at: float
+    fate: Fate
+    length_s: float
+    place: int = HOLDER
+
+
+class Machine:
+    """A process's clock, its freezes and its network."""
+
+    def __init__(
+        self,
+        world: 'World',
+        place: int,
+        seed: int,
+        rate: float,
+    ) -> None:
+        self.world = world
+        self.place = place
+        self.host = f'host-{place}'
+        self.rng = random.Random(seed)
+        self.rate = rate
+        self.offset = self.rng.uniform(0, 1e4)
+        self.frozen_until = -math.inf
+        self.frozen_in_hand_s: float = 0
+        self.buffered_s: float = 0
+        self.until_by_fate = dict.fromkeys(Fate, -math.inf)
+
+    def suffers(self, fate: Fate) -> bool:
+        return self.world.now() < self.until_by_fate[fate]
+
+    def cut_until(self) -> float:
+        return max(self.until_by_fate[Fate.CUT], self.until_by_fate[Fate.HOLD])
+
+    def freeze(self, until: float) -> None:
+        self.frozen_until = max(self.frozen_until, until)
+
+    def reading(self, instant: float) -> float:
+        return self.offset + self.rate * instant
+
+    def now(self) -> float:
+        """Frozen code that reads the clock reads it when it wakes up."""
+        return self.reading(max(self.world.now(), self.frozen_until))
+
+    async def sleep_until(self, instant: float) -> None:
+        await self.world.sleep_until((instant - self.offset) / self.rate)
+        await self.gate()
+        if self.now() < instant:
+            await asyncio.sleep(1e-6)
+            await self.sleep_until(instant)
+
+    async def gate(self) -> None:
+        """Wait out a freeze; a killed process never goes on."""
+        while self.world.now() < self.frozen_until:
+            await self.world.sleep_until(self.frozen_until)
+
+    def delay_s(self) -> float:
+        slow = self.suffers(Fate.SLOW)
+        return self.rng.uniform(0.001, 0.6 if slow else 0.01)
+
+
+class MachineStore:
+    """The store as one machine reaches it."""
+
+    def __init__(self, machine: Machine, store: MemoryStore) -> None:
+        self._machine = machine
+        self._store = store
+
+    async def read(self, key):
+        return await self._call('reads', self._store.read, key)
+
+    async def read_prefix(self, prefix):
+        return await self._call('reads', self._store.read_prefix, prefix)
+
+    async def write(self, key, body, condition):
+        return await self._call(
+            'writes', self._store.write, key, body, condition
+        )
+
+    async def delete(self, key, condition):
+        return await self._call('writes', self._store.delete, key, condition)
+
+    async def watch(self, key, seen_version, wait_s):
+        raise NotImplementedError
+
+    async def _call(self, kind: str, effect: Callable, *arguments: Any) -> Any:
+        machine = self._machine
+        await machine.gate()
+        machine.world.calls[kind] += 1
+        if machine.world.is_over or machine.suffers(Fate.OUTAGE):
+            raise UnavailableError('outage')
+        travel = asyncio.ensure_future(self._travel(effect, arguments))
+        travel.add_done_callback(_retrieve)
+        answer = await asyncio.shield(travel)
+        await machine.gate()
+        return answer
+
+    async def _travel(self, effect: Callable, arguments: Any) -> Any:
+        """Go there, take effect, come back; each leg may fail."""
+        machine = self._machine
+        world = machine.world
+        await world.sleep_until(world.now() + machine.delay_s())
+        if machine.suffers(Fate.CUT):
+            await world.sleep_until(math.inf)
+        await world.sleep_until(machine.until_by_fate[Fate.HOLD])
+        answer = await effect(*arguments)
+        await world.sleep_until(world.now() + machine.delay_s())
+        if machine.suffers(Fate.CUT):
+            await world.sleep_until(math.inf)
+        if machine.suffers(Fate.LOSE) and machine.rng.randrange(3):
+            await world.sleep_until(machine.rng.choice((0, math.inf)))
+            raise AnswerLostError('lost on the way back')
+        return answer
+
+
+def _retrieve(travel: asyncio.Future) -> None:
+    if not travel.cancelled():
+        travel.exception()
+
+
+class Receiver:
+    """An engine, or the platform's order interface."""
+
+    def __init__(self, world: 'World', subject: Subject) -> None:
+        self._world = world
+        self._subject = subject
+        self.refused_count = 0
+        self._highest_number = 0
+        self._known_ids: set[str] = set()
+
+    def receive(self, order: Order) -> bool:
+        match self._subject.late_copies:
+            case LateCopies.REFUSED if order.number < self._highest_number:
+                self.refused_count += 1
+                return False
+            case LateCopies.DEDUPLICATED if order.order_id in self._known_ids:
+                return True
+        self._highest_number = order.number
+        self._known_ids.add(order.order_id)
+        self._world.note(
+            Applied(self._world.now(), self._subject.name, order.order_id),
+        )
+        return True
+
+
+class World:
+    """Time, the store, the receivers, the host list and the history."""
+
+    def __init__(
+        self,
+        duties: DutySettings,
+        journals: JournalSettings,
+        subjects: tuple[Subject, ...] = (),
+    ) -> None:
+        self.duties = duties
+        self.journals = journals
+        self.subjects = subjects
+        self.is_over = False
+        self._never = asyncio.Event()
+        self.history: list[Event] = []
+        self.calls = {'reads': 0, 'writes': 0}
+        self.store = _RecordedStore(self)
+        self.receivers_by_name = {
+            subject.name: Receiver(self, subject) for subject in subjects
+        }
+        self.processes: list[Any] = []
+        self.gone_at_by_host: dict[str, float] = {}
+
+    def now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def note(self, event: Event) -> None:
+        self.history.append(event)
+
+    async def sleep_until(self, instant: float) -> None:
+        if self.is_over:
+            raise asyncio.CancelledError
+        if instant == math.inf:
+            await self._never.wait()
+        remaining_s = instant - self.now()
+        if remaining_s > 0:
+            await asyncio.sleep(remaining_s)
+            await self.sleep_until(instant)
+
+    async def listed_hosts(self) -> frozenset[str]:
+        return frozenset(
+            process.machine.host
+            for process in self.processes
+            if self.now()
+            < self.gone_at_by_host.get(process.machine.host, math.inf)
+        )
+
+    def sample(self) -> None:
+        """Note who believes to hold what, frozen processes included."""
+        sessions_by_duty: dict[str, list[str]] = {}
+        for process in self.processes:
+            for lease in process.believed(self.now()):
+                sessions = sessions_by_duty.setdefault(lease.record.duty, [])
+                sessions.append(lease.session)
+        for name, sessions in sessions_by_duty.items():
+            self.note(Believed(self.now(), name, tuple(sorted(sessions))))
+
+    async def sample_until(self, end: float) -> None:
+        while self.now() < end:
+            self.sample()
+            await asyncio.sleep(SAMPLE_EVERY_S)
+
+    def transmit(
+        self,
+        machine: Machine,
+        subject: Subject,
+        order: Order,
+        held: bool,
+    ) -> asyncio.Future:
+        """Start a copy of the order on its way; return its answer."""
+        self.note(Begun(self.now(), subject.name, order.order_id, held))
+        if machine.frozen_in_hand_s:
+            machine.freeze(self.now() + machine.frozen_in_hand_s)
+            machine.frozen_in_hand_s = 0
+        travel = asyncio.ensure_future(self._carry(machine, subject, order))
+        travel.add_done_callback(_retrieve)
+        return asyncio.shield(travel)
+
+    async def _carry(
+        self,
+        machine: Machine,
+        subject: Subject,
+        order: Order,
+    ) -> bool:
+        buffered_s = machine.buffered_s
+        machine.buffered_s = 0
+        await machine.gate()
+        latest = self.now() + self.journals.in_flight_bound_s * 0.9
+        await self.sleep_until(self.now() + machine.delay_s())
+        cut_until = max(machine.cut_until(), self.now() + buffered_s)
+        await self.sleep_until(min(cut_until, latest))
+        accepted = self.receivers_by_name[subject.name].receive(order)
+        is_lost = (
+            buffered_s
+            or self.now() < machine.cut_until()
+            or machine.suffers(Fate.LOSE)
+        )
+        await self.sleep_until(math.inf if is_lost else self.now() + 0.002)
+        return accepted
+
+
+class _RecordedStore(MemoryStore):
+    def __init__(self, world: World) -> None:
+        super().__init__()
+        self._world = world
+
+    async def write(self, key, body, condition):
+        version = await super().write(key, body, condition)
+        leases, orders = (
+            self._world.duties.lease.prefix,
+            self._world.journals.prefix,
+        )
+        now = self._world.now()
+        if key.startswith(leases) and body['session']:
+            taken = Taken(now, key, body['epoch'], body['session'])
+            self._world.note(taken)
+        if key.startswith(orders) and body['order']:
+            order_id = body['order']['order_id']
+            subject = key.removeprefix(orders)
+            self._world.note(Journalled(now, subject, order_id))
+        return version
