--- /dev/null
+++ b/packages/geranium-coordination/benchmarks/takeover.py
@@ -0,0 +1,106 @@
+"""Measures takeover times and platform calls in virtual time.
+
+Run it from the package's directory: ``python -m benchmarks.takeover``. It
+uses the processes, clocks and faults of the tests. Takeover counts from the
+holder's fault to the next holder's first order that reaches its receiver.
+"""
+
+import dataclasses
+import statistics
+
+import click
+from geranium_coordination import DutySettings, LateCopies, Subject
+from tests.history import Applied, Taken
+from tests.simulation import Scenario, simulate
+from tests.world import Fate, Fault, World
+
+FAULT_AT_S = 10.0
+FAULT_LENGTH_S = 60.0
+RUN_S = 45.0
+CALLS_RUN_S = 60.0
+PERCENTILE = 99
+HONOURS = Subject('engine', LateCopies.REFUSED)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Takeover:
+    """Seconds from one fault to what followed."""
+
+    taken_s: float
+    first_order_s: float
+
+
+def measure_takeover(fate: Fate, seed: int) -> Takeover:
+    """Run one fault on the holder among nine processes."""
+    start = FAULT_AT_S + (seed % 100) / 100
+    world = simulate(
+        Scenario(
+            faults=(Fault(start, fate, FAULT_LENGTH_S),),
+            rates=(1,) * 9,
+            seed=seed * 100,
+            length_s=RUN_S,
+            subjects=(HONOURS,),
+        ),
+    )
+    taken = next(
+        event
+        for event in world.history
+        if isinstance(event, Taken) and event.at > start
+    )
+    applied = next(
+        event
+        for event in world.history
+        if isinstance(event, Applied) and event.at > taken.at
+    )
+    return Takeover(taken.at - start, applied.at - start)
+
+
+def measure_calls(hosts: int, duties: int) -> World:
+    """Run so many processes and duties without faults or orders."""
+    return simulate(
+        Scenario(
+            rates=(1,) * hosts,
+            names=tuple(f'duty-{number}' for number in range(duties)),
+            length_s=CALLS_RUN_S,
+            duties=DutySettings(),
+        ),
+    )
+
+
+def report_takeovers(seeds: int) -> None:
+    """Print the distribution of takeover times by fault."""
+    click.echo('fault   seeds  taken median  order median  99th  worst (s)')
+    for fate in (Fate.KILL, Fate.FREEZE, Fate.CUT):
+        rows = [measure_takeover(fate, seed) for seed in range(seeds)]
+        orders = sorted(row.first_order_s for row in rows)
+        figures = (
+            statistics.median(row.taken_s for row in rows),
+            statistics.median(orders),
+            orders[len(orders) * PERCENTILE // 100],
+            orders[-1],
+        )
+        columns = '  '.join(f'{figure:10.2f}' for figure in figures)
+        click.echo(f'{fate.name.lower():7} {seeds:5}  {columns}')
+
+
+def report_calls() -> None:
+    """Print the platform calls a second by the number of processes."""
+    click.echo('hosts  duties  writes/s  reads/s')
+    for hosts in (3, 9, 50):
+        for duties in (1, hosts, 2 * hosts):
+            calls = measure_calls(hosts, duties).calls
+            writes = calls['writes'] / CALLS_RUN_S
+            reads = calls['reads'] / CALLS_RUN_S
+            click.echo(f'{hosts:5} {duties:7} {writes:9.1f} {reads:8.1f}')
+
+
+@click.command()
+@click.option('--seeds', default=300, help='Runs for each kind of fault.')
+def main(seeds: int) -> None:
+    """Print both reports."""
+    report_takeovers(seeds)
+    report_calls()
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/geranium-coordination/src/geranium_coordination/__init__.py
+++ b/packages/geranium-coordination/src/geranium_coordination/__init__.py
@@ -19,11 +19,8 @@
     StoreError,
     UnavailableError,
 )
-from .journal import (
-    JournalContext,
-    JournalSettings,
-    OrderJournal,
-)
+from .journal import OrderJournal
+from .journal_context import JournalContext, JournalSettings
 from .journals import (
     OrderJournals,
     release_predecessors,
--- a/packages/geranium-coordination/src/geranium_coordination/journal.py
+++ b/packages/geranium-coordination/src/geranium_coordination/journal.py
@@ -15,13 +15,12 @@
 """
 
 import dataclasses
-import random
 from collections.abc import Callable
 from typing import Any, TypeVar
 
 from .authority import Authority, Held, Lost
-from .clock import Clock
 from .exceptions import StoreError
+from .journal_context import JournalContext
 from .orders import (
     JournalRecord,
     LateCopies,
@@ -40,42 +39,13 @@
     Unfinished,
 )
 from .records import JournalObject
-from .senders import HostList, Senders, after_end, are_awaited
-from .store import ObjectStore
+from .senders import Senders, after_end, are_awaited
 from .timeouts import TimedStore
 from .transmissions import Transmission
 
 _Transport = TypeVar('_Transport')
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class JournalSettings:
-    """Where journals live and how long copies may be under way.
-
-    ``in_flight_bound_s`` is the longest time between the start of a
-    transmission (or its deadline, if later) and its arrival that the
-    sockets allow. ``send_margin_s`` is what the authority must last beyond
-    an order's deadline.
-    """
-
-    prefix: str = 'coordination/orders/'
-    in_flight_bound_s: float = 5.0
-    send_margin_s: float = 0.25
-    call_timeout_s: float = 1.0
-    retry_every_s: float = 0.5
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class JournalContext:
-    """What all journals of a process work with."""
-
-    store: ObjectStore
-    clock: Clock
-    settings: JournalSettings
-    hosts: HostList
-    rng: random.Random
-
-
 class OrderJournal:
     """A subject's journal in the hands of one holder of authority."""
 
--- /dev/null
+++ b/packages/geranium-coordination/src/geranium_coordination/journal_context.py
@@ -0,0 +1,36 @@
+"""Settings of order journals and what they work with."""
+
+import dataclasses
+import random
+
+from .clock import Clock
+from .senders import HostList
+from .store import ObjectStore
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JournalSettings:
+    """Where journals live and how long copies may be under way.
+
+    ``in_flight_bound_s`` is the longest time between the start of a
+    transmission (or its deadline, if later) and its arrival that the
+    sockets allow. ``send_margin_s`` is what the authority must last beyond
+    an order's deadline.
+    """
+
+    prefix: str = 'coordination/orders/'
+    in_flight_bound_s: float = 5.0
+    send_margin_s: float = 0.25
+    call_timeout_s: float = 1.0
+    retry_every_s: float = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JournalContext:
+    """What all journals of a process work with."""
+
+    store: ObjectStore
+    clock: Clock
+    settings: JournalSettings
+    hosts: HostList
+    rng: random.Random
--- a/packages/geranium-coordination/src/geranium_coordination/journals.py
+++ b/packages/geranium-coordination/src/geranium_coordination/journals.py
@@ -5,7 +5,8 @@
 import functools
 
 from .authority import Authority
-from .journal import JournalContext, OrderJournal
+from .journal import OrderJournal
+from .journal_context import JournalContext
 from .orders import JournalRecord, Sender, Subject, parse_record
 from .records import JournalObject
 from .timeouts import TimedStore
--- a/packages/geranium-coordination/src/geranium_coordination/leases.py
+++ b/packages/geranium-coordination/src/geranium_coordination/leases.py
@@ -7,6 +7,7 @@
 deleted the object.
 """
 
+import contextlib
 import dataclasses
 import math
 import random
@@ -17,7 +18,7 @@
 from .operations import OPERATION_FIELD, new_operation_id, write_once
 from .sessions import Session
 from .store import IfAbsent, IfVersion, ObjectStore, StoredObject
-from .timeouts import TimedStore
+from .timeouts import TimedStore, finish_by
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -112,7 +113,9 @@
     async def wait_until_lost(self) -> None:
         """Return once the lease is not held any more."""
         while self.is_held():
-            await self._clock.sleep_until(self.held_until())
+            over = self._session.wait_until_over()
+            with contextlib.suppress(TimeoutError):
+                await finish_by(self._clock, self.held_until(), over)
 
     def give_up(self) -> None:
         """Stop holding the lease at once, without any call."""
--- /dev/null
+++ b/packages/geranium-coordination/tests/test_journal.py
@@ -0,0 +1,199 @@
+"""The order journal's outcomes, one case at a time."""
+
+import dataclasses
+import random
+
+import geranium_coordination as coordination
+import pytest
+from geranium_coordination import LateCopies, OrderState
+
+from .virtual_time import LoopClock, run
+
+BOUND_S = coordination.JournalSettings().in_flight_bound_s
+
+
+@dataclasses.dataclass
+class FakeAuthority:
+    """Authority that a test gives and takes away."""
+
+    session: str
+    host: str
+    epoch: int = 1
+    until: float = 1e9
+
+    def check(self, deadline_needed):
+        if deadline_needed > self.until:
+            return coordination.Lost('test')
+        return coordination.Held(self.epoch, self.until)
+
+
+class Bench:
+    """A store, a host list and journals of several sessions."""
+
+    def __init__(self, late_copies):
+        self.store = coordination.MemoryStore()
+        self.clock = LoopClock()
+        self.hosts = {'a', 'b'}
+        self.subject = coordination.Subject('engine', late_copies)
+        self.sent = []
+
+    async def listed_hosts(self):
+        return frozenset(self.hosts)
+
+    def context(self):
+        return coordination.JournalContext(
+            self.store,
+            self.clock,
+            coordination.JournalSettings(),
+            self,
+            random.Random(1),
+        )
+
+    def journal(self, host, until=1e9):
+        authority = FakeAuthority(f'{host}.1', host, until=until)
+        return coordination.OrderJournal(
+            self.context(),
+            self.subject,
+            authority,
+        )
+
+    async def send(self, journal, order_id, length_s=1):
+        outcome = await journal.plan(order_id, {'kind': 'drain'})
+        deadline = self.clock.now() + length_s
+        return await journal.send(outcome.order, self.sent.append, deadline)
+
+
+def on_bench(late_copies):
+    def decorate(test):
+        def runner():
+            async def main():
+                await test(Bench(late_copies))
+
+            run(main())
+
+        return runner
+
+    return decorate
+
+
+@on_bench(LateCopies.REFUSED)
+async def test_successor_carries_the_order_on_with_a_higher_number(bench):
+    former, successor = bench.journal('a'), bench.journal('b')
+    await bench.send(former, 'o1')
+    outcome = await successor.plan('o2', {'kind': 'resume'})
+    assert isinstance(outcome, coordination.Unfinished)
+    sent = await successor.send(outcome.order, bench.sent.append, 1)
+    await successor.finish(sent, OrderState.DONE)
+    assert [order.order_id for order in bench.sent] == ['o1', 'o1']
+    assert [order.number for order in bench.sent] == [1, 2]
+    assert isinstance(
+        await successor.plan('o2', {'kind': 'resume'}),
+        coordination.Planned,
+    )
+
+
+@on_bench(LateCopies.REFUSED)
+async def test_nothing_starts_unless_authority_outlasts_the_deadline(bench):
+    journal = bench.journal('a', until=10)
+    margin_s = coordination.JournalSettings().send_margin_s
+    sent = await bench.send(journal, 'o1', 10 - margin_s + 0.01)
+    assert isinstance(sent, coordination.NotStarted)
+    assert not bench.sent
+    assert isinstance(await bench.send(journal, 'o1', 9), coordination.Started)
+
+
+@on_bench(LateCopies.APPLIED)
+async def test_former_sender_blocks_until_it_released(bench):
+    former, successor = bench.journal('a'), bench.journal('b')
+    await bench.send(former, 'o1')
+    sent = await bench.send(successor, 'o1')
+    await successor.finish(sent, OrderState.DONE)
+    blocked = await successor.plan('o2', {})
+    assert {row.host for row in blocked.senders} == {'a'}
+    await former.release()
+    assert bench.clock.now() >= 1 + BOUND_S
+    assert isinstance(
+        await successor.plan('o2', {}),
+        coordination.Planned,
+    )
+
+
+@on_bench(LateCopies.APPLIED)
+async def test_former_sender_blocks_until_its_host_is_long_gone(bench):
+    former, successor = bench.journal('a'), bench.journal('b')
+    await bench.send(former, 'o1')
+    sent = await bench.send(successor, 'o1')
+    await successor.finish(sent, OrderState.DONE)
+    bench.hosts.remove('a')
+    blocked = coordination.Blocked
+    assert isinstance(await successor.plan('o2', {}), blocked)
+    await bench.clock.sleep_until(BOUND_S - 0.1)
+    assert isinstance(await successor.plan('o2', {}), blocked)
+    bench.hosts.add('a')
+    assert isinstance(await successor.plan('o2', {}), blocked)
+    bench.hosts.remove('a')
+    await bench.clock.sleep_until(BOUND_S + 0.1)
+    assert isinstance(await successor.plan('o2', {}), blocked)
+    await bench.clock.sleep_until(BOUND_S * 2 + 0.2)
+    planned = await successor.plan('o2', {})
+    assert isinstance(planned, coordination.Planned)
+
+
+@on_bench(LateCopies.APPLIED)
+async def test_host_that_is_not_listed_yet_sends_nothing(bench):
+    """It would be taken for a host that is gone."""
+    bench.hosts.clear()
+    sent = await bench.send(bench.journal('a'), 'o1')
+    assert isinstance(sent, coordination.NotStarted)
+
+
+@on_bench(LateCopies.APPLIED)
+async def test_restarted_host_releases_its_predecessors(bench):
+    await bench.send(bench.journal('a'), 'o1')
+    await bench.send(bench.journal('b'), 'o1')
+    await coordination.release_predecessors(bench.context(), 'a')
+    assert bench.clock.now() >= BOUND_S
+    record = await bench.journal('b').load()
+    assert {row.host for row in record.senders} == {'b'}
+
+
+@on_bench(LateCopies.DEDUPLICATED)
+async def test_failed_order_is_waited_out_where_ids_are_known(bench):
+    """A late copy of a refused order could be obeyed; of a done one not."""
+    first, second = bench.journal('a'), bench.journal('b')
+    await bench.send(first, 'o1')
+    sent = await bench.send(second, 'o1')
+    await second.finish(sent, OrderState.FAILED)
+    assert isinstance(await second.plan('o2', {}), coordination.Blocked)
+    await first.release()
+    sent = await bench.send(second, 'o2')
+    await bench.send(first, 'o2')
+    await second.finish(sent, OrderState.DONE)
+    assert isinstance(await second.plan('o3', {}), coordination.Planned)
+
+
+@on_bench(LateCopies.REFUSED)
+async def test_planned_order_can_be_withdrawn_and_a_sent_one_not(bench):
+    journal = bench.journal('a')
+    planned = await journal.plan('o1', {})
+    assert await journal.withdraw(planned.order)
+    assert isinstance(await journal.plan('o1', {}), coordination.Ended)
+    sent = await bench.send(journal, 'o2')
+    assert not await journal.withdraw(sent.order)
+
+
+@on_bench(LateCopies.APPLIED)
+async def test_start_that_raises_counts_as_in_flight(bench):
+    journal = bench.journal('a')
+    planned = await journal.plan('o1', {})
+
+    def fail(order):
+        raise OSError
+
+    with pytest.raises(OSError):
+        await journal.send(planned.order, fail, 1)
+    sent = await bench.send(journal, 'o1')
+    await journal.finish(sent, OrderState.DONE)
+    assert isinstance(await journal.plan('o2', {}), coordination.Blocked)
+    await bench.clock.sleep_until(1 + BOUND_S)
+    assert isinstance(await journal.plan('o2', {}), coordination.Planned)
--- a/packages/geranium-coordination/tests/virtual_time.py
+++ b/packages/geranium-coordination/tests/virtual_time.py
@@ -30,3 +30,15 @@
 def run(main: Coroutine[Any, Any, Any]) -> Any:
     with asyncio.Runner(loop_factory=VirtualLoop) as runner:
         return runner.run(main)
+
+
+class LoopClock:
+    """The virtual loop's time as a :class:`Clock`."""
+
+    def now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    async def sleep_until(self, instant: float) -> None:
+        await asyncio.sleep(instant - self.now())
+        if self.now() < instant:
+            await self.sleep_until(instant)
--- a/packages/geranium-coordination/tests/world.py
+++ b/packages/geranium-coordination/tests/world.py
@@ -242,7 +242,8 @@
                 sessions = sessions_by_duty.setdefault(lease.record.duty, [])
                 sessions.append(lease.session)
         for name, sessions in sessions_by_duty.items():
-            self.note(Believed(self.now(), name, tuple(sorted(sessions))))
+            believers = tuple(sorted(sessions))
+            self.note(Believed(self.now(), name, believers))
 
     async def sample_until(self, end: float) -> None:
         while self.now() < end:
@@ -300,11 +301,15 @@
             self._world.journals.prefix,
         )
         now = self._world.now()
-        if key.startswith(leases) and body['session']:
-            taken = Taken(now, key, body['epoch'], body['session'])
-            self._world.note(taken)
+        if key.startswith(leases):
+            self._note_taken(key, body, now)
         if key.startswith(orders) and body['order']:
             order_id = body['order']['order_id']
             subject = key.removeprefix(orders)
             self._world.note(Journalled(now, subject, order_id))
         return version
+
+    def _note_taken(self, key: str, body: Any, now: float) -> None:
+        session = body['session']
+        if session:
+            self._world.note(Taken(now, key, body['epoch'], session))
