--- a/packages/geranium-coordination/src/geranium_coordination/__init__.py
+++ b/packages/geranium-coordination/src/geranium_coordination/__init__.py
@@ -99,6 +99,10 @@
     JournalSettings,
     OrderJournal,
 )
+from .journal_context import (
+    JournalContext,
+    JournalSettings,
+)
 from .journals import (
     OrderJournals,
     release_predecessors,
