--- a/packages/geranium-coordination/src/geranium_coordination/__init__.py
+++ b/packages/geranium-coordination/src/geranium_coordination/__init__.py
@@ -95,8 +95,6 @@
     Stale,
 )
 from .journal import (
-    JournalContext,
-    JournalSettings,
     OrderJournal,
 )
 from .journal_context import (
