Free a call whose caller leaves during the second attempt

A claim that fell back from the bucket's owner goes on under a new attempt, but a caller who left then had only the first one revoked: its key stayed in progress as long as the host lived (the new test failed on that). Both attempts are now revoked where they are awaited.

--- a/packages/geranium-coordination/src/geranium_coordination/claims.py
+++ b/packages/geranium-coordination/src/geranium_coordination/claims.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import itertools
+from collections.abc import Awaitable
 
 from .calls import CallOutcome, ClaimTicket, digest_parts
 from .claim_buckets import (
@@ -88,19 +89,26 @@
         """Return whether a call may be sent, or what became of it before."""
         claim_id = _claim_id(team, idempotency_key)
         ticket = self._tickets.issue(claim_id, fingerprint)
+        owner = self._peers.owner_of(self._bucket(ticket))
+        if owner is None:
+            return await self._claim_here(ticket)
         try:
-            return await self._claim(ticket)
-        except asyncio.CancelledError:
-            # The caller left: nobody will send what may be claimed yet.
+            return await self._claim_at(owner, ticket)
+        except OSError:
+            # The owner may have claimed it, or may do so and then give up.
             self._revoke(ticket)
-            raise
+        return await self._claim_here(self._tickets.renew(ticket))
 
     async def serve(self, operation: ClaimOperation) -> ClaimOutcome | None:
-        """Carry out an operation that another host forwarded.
+        """Carry out an operation here, such as one that was forwarded.
 
         Returns the outcome of a claim, ``None`` once anything else is done.
         """
-        return await self._commit(operation)
+        deadline = None
+        if isinstance(operation, Claim):
+            deadline = self._clock.now() + self._settings.claim_timeout_s
+        committer = self._committer(operation.ticket)
+        return await committer.submit(operation, deadline)
 
     async def complete(
         self,
@@ -124,25 +132,31 @@
         """Free a call that was certainly not run, so that it may be sent."""
         await self._settle(Release(ticket))
 
-    async def _claim(self, ticket: ClaimTicket) -> ClaimOutcome:
-        owner = self._peers.owner_of(self._bucket(ticket))
-        if owner is None:
-            return await self._claim_here(ticket)
-        try:
-            outcome = await self._peers.forward(owner, Claim(ticket))
-        except OSError:
-            # The owner may have claimed it, or may do so and then give up.
-            self._revoke(ticket)
-            return await self._claim_here(self._tickets.renew(ticket))
+    async def _claim_at(self, owner: str, ticket: ClaimTicket) -> ClaimOutcome:
+        claiming = self._peers.forward(owner, Claim(ticket))
+        outcome = await self._unless_left(claiming, ticket)
         if outcome is None or _lingers(outcome):
             # The owner may be gone before it takes the claim back.
             self._revoke(ticket)
         return outcome or _NO_OUTCOME
 
     async def _claim_here(self, ticket: ClaimTicket) -> ClaimOutcome:
-        outcome = await self._commit(Claim(ticket))
+        claiming = self.serve(Claim(ticket))
+        outcome = await self._unless_left(claiming, ticket)
         return outcome or _NO_OUTCOME
 
+    async def _unless_left(
+        self,
+        claiming: Awaitable[ClaimOutcome | None],
+        ticket: ClaimTicket,
+    ) -> ClaimOutcome | None:
+        """Revoke the attempt if the caller leaves: nobody will send it."""
+        try:
+            return await claiming
+        except asyncio.CancelledError:
+            self._revoke(ticket)
+            raise
+
     async def _settle(self, operation: Settlement) -> None:
         """Let the owner of the bucket commit, or do it in its place."""
         owner = self._peers.owner_of(self._bucket(operation.ticket))
@@ -152,18 +166,11 @@
             except OSError:
                 owner = None
         if owner is None:
-            await self._commit(operation)
+            await self.serve(operation)
 
     def _revoke(self, ticket: ClaimTicket) -> None:
         self._committer(ticket).submit(Revoke(ticket))
 
-    async def _commit(self, operation: ClaimOperation) -> ClaimOutcome | None:
-        deadline = None
-        if isinstance(operation, Claim):
-            deadline = self._clock.now() + self._settings.claim_timeout_s
-        committer = self._committer(operation.ticket)
-        return await committer.submit(operation, deadline)
-
     def _bucket(self, ticket: ClaimTicket) -> int:
         number = int(ticket.claim_id[:_BUCKET_HASH_DIGITS], base=_HEX_BASE)
         return number % len(self._committers)
--- a/packages/geranium-coordination/src/geranium_coordination/usage_seals.py
+++ b/packages/geranium-coordination/src/geranium_coordination/usage_seals.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 from collections.abc import Iterable, Mapping
-from typing import Any
+from typing import Any, TypeAlias
 
 import pydantic
 from geranium_model import Usage
@@ -13,6 +13,8 @@
 
 SEAL_PREFIX = 'usage/sealed/'
 
+_Numbers: TypeAlias = tuple[int, int, int]
+
 
 class CorruptLedgerError(CoordinationError):
     """A stored object of the ledger is malformed."""
@@ -68,7 +70,17 @@
     return corrections
 
 
-_ADAPTER = pydantic.TypeAdapter(SealedWindow)
+@dataclasses.dataclass(frozen=True, slots=True)
+class _SealBody:
+    """A sealed window as it is stored: usage as bare numbers, for size."""
+
+    window: int
+    usage_by_team: Mapping[str, _Numbers]
+    corrections: Mapping[int, _Numbers]
+    accounts: UsageAccounts
+
+
+_ADAPTER = pydantic.TypeAdapter(_SealBody)
 
 
 def decode_seal(body: Any) -> SealedWindow:
@@ -78,14 +90,39 @@
         CorruptLedgerError: If the body is malformed.
     """
     try:
-        return _ADAPTER.validate_python(body)
+        stored = _ADAPTER.validate_python(body)
     except pydantic.ValidationError as error:
         raise CorruptLedgerError(str(error)) from error
+    return SealedWindow(
+        stored.window,
+        {
+            team: Usage(*numbers)
+            for team, numbers in stored.usage_by_team.items()
+        },
+        {
+            window: Usage(*numbers)
+            for window, numbers in stored.corrections.items()
+        },
+        stored.accounts,
+    )
 
 
 def encode_seal(sealed: SealedWindow) -> Any:
     """Return the sealed window as a JSON value."""
-    return _ADAPTER.dump_python(sealed, mode='json')
+    stored = _SealBody(
+        sealed.window,
+        {team: _numbers(usage) for team, usage in sealed.usage_by_team.items()},
+        {
+            window: _numbers(usage)
+            for window, usage in sealed.corrections.items()
+        },
+        sealed.accounts,
+    )
+    return _ADAPTER.dump_python(stored, mode='json')
+
+
+def _numbers(usage: Usage) -> _Numbers:
+    return usage.prompt_tokens, usage.generated_tokens, usage.requests
 
 
 def seal_key(window: int) -> str:
--- a/packages/geranium-coordination/tests/test_claims.py
+++ b/packages/geranium-coordination/tests/test_claims.py
@@ -10,10 +10,10 @@
     Claimed,
     ClaimUnavailable,
     InProgress,
-    Mismatch,
     Unknown,
     claim_buckets,
     claim_committer,
+    claims,
 )
 from hypothesis import given, settings, strategies
 
@@ -88,18 +88,8 @@
 
 
 def try_the_same_attempt_twice(patch):
-    async def claim(self, ticket):
-        owner = self._peers.owner_of(self._bucket(ticket))
-        if owner is not None:
-            try:
-                return await self._peers.forward(
-                    owner, claim_buckets.Claim(ticket)
-                )
-            except OSError:
-                owner = None
-        return await self._claim_here(ticket)
-
-    patch.setattr(coordination.ClaimJournal, '_claim', claim)
+    patch.setattr(claims._Tickets, 'renew', lambda _, ticket: ticket)
+    patch.setattr(coordination.ClaimJournal, '_revoke', lambda *_: None)
 
 
 def trust_what_is_remembered(patch):
@@ -249,7 +239,7 @@
         changed = await journals.ask(one.claim('team', 'key', 'altered'))
     assert isinstance(first, Claimed)
     assert isinstance(other, Claimed)
-    assert changed == Mismatch()
+    assert changed == coordination.Mismatch()
 
 
 async def test_call_of_a_gone_host_is_unknown_for_good():
@@ -331,6 +321,27 @@
     assert isinstance(again, Claimed)
 
 
+async def test_caller_who_leaves_during_the_second_attempt_frees_the_call():
+    journals = Journals()
+    asker = journals.make('asker', CutOffPeers(journals.make('owner')))
+
+    async def leave():
+        asking = asyncio.create_task(asker.claim('team', 'key', 'print'))
+        await journals.schedule.idle(1)
+        asking.cancel()
+
+    async with journals.running(asker), journals.journal('other') as other:
+        await journals.ask(asker.claim('team', 'before', 'print'))
+        journals.schedule.faults = Faults(lost_after=1)
+        await journals.ask(leave())
+        landed = journals.store.stored['claims/0'].body
+        journals.schedule.faults = Faults()
+        await journals.ask(journals.schedule.idle(QUIET_S))
+        again = await journals.ask(other.claim('team', 'key', 'print'))
+    assert len(landed['entries']) == 2
+    assert isinstance(again, Claimed)
+
+
 async def test_full_bucket_refuses_new_claims_and_knows_old_ones():
     journals = Journals(bucket_limit_bytes=800)
     async with journals.journal('a#1') as one:
--- a/packages/geranium-coordination/tests/withdrawal_network.py
+++ b/packages/geranium-coordination/tests/withdrawal_network.py
@@ -27,6 +27,7 @@
 END_S = 90
 FIRST_FAULT_S = 20
 STRIKE_SHARE = 0.3
+RESTART_SHARE = 0.5
 PLATFORM_SHARE = 0.5
 
 
@@ -130,9 +131,10 @@
 
     def strike(self, host: str, acknowledged):
         """Sometimes hit the very electors that a change relies on."""
+        restarts = self._draws(RESTART_SHARE)
         if self._draws(STRIKE_SHARE):
-            for elector in acknowledged:
-                if elector != host:
+            for elector in acknowledged - {host}:
+                if restarts:
                     self.restart(elector)
             self._cut(links_around((host, PLATFORM)))
 
