Measure the slopes of a daemon's parts

Ruled out: one daemon at the full size on one machine, which would probe 2,000 engines that are not there; slopes are measured apart instead. Change: a package of measurements beside the stand-ins, run by 'python -m capacity'; a stand-in process tells its id.

--- /dev/null
+++ b/packages/geranium-standins/benchmarks/capacity/exchange.py
@@ -0,0 +1,169 @@
+"""Processor time and bytes of what daemons tell each other."""
+
+import asyncio
+import time
+
+from geranium_policy import (
+    ConsumptionReport,
+    InFlight,
+    RoleDemand,
+    TeamConsumption,
+)
+from geraniumd.channel import Channel
+from geraniumd.context import Context
+from geraniumd.messages import (
+    EngineDispatch,
+    Envelope,
+    Ping,
+    ServiceConsumption,
+    ServiceDemand,
+    Status,
+)
+from geraniumd.wire import decode, encode
+
+from .figures import US_PER_S, Figure
+from .world import (
+    HOST,
+    Size,
+    build_document,
+    engine_name,
+    load_document,
+    open_context,
+    service_name,
+    team_name,
+)
+
+_GROUP = 'exchange'
+_MANY = 4000
+_KEY = b'0123456789abcdef'
+_IN_FLIGHT = InFlight(_MANY, _MANY, _MANY)
+_DEMAND = RoleDemand(_MANY, _MANY)
+_CONSUMED = TeamConsumption(_MANY, _MANY, _MANY)
+_MAX_FRAME_BYTES = 8_388_608
+_ROUNDS = 300
+_PINGS = (
+    (0, 0, 0),
+    (64, 0, 0),
+    (286, 0, 0),
+    (2000, 0, 0),
+    (0, 1, 16),
+    (0, 17, 1),
+    (0, 17, 16),
+    (64, 17, 16),
+)
+
+
+def build_ping(engines: int, services: int, teams: int) -> Ping:
+    """Return news of so many engines and of so many teams a service."""
+    return Ping(
+        dispatches=tuple(
+            EngineDispatch(engine_name(number), _IN_FLIGHT)
+            for number in range(engines)
+        ),
+        consumption=tuple(
+            ServiceConsumption(service_name(number), _report(teams))
+            for number in range(services)
+        ),
+        demand=tuple(
+            ServiceDemand(service_name(number), _DEMAND)
+            for number in range(services)
+        ),
+    )
+
+
+async def measure_exchange() -> list[Figure]:
+    """Return the cost of a ping with its status, by what is in the news."""
+    context = open_context()
+    loaded = await load_document(build_document(Size(teams=1)))
+    context.fleet.apply_configuration(loaded.configuration)
+    figures = []
+    for engines, services, teams in _PINGS:
+        ping = build_ping(engines, services, teams)
+        name = f'{engines} engines, {services} services x {teams} teams'
+        figures.extend(await _exchange_figures(context, name, ping))
+    return figures
+
+
+async def _exchange_figures(
+    context: Context,
+    name: str,
+    ping: Ping,
+) -> list[Figure]:
+    pair = _ChannelPair(context)
+    await _exchange(context, pair, ping)
+    sent_bytes = pair.sent_bytes
+    begun_at = time.process_time()
+    for _ in range(_ROUNDS):
+        await _exchange(context, pair, ping)
+    spent_s = time.process_time() - begun_at
+    return [
+        Figure(_GROUP, f'bytes, {name}', sent_bytes, 'B'),
+        Figure(
+            _GROUP,
+            f'processor time of both ends, {name}',
+            spent_s / _ROUNDS * US_PER_S,
+            'us',
+        ),
+    ]
+
+
+async def _exchange(context: Context, pair: '_ChannelPair', ping: Ping) -> None:
+    await pair.dialler.send(encode(Envelope(1, ping)))
+    envelope = decode(await pair.acceptor.receive())
+    context.gossip.take(HOST, envelope.message)
+    status = Status(context.replica.report(), is_leaving=False)
+    await pair.acceptor.send(encode(Envelope(1, status)))
+    decode(await pair.dialler.receive())
+
+
+class _ChannelPair:
+    """Both ends of an authenticated channel, without a socket between."""
+
+    def __init__(self, context: Context) -> None:
+        towards_dialler = asyncio.StreamReader()
+        towards_acceptor = asyncio.StreamReader()
+        self._writers = (_Pipe(towards_acceptor), _Pipe(towards_dialler))
+        self.dialler = Channel(
+            towards_dialler,
+            self._writers[0],
+            _MAX_FRAME_BYTES,
+            context.telemetry,
+        )
+        self.acceptor = Channel(
+            towards_acceptor,
+            self._writers[1],
+            _MAX_FRAME_BYTES,
+            context.telemetry,
+        )
+        self.dialler.secure(_KEY, _KEY)
+        self.acceptor.secure(_KEY, _KEY)
+
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes that went either way."""
+        return sum(writer.count for writer in self._writers)
+
+
+class _Pipe:
+    """Stands in for a stream writer: feeds the other end's reader."""
+
+    def __init__(self, reader: asyncio.StreamReader) -> None:
+        self._reader = reader
+        self.count = 0
+
+    def write(self, frame: bytes) -> None:
+        """Hand a frame over."""
+        self.count += len(frame)
+        self._reader.feed_data(frame)
+
+    async def drain(self) -> None:
+        """Return at once."""
+
+
+def _report(teams: int) -> ConsumptionReport:
+    return ConsumptionReport(
+        daemon=HOST,
+        large_by_team={team_name(number): _CONSUMED for number in range(teams)},
+        tail=TeamConsumption(),
+        tail_teams=0,
+    )
--- a/packages/geranium-standins/src/geranium_standins/managed.py
+++ b/packages/geranium-standins/src/geranium_standins/managed.py
@@ -59,6 +59,17 @@
         """Tell whether the process has not ended."""
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def pid(self) -> int:
+        """Return the process id.
+
+        Raises:
+            ProcessError: If the process was not started.
+        """
+        if self._process is None:
+            raise ProcessError(f'{self.name} was not started')
+        return self._process.pid
+
     @property
     def exit_code(self) -> int | None:
         """Return the exit code, ``None`` while it runs."""
