--- a/packages/geranium-standins/benchmarks/capacity/exchange.py
+++ b/packages/geranium-standins/benchmarks/capacity/exchange.py
@@ -108,6 +108,8 @@
 
 
 async def _exchange(context: Context, pair: '_ChannelPair', ping: Ping) -> None:
+    # What the daemon would tell is nothing here; gathering it takes time.
+    context.gossip.news()
     await pair.dialler.send(encode(Envelope(1, ping)))
     envelope = decode(await pair.acceptor.receive())
     context.gossip.take(HOST, envelope.message)
