Measure listing rows and usage batches too

Cause: what a daemon reads again and again from the platform, and what it replicates of usage, grows with the fleet and the teams. Change: bytes of a row of hosts, targets and presences, and of a usage batch.

--- a/packages/geranium-standins/benchmarks/capacity/exchange.py
+++ b/packages/geranium-standins/benchmarks/capacity/exchange.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import time
+from collections.abc import Iterator
 
+from geranium_coordination import UsageBatch
+from geranium_model import Usage
 from geranium_policy import (
     ConsumptionReport,
     InFlight,
@@ -18,6 +21,7 @@
     ServiceConsumption,
     ServiceDemand,
     Status,
+    UsageReplica,
 )
 from geraniumd.wire import decode, encode
 
@@ -35,6 +39,7 @@
 
 _GROUP = 'exchange'
 _MANY = 4000
+_BATCH_TEAMS = (1, 276)
 _KEY = b'0123456789abcdef'
 _IN_FLIGHT = InFlight(_MANY, _MANY, _MANY)
 _DEMAND = RoleDemand(_MANY, _MANY)
@@ -81,7 +86,18 @@
         ping = build_ping(engines, services, teams)
         name = f'{engines} engines, {services} services x {teams} teams'
         figures.extend(await _exchange_figures(context, name, ping))
-    return figures
+    return [*figures, *_usage_figures()]
+
+
+def _usage_figures() -> Iterator[Figure]:
+    for teams in _BATCH_TEAMS:
+        usage_by_team = {
+            team_name(number): Usage(_MANY, _MANY, 1) for number in range(teams)
+        }
+        batch = UsageBatch(HOST, 1, 1, usage_by_team)
+        replica = encode(Envelope(1, UsageReplica((batch,))))
+        name = f'bytes, usage batch of {teams} teams'
+        yield Figure(_GROUP, name, len(replica), 'B')
 
 
 async def _exchange_figures(
--- a/packages/geranium-standins/benchmarks/capacity/runs.py
+++ b/packages/geranium-standins/benchmarks/capacity/runs.py
@@ -1,6 +1,7 @@
 """What real daemons spend, in deployments with stand-ins."""
 
 import asyncio
+import json
 import statistics
 from collections.abc import Iterator, Sequence
 from typing import Any
@@ -10,7 +11,13 @@
 
 from .figures import US_PER_S, Figure
 from .probes import CountingProxy, Rates, measure_rates, processor_s
-from .world import Size, build_document
+from .world import (
+    Size,
+    build_document,
+    engine_name,
+    service_name,
+    zone_name,
+)
 
 _IDLE = 'idle'
 _FULL = 'full configuration'
@@ -23,6 +30,12 @@
 _REQUESTS = 128
 _SHORT, _LONG = 8, 136
 _HOST = 'host-1'
+_LISTED = 10
+_LISTINGS = (
+    ('/hosts', 'hosts'),
+    ('/targets', 'targets'),
+    ('/objects?prefix=presence/', 'objects'),
+)
 _PERCENT = '% of a core'
 _MEANS = (
     ('processor time', 'processor_percent', _PERCENT),
@@ -93,6 +106,7 @@
             )
         figures.append(await _probe_bytes(deployment))
         figures.append(await _platform_bytes(deployment))
+        figures.extend(await _row_figures(deployment))
     return figures
 
 
@@ -106,6 +120,37 @@
     await deployment.operator.load_configuration(document)
 
 
+async def _row_figures(deployment: Deployment) -> list[Figure]:
+    """Bytes of a row in what each daemon reads again and again."""
+    await _list_targets(deployment)
+    platform_url = deployment.platform.url
+    figures = []
+    for path, rows_name in _LISTINGS:
+        response = await deployment.http.get(f'{platform_url}{path}')
+        body = await response.read()
+        count = len(json.loads(body)[rows_name])
+        name = f'bytes of a row of {path}'
+        figures.append(Figure('platform', name, len(body) / count, 'B'))
+    return figures
+
+
+async def _list_targets(deployment: Deployment) -> None:
+    platform_url = deployment.platform.url
+    for number in range(_LISTED):
+        engine = engine_name(number)
+        row = {
+            'service': service_name(number),
+            'zone': zone_name(number),
+            'address': f'127.0.0.1:{number}',
+        }
+        response = await deployment.http.put(
+            f'{platform_url}/targets/{engine}',
+            json=row,
+            raise_for_status=True,
+        )
+        response.release()
+
+
 async def _probe_bytes(deployment: Deployment) -> Figure:
     engine = next(iter(deployment.engines_by_name.values()))
     proxy = CountingProxy(engine.addresses['address'])
