Describe metrics, state and logs, held equal to the code by tests

Cause: an operator who was not here needs each field's unit and meaning, and pages that nobody checks go stale. Weighed: generating the pages; meanings would then stand in the code, so tests compare names, units, levels and labels instead.

--- /dev/null
+++ b/packages/geraniumd/tests/test_logs_page.py
@@ -0,0 +1,53 @@
+"""The page of log events and the code say the same."""
+
+import ast
+import dataclasses
+import pathlib
+from collections import defaultdict
+
+import geraniumd
+from geraniumd.directory import Presence
+from geraniumd.logs import LEVELS_BY_NAME
+
+from .page_tables import names_in, read_rows
+
+SOURCES = pathlib.Path(geraniumd.__file__).parent
+
+
+def logged_calls():
+    for path in SOURCES.glob('*.py'):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.Call) and _is_log_call(node):
+                yield node
+
+
+def _is_log_call(call):
+    function = call.func
+    return (
+        isinstance(function, ast.Attribute)
+        and function.attr in LEVELS_BY_NAME
+        and ast.unparse(function.value).endswith('log')
+    )
+
+
+def test_every_event_stands_on_the_page_and_the_reverse():
+    fields_by_event = defaultdict(set)
+    levels_by_event = defaultdict(set)
+    for call in logged_calls():
+        event = ast.literal_eval(call.args[0])
+        levels_by_event[event].add(call.func.attr)
+        for keyword in call.keywords:
+            fields_by_event[event].add(keyword.arg)
+    assert fields_by_event['ready'] == {None}
+    fields_by_event['ready'] = {
+        field.name for field in dataclasses.fields(Presence)
+    }
+    logged = {
+        event: (levels, fields_by_event[event])
+        for event, levels in levels_by_event.items()
+    }
+    listed = {
+        event.strip('`'): ({level}, names_in(fields))
+        for event, level, fields, _ in read_rows('LOGS.md')
+    }
+    assert listed == logged
