Work out what a daemon's links reach at any size

Cause: links are bounded in number, and several duties go by links. Change: the measurement 'reach' uses the daemon's own choices of neighbours, electors and replicas over so many presences.

--- a/packages/geranium-standins/benchmarks/capacity/__main__.py
+++ b/packages/geranium-standins/benchmarks/capacity/__main__.py
@@ -16,6 +16,7 @@
 from .exchange import measure_exchange
 from .figures import Figure, render_json, render_table
 from .memory import measure_memory
+from .reach import measure_reach
 from .runs import measure_runs
 
 Measurement = Callable[[], Awaitable[list[Figure]]]
@@ -26,6 +27,7 @@
         'exchange': measure_exchange,
         'change': measure_changes,
         'decision': measure_decisions,
+        'reach': measure_reach,
         'run': measure_runs,
     },
 )
