Measure answers, a sealed window and streams under way

Cause: the operator surface, the usage reporter and the gateway's memory lacked figures. Change: the measurements 'surface' and 'flight'.

--- a/packages/geranium-standins/benchmarks/capacity/__main__.py
+++ b/packages/geranium-standins/benchmarks/capacity/__main__.py
@@ -17,7 +17,8 @@
 from .figures import Figure, render_json, render_table
 from .memory import measure_memory
 from .reach import measure_reach
-from .runs import measure_runs
+from .runs import measure_flight, measure_runs
+from .surface import measure_surface
 
 Measurement = Callable[[], Awaitable[list[Figure]]]
 
@@ -28,6 +29,8 @@
         'change': measure_changes,
         'decision': measure_decisions,
         'reach': measure_reach,
+        'surface': measure_surface,
+        'flight': measure_flight,
         'run': measure_runs,
     },
 )
--- a/packages/geranium-standins/benchmarks/capacity/memory.py
+++ b/packages/geranium-standins/benchmarks/capacity/memory.py
@@ -168,17 +168,18 @@
 
 def _record_figure() -> Figure:
     context = open_context()
-    document = build_document(Size(teams=1, engines=1))
-    engine = document.targets[0]
     return _per(
         'recent request with its weighed engines',
-        _grown_by(lambda: _note_requests(context, engine)),
+        _grown_by(lambda: note_requests(context, _RECORDS)),
         _RECORDS,
     )
 
 
-def _note_requests(context: Context, engine: object) -> None:
-    for number in range(_RECORDS):
+def note_requests(context: Context, count: int) -> None:
+    """Leave so many recent requests in a daemon's records."""
+    document = build_document(Size(teams=1, engines=1))
+    engine = document.targets[0]
+    for number in range(count):
         incarnation = uuid.UUID(int=number).hex
         record = context.requests.begin(
             f'request-{number}',
--- a/packages/geranium-standins/benchmarks/capacity/runs.py
+++ b/packages/geranium-standins/benchmarks/capacity/runs.py
@@ -42,6 +42,7 @@
     ('resident memory', 'resident_bytes', 'B'),
     ('bytes to and from peers', 'peer_bytes', 'B/s'),
 )
+_SLOW_ENGINE = ('--decode-step-us=60000', '--decode-us-per-sequence=0')
 _FAST_ENGINE = ('--decode-step-us=10000', '--decode-us-per-sequence=0')
 
 
@@ -238,6 +239,35 @@
     ]
 
 
+async def measure_flight() -> list[Figure]:
+    """Return the memory of streams that are under way."""
+    settings = DeploymentSettings(
+        daemons=1,
+        engines=2,
+        targets=1,
+        engine_options=_SLOW_ENGINE,
+    )
+    async with Deployment(settings) as deployment:
+        secret = await deployment.operator.create_key('k-1')
+        await _spent_on(deployment, secret, _SHORT)
+        before = await measure_rates(deployment, _HOST, _SETTLE_S)
+        streams = asyncio.create_task(
+            _spent_on(deployment, secret, _LONG, _REQUESTS),
+        )
+        during = await measure_rates(deployment, _HOST, _SETTLE_S)
+        await streams
+    grown_by = during.resident_bytes - before.resident_bytes
+    return [
+        Figure('flight', 'streams under way, after 16', _REQUESTS, '1'),
+        Figure(
+            'flight',
+            'a further stream under way',
+            grown_by / (_REQUESTS - _PARALLEL),
+            'B',
+        ),
+    ]
+
+
 class _Load:
     """What a load took: events passed on, and the daemon's time."""
 
@@ -250,10 +280,11 @@
     deployment: Deployment,
     secret: str,
     tokens: int,
+    parallel: int = _PARALLEL,
 ) -> _Load:
     pid = deployment.daemons_by_host[_HOST].pid
     before = processor_s(pid)
-    limit = asyncio.Semaphore(_PARALLEL)
+    limit = asyncio.Semaphore(parallel)
     counts = await asyncio.gather(
         *(_stream(deployment, secret, limit, tokens) for _ in range(_REQUESTS)),
     )
