--- a/packages/geranium-standins/benchmarks/capacity/__main__.py
+++ b/packages/geranium-standins/benchmarks/capacity/__main__.py
@@ -15,6 +15,7 @@
 from .decisions import measure_decisions
 from .exchange import measure_exchange
 from .figures import Figure, render_json, render_table
+from .lists import measure_lists
 from .memory import measure_memory
 from .reach import measure_reach
 from .runs import measure_flight, measure_runs
@@ -28,6 +29,7 @@
         'exchange': measure_exchange,
         'change': measure_changes,
         'decision': measure_decisions,
+        'lists': measure_lists,
         'reach': measure_reach,
         'surface': measure_surface,
         'flight': measure_flight,
