--- a/packages/geranium-standins/benchmarks/capacity/__main__.py
+++ b/packages/geranium-standins/benchmarks/capacity/__main__.py
@@ -18,7 +18,7 @@
 from .lists import measure_lists
 from .memory import measure_memory
 from .reach import measure_reach
-from .runs import measure_flight, measure_runs
+from .runs import measure_flight, measure_relay, measure_runs
 from .surface import measure_surface
 
 Measurement = Callable[[], Awaitable[list[Figure]]]
@@ -33,6 +33,7 @@
         'reach': measure_reach,
         'surface': measure_surface,
         'flight': measure_flight,
+        'relay': measure_relay,
         'run': measure_runs,
     },
 )
--- a/packages/geranium-standins/benchmarks/capacity/runs.py
+++ b/packages/geranium-standins/benchmarks/capacity/runs.py
@@ -47,13 +47,12 @@
 
 
 async def measure_runs() -> list[Figure]:
-    """Return what daemons spend when idle and for each request."""
+    """Return what daemons spend without requests."""
     figures: list[Figure] = []
     for daemons in _DAEMONS:
         figures.extend(await _idle_figures(daemons))
     figures.extend(await _engine_figures())
     figures.extend(await _full_figures())
-    figures.extend(await _relay_figures())
     return figures
 
 
@@ -205,7 +204,8 @@
     return figures
 
 
-async def _relay_figures() -> list[Figure]:
+async def measure_relay() -> list[Figure]:
+    """Return the processor time of token events and requests."""
     settings = DeploymentSettings(
         daemons=1,
         engines=2,
