Count a later epoch of the same session as another sender

Work that ended without a release left copies that the next term of the same session would have taken for its own, finished ones. The epoch is part of the sender now; a test shows that such copies block the next order.

--- a/packages/geranium-coordination/benchmarks/takeover.py
+++ b/packages/geranium-coordination/benchmarks/takeover.py
@@ -19,6 +19,11 @@
 RUN_S = 45.0
 CALLS_RUN_S = 60.0
 PERCENTILE = 99
+DEFAULT_SEEDS = 300
+_TAKEOVER_HEADER = 'fault   seeds  taken median  order median  99th  worst (s)'
+_TAKEOVER_ROW = '{0:7} {1:5}  {2:12.2f}  {3:12.2f}  {4:4.2f}  {5:5.2f}'
+_CALLS_HEADER = 'hosts  duties  reads/s  writes/s'
+_CALLS_ROW = '{0:5} {1:7}  {2:7.1f}  {3:8.1f}'
 HONOURS = Subject('engine', LateCopies.REFUSED)
 
 
@@ -69,7 +74,7 @@
 
 def report_takeovers(seeds: int) -> None:
     """Print the distribution of takeover times by fault."""
-    click.echo('fault   seeds  taken median  order median  99th  worst (s)')
+    click.echo(_TAKEOVER_HEADER)
     for fate in (Fate.KILL, Fate.FREEZE, Fate.CUT):
         rows = [measure_takeover(fate, seed) for seed in range(seeds)]
         orders = sorted(row.first_order_s for row in rows)
@@ -79,23 +84,21 @@
             orders[len(orders) * PERCENTILE // 100],
             orders[-1],
         )
-        columns = '  '.join(f'{figure:10.2f}' for figure in figures)
-        click.echo(f'{fate.name.lower():7} {seeds:5}  {columns}')
+        click.echo(_TAKEOVER_ROW.format(fate.name.lower(), seeds, *figures))
 
 
 def report_calls() -> None:
     """Print the platform calls a second by the number of processes."""
-    click.echo('hosts  duties  writes/s  reads/s')
+    click.echo(_CALLS_HEADER)
     for hosts in (3, 9, 50):
         for duties in (1, hosts, 2 * hosts):
             calls = measure_calls(hosts, duties).calls
-            writes = calls['writes'] / CALLS_RUN_S
-            reads = calls['reads'] / CALLS_RUN_S
-            click.echo(f'{hosts:5} {duties:7} {writes:9.1f} {reads:8.1f}')
+            rates = (calls[kind] / CALLS_RUN_S for kind in calls)
+            click.echo(_CALLS_ROW.format(hosts, duties, *rates))
 
 
 @click.command()
-@click.option('--seeds', default=300, help='Runs for each kind of fault.')
+@click.option('--seeds', default=DEFAULT_SEEDS, help='Runs for each fault.')
 def main(seeds: int) -> None:
     """Print both reports."""
     report_takeovers(seeds)
--- a/packages/geranium-coordination/src/geranium_coordination/authority.py
+++ b/packages/geranium-coordination/src/geranium_coordination/authority.py
@@ -38,6 +38,11 @@
         """The identity of the holder's session."""
         ...
 
+    @property
+    def epoch(self) -> int:
+        """The epoch that the authority was taken in."""
+        ...
+
     def check(self, deadline_needed: float) -> AuthorityState:
         """Say whether the authority lasts until the deadline.
 
--- a/packages/geranium-coordination/src/geranium_coordination/journal.py
+++ b/packages/geranium-coordination/src/geranium_coordination/journal.py
@@ -69,7 +69,7 @@
             context.rng,
         )
         self._senders = Senders(
-            Sender(authority.session, authority.host),
+            Sender(authority.session, authority.host, authority.epoch),
             context.hosts,
             context.clock,
             context.settings.in_flight_bound_s,
@@ -94,18 +94,11 @@
             StoreError: If the store failed; the order may then stand in the
                 journal, which planning the same id again finds out.
         """
-        match self._authority.check(self._clock.now()):
-            case Lost() as lost:
-                return lost
-            case Held(epoch):
-                wanted = Order(
-                    order_id,
-                    command,
-                    OrderState.PLANNED,
-                    number=0,
-                    epoch=epoch,
-                    sender=self._senders.own,
-                )
+        state = self._authority.check(self._clock.now())
+        if isinstance(state, Lost):
+            return state
+        own = self._senders.own
+        wanted = Order(order_id, command, OrderState.PLANNED, 0, own)
         record = await self._object.load()
         if are_awaited(self._subject.late_copies, record):
             await self._senders.look(record)
@@ -233,17 +226,12 @@
         if latest.state is OrderState.SENT and latest.sender == own:
             return record
         number = record.number + 1
-        match self._authority.check(self._clock.now()):
-            case Lost(reason):
-                return NotStarted(reason)
-            case Held(epoch):
-                sent = dataclasses.replace(
-                    latest,
-                    state=OrderState.SENT,
-                    number=number,
-                    epoch=epoch,
-                    sender=own,
-                )
+        sent = dataclasses.replace(
+            latest,
+            state=OrderState.SENT,
+            number=number,
+            sender=own,
+        )
         return dataclasses.replace(
             record,
             number=number,
--- a/packages/geranium-coordination/src/geranium_coordination/orders.py
+++ b/packages/geranium-coordination/src/geranium_coordination/orders.py
@@ -50,10 +50,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sender:
-    """A session that may have copies of orders in hand or in flight."""
+    """A holder that may have copies of orders in hand or in flight.
+
+    A session that takes the authority anew, in another epoch, is another
+    sender.
+    """
 
     session: str
     host: str
+    epoch: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,15 +67,14 @@
 
     ``command`` is any JSON value. ``number`` is the fencing number: it
     grows with each order and each change of the sending session, over the
-    journal's whole life. ``epoch`` and ``sender`` say under which authority
-    it was planned or sent last.
+    journal's whole life. ``sender`` says under which authority it was
+    planned or sent last.
     """
 
     order_id: str
     command: Any
     state: OrderState
     number: int
-    epoch: int
     sender: Sender
 
 
@@ -112,7 +116,7 @@
 
 def format_record(record: JournalRecord, operation: str) -> dict[str, Any]:
     """Return the body to store, stamped with the operation that writes it."""
-    senders = sorted(record.senders, key=lambda sender: sender.session)
+    senders = sorted(record.senders, key=lambda sender: sender.epoch)
     order = record.order
     return {
         'number': record.number,
@@ -130,6 +134,5 @@
         command=body['command'],
         state=OrderState(body['state']),
         number=body['number'],
-        epoch=body['epoch'],
         sender=Sender(**body['sender']),
     )
--- a/packages/geranium-coordination/src/geranium_coordination/runner.py
+++ b/packages/geranium-coordination/src/geranium_coordination/runner.py
@@ -82,9 +82,14 @@
         await asyncio.wait((task,))
 
     async def run(self) -> None:
-        """Watch the leases until cancelled; then release all duties."""
+        """Watch the leases until cancelled; then release all duties.
+
+        Duties that wait for copies of orders to be out of flight are waited
+        for, so a stop may need a deadline of its own.
+        """
         try:
             while True:
+                self._raise_failures()
                 await self._poll()
                 await self._pause()
         finally:
@@ -141,6 +146,12 @@
     def _rank(self, duty: str) -> int:
         return rank_of(duty, self._context.host, self._context.hosts())
 
+    def _raise_failures(self) -> None:
+        """Let an unexpected error of a campaign end the runner."""
+        for task in self._tasks_by_duty.values():
+            if task.done():
+                task.result()
+
     async def _stop(self) -> None:
         tasks = tuple(self._tasks_by_duty.values())
         for task in tasks:
--- a/packages/geranium-coordination/tests/test_journal.py
+++ b/packages/geranium-coordination/tests/test_journal.py
@@ -18,7 +18,7 @@
 
     session: str
     host: str
-    epoch: int = 1
+    epoch: int
     until: float = 1e9
 
     def check(self, deadline_needed):
@@ -49,8 +49,8 @@
             random.Random(1),
         )
 
-    def journal(self, host, until=1e9):
-        authority = FakeAuthority(f'{host}.1', host, until=until)
+    def journal(self, host, until=1e9, epoch=1):
+        authority = FakeAuthority(f'{host}.1', host, epoch, until)
         return coordination.OrderJournal(
             self.context(),
             self.subject,
@@ -197,3 +197,13 @@
     assert isinstance(await journal.plan('o2', {}), coordination.Blocked)
     await bench.clock.sleep_until(1 + BOUND_S)
     assert isinstance(await journal.plan('o2', {}), coordination.Planned)
+
+
+@on_bench(LateCopies.APPLIED)
+async def test_same_session_in_a_later_epoch_is_another_sender(bench):
+    """Its earlier work may have ended without a release."""
+    await bench.send(bench.journal('a', epoch=1), 'o1')
+    later = bench.journal('a', epoch=2)
+    sent = await bench.send(later, 'o1')
+    await later.finish(sent, OrderState.DONE)
+    assert isinstance(await later.plan('o2', {}), coordination.Blocked)
