--- a/packages/geranium-coordination/src/geranium_coordination/election.py
+++ b/packages/geranium-coordination/src/geranium_coordination/election.py
@@ -14,6 +14,7 @@
 from .timeouts import finish_by
 
 _LOGGER = logging.getLogger(__name__)
+_DOUBLINGS = 16  # enough to reach any limit, and no overflow
 
 
 class Election:
@@ -148,7 +149,10 @@
 
     def _backoff_s(self) -> float:
         ceiling_s = min(
-            math.ldexp(self._settings.backoff_s, self._failures),
+            math.ldexp(
+                self._settings.backoff_s,
+                min(self._failures, _DOUBLINGS),
+            ),
             self._settings.backoff_limit_s,
         )
         return ceiling_s * self._rng.uniform(0.5, 1)
--- a/packages/geranium-coordination/tests/test_duties.py
+++ b/packages/geranium-coordination/tests/test_duties.py
@@ -177,3 +177,16 @@
     before = coordination.rank_hosts('d', ['a', 'b', 'c', 'e'])
     after = coordination.rank_hosts('d', ['a', 'c', 'e'])
     assert tuple(host for host in before if host != 'b') == after
+
+
+def test_backoff_stays_bounded_after_very_many_failures():
+    async def main():
+        runner = runner_of(coordination.MemoryStore())
+        runner.add(coordination.Duty('d', None))
+        election = runner._elections_by_duty['d']
+        election._failures = 10**6
+        limit_s = coordination.DutySettings().backoff_limit_s
+        assert limit_s / 2 <= election._backoff_s() <= limit_s
+        await runner.remove('d')
+
+    run(main())
