--- a/packages/geranium-policy/src/geranium_policy/cost_routing.py
+++ b/packages/geranium-policy/src/geranium_policy/cost_routing.py
@@ -126,13 +126,20 @@
         now: float,
     ) -> _Option:
         estimate = self._model.estimate(profile, view, now)
-        if prefill is None or view.role is not Role.DECODE:
-            return _Option(view, None, estimate)
         uncached_tokens = profile.prompt_tokens - estimate.cached_tokens
-        if uncached_tokens <= self._policy.local_prefill_tokens:
+        local = uncached_tokens <= self._policy.local_prefill_tokens
+        if prefill is None or local:
+            return _Option(view, None, estimate)
+        local_cost_s = estimate.cost_s
+        moved = self._model.move_prefill(
+            estimate,
+            view,
+            uncached_tokens,
+            prefill.estimate,
+        )
+        if view.role is Role.MIXED and local_cost_s <= moved.cost_s:
             return _Option(view, None, estimate)
-        self._model.move_prefill(estimate, uncached_tokens, prefill.estimate)
-        return _Option(view, prefill, estimate)
+        return _Option(view, prefill, moved)
 
 
 def _prefill_engine(option: _Option) -> Engine | None:
--- a/packages/geranium-policy/src/geranium_policy/costs.py
+++ b/packages/geranium-policy/src/geranium_policy/costs.py
@@ -72,13 +72,17 @@
         waiting_tokens = view.prefill_tokens(now)
         sequences = view.sequences()
         per_token_s = _prefill_s_per_token(speed, sequences)
-        between_s = _between_tokens_s(speed, sequences, waiting_tokens)
+        uncached_tokens = profile.prompt_tokens - cached_tokens
         estimate = CostEstimate(
             engine=view.engine.name,
             cached_tokens=cached_tokens,
             queue_s=waiting_tokens * per_token_s,
-            prefill_s=(profile.prompt_tokens - cached_tokens) * per_token_s,
-            between_tokens_s=between_s,
+            prefill_s=uncached_tokens * per_token_s,
+            between_tokens_s=_between_tokens_s(
+                speed,
+                sequences,
+                waiting_tokens + uncached_tokens,
+            ),
             batch_s=profile.expected_tokens
             * sequences
             * speed.decode_s_per_sequence,
@@ -102,20 +106,35 @@
     def move_prefill(
         self,
         estimate: CostEstimate,
+        view: EngineView,
         moved_tokens: int,
         prefill: CostEstimate,
-    ) -> None:
-        """Change an estimate to one whose prompt is read elsewhere.
+    ) -> CostEstimate:
+        """Return an estimate of the request with its prompt read elsewhere.
 
         Args:
-            estimate: Of the generating engine; it is changed in place.
+            estimate: Of the generating engine.
+            view: The generating engine.
             moved_tokens: Prompt tokens whose KV cache is moved to it.
             prefill: Of the engine that reads the prompt.
         """
         transfer_s = moved_tokens * self._settings.kv_transfer_s_per_token
-        estimate.queue_s = prefill.queue_s
-        estimate.prefill_s = prefill.prefill_s + transfer_s
-        estimate.cost_s = self._weigh(estimate)
+        moved = CostEstimate(
+            engine=estimate.engine,
+            cached_tokens=estimate.cached_tokens,
+            queue_s=prefill.queue_s,
+            prefill_s=prefill.prefill_s + transfer_s,
+            between_tokens_s=_between_tokens_s(
+                view.settings.speed,
+                view.sequences(),
+                0,
+            ),
+            batch_s=estimate.batch_s,
+            memory_s=estimate.memory_s,
+            cost_s=0,
+        )
+        moved.cost_s = self._weigh(moved)
+        return moved
 
     def _weigh(self, estimate: CostEstimate) -> float:
         settings = self._settings
@@ -149,8 +168,8 @@
 def _between_tokens_s(
     speed: EngineSpeed,
     sequences: int,
-    waiting_tokens: int,
+    read_tokens: int,
 ) -> float:
-    chunk_tokens = min(waiting_tokens, speed.prefill_chunk_tokens)
+    chunk_tokens = min(read_tokens, speed.prefill_chunk_tokens)
     step_s = speed.decode_step_s + (sequences + 1) * speed.decode_s_per_sequence
     return step_s + chunk_tokens * speed.prefill_s_per_token
--- a/packages/geranium-policy/src/geranium_policy/limits.py
+++ b/packages/geranium-policy/src/geranium_policy/limits.py
@@ -15,20 +15,19 @@
 class AdaptiveLimit:
     """The cost that may run on an engine follows the first tokens' times.
 
-    While it binds, each first token later than ``late_share`` of the
-    objective shrinks it by ``decrease`` and each other one lets it grow by
-    ``increase``, so that it settles where ``increase / (increase +
-    decrease)`` of the first tokens are late. While it does not bind it is
-    left alone, as it is not what makes them late.
+    Each first token later than ``late_share`` of the objective shrinks it by
+    ``decrease`` and each other one lets it grow by ``increase``, so that it
+    settles where ``increase / (increase + decrease)`` of the first tokens
+    are late. While it does not bind it grows no further than ``start_cost``.
     """
 
     objective_s: float = 0.56
     late_share: float = 0.8
     start_cost: float = 150_000
-    least_cost: float = 20_000
+    least_cost: float = 75_000
     greatest_cost: float = 1_000_000
-    increase: float = 0.01
-    decrease: float = 0.09
+    increase: float = 0.02
+    decrease: float = 0.08
 
 
 Limit: TypeAlias = FixedLimit | AdaptiveLimit
@@ -51,15 +50,20 @@
         ``binding`` says whether the limit keeps requests waiting.
         """
         match self._settings:
-            case AdaptiveLimit() if binding:
-                self._adapt(self._settings, first_token_s)
-            case _:
+            case AdaptiveLimit():
+                self._adapt(self._settings, first_token_s, binding)
+            case FixedLimit():
                 return
 
-    def _adapt(self, settings: AdaptiveLimit, first_token_s: float) -> None:
+    def _adapt(
+        self,
+        settings: AdaptiveLimit,
+        first_token_s: float,
+        binding: bool,
+    ) -> None:
         if first_token_s > settings.late_share * settings.objective_s:
             self.cost *= 1 - settings.decrease
-        else:
+        elif binding or self.cost < settings.start_cost:
             self.cost *= 1 + settings.increase
         self.cost = max(self.cost, settings.least_cost)
         self.cost = min(self.cost, settings.greatest_cost)
--- a/packages/geranium-policy/src/geranium_policy/role_policies.py
+++ b/packages/geranium-policy/src/geranium_policy/role_policies.py
@@ -20,6 +20,9 @@
 class PlannedSplit:
     """Change when the gain outweighs what the change costs.
 
+    The split is chosen that takes the fewest engine-seconds over the
+    horizon, its changes included.
+
     Args:
         comfort: No change while the busiest phase is below this utilisation.
         least_gain: Utilisation that a change must take off.
@@ -29,8 +32,8 @@
         dwell_s: An engine keeps its role for at least so long.
     """
 
-    comfort: float = 0.6
-    least_gain: float = 0.1
+    comfort: float = 1
+    least_gain: float = 0.15
     hold_s: float = 2
     horizon_s: float = 60
     change_s: float = 8
--- a/packages/geranium-policy/src/geranium_policy/roles.py
+++ b/packages/geranium-policy/src/geranium_policy/roles.py
@@ -23,8 +23,8 @@
         policy: When roles change.
         max_changing_share: So many of a service's engines may be out for a
             change at once; one always may.
-        mixed_efficiency: Speed of a mixed engine relative to one that has a
-            single phase.
+        mixed_efficiency: Speed at which a mixed engine reads prompts relative
+            to a prefill engine.
     """
 
     policy: RolePolicy = dataclasses.field(default_factory=PlannedSplit)
@@ -122,10 +122,17 @@
                 return best if self._has_held(worth, now) else None
 
     def _best(self, current: Split, demand: RoleDemand) -> Split:
+        match self._settings.policy:
+            case PlannedSplit(horizon_s=horizon_s, change_s=change_s):
+                engine_seconds = horizon_s * max(current.engines, 1)
+                price = change_s / engine_seconds
+            case _:
+                price = 0
         return min(
             likely_splits(current, demand, self._settings.mixed_efficiency),
             key=lambda split: (
-                round(self._utilisation(split, demand), 2),
+                self._utilisation(split, demand)
+                + price * current.changes_to(split),
                 current.changes_to(split),
             ),
         )
@@ -137,13 +144,9 @@
         best: Split,
         demand: RoleDemand,
     ) -> bool:
-        now_used = self._utilisation(current, demand)
-        gain = self._gain(current, best, demand)
-        if now_used <= policy.comfort or gain <= policy.least_gain:
+        if self._utilisation(current, demand) <= policy.comfort:
             return False
-        # Engine-seconds of capacity that are won over the horizon.
-        won_s = gain / now_used * current.engines * policy.horizon_s
-        return won_s > current.changes_to(best) * policy.change_s
+        return self._gain(current, best, demand) > policy.least_gain
 
     def _has_held(self, worth: bool, now: float) -> bool:
         if not worth:
--- a/packages/geranium-policy/src/geranium_policy/splits.py
+++ b/packages/geranium-policy/src/geranium_policy/splits.py
@@ -1,7 +1,7 @@
 """Splits: how many engines have which role, and how well that fits."""
 
+import bisect
 import dataclasses
-import math
 from collections.abc import Iterable, Iterator
 
 from geranium_model import Role
@@ -41,18 +41,20 @@
     def utilisation(self, demand: RoleDemand, mixed_efficiency: float) -> float:
         """Return how busy the busiest phase would be, 1 being full.
 
-        Mixed engines take either phase, at ``mixed_efficiency`` of the speed
-        of an engine that has one. Infinite where a phase has no engine.
+        Mixed engines take either phase. They generate as fast as decode
+        engines and read at ``mixed_efficiency`` of a prefill engine's speed,
+        since reading has to stop for each step of generation. The work that
+        they take is divided in the best way. Infinite where a phase has no
+        engine.
         """
-        mixed = mixed_efficiency * self.mixed
-        return max(
-            _ratio(
-                demand.prefill + demand.decode,
-                self.prefill + self.decode + mixed,
-            ),
-            _ratio(demand.prefill, self.prefill + mixed),
-            _ratio(demand.decode, self.decode + mixed),
+        mixed_reading = self.mixed * mixed_efficiency
+        reading = _ratio(demand.prefill, self.prefill + mixed_reading)
+        generating = _ratio(demand.decode, self.decode + self.mixed)
+        both = _ratio(
+            demand.prefill / mixed_efficiency + demand.decode,
+            self.prefill / mixed_efficiency + self.decode + self.mixed,
         )
+        return max(reading, generating, both)
 
     def changes_to(self, other: 'Split') -> int:
         """Return how many engines change on the way to another split."""
@@ -78,38 +80,39 @@
 ) -> Iterator[Split]:
     """Yield splits of as many engines, a least utilised one among them.
 
-    For each number of mixed engines these are the ones nearest to the
-    current split, at most two, so that their number grows with the engines
-    and not with their square.
+    For each number of mixed engines these are the best split and the one
+    nearest to the current split. With more prefill engines generation gets
+    busier and the rest less busy, so the best one is found by bisection.
     """
     yield current
     for mixed in range(current.engines + 1):
         apart = current.engines - mixed
-        low, high = _prefill_bounds(demand, apart, mixed * mixed_efficiency)
-        wanted = {low, high}
-        if low <= current.prefill <= high:
-            wanted = {current.prefill}
         # Without mixed engines each phase needs one of its own.
         least = 0 if mixed else 1
-        for prefill in wanted:
-            prefill = min(max(prefill, least), apart - least)
-            if prefill >= least:
-                yield Split(prefill, apart - prefill, mixed)
-
-
-def _prefill_bounds(
+        splits = [
+            Split(prefill, apart - prefill, mixed)
+            for prefill in range(least, apart - least + 1)
+        ]
+        if splits:
+            crossing = _crossing(splits, demand, mixed_efficiency)
+            yield from splits[max(crossing - 1, 0) : crossing + 1]
+            nearest = max(current.prefill - least, 0)
+            yield splits[min(nearest, len(splits) - 1)]
+
+
+def _crossing(
+    splits: list[Split],
     demand: RoleDemand,
-    apart: int,
-    mixed: float,
-) -> tuple[int, int]:
-    """Return between which numbers neither phase is the busier one."""
-    work = demand.prefill + demand.decode
-    if not work:
-        return 0, apart
-    engines = apart + mixed
-    least = demand.prefill / work * engines - mixed
-    most = apart - (demand.decode / work * engines - mixed)
-    return math.ceil(least), math.floor(most)
+    mixed_efficiency: float,
+) -> int:
+    return bisect.bisect_left(
+        splits,
+        x=True,
+        key=lambda split: (
+            split.utilisation(demand, mixed_efficiency)
+            <= _ratio(demand.decode, split.decode + split.mixed)
+        ),
+    )
 
 
 def _ratio(work: float, engines: float) -> float:
--- a/packages/geranium-policy/tests/test_routing.py
+++ b/packages/geranium-policy/tests/test_routing.py
@@ -84,6 +84,18 @@
     assert choice.prefill_engine is None
 
 
+def test_mixed_engine_leaves_prompts_to_an_idle_prefill_engine(
+    make_view,
+    profile,
+):
+    views = [make_view('p-1', Role.PREFILL), make_view('m-1')]
+    assert router_of().choose(profile, views, now=0).prefill_engine is None
+    views[1].peers = InFlight(requests=4, prefill_tokens=9000)
+    choice = router_of().choose(profile, views, now=0)
+    assert choice.engine.name == 'm-1'
+    assert choice.prefill_engine.name == 'p-1'
+
+
 @pytest.mark.parametrize('role', list(Role))
 def test_any_role_serves_where_it_is_the_only_one(make_view, profile, role):
     assert chosen(router_of(), profile, [make_view('e-1', role)]) == 'e-1'
