Hold running work to a fixed limit by default

The adaptive limit stays selectable: it does not depend on the engines' speed, and the swing of the ratio was measured with it.

--- a/packages/geranium-policy/benchmarks/scenarios.py
+++ b/packages/geranium-policy/benchmarks/scenarios.py
@@ -14,7 +14,7 @@
 )
 from geranium_policy.cost_routing import LeastCost
 from geranium_policy.engine_views import EngineSpeed
-from geranium_policy.limits import FixedLimit
+from geranium_policy.limits import AdaptiveLimit, FixedLimit
 from geranium_policy.purchases import (
     AllReserved,
     AllSpot,
@@ -155,7 +155,10 @@
             FairShares(across_daemons=False),
         ),
         'fair shares across daemons': fair,
-        'the same, fixed limit': dataclasses.replace(fair, limit=FixedLimit()),
+        'the same, adaptive limit': dataclasses.replace(
+            fair,
+            limit=AdaptiveLimit(),
+        ),
     }
     for name, admission in policies.items():
         settings = ServingSettings(
@@ -192,7 +195,7 @@
         roles,
         DAEMONS,
         LeastCost(),
-        AdmissionSettings('host'),
+        AdmissionSettings('host', limit=AdaptiveLimit()),
         RoleSettings(policy, mixed_efficiency=kind.mixed_efficiency),
         speed=kind.speed,
     )
--- a/packages/geranium-policy/src/geranium_policy/admission_settings.py
+++ b/packages/geranium-policy/src/geranium_policy/admission_settings.py
@@ -4,7 +4,7 @@
 from typing import TypeAlias
 
 from .consumption import ConsumptionSettings
-from .limits import AdaptiveLimit, Limit
+from .limits import FixedLimit, Limit
 from .queues import TokenPrices
 from .rates import MeanSettings, RateSettings
 
@@ -72,7 +72,7 @@
     policy: AdmissionPolicy = dataclasses.field(default_factory=FairShares)
     bounds: QueueBounds = dataclasses.field(default_factory=QueueBounds)
     prices: TokenPrices = dataclasses.field(default_factory=TokenPrices)
-    limit: Limit = dataclasses.field(default_factory=AdaptiveLimit)
+    limit: Limit = dataclasses.field(default_factory=FixedLimit)
     exchange: ConsumptionSettings = dataclasses.field(
         default_factory=ConsumptionSettings,
     )
