--- a/packages/geranium-standins/src/geranium_standins/managed.py
+++ b/packages/geranium-standins/src/geranium_standins/managed.py
@@ -54,17 +54,6 @@
         address = self.addresses['address']
         return f'http://{address}'
 
-    @property
-    def pid(self) -> int:
-        """Return the process id.
-
-        Raises:
-            ProcessError: If it was not started.
-        """
-        if self._process is None:
-            raise ProcessError(f'{self.name} was not started')
-        return self._process.pid
-
     @property
     def is_running(self) -> bool:
         """Tell whether the process has not ended."""
--- a/packages/geraniumd/src/geraniumd/application_endpoint.py
+++ b/packages/geraniumd/src/geraniumd/application_endpoint.py
@@ -43,6 +43,10 @@
         call = await _read_call(request, arrival, grant)
         return await self._answer(call)
 
+    async def settle(self) -> None:
+        """Return once the outcomes of all claimed calls are stored."""
+        await self._runner.settle()
+
     def _check(self, request: web.Request) -> AccessResult:
         service = request.match_info['service']
         path = request.match_info.get('path', '')
--- a/packages/geraniumd/src/geraniumd/daemon.py
+++ b/packages/geraniumd/src/geraniumd/daemon.py
@@ -7,7 +7,11 @@
 from collections.abc import Coroutine, Iterator
 from typing import Any, TypeAlias
 
-from geranium_coordination import LoadedConfiguration, StoreError
+from geranium_coordination import (
+    LoadedConfiguration,
+    ReplicationError,
+    StoreError,
+)
 
 from .admission import CompletionAdmission
 from .context import build_context
@@ -174,6 +178,7 @@
     ) -> None:
         await self._leave(presence)
         await self._drain()
+        await self._hand_over_usage()
         await self._withdraw(dataclasses.replace(presence, is_leaving=True))
         for task in tasks:
             task.cancel()
@@ -210,6 +215,13 @@
             self._log.error('drain_cut_short', running=self._gateway.running)
         await self._callers.close()
 
+    async def _hand_over_usage(self) -> None:
+        """Give peers what was counted since the last batch."""
+        try:
+            await self._context.meter.ledger.replicate()
+        except ReplicationError as error:
+            self._log.warning('usage_not_handed_over', error=str(error))
+
     async def _withdraw(self, presence: Presence) -> None:
         try:
             await self._context.presences.withdraw(presence)
--- a/packages/geraniumd/src/geraniumd/engine_orders.py
+++ b/packages/geraniumd/src/geraniumd/engine_orders.py
@@ -126,7 +126,7 @@
             engine=engine.name,
             order_id=order.order_id,
             number=started.order.number,
-            epoch=started.order.epoch,
+            epoch=started.order.sender.epoch,
             state=state.value,
         )
 
@@ -150,7 +150,7 @@
             engine=engine.name,
             order_id=order.order_id,
             number=order.number,
-            epoch=order.epoch,
+            epoch=order.sender.epoch,
             command=command,
         )
         answer = await self._transport.send(
--- a/packages/geraniumd/src/geraniumd/gateway.py
+++ b/packages/geraniumd/src/geraniumd/gateway.py
@@ -68,10 +68,11 @@
         return app
 
     async def wait_idle(self) -> None:
-        """Return once no request runs."""
+        """Return once no request runs and every outcome is stored."""
         while self.running:
             self._idle.clear()
             await self._idle.wait()
+        await self._applications.settle()
 
     @web.middleware
     async def _guard(
--- a/packages/geraniumd/src/geraniumd/stored_tables.py
+++ b/packages/geraniumd/src/geraniumd/stored_tables.py
@@ -79,5 +79,5 @@
         unknown: Row = (None,) * (len(_ORDER_COLUMNS) - 1)
         return (subject, *unknown)
     head: Row = (subject, order.order_id, order.state.value)
-    authority: Row = (order.number, order.epoch, order.sender.session)
+    authority: Row = (order.number, order.sender.epoch, order.sender.session)
     return (*head, *authority, str(order.command))
