--- a/packages/geranium-coordination/tests/exploration.py
+++ b/packages/geranium-coordination/tests/exploration.py
@@ -18,6 +18,7 @@
 from .world import HOLDER, Fate, Fault
 
 PLACES = 3
+NAMES = (('duty',), ('duty', 'second', 'third'))
 # Relative drift of two clocks stays under margin_s / term_s, a tenth.
 RATES = (0.956, 1.0, 1.044)
 GAPS_S = (0, 0.1, 0.4, 0.7, 1.0, 2.0, 3.0, 5.0, 8.0)
@@ -60,6 +61,7 @@
         ).map(tuple),
         seed=st.integers(0, 10_000),
         subjects=st.just(subjects),
+        names=st.sampled_from((('duty',),) if subjects else NAMES),
         duties=st.sampled_from((DutySettings(), EAGER)),
         journals=st.sampled_from((JournalSettings(), LONG_FLIGHTS)),
     )
