Close three gaps that mutations of the mechanisms showed

The bound on set-aside targets and the cap of the retry budget were not held by any test: the property's failures were too sparse, and the budget was never saved up. The lift of idle teams' counters changed nothing, since idle counters below the floor are forgotten at each rebalance and an unknown team starts from the floor: it is removed.

--- a/packages/geranium-policy/src/geranium_policy/admission.py
+++ b/packages/geranium-policy/src/geranium_policy/admission.py
@@ -96,9 +96,6 @@
         late_s = self.wait_s(entry, now) + first_token_s - left_s
         if bounds.refuse_early and late_s > 0:
             return (self._refuse(entry, late_s, 'no answer in time'),)
-        team = entry.profile.team
-        if team not in self._teams.queues_by_team:
-            self._shares.counters.lift(team)
         displaced = self._teams.push(entry)
         return tuple(
             self._refuse(unlucky, self.wait_s(unlucky, now), 'queue is full')
--- a/packages/geranium-policy/src/geranium_policy/counters.py
+++ b/packages/geranium-policy/src/geranium_policy/counters.py
@@ -35,10 +35,6 @@
             self._greatest - self._max_lead,
         )
 
-    def lift(self, team: str) -> None:
-        """Start a team that was idle from the floor."""
-        self._counter_by_team[team] = max(self.counter(team), self._floor)
-
     def charge(self, team: str, cost: float) -> None:
         """Count what the team was served; a negative cost gives it back."""
         counter = self.counter(team) + cost / self.weight(team)
--- a/packages/geranium-policy/tests/test_health.py
+++ b/packages/geranium-policy/tests/test_health.py
@@ -19,7 +19,8 @@
 EVENTS = st.tuples(
     st.sampled_from(NAMES),
     st.sampled_from([GOOD, SLOW, Silent(), Unreachable()]),
-    st.floats(0, 10),
+    st.integers(1, 4),
+    st.floats(0, 3),
 )
 
 SHARES = st.sampled_from([0.2, 0.34, 0.5])
@@ -39,15 +40,23 @@
 def test_never_more_than_the_bounded_share_is_set_aside(events, share):
     tracker = tracker_of(max_ejected_share=share)
     now = 0
-    for name, observation, passed_s in events:
+    for name, observation, times, passed_s in events:
         now += passed_s
-        tracker.observe(name, observation, now)
+        for _ in range(times):
+            tracker.observe(name, observation, now)
         availability = tracker.availability(NAMES, now)
         left_out = len(NAMES) - len(availability.usable)
         assert left_out <= share * len(NAMES)
         assert not set(availability.usable) & set(availability.probes)
 
 
+def test_most_failing_targets_are_set_aside_up_to_the_share():
+    tracker = tracker_of(max_ejected_share=0.5)
+    for name in NAMES[:6]:
+        fail(tracker, name, now=0)
+    assert len(tracker.availability(NAMES, 0).usable) == 4
+
+
 @pytest.mark.parametrize(
     ('observation', 'times'),
     [(SLOW, 6), (Silent(), 2), (Unreachable(), 3)],
--- a/packages/geranium-policy/tests/test_retries.py
+++ b/packages/geranium-policy/tests/test_retries.py
@@ -105,3 +105,10 @@
         assert max(instants) <= bound_s
         assert max(instants) > bound_s / 2
         assert min(instants) < bound_s / 2
+
+
+def test_retries_are_saved_up_to_a_bound():
+    budget = RetryBudget(RetrySettings(max_budget=3), now=0)
+    for now in range(1, 500):
+        budget.record_request(now)
+    assert sum(budget.take(500) for _ in range(50)) == 3
