--- a/packages/geraniumd/src/geraniumd/admission.py
+++ b/packages/geraniumd/src/geraniumd/admission.py
@@ -16,7 +16,6 @@
     ServiceQueue,
 )
 from geranium_policy import Fleet as ServingFleet
-from geranium_policy.limits import AdaptiveLimit
 
 from .context import Context
 from .messages import ServiceConsumption
@@ -168,11 +167,7 @@
     def _queue(self, service: ModelService) -> ServiceQueue:
         queue = self.queues_by_service.get(service.name)
         if queue is None:
-            objective_s = service.first_token_ms / _MS_PER_S
-            settings = AdmissionSettings(
-                self._settings.host,
-                limit=AdaptiveLimit(objective_s=objective_s),
-            )
+            settings = AdmissionSettings(self._settings.host)
             queue = ServiceQueue(settings, self._clock.now())
             self.queues_by_service[service.name] = queue
             self._rebalance(service.name, queue)
--- a/packages/geraniumd/src/geraniumd/completions.py
+++ b/packages/geraniumd/src/geraniumd/completions.py
@@ -37,6 +37,7 @@
     TargetRefusedError,
     TargetSilentError,
 )
+from .handoff import KvHandoff
 from .records import RequestRecord
 from .selection import Selection, TargetSelector
 from .sinks import Sink
@@ -81,6 +82,7 @@
     admission: CompletionAdmission
     selector: TargetSelector
     guard: SuspectGuard
+    handoff: KvHandoff
     streams: StreamClient
     retries: RetryPolicy
     recorder: AttemptRecorder
@@ -93,6 +95,7 @@
         self._admission = parts.admission
         self._selector = parts.selector
         self._guard = parts.guard
+        self._handoff = parts.handoff
         self._streams = parts.streams
         self._retries = parts.retries
         self._recorder = parts.recorder
@@ -197,8 +200,13 @@
         """Make one attempt; return how it failed, or ``None``."""
         link = selection.link
         run.order.record.note_choice(selection.choice)
+        kv_imported = await self._hand_over(run, selection)
         link.running += 1
-        link.view.record_dispatch(run.profile, self._clock.now())
+        link.view.record_dispatch(
+            run.profile,
+            self._clock.now(),
+            kv_imported=kv_imported,
+        )
         try:
             await self._relay(run, selection)
         except TargetError as error:
@@ -213,6 +221,20 @@
         self._recorder.note_success(link)
         return None
 
+    async def _hand_over(self, run: _Run, selection: Selection) -> bool:
+        """Have the prompt read elsewhere if that was chosen."""
+        source = selection.choice.prefill_engine
+        if source is None or run.buffer.next_offset:
+            return False
+        run.attempts.was_sent = True
+        run.order.record.note(f'prompt read by {source.name}')
+        return await self._handoff.prepare(
+            run.order.call,
+            run.profile,
+            source,
+            selection.link.target,
+        )
+
     async def _relay(self, run: _Run, selection: Selection) -> None:
         engine = selection.link.target
         sent_at = self._clock.now()
--- a/packages/geraniumd/src/geraniumd/context.py
+++ b/packages/geraniumd/src/geraniumd/context.py
@@ -27,6 +27,7 @@
 from .follower import ConfigurationFollower
 from .gossip import Gossip
 from .intents import EngineIntents
+from .lifecycle import Lifecycle
 from .peer_links import PeerLink
 from .platform import PlatformClient
 from .presence import PresenceRegistry
@@ -49,6 +50,7 @@
     settings: Settings
     secrets: Secrets
     incarnation: str
+    lifecycle: Lifecycle
     clock: Clock
     rng: random.Random
     telemetry: Telemetry
@@ -87,6 +89,7 @@
         settings=settings,
         secrets=secrets,
         incarnation=incarnation,
+        lifecycle=Lifecycle(),
         clock=clock,
         rng=random.Random(),
         telemetry=telemetry,
--- a/packages/geraniumd/src/geraniumd/daemon.py
+++ b/packages/geraniumd/src/geraniumd/daemon.py
@@ -43,7 +43,6 @@
         self._context = build_context(settings, secrets)
         self._log = get_logger()
         self._stopping = asyncio.Event()
-        self._is_ready = False
         self._presence: Presence | None = None
         self._clients = build_clients(self._context)
         self._admission = CompletionAdmission(self._context)
@@ -58,7 +57,6 @@
             self._context,
             self._clients,
             self._control,
-            lambda: self._is_ready,
             self.stop,
         )
         self._callers = HttpListener(
@@ -168,7 +166,7 @@
                 )
             else:
                 break
-        self._is_ready = True
+        self._context.lifecycle.join()
         self._log.info('ready', **dataclasses.asdict(presence))
 
     async def _shut_down(
@@ -187,14 +185,11 @@
         await self._operators.close()
         await self._clients.close()
         await self._context.platform.close()
-        self._log.info('stopped')
+        self._context.lifecycle.finish()
 
     async def _leave(self, presence: Presence) -> None:
         """Have callers told of other hosts until their answers expire."""
-        self._log.info('leaving')
-        self._is_ready = False
-        self._peer_server.is_leaving = True
-        self._gateway.is_leaving = True
+        self._context.lifecycle.leave()
         leaving = dataclasses.replace(presence, is_leaving=True)
         self._context.directory.join(leaving)
         try:
@@ -205,6 +200,7 @@
 
     async def _drain(self) -> None:
         """Finish what runs, up to the settings' limit."""
+        self._context.lifecycle.drain()
         await self._callers.refuse_connections()
         try:
             async with asyncio.timeout(
--- a/packages/geraniumd/src/geraniumd/gateway.py
+++ b/packages/geraniumd/src/geraniumd/gateway.py
@@ -12,6 +12,7 @@
 from .application_endpoint import ApplicationEndpoint
 from .directory import HostDirectory
 from .follower import ConfigurationFollower
+from .lifecycle import Lifecycle
 from .logs import get_logger
 from .model_endpoint import ModelEndpoint
 from .problems import problem_response
@@ -37,16 +38,17 @@
         settings: GatewaySettings,
         follower: ConfigurationFollower,
         directory: HostDirectory,
+        lifecycle: Lifecycle,
         models: ModelEndpoint,
         applications: ApplicationEndpoint,
     ) -> None:
         self._settings = settings
         self._follower = follower
         self._directory = directory
+        self._lifecycle = lifecycle
         self._models = models
         self._applications = applications
         self.running = 0
-        self.is_leaving = False
         self._idle = asyncio.Event()
         self._log = get_logger()
 
@@ -82,7 +84,7 @@
     ) -> web.StreamResponse:
         outcome: Outcome
         self.running += 1
-        if self.is_leaving:
+        if self._lifecycle.is_leaving:
             # The caller is to connect elsewhere for its next request.
             request.protocol.keep_alive(False)
         try:
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/handoff.py
@@ -0,0 +1,119 @@
+"""Has one engine read a prompt and hands its KV cache to another."""
+
+import dataclasses
+import json
+
+import pydantic
+from geranium_coordination import Clock
+from geranium_model import Engine
+from geranium_policy import RequestProfile
+
+from .calls import CompletionCall
+from .exceptions import TargetError
+from .fleet import EngineLink, Fleet
+from .logs import get_logger
+from .transport import TargetTransport, raise_for_status, read_body
+
+PREFILL_TIMEOUT_S = 10
+IMPORT_TIMEOUT_S = 5
+
+_JSON = 'application/json'
+
+
+class _Prefilled(pydantic.BaseModel):
+    kv: str
+
+
+class KvHandoff:
+    """Moves the KV cache of prompts from prefill to decode engines."""
+
+    def __init__(
+        self,
+        transport: TargetTransport,
+        fleet: Fleet,
+        clock: Clock,
+    ) -> None:
+        self._transport = transport
+        self._fleet = fleet
+        self._clock = clock
+        self._log = get_logger()
+
+    async def prepare(
+        self,
+        call: CompletionCall,
+        profile: RequestProfile,
+        source: Engine,
+        destination: Engine,
+    ) -> bool:
+        """Tell whether the destination has the prompt's KV cache now.
+
+        Where it has not, the destination reads the prompt itself.
+        """
+        link = self._fleet.links_by_name.get(source.name)
+        if not isinstance(link, EngineLink):
+            return False
+        reading = dataclasses.replace(profile, expected_tokens=0)
+        link.view.record_dispatch(reading, self._clock.now())
+        try:
+            kv_name = await self._prefill(call, source)
+            await self._import(call, source, destination, kv_name)
+        except (TargetError, pydantic.ValidationError) as error:
+            self._log.warning(
+                'kv_not_handed_over',
+                request_id=call.arrival.request_id,
+                source=source.name,
+                destination=destination.name,
+                error=str(error),
+            )
+            return False
+        finally:
+            link.view.record_end(profile.request_id, self._clock.now())
+        return True
+
+    async def _prefill(self, call: CompletionCall, source: Engine) -> str:
+        text = await self._post(
+            f'http://{source.address}/kv/prefill',
+            call.body,
+            PREFILL_TIMEOUT_S,
+            call.arrival.execution_id,
+        )
+        return _Prefilled.model_validate_json(text).kv
+
+    async def _import(
+        self,
+        call: CompletionCall,
+        source: Engine,
+        destination: Engine,
+        kv_name: str,
+    ) -> None:
+        body = {
+            'source': source.address,
+            'kv': kv_name,
+            'request_id': call.arrival.execution_id,
+        }
+        await self._post(
+            f'http://{destination.address}/kv/import',
+            json.dumps(body).encode(),
+            IMPORT_TIMEOUT_S,
+            call.arrival.execution_id,
+        )
+
+    async def _post(
+        self,
+        url: str,
+        body: bytes,
+        timeout_s: float,
+        execution_id: str,
+    ) -> bytes:
+        response = await self._transport.send(
+            'POST',
+            url,
+            body=body,
+            headers={'Content-Type': _JSON, 'Request-Id': execution_id},
+            total_timeout_s=timeout_s,
+        )
+        try:
+            await raise_for_status(response)
+            return await read_body(response)
+        finally:
+            response.release()
--- a/packages/geraniumd/src/geraniumd/operator.py
+++ b/packages/geraniumd/src/geraniumd/operator.py
@@ -21,6 +21,7 @@
 )
 from .execution import StatementExecutor
 from .fanout import HOST_SCOPE, SCOPE_PARAMETER, STATEMENTS_PATH
+from .lifecycle import Lifecycle
 from .operator_requests import OperatorRequest
 from .settings import Secrets
 from .telemetry import Telemetry
@@ -31,7 +32,6 @@
 _HEALTH_PREFIX = '/operator/v1/health/'
 
 Handler: TypeAlias = Callable[[web.Request], Awaitable[web.StreamResponse]]
-ReadyCheck: TypeAlias = Callable[[], bool]
 
 
 class _StatementBody(pydantic.BaseModel):
@@ -49,13 +49,13 @@
         executor: StatementExecutor,
         dump: StateDump,
         telemetry: Telemetry,
-        is_ready: ReadyCheck,
+        lifecycle: Lifecycle,
     ) -> None:
         self._secrets = secrets
         self._executor = executor
         self.dump = dump
         self._telemetry = telemetry
-        self._is_ready = is_ready
+        self._lifecycle = lifecycle
 
     def application(self) -> web.Application:
         """Return the HTTP application for the operators' address."""
@@ -130,7 +130,7 @@
         return web.json_response({'live': True})
 
     async def _ready(self, _request: web.Request) -> web.Response:
-        is_ready = self._is_ready()
+        is_ready = self._lifecycle.is_ready
         status = HTTPStatus.OK
         if not is_ready:
             status = HTTPStatus.SERVICE_UNAVAILABLE
--- a/packages/geraniumd/src/geraniumd/peer_server.py
+++ b/packages/geraniumd/src/geraniumd/peer_server.py
@@ -42,12 +42,12 @@
         self._gossip = context.gossip
         self._ledger = context.meter.ledger
         self._claims = context.claims
+        self._lifecycle = context.lifecycle
         self._telemetry = context.telemetry
         self._log = get_logger()
         self._server: asyncio.Server | None = None
         self._channels: set[Channel] = set()
         self._commits: set[asyncio.Task[None]] = set()
-        self.is_leaving = False
 
     async def start(self, address: str, port: int) -> int:
         """Listen; return the port that was bound."""
@@ -102,7 +102,9 @@
         match question:
             case Ping():
                 self._gossip.take(host, question)
-                return Status(self._replica.report(), self.is_leaving)
+                return Status(
+                    self._replica.report(), self._lifecycle.is_leaving
+                )
             case ConfigurationWanted(since_version=version):
                 delta = self._replica.loaded.delta_since(version)
                 return ConfigurationUpdate(encode_delta(delta))
--- a/packages/geraniumd/src/geraniumd/wiring.py
+++ b/packages/geraniumd/src/geraniumd/wiring.py
@@ -26,8 +26,9 @@
 from .execution import StatementExecutor
 from .fanout import Fanout
 from .gateway import Gateway
+from .handoff import KvHandoff
 from .model_endpoint import ModelEndpoint
-from .operator import OperatorApi, ReadyCheck
+from .operator import OperatorApi
 from .selection import TargetSelector
 from .streams import StreamClient
 from .suspects import SuspectGuard
@@ -83,6 +84,7 @@
         settings,
         context.follower,
         context.directory,
+        context.lifecycle,
         ModelEndpoint(settings, access, desk, completions, accounting),
         ApplicationEndpoint(
             access,
@@ -114,6 +116,7 @@
             admission,
             selector,
             SuspectGuard(context, EngineClient(clients.streams)),
+            KvHandoff(clients.streams, context.fleet, clock),
             StreamClient(context.settings.targets, clients.streams),
             retries,
             recorder,
@@ -134,7 +137,6 @@
     context: Context,
     clients: Clients,
     duties: DutyManager,
-    is_ready: ReadyCheck,
     stop: Callable[[], None],
 ) -> OperatorApi:
     """Return the operators' side."""
@@ -146,5 +148,5 @@
         executor,
         dump,
         context.telemetry,
-        is_ready,
+        context.lifecycle,
     )
