Prove at most one execution by scenarios, and mend lost answers

Cause: a connection that broke before its answer raised an error of the resend guard that was no aiohttp.ClientError. The platform's and the targets' adapters let it through. One lost answer to a claim's write ended the daemon's "claims" task without a word: the caller hung, the claim stayed "still running" for good, and the host did not stop on SIGTERM (its running call never ended). A target that dropped a pooled call gave 500 in place of an outcome.

Ruled out: the committer (it reads back and retries on AnswerLostError), the forwarding to the owner (same with the owner itself), the stand-in (its log has the write once).

Change: ConnectionLostError is an aiohttp.ClientConnectionError. The client repeats a call only after its subclasses ClientOSError and ServerDisconnectedError, so it still sends once.

Left: a task of the daemon that ends by an unforeseen error is not noticed.

--- a/packages/geraniumd/src/geraniumd/resends.py
+++ b/packages/geraniumd/src/geraniumd/resends.py
@@ -9,8 +9,12 @@
 import aiohttp
 
 
-class ConnectionLostError(Exception):
-    """The connection broke after it was made; the call may have run."""
+class ConnectionLostError(aiohttp.ClientConnectionError):
+    """The connection broke after it was made; the call may have run.
+
+    The client sends a call again after subclasses of this base, not after
+    the base itself.
+    """
 
 
 async def send_once(
--- /dev/null
+++ b/packages/geraniumd/tests/conftest.py
@@ -0,0 +1,113 @@
+"""The steps that scenarios share."""
+
+import pytest
+from geranium_standins.deployment import DeploymentSettings
+from geranium_standins.managed import until
+from pytest_bdd import given, parsers, then, when
+
+from .world import COMPLETED, World
+
+
+@pytest.fixture(scope='module')
+def deployment_settings():
+    return DeploymentSettings()
+
+
+@pytest.fixture(scope='module')
+def world(deployment_settings):
+    running = World(deployment_settings)
+    running.open()
+    yield running
+    running.close()
+
+
+@given('the deployment is whole')
+def heal(world):
+    world.run(world.heal())
+
+
+@when(parsers.parse('{host} is killed'))
+def kill_host(world, host):
+    process = world.deployment.daemons_by_host[host]
+    process.kill()
+    world.run(process.wait())
+
+
+@when(parsers.parse('{host} is started again'))
+def restart_host(world, host):
+    deployment = world.deployment
+    number = list(deployment.daemons_by_host).index(host) + 1
+    zone = deployment.settings.zone_of(number)
+    world.run(deployment.add_daemon(host, zone))
+
+
+@given('the platform is down')
+@when('the platform goes down')
+def begin_outage(world):
+    world.run(world.deployment.platform.put_faults(outage=True))
+
+
+@when('the platform comes back')
+def end_platform_faults(world):
+    world.run(world.deployment.platform.put_faults())
+
+
+@given('every target drops its next call after running it')
+def drop_after_run(world):
+    world.run(world.put_target_faults(drop_after_run=1))
+
+
+@given(parsers.parse('every target takes {delay:d} ms to answer'))
+def delay_targets(world, delay):
+    world.run(world.put_target_faults(delay_ms=delay))
+
+
+@when('the targets work again')
+def end_target_faults(world):
+    world.run(world.put_target_faults())
+
+
+@given(parsers.parse('an operator orders "{statement}"'))
+@when(parsers.parse('an operator orders "{statement}"'))
+def order(world, statement):
+    reply = world.run(world.statement(statement))
+    assert reply.status == 200, reply.text
+
+
+@when(
+    parsers.re(
+        'order "(?P<name>[^"]+)" is sent(?: again)? through (?P<host>[^ ]+)'
+    )
+)
+def send_order(world, name, host):
+    world.run(world.send_order(name, host))
+
+
+@when(
+    parsers.parse('order "{name}" is sent through {host} until it is answered')
+)
+def send_until_answered(world, name, host):
+    async def is_answered():
+        reply = await world.send_order(name, host)
+        return reply.outcome == COMPLETED
+
+    world.run(until(is_answered))
+
+
+@then(parsers.parse('the answer to "{name}" says "{outcome}"'))
+def check_outcome(world, name, outcome):
+    reply = world.replies_by_name[name][-1]
+    assert reply.outcome == outcome, reply.text
+
+
+@then(parsers.parse('the answer to "{name}" tells when to come back'))
+def check_retry_after(world, name):
+    reply = world.replies_by_name[name][-1]
+    assert int(reply.headers['Retry-After']) >= 1
+
+
+@then(parsers.parse('"{name}" ran {times:d} times'))
+@then(parsers.parse('"{name}" ran {times:d} time'))
+def check_executions(world, name, times):
+    executions = world.run(world.executions(name))
+    assert len(executions) == times
--- /dev/null
+++ b/packages/geraniumd/tests/world.py
@@ -0,0 +1,207 @@
+"""A deployment as scenarios see it, in an event loop of its own."""
+
+import asyncio
+import dataclasses
+import json
+from collections import defaultdict
+from collections.abc import Coroutine, Mapping
+from typing import Any, TypeVar
+
+import aiohttp
+from geranium_standins.deployment import Deployment, DeploymentSettings
+from geranium_standins.deployment_launch import launch_engine, launch_target
+from geranium_standins.deployment_operator import OPERATOR_TOKEN
+from geranium_standins.managed import ManagedProcess, until
+
+COMPLETED = 'completed'
+LOST = 'connection-lost'
+
+ResultT = TypeVar('ResultT')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """What a caller got; status 0 if its connection broke."""
+
+    status: int
+    headers: Mapping[str, str]
+    text: bytes
+
+    @property
+    def outcome(self) -> str:
+        if not self.status:
+            return LOST
+        if self.status < 400:
+            return self._stream_outcome()
+        return json.loads(self.text)['outcome']
+
+    def _stream_outcome(self) -> str:
+        _, error, problem = self.text.partition(b'event: error\ndata: ')
+        return json.loads(problem)['outcome'] if error else COMPLETED
+
+
+class World:
+    """Runs a deployment between the steps of scenarios."""
+
+    def __init__(self, settings: DeploymentSettings) -> None:
+        self._runner = asyncio.Runner()
+        self.deployment = Deployment(settings)
+        self.secret = ''
+        self.keys = 0
+        self.replies_by_name: dict[str, list[Reply]] = defaultdict(list)
+        self.tasks_by_name: dict[str, asyncio.Task[Reply]] = {}
+
+    def run(self, coroutine: Coroutine[Any, Any, ResultT]) -> ResultT:
+        return self._runner.run(coroutine)
+
+    def open(self) -> None:
+        self.run(self.deployment.__aenter__())
+
+    def close(self) -> None:
+        self.run(self.deployment.__aexit__())
+        self._runner.close()
+
+    async def heal(self) -> None:
+        """End all faults, start what died again, and issue a new key."""
+        deployment = self.deployment
+        standins = (
+            deployment.platform,
+            *deployment.engines_by_name.values(),
+            *deployment.targets_by_name.values(),
+        )
+        for process in deployment.daemons_by_host.values():
+            process.thaw()
+        for process in standins:
+            if process.is_running:
+                await process.put_faults()
+        if await self._restart_backends():
+            await deployment.operator.load_configuration(deployment.document())
+        for number, host in enumerate(deployment.daemons_by_host, start=1):
+            if not deployment.daemons_by_host[host].is_running:
+                zone = deployment.settings.zone_of(number)
+                await deployment.add_daemon(host, zone)
+        for host in deployment.daemons_by_host:
+            await deployment.wait_ready(host)
+        for host in deployment.daemons_by_host:
+            await deployment.wait_joined(host)
+        self.secret = await self.create_key()
+        self.replies_by_name.clear()
+
+    async def create_key(self) -> str:
+        self.keys += 1
+        return await self.deployment.operator.create_key(f'key-{self.keys}')
+
+    async def statement(
+        self,
+        text: str,
+        host: str = 'host-1',
+        operation_id: str = '',
+        author: str = 'operator',
+    ) -> Reply:
+        """Return the answer to a statement, also if it was refused."""
+        return await self._request(
+            'POST',
+            self.deployment.operator_url(host, '/statements'),
+            json={
+                'statement': text,
+                'operation_id': operation_id,
+                'author': author,
+            },
+            headers={'Authorization': f'Bearer {OPERATOR_TOKEN}'},
+        )
+
+    async def send(
+        self,
+        host: str,
+        method: str,
+        path: str,
+        headers: Mapping[str, str] | None = None,
+        **options: Any,
+    ) -> Reply:
+        """Send a request with the world's key through a host."""
+        sent = {'Authorization': f'Bearer {self.secret}', **(headers or {})}
+        url = self.deployment.caller_url(host, path)
+        return await self._request(method, url, headers=sent, **options)
+
+    async def send_order(self, name: str, host: str) -> Reply:
+        """Send a non-idempotent order, named by its idempotency key."""
+        reply = await self.send(
+            host,
+            'POST',
+            '/apps/app/orders',
+            {'Idempotency-Key': name, 'Request-Id': name},
+            data=f'order {name}'.encode(),
+        )
+        self.replies_by_name[name].append(reply)
+        return reply
+
+    async def executions(self, name: str) -> list[Mapping[str, Any]]:
+        """Return what targets ran under a request id."""
+        logs = [
+            await process.read_log()
+            for process in self.deployment.targets_by_name.values()
+            if process.is_running
+        ]
+        return [
+            execution
+            for log in logs
+            for execution in log['executions']
+            if execution['request_id'] == name
+        ]
+
+    async def put_target_faults(self, **switches: Any) -> None:
+        for process in self.deployment.targets_by_name.values():
+            await process.put_faults(**switches)
+
+    async def put_engine_faults(self, **switches: Any) -> None:
+        for process in self.deployment.engines_by_name.values():
+            if process.is_running:
+                await process.put_faults(**switches)
+
+    async def wait_executed(self, name: str) -> None:
+        async def has_run() -> bool:
+            return bool(await self.executions(name))
+
+        await until(has_run)
+
+    async def _restart_backends(self) -> bool:
+        deployment = self.deployment
+        starts = [
+            launch_engine(fresh, deployment.settings, number)
+            for number, fresh in _replace_dead(
+                deployment.engines_by_name, deployment
+            )
+        ]
+        starts.extend(
+            launch_target(fresh, deployment.settings)
+            for _, fresh in _replace_dead(
+                deployment.targets_by_name, deployment
+            )
+        )
+        await asyncio.gather(*starts)
+        return bool(starts)
+
+    async def _request(self, method: str, url: str, **options: Any) -> Reply:
+        # A session of its own, so that nothing is sent twice unseen.
+        connector = aiohttp.TCPConnector(force_close=True)
+        try:
+            async with (
+                aiohttp.ClientSession(connector=connector) as session,
+                session.request(method, url, **options) as response,
+            ):
+                text = await response.read()
+                return Reply(response.status, response.headers, text)
+        except (aiohttp.ClientError, OSError):
+            return Reply(0, {}, b'')
+
+
+def _replace_dead(
+    processes_by_name: dict[str, ManagedProcess],
+    deployment: Deployment,
+) -> list[tuple[int, ManagedProcess]]:
+    replaced = []
+    for number, name in enumerate(processes_by_name, start=1):
+        if not processes_by_name[name].is_running:
+            processes_by_name[name] = ManagedProcess(name, deployment.folder)
+            replaced.append((number, processes_by_name[name]))
+    return replaced
