Prove that each request ends with one true outcome

Scenarios of refusing, failing, silent, killed, cutting, stalling and crossing targets, and of connections that go silent for good. A stream that is resumed must say the same as an uncut one and end with one mark.

--- a/packages/geraniumd/tests/world.py
+++ b/packages/geraniumd/tests/world.py
@@ -5,6 +5,7 @@
 import json
 from collections import defaultdict
 from collections.abc import Coroutine, Mapping
+from http import HTTPStatus
 from typing import Any, TypeVar
 
 import aiohttp
@@ -15,6 +16,7 @@
 
 COMPLETED = 'completed'
 LOST = 'connection-lost'
+TARGETS_OWN = 'answered by the target'
 
 ResultT = TypeVar('ResultT')
 
@@ -29,10 +31,13 @@
 
     @property
     def outcome(self) -> str:
+        """How the request ended, as its caller was told."""
         if not self.status:
             return LOST
-        if self.status < 400:
+        if self.status < HTTPStatus.BAD_REQUEST:
             return self._stream_outcome()
+        if 'problem+json' not in self.headers['Content-Type']:
+            return TARGETS_OWN
         return json.loads(self.text)['outcome']
 
     def _stream_outcome(self) -> str:
@@ -48,6 +53,7 @@
         self.deployment = Deployment(settings)
         self.secret = ''
         self.keys = 0
+        self.received_by_name: dict[str, bytes] = {}
         self.replies_by_name: dict[str, list[Reply]] = defaultdict(list)
         self.tasks_by_name: dict[str, asyncio.Task[Reply]] = {}
 
@@ -86,6 +92,8 @@
             await deployment.wait_joined(host)
         self.secret = await self.create_key()
         self.replies_by_name.clear()
+        self.received_by_name.clear()
+        await until(self._serves_chats)
 
     async def create_key(self) -> str:
         self.keys += 1
@@ -135,6 +143,42 @@
         self.replies_by_name[name].append(reply)
         return reply
 
+    async def send_chat(
+        self,
+        host: str,
+        name: str,
+        max_tokens: int,
+        headers: Mapping[str, str] | None = None,
+    ) -> Reply:
+        """Stream a chat; all chats of a length have the same answer."""
+        reply = await self.send(
+            host,
+            'POST',
+            '/v1/chat/completions',
+            {'Request-Id': name, **(headers or {})},
+            json={
+                'model': self.deployment.settings.model_service,
+                'stream': True,
+                'max_tokens': max_tokens,
+                'messages': [{'role': 'user', 'content': 'A long card'}],
+            },
+        )
+        self.replies_by_name[name].append(reply)
+        return reply
+
+    async def wait_for(self, name: str) -> list[Reply]:
+        """Return the replies to a name once its running task has ended."""
+        await self.tasks_by_name.pop(name)
+        return self.replies_by_name[name]
+
+    async def busy_engine(self) -> ManagedProcess:
+        """Return an engine that runs a request."""
+        for process in self.deployment.engines_by_name.values():
+            log = await process.read_log()
+            if any(row['outcome'] == 'running' for row in log['requests']):
+                return process
+        raise LookupError('no engine runs a request')
+
     async def executions(self, name: str) -> list[Mapping[str, Any]]:
         """Return what targets ran under a request id."""
         logs = [
@@ -189,11 +233,26 @@
                 aiohttp.ClientSession(connector=connector) as session,
                 session.request(method, url, **options) as response,
             ):
-                text = await response.read()
+                text = await self._read(response)
                 return Reply(response.status, response.headers, text)
         except (aiohttp.ClientError, OSError):
             return Reply(0, {}, b'')
 
+    async def _read(self, response: aiohttp.ClientResponse) -> bytes:
+        name = response.request_info.headers.get('Request-Id', '')
+        self.received_by_name[name] = b''
+        async for chunk in response.content.iter_any():
+            self.received_by_name[name] += chunk
+        return self.received_by_name[name]
+
+    async def _serves_chats(self) -> bool:
+        replies = [
+            await self.send_chat(host, 'probe', 1)
+            for host in self.deployment.daemons_by_host
+        ]
+        self.replies_by_name.clear()
+        return all(reply.outcome == COMPLETED for reply in replies)
+
 
 def _replace_dead(
     processes_by_name: dict[str, ManagedProcess],
