--- a/packages/geraniumd/tests/conftest.py
+++ b/packages/geraniumd/tests/conftest.py
@@ -47,6 +47,20 @@
     world.run(world.deployment.platform.put_faults(outage=True))
 
 
+@given(
+    parsers.parse(
+        'the platform loses the answers to {count:d} writes and {how}'
+    )
+)
+def lose_answers(world, count, how):
+    world.run(
+        world.deployment.platform.put_faults(
+            lose_answers=count,
+            lost_answers_hang=how.startswith('holds'),
+        )
+    )
+
+
 @when('the platform comes back')
 def end_platform_faults(world):
     world.run(world.deployment.platform.put_faults())
--- a/packages/geraniumd/tests/test_at_most_once.py
+++ b/packages/geraniumd/tests/test_at_most_once.py
@@ -22,20 +22,6 @@
     world.run(start())
 
 
-@given(
-    parsers.parse(
-        'the platform loses the answers to {count:d} writes and {how}'
-    )
-)
-def lose_answers(world, count, how):
-    world.run(
-        world.deployment.platform.put_faults(
-            lose_answers=count,
-            lost_answers_hang=how.startswith('holds'),
-        )
-    )
-
-
 @when(parsers.parse('"{name}" is put to {path} through {host}'))
 def put(world, name, path, host):
     headers = {'Request-Id': name}
