--- /dev/null
+++ b/packages/geraniumd/tests/test_invariants_page.py
@@ -0,0 +1,45 @@
+"""Every test that the page of invariants names exists."""
+
+import ast
+import pathlib
+import re
+
+import pytest
+
+ROOT = pathlib.Path(__file__).parents[3]
+PAGE = ROOT / 'docs' / 'INVARIANTS.md'
+TEST_ID = re.compile(r'`(packages/[\w/.-]+\.py)::(test_\w+)`')
+SCENARIO = re.compile(r'Scenario(?: Outline)?: (.+)')
+
+
+def scenario_test(title):
+    """Return the name that pytest-bdd gives the test of a scenario."""
+    return 'test_{}'.format(
+        re.sub(r'\W|^(?=\d)', '', title.strip().replace(' ', '_')).lower()
+    )
+
+
+def defined_tests(path):
+    """Return the tests of a file, with those of the features it names."""
+    names = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.FunctionDef | ast.AsyncFunctionDef):
+            names.add(node.name)
+        elif isinstance(node, ast.Constant) and str(node.value).endswith(
+            '.feature'
+        ):
+            feature = (path.parent / str(node.value)).read_text()
+            names.update(map(scenario_test, SCENARIO.findall(feature)))
+    return names
+
+
+NAMED_TESTS = sorted(set(TEST_ID.findall(PAGE.read_text())))
+
+
+def test_page_names_tests():
+    assert NAMED_TESTS
+
+
+@pytest.mark.parametrize(('path', 'name'), NAMED_TESTS)
+def test_named_test_exists(path, name):
+    assert name in defined_tests(ROOT / path)
