Keep roles fixed unless a setting says otherwise

So the plan stays selectable and is off by default. Stepping down at a shutdown has a limit, since a release waits for the platform.

--- a/packages/geraniumd/src/geraniumd/daemon.py
+++ b/packages/geraniumd/src/geraniumd/daemon.py
@@ -33,6 +33,8 @@
     build_operator_api,
 )
 
+_STEP_DOWN_LIMIT_S = 10
+
 Duty: TypeAlias = tuple[str, Coroutine[Any, Any, None]]
 
 
@@ -180,7 +182,8 @@
         await self._withdraw(dataclasses.replace(presence, is_leaving=True))
         for task in tasks:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        # Stepping down waits for the platform, which may be gone.
+        await asyncio.wait(tasks, timeout=_STEP_DOWN_LIMIT_S)
         self._peer_server.close()
         await self._operators.close()
         await self._clients.close()
--- a/packages/geraniumd/src/geraniumd/director.py
+++ b/packages/geraniumd/src/geraniumd/director.py
@@ -43,6 +43,7 @@
         sender: EngineOrderSender,
         fleet: Fleet,
         demand: DemandBoard,
+        roles: RoleSettings,
     ) -> None:
         self._service = service
         self._journals = journals
@@ -51,7 +52,7 @@
         self._fleet = fleet
         self._demand = demand
         self._clock = journals.clock
-        self._planner = RolePlanner(RoleSettings())
+        self._planner = RolePlanner(roles)
         self._log = get_logger()
         self._carrying_by_engine: dict[str, asyncio.Task[None]] = {}
 
--- a/packages/geraniumd/src/geraniumd/duties.py
+++ b/packages/geraniumd/src/geraniumd/duties.py
@@ -13,6 +13,8 @@
     release_predecessors,
 )
 from geranium_model import Configuration, ModelService
+from geranium_policy import RoleSettings
+from geranium_policy.role_policies import FixedSplit, PlannedSplit
 
 from .context import Context
 from .control_transport import ControlTransport
@@ -21,6 +23,7 @@
 from .logs import get_logger
 from .platform import PlatformClient
 from .reporter import REPORTER_DUTY, UsageDuty
+from .settings import ControlSettings
 from .transport import TargetTransport
 
 _DIRECTOR = 'director'
@@ -121,8 +124,14 @@
             self._sender,
             self._context.fleet,
             self._context.demand,
+            _role_settings(self._context.settings.control),
         )
 
     def _hosts(self) -> frozenset[str]:
         members = self._context.directory.members()
         return frozenset(member.host for member in members)
+
+
+def _role_settings(settings: ControlSettings) -> RoleSettings:
+    policy = PlannedSplit() if settings.plan_roles else FixedSplit()
+    return RoleSettings(policy)
--- a/packages/geraniumd/src/geraniumd/settings.py
+++ b/packages/geraniumd/src/geraniumd/settings.py
@@ -105,6 +105,13 @@
     batch_interval_s: PositiveSeconds = 5
 
 
+@dataclass(frozen=True, kw_only=True, config=_STRICT)
+class ControlSettings:
+    """What the control duties do; the same on all hosts."""
+
+    plan_roles: bool = False
+
+
 @dataclass(frozen=True, kw_only=True, config=_STRICT)
 class ShutdownSettings:
     """How long each step of a graceful shutdown may take."""
@@ -134,6 +141,7 @@
     targets: TargetSettings = TargetSettings()
     peers: PeerSettings = PeerSettings()
     usage: UsageSettings = UsageSettings()
+    control: ControlSettings = ControlSettings()
     shutdown: ShutdownSettings = ShutdownSettings()
 
 
--- a/packages/geraniumd/src/geraniumd/settings_meanings.py
+++ b/packages/geraniumd/src/geraniumd/settings_meanings.py
@@ -74,6 +74,10 @@
             'pause between two replications of usage to peers; what was '
             'counted since is lost with the host'
         ),
+        'control.plan_roles': (
+            "whether directors move engines' roles with the demand; in the "
+            'model of the policy fixed mixed engines did as well or better'
+        ),
         'shutdown.linger_s': (
             'how long a leaving daemon still takes calls; longer than '
             '`gateway.address_ttl_s`'
