--- a/packages/geraniumd/src/geraniumd/director.py
+++ b/packages/geraniumd/src/geraniumd/director.py
@@ -14,8 +14,9 @@
 from geranium_coordination.orders import JournalRecord, parse_record
 from geranium_model import Role
 from geranium_policy import EngineRole, RolePlanner, RoleSettings
+from geranium_policy.role_policies import FixedSplit, PlannedSplit
 
-from .demand import DemandBoard
+from .context import Context
 from .engine_orders import (
     ENGINE_JOURNALS,
     WANTED_ROLE,
@@ -24,9 +25,10 @@
     engine_subject,
 )
 from .engines import command_body
-from .fleet import EngineLink, Fleet
-from .intents import EngineIntents, StoredIntent
+from .fleet import EngineLink
+from .intents import StoredIntent
 from .logs import get_logger
+from .settings import ControlSettings
 from .stages import KIND, RESUME, is_carried_out, next_order
 
 TICK_S = 1
@@ -38,21 +40,20 @@
     def __init__(
         self,
         service: str,
+        context: Context,
         journals: JournalContext,
-        intents: EngineIntents,
         sender: EngineOrderSender,
-        fleet: Fleet,
-        demand: DemandBoard,
-        roles: RoleSettings,
     ) -> None:
         self._service = service
         self._journals = journals
-        self._intents = intents
         self._sender = sender
-        self._fleet = fleet
-        self._demand = demand
+        self._intents = context.intents
+        self._fleet = context.fleet
+        self._demand = context.demand
         self._clock = journals.clock
-        self._planner = RolePlanner(roles)
+        self._planner = RolePlanner(
+            _role_settings(context.settings.control),
+        )
         self._log = get_logger()
         self._carrying_by_engine: dict[str, asyncio.Task[None]] = {}
 
@@ -226,3 +227,8 @@
         return None
     wanted = command.get(WANTED_ROLE)
     return None if wanted is None else Role(wanted)
+
+
+def _role_settings(settings: ControlSettings) -> RoleSettings:
+    policy = PlannedSplit() if settings.plan_roles else FixedSplit()
+    return RoleSettings(policy)
--- a/packages/geraniumd/src/geraniumd/duties.py
+++ b/packages/geraniumd/src/geraniumd/duties.py
@@ -13,8 +13,6 @@
     release_predecessors,
 )
 from geranium_model import Configuration, ModelService
-from geranium_policy import RoleSettings
-from geranium_policy.role_policies import FixedSplit, PlannedSplit
 
 from .context import Context
 from .control_transport import ControlTransport
@@ -23,7 +21,6 @@
 from .logs import get_logger
 from .platform import PlatformClient
 from .reporter import REPORTER_DUTY, UsageDuty
-from .settings import ControlSettings
 from .transport import TargetTransport
 
 _DIRECTOR = 'director'
@@ -57,7 +54,6 @@
             PlatformHosts(context.platform),
             context.rng,
         )
-        self._intents = context.intents
         self._sender = EngineOrderSender(
             ControlTransport(),
             targets,
@@ -119,19 +115,11 @@
     def _director(self, service: ModelService) -> EngineDirector:
         return EngineDirector(
             service.name,
+            self._context,
             self._journals,
-            self._intents,
             self._sender,
-            self._context.fleet,
-            self._context.demand,
-            _role_settings(self._context.settings.control),
         )
 
     def _hosts(self) -> frozenset[str]:
         members = self._context.directory.members()
         return frozenset(member.host for member in members)
-
-
-def _role_settings(settings: ControlSettings) -> RoleSettings:
-    policy = PlannedSplit() if settings.plan_roles else FixedSplit()
-    return RoleSettings(policy)
