--- a/packages/geraniumd/src/geraniumd/daemon.py
+++ b/packages/geraniumd/src/geraniumd/daemon.py
@@ -4,8 +4,9 @@
 import dataclasses
 import json
 import sys
-from collections.abc import Coroutine, Iterator
-from typing import Any, TypeAlias
+from collections.abc import Awaitable, Callable, Iterator
+from functools import partial
+from typing import TypeAlias
 
 from geranium_coordination import (
     LoadedConfiguration,
@@ -27,6 +28,7 @@
 from .probes import LoadProber
 from .reporter import UsageForgetter
 from .settings import Secrets, Settings
+from .supervision import supervise
 from .wiring import (
     build_clients,
     build_gateway,
@@ -35,7 +37,7 @@
 
 _STEP_DOWN_LIMIT_S = 10
 
-Duty: TypeAlias = tuple[str, Coroutine[Any, Any, None]]
+Duty: TypeAlias = tuple[str, Callable[[], Awaitable[None]]]
 
 
 class Daemon:
@@ -97,8 +99,8 @@
         context.directory.join(self._presence)
         self._print_addresses(self._presence)
         tasks = [
-            asyncio.create_task(duty, name=name)
-            for name, duty in self._duties(self._presence)
+            asyncio.create_task(supervise(name, run), name=name)
+            for name, run in self._duties(self._presence)
         ]
         await self._stopping.wait()
         await self._shut_down(self._presence, tasks)
@@ -144,17 +146,17 @@
             EngineClient(self._clients.streams),
             context.clock,
         )
-        yield 'join', self._join(presence)
-        yield 'follower', context.follower.follow()
-        yield 'lists', poller.poll_lists()
-        yield 'presences', poller.poll_presences()
-        yield 'probes', prober.run()
-        yield 'claims', context.claims.run()
-        yield 'admission', self._admission.run()
-        yield 'usage', context.meter.ledger.run()
-        yield 'accounts', UsageForgetter(context).run()
-        yield 'duties', self._control.run()
-        yield 'peering', self._peering.run()
+        yield 'join', partial(self._join, presence)
+        yield 'follower', context.follower.follow
+        yield 'lists', poller.poll_lists
+        yield 'presences', poller.poll_presences
+        yield 'probes', prober.run
+        yield 'claims', context.claims.run
+        yield 'admission', self._admission.run
+        yield 'usage', context.meter.ledger.run
+        yield 'accounts', UsageForgetter(context).run
+        yield 'duties', self._control.run
+        yield 'peering', self._peering.run
 
     async def _join(self, presence: Presence) -> None:
         await self._context.follower.load_first()
--- a/packages/geraniumd/tests/test_logs_page.py
+++ b/packages/geraniumd/tests/test_logs_page.py
@@ -11,6 +11,8 @@
 
 from .page_tables import names_in, read_rows
 
+LEVELS_BY_METHOD = {name: name for name in LEVELS_BY_NAME}
+LEVELS_BY_METHOD['exception'] = 'error'
 SOURCES = pathlib.Path(geraniumd.__file__).parent
 
 
@@ -25,7 +27,7 @@
     function = call.func
     return (
         isinstance(function, ast.Attribute)
-        and function.attr in LEVELS_BY_NAME
+        and function.attr in LEVELS_BY_METHOD
         and ast.unparse(function.value).endswith('log')
     )
 
@@ -35,7 +37,7 @@
     levels_by_event = defaultdict(set)
     for call in logged_calls():
         event = ast.literal_eval(call.args[0])
-        levels_by_event[event].add(call.func.attr)
+        levels_by_event[event].add(LEVELS_BY_METHOD[call.func.attr])
         for keyword in call.keywords:
             fields_by_event[event].add(keyword.arg)
     assert fields_by_event['ready'] == {None}
--- /dev/null
+++ b/packages/geraniumd/tests/test_supervision.py
@@ -0,0 +1,22 @@
+"""A task that fails is started again and noticed."""
+
+import json
+
+from geraniumd.logs import configure_logs
+from geraniumd.supervision import supervise
+
+
+async def test_failed_task_starts_again(capsys):
+    configure_logs('info', 'h')
+    runs = []
+
+    async def run():
+        runs.append(1)
+        if len(runs) < 2:
+            raise ValueError('unforeseen')
+
+    await supervise('claims', run)
+    assert len(runs) == 2
+    logged = json.loads(capsys.readouterr().err.splitlines()[-1])
+    assert (logged['event'], logged['task']) == ('task_failed', 'claims')
+    assert 'locals' not in json.dumps(logged['exception'])
