--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/flake8 packages
+	$(BIN)/flake8 packages examples
 	$(BIN)/mypy packages/*/src
 	$(BIN)/lint-imports
 
--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -49,6 +49,10 @@
     "$work/$1.out" "$2"
 }
 
+fetch() {
+  python "$here/fetch.py" "$@"
+}
+
 explain_kept() {
   cat <<KEPT
 Left running: processes ${pids[*]}
@@ -91,7 +95,7 @@
   "$work" >"$work/configuration.json"
 export GERANIUM_ADDRESS=$operator GERANIUM_TOKEN=$GERANIUM_OPERATOR_TOKEN
 for _ in $(seq 100); do
-  if curl -fs "http://$operator/operator/v1/health/ready" >/dev/null; then
+  if fetch "http://$operator/operator/v1/health/ready" >/dev/null 2>&1; then
     break
   fi
   sleep 0.1
@@ -107,22 +111,23 @@
       else row["secret"])')
 
 say 'Asking which addresses to use'
-curl -fsS "http://$caller/v1/hosts?zone=khomas-b"
+fetch "http://$caller/v1/hosts?zone=khomas-b"
 echo
 
 say 'Sending a streamed chat'
-curl -fsSN -H "Authorization: Bearer $key" "http://$caller/v1/chat/completions" \
-  -d '{"model": "wording-llm", "stream": true, "max_tokens": 12,
-       "messages": [{"role": "user", "content": "A card for Ndapewa"}]}' \
+fetch "http://$caller/v1/chat/completions" \
+  --header "Authorization: Bearer $key" \
+  --data '{"model": "wording-llm", "stream": true, "max_tokens": 12,
+           "messages": [{"role": "user", "content": "A card for Ndapewa"}]}' \
   >"$work/chat.txt"
 grep -q '^data: \[DONE\]$' "$work/chat.txt"
 echo "$(grep -c '^data: {' "$work/chat.txt") events and the completion mark"
 
 say 'Sending a print order, and the same again through another host'
 order() {
-  curl -sS -o "$work/order-$2.txt" -w '%{http_code}' -X POST \
-    -H "Authorization: Bearer $key" -H 'Idempotency-Key: demo-order-1' \
-    "http://$1/apps/orders-app/orders" -d '{"cards": 40}'
+  fetch "http://$1/apps/orders-app/orders" --output "$work/order-$2.txt" \
+    --header "Authorization: Bearer $key" \
+    --header 'Idempotency-Key: demo-order-1' --data '{"cards": 40}'
 }
 first=$(order "$caller" first)
 second=$(order "$other" second)
@@ -132,7 +137,7 @@
 executions=0
 for number in 1 2 3; do
   address=$(field "orders-app-$number" address)
-  count=$(curl -fsS "http://$address/log" | python -c \
+  count=$(fetch "http://$address/log" | python -c \
     'import json, sys; print(len(json.load(sys.stdin)["executions"]))')
   executions=$((executions + count))
 done
--- a/examples/demo_configuration.py
+++ b/examples/demo_configuration.py
@@ -13,10 +13,14 @@
     """Print the configuration with each target's address replaced."""
     document = json.loads(configuration.read_text())
     for target in document['targets']:
-        output = folder / f'{target["name"]}.out'
-        target['address'] = json.loads(output.read_text())['address']
+        target['address'] = _address(folder, target['name'])
     json.dump(document, sys.stdout, indent=2)
 
 
+def _address(folder: pathlib.Path, name: str) -> str:
+    printed = json.loads((folder / f'{name}.out').read_text())
+    return str(printed['address'])
+
+
 if __name__ == '__main__':
-    main(pathlib.Path(sys.argv[1]), pathlib.Path(sys.argv[2]))
+    main(*map(pathlib.Path, sys.argv[1:]))
--- a/packages/geraniumd/src/geraniumd/dumps.py
+++ b/packages/geraniumd/src/geraniumd/dumps.py
@@ -17,6 +17,7 @@
 _COLLECTIONS = (
     Collection.HOSTS,
     Collection.PEERS,
+    Collection.LEASES,
     Collection.TARGETS,
     Collection.ENGINES,
     Collection.REQUESTS,
@@ -40,7 +41,9 @@
             'host': self._context.settings.host,
             'zone': self._context.settings.zone,
             'region': self._context.settings.region,
+            'stage': self._context.lifecycle.stage.value,
             'configuration': self._configuration(),
+            'suspicions': self._count_suspicions(),
             'usage': {
                 team: {
                     'prompt_tokens': usage.prompt_tokens,
@@ -58,6 +61,10 @@
         """Write the state to standard error as one line of JSON."""
         sys.stderr.write(f'{json.dumps({"state": self.build()})}\n')
 
+    def _count_suspicions(self) -> int:
+        now = self._context.clock.now()
+        return len(self._context.suspects.notices(now))
+
     def _configuration(self) -> dict[str, Any]:
         now = self._context.clock.now()
         admission = self._context.follower.replica.admission(now)
--- a/packages/geraniumd/tests/test_whole_path.py
+++ b/packages/geraniumd/tests/test_whole_path.py
@@ -69,6 +69,22 @@
     assert len(answer.choices[0].text.split()) == 3
 
 
+async def test_errors_are_the_client_librarys_own(deployment, secret):
+    with pytest.raises(openai.AuthenticationError) as wrong_key:
+        await client(deployment, 'gk-wrong').chat.completions.create(
+            model='llm', messages=MESSAGES
+        )
+    assert wrong_key.value.status_code == 401
+    with pytest.raises(openai.NotFoundError):
+        await client(deployment, secret).chat.completions.create(
+            model='none', messages=MESSAGES
+        )
+    with pytest.raises(openai.BadRequestError):
+        await client(deployment, secret).chat.completions.create(
+            model='llm', messages=[]
+        )
+
+
 async def test_models_are_listed_for_the_key(deployment, secret):
     listed = await client(deployment, secret).models.list()
     assert [model.id for model in listed.data] == ['llm']
