--- a/packages/geraniumd/src/geraniumd/application_endpoint.py
+++ b/packages/geraniumd/src/geraniumd/application_endpoint.py
@@ -7,7 +7,7 @@
 
 from .access import Grant
 from .accounting import RequestAccounting
-from .arrivals import Arrival, ArrivalDesk
+from .arrivals import Arrival, ArrivalReader
 from .claimed_calls import ClaimingRunner
 from .endpoints import AccessControl, AccessResult
 from .problems import problem_response
@@ -23,18 +23,18 @@
     def __init__(
         self,
         access: AccessControl,
-        desk: ArrivalDesk,
+        arrivals: ArrivalReader,
         runner: ClaimingRunner,
         accounting: RequestAccounting,
     ) -> None:
         self._access = access
-        self._desk = desk
+        self._arrivals = arrivals
         self._runner = runner
         self._accounting = accounting
 
     async def serve(self, request: web.Request) -> web.StreamResponse:
         """Answer a call to an application service."""
-        arrival = self._desk.take(request.headers)
+        arrival = self._arrivals.take(request.headers)
         if isinstance(arrival, NotRun):
             return problem_response(arrival, '-')
         grant = self._check(request)
--- a/packages/geraniumd/src/geraniumd/arrivals.py
+++ b/packages/geraniumd/src/geraniumd/arrivals.py
@@ -40,7 +40,7 @@
 ArrivalResult: TypeAlias = Arrival | NotRun
 
 
-class ArrivalDesk:
+class ArrivalReader:
     """Gives each request its ids and its deadline."""
 
     def __init__(self, settings: GatewaySettings, clock: Clock) -> None:
--- a/packages/geraniumd/src/geraniumd/context.py
+++ b/packages/geraniumd/src/geraniumd/context.py
@@ -20,7 +20,7 @@
 from geranium_policy.suspects import SuspectSettings
 
 from .claim_peers import ClaimOwners
-from .demand import DemandBoard
+from .demand import ServiceDemands
 from .directory import HostDirectory, holder_name
 from .electors import WithdrawalAnnouncer
 from .fleet import Fleet
@@ -62,7 +62,7 @@
     directory: HostDirectory
     acknowledgements: Acknowledgements
     fleet: Fleet
-    demand: DemandBoard
+    demand: ServiceDemands
     intents: EngineIntents
     links_by_host: dict[str, PeerLink]
     announcer: WithdrawalAnnouncer
@@ -133,7 +133,7 @@
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Traffic:
     fleet: Fleet
-    demand: DemandBoard
+    demand: ServiceDemands
     suspects: SuspectRegister
     gossip: Gossip
 
@@ -169,7 +169,7 @@
 def _build_traffic(clock: Clock) -> _Traffic:
     fleet = Fleet()
     suspects = SuspectRegister(SuspectSettings())
-    demand = DemandBoard(clock)
+    demand = ServiceDemands(clock)
     gossip = Gossip(fleet, demand, suspects, clock)
     return _Traffic(fleet, demand, suspects, gossip)
 
--- a/packages/geraniumd/src/geraniumd/demand.py
+++ b/packages/geraniumd/src/geraniumd/demand.py
@@ -22,7 +22,7 @@
     deadline: float
 
 
-class DemandBoard:
+class ServiceDemands:
     """This daemon's forecasts and its peers' last ones."""
 
     def __init__(self, clock: Clock) -> None:
--- a/packages/geraniumd/src/geraniumd/execution.py
+++ b/packages/geraniumd/src/geraniumd/execution.py
@@ -38,7 +38,6 @@
 from geranium_statements.commands import Command, CreateKey
 
 from .context import Context
-from .engine_order_desk import EngineOrderDesk
 from .exceptions import (
     OperatorConflictError,
     OperatorRefusedError,
@@ -47,6 +46,7 @@
 from .fanout import Fanout, HostQuestion
 from .logs import get_logger
 from .operator_requests import OperatorRequest
+from .order_requests import EngineOrderRequests
 from .stored_tables import STORED_COLLECTIONS, StoredTables
 from .tables import COLLECTIONS_BY_HOST, LocalTables
 
@@ -82,7 +82,7 @@
         self._tables = tables
         self._fanout = fanout
         self._stop = stop
-        self._engine_orders = EngineOrderDesk(context)
+        self._engine_orders = EngineOrderRequests(context)
         self._stored_tables = StoredTables(context.platform)
         self._log = get_logger()
 
--- a/packages/geraniumd/src/geraniumd/gossip.py
+++ b/packages/geraniumd/src/geraniumd/gossip.py
@@ -9,7 +9,7 @@
     SuspectRegister,
 )
 
-from .demand import DemandBoard
+from .demand import ServiceDemands
 from .fleet import Fleet
 from .messages import EngineDispatch, Ping, ServiceConsumption, ServiceDemand
 
@@ -22,7 +22,7 @@
     def __init__(
         self,
         fleet: Fleet,
-        demand: DemandBoard,
+        demand: ServiceDemands,
         suspects: SuspectRegister,
         clock: Clock,
     ) -> None:
--- a/packages/geraniumd/src/geraniumd/model_endpoint.py
+++ b/packages/geraniumd/src/geraniumd/model_endpoint.py
@@ -8,7 +8,7 @@
 from geranium_model import Completed, ModelService, NotRun, Outcome
 
 from .accounting import RequestAccounting
-from .arrivals import Arrival, ArrivalDesk
+from .arrivals import Arrival, ArrivalReader
 from .calls import (
     CompletionCall,
     engine_body,
@@ -30,19 +30,19 @@
         self,
         settings: GatewaySettings,
         access: AccessControl,
-        desk: ArrivalDesk,
+        arrivals: ArrivalReader,
         runner: CompletionRunner,
         accounting: RequestAccounting,
     ) -> None:
         self._settings = settings
         self._access = access
-        self._desk = desk
+        self._arrivals = arrivals
         self._runner = runner
         self._accounting = accounting
 
     async def serve(self, request: web.Request) -> web.StreamResponse:
         """Answer a call for a completion."""
-        arrival = self._desk.take(request.headers)
+        arrival = self._arrivals.take(request.headers)
         if isinstance(arrival, NotRun):
             return problem_response(arrival, '-')
         call = await self._read_call(request, arrival)
--- a/packages/geraniumd/src/geraniumd/engine_order_desk.py
+++ b/packages/geraniumd/src/geraniumd/order_requests.py
@@ -27,7 +27,7 @@
 _GOES_ON = 'it goes on; "show orders" tells when it is done'
 
 
-class EngineOrderDesk:
+class EngineOrderRequests:
     """Writes an operator's order down for the engine's director."""
 
     def __init__(self, context: Context) -> None:
--- a/packages/geraniumd/src/geraniumd/wiring.py
+++ b/packages/geraniumd/src/geraniumd/wiring.py
@@ -14,7 +14,7 @@
 from .admission import CompletionAdmission
 from .application_endpoint import ApplicationEndpoint
 from .applications import ApplicationRunner
-from .arrivals import ArrivalDesk
+from .arrivals import ArrivalReader
 from .attempts import AttemptRecorder
 from .claimed_calls import ClaimingRunner
 from .completions import CompletionParts, CompletionRunner
@@ -72,7 +72,7 @@
     """Return the callers' side."""
     settings = context.settings.gateway
     access = AccessControl(context.follower)
-    desk = ArrivalDesk(settings, context.clock)
+    arrivals = ArrivalReader(settings, context.clock)
     accounting = RequestAccounting(
         context.requests,
         context.meter,
@@ -85,10 +85,10 @@
         context.follower,
         context.directory,
         context.lifecycle,
-        ModelEndpoint(settings, access, desk, completions, accounting),
+        ModelEndpoint(settings, access, arrivals, completions, accounting),
         ApplicationEndpoint(
             access,
-            desk,
+            arrivals,
             ClaimingRunner(applications, context.claims),
             accounting,
         ),
