--- /dev/null
+++ b/conftest.py
@@ -0,0 +1,28 @@
+"""Passes over the failing tests that ``KNOWN-RED.txt`` lists, and no others."""
+
+import pathlib
+
+import pytest
+
+_PREFIX = 'test: '
+
+
+def pytest_collection_modifyitems(
+    config: pytest.Config,
+    items: list[pytest.Item],
+) -> None:
+    """Expect the listed tests to fail; their entries are in the summary."""
+    listed = _read_listed(config.rootpath / 'KNOWN-RED.txt')
+    for test in items:
+        if test.nodeid in listed:
+            reason = f'known red: {test.nodeid}'
+            test.add_marker(pytest.mark.xfail(reason=reason, strict=False))
+
+
+def _read_listed(path: pathlib.Path) -> frozenset[str]:
+    lines = path.read_text().splitlines()
+    return frozenset(
+        line.removeprefix(_PREFIX).strip()
+        for line in lines
+        if line.startswith(_PREFIX)
+    )
