--- a/packages/geraniumd/src/geraniumd/stored_tables.py
+++ b/packages/geraniumd/src/geraniumd/stored_tables.py
@@ -5,12 +5,14 @@
 from geranium_coordination.usage_seals import SEAL_PREFIX, decode_seal
 from geranium_statements import Collection, Row, Table, build_table
 
+from .engine_orders import ENGINE_JOURNALS
 from .exceptions import OperatorUnavailableError
 
 STORED_COLLECTIONS = frozenset((Collection.ORDERS, Collection.WINDOWS))
 
 _ORDER_COLUMNS = (
-    'subject',
+    'engine',
+    'service',
     'order',
     'state',
     'number',
@@ -47,7 +49,8 @@
             raise OperatorUnavailableError(str(error)) from error
 
     async def _orders(self) -> Table:
-        prefix = JournalSettings().prefix
+        root = JournalSettings().prefix
+        prefix = f'{root}{ENGINE_JOURNALS}/'
         listing = await self._store.read_prefix(prefix)
         rows = [
             _order_row(found.key.removeprefix(prefix), parse_record(found))
@@ -74,10 +77,12 @@
 
 
 def _order_row(subject: str, record: JournalRecord) -> Row:
+    service, _, engine = subject.partition('/')
+    place: Row = (engine, service)
     order = record.order
     if order is None:
-        unknown: Row = (None,) * (len(_ORDER_COLUMNS) - 1)
-        return (subject, *unknown)
-    head: Row = (subject, order.order_id, order.state.value)
-    authority: Row = (order.number, order.sender.epoch, order.sender.session)
-    return (*head, *authority, str(order.command))
+        unknown: Row = (None,) * (len(_ORDER_COLUMNS) - len(place))
+        return (*place, *unknown)
+    sender = order.sender
+    progress: Row = (order.order_id, order.state.value, order.number)
+    return (*place, *progress, sender.epoch, sender.session, str(order.command))
--- a/packages/geraniumd/tests/test_engine_orders.py
+++ b/packages/geraniumd/tests/test_engine_orders.py
@@ -68,7 +68,11 @@
     orders = await deployment.operator.execute(
         f'show orders where order = "{order_id}"',
     )
-    assert [row[2] for row in orders['rows']] == ['done']
+    engine = orders['columns'].index('engine')
+    state = orders['columns'].index('state')
+    assert len(orders['rows']) == 1
+    row = orders['rows'][0]
+    assert (row[engine], row[state]) == ('engine-3', 'done')
 
 
 async def test_unknown_engine_is_refused(deployment):
