--- a/packages/geraniumd/src/geraniumd/execution.py
+++ b/packages/geraniumd/src/geraniumd/execution.py
@@ -221,9 +221,11 @@
     async def _show(self, show: Show, request: OperatorRequest) -> Table:
         table = await self._build(show.collection)
         if show.collection in COLLECTIONS_BY_HOST:
-            table = await self._with_other_hosts(table, request)
-        if request.is_local:
-            return table
+            # Each host filters and cuts its part, so that little travels.
+            part = run_query(show.host_part(), table)
+            if request.is_local:
+                return part
+            table = await self._with_other_hosts(part, request)
         return run_query(show, table)
 
     async def _stop_host(
--- a/packages/geraniumd/tests/test_statement_pages.py
+++ b/packages/geraniumd/tests/test_statement_pages.py
@@ -28,6 +28,16 @@
         yield running
 
 
+async def test_limits_and_conditions_hold_over_all_hosts(deployment):
+    peers = 'show peers columns host, peer'
+    both = await deployment.operator.execute(f'{peers} order by host')
+    assert both['rows'] == [['host-1', 'host-2'], ['host-2', 'host-1']]
+    one = await deployment.operator.execute(f'{peers} order by host limit 1')
+    assert one['rows'] == [['host-1', 'host-2']]
+    other = await deployment.operator.execute(f'{peers} where host = host-2')
+    assert other['rows'] == [['host-2', 'host-1']]
+
+
 @pytest.mark.parametrize('page', ['STATEMENTS.md', 'OPERATIONS.md'])
 async def test_questions_of_the_page_are_answered(deployment, page):
     asked = list(questions(page))
@@ -35,3 +45,9 @@
     for statement in asked:
         answer = await deployment.operator.execute(statement)
         assert answer['columns'], statement
+
+
+async def test_host_is_stopped_by_a_statement_through_another(deployment):
+    answer = await deployment.operator.execute('stop host host-2', 'host-1')
+    assert answer['rows'] == [['host-2', 'leaving']]
+    assert await deployment.daemons_by_host['host-2'].wait() == 0
