Give the place of a released request back if its caller has left

Cause (read in the whole change once more): a request that was released in the same tick in which its caller was cancelled, or its deadline came, stayed counted as running for good, and each one took capacity from its service. The queue is now searched only for requests that leave it; before, it was for every request.

--- a/packages/geraniumd/src/geraniumd/admission.py
+++ b/packages/geraniumd/src/geraniumd/admission.py
@@ -88,14 +88,13 @@
             async with asyncio.timeout_at(profile.deadline):
                 return await turn
         except TimeoutError:
+            self._leave(queue, profile.request_id)
             return _DEADLINE_PASSED
+        except asyncio.CancelledError:
+            self._leave(queue, profile.request_id)
+            raise
         finally:
             self._turns_by_execution.pop(profile.request_id)
-            queue.withdraw(
-                lambda waiting: (
-                    waiting.profile.request_id == profile.request_id
-                ),
-            )
 
     def observe_first_token(
         self,
@@ -136,6 +135,12 @@
                 self._rebalance(service, queue)
             await asyncio.sleep(_REBALANCE_INTERVAL_S)
 
+    def _leave(self, queue: ServiceQueue, execution_id: str) -> None:
+        """Take a request out that won't be sent, waiting or just released."""
+        queue.withdraw(partial(_is_of, execution_id))
+        queue.settle(execution_id, 0, 0)
+        self._release(queue)
+
     def _rebalance(self, service: str, queue: ServiceQueue) -> None:
         now = self._clock.now()
         serving = ServingFleet(
@@ -200,3 +205,7 @@
 
 def _lacks_key(key_ids: Collection[str], entry: QueueEntry) -> bool:
     return entry.key_id not in key_ids
+
+
+def _is_of(execution_id: str, entry: QueueEntry) -> bool:
+    return entry.profile.request_id == execution_id
--- a/packages/geraniumd/src/geraniumd/records.py
+++ b/packages/geraniumd/src/geraniumd/records.py
@@ -12,10 +12,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RecordedStep:
-    """A step of a request; ``at`` is in seconds of the monotonic clock."""
+    """A step of a request; ``at`` is in seconds of the monotonic clock.
+
+    ``detail`` is put into words only when somebody asks.
+    """
 
     at: float
     text: str
+    detail: object = None
+
+    def __str__(self) -> str:
+        """Return the step as operators read it."""
+        if self.detail is None:
+            return self.text
+        return f'{self.text}: {self.detail}'
 
 
 @dataclasses.dataclass(slots=True)
@@ -35,9 +45,9 @@
     outcome: str = 'running'
     steps: list[RecordedStep] = dataclasses.field(default_factory=list)
 
-    def note(self, text: str) -> None:
+    def note(self, text: str, detail: object = None) -> None:
         """Add a step."""
-        self.steps.append(RecordedStep(self.clock.now(), text))
+        self.steps.append(RecordedStep(self.clock.now(), text, detail))
 
     def note_attempt(self, target: str) -> None:
         """Add the step of sending the request to a target."""
@@ -50,7 +60,7 @@
         self.note_attempt(choice.engine.name)
         self.note(f'chosen because: {choice.reason}')
         for estimate in choice.considered[:_EXPLAINED_ESTIMATES]:
-            self.note(f'weighed: {estimate}')
+            self.note('weighed', estimate)
 
     def note_first_token(self) -> None:
         """Take down when the first token came, once."""
--- a/packages/geraniumd/src/geraniumd/tables.py
+++ b/packages/geraniumd/src/geraniumd/tables.py
@@ -67,7 +67,7 @@
                 self._host,
                 record.execution_id,
                 round((step.at - record.arrived_at) * _MS_PER_S, 1),
-                step.text,
+                str(step),
             )
             for record in self._requests.find(request_id)
             for step in record.steps
--- /dev/null
+++ b/packages/geraniumd/tests/test_admission.py
@@ -0,0 +1,73 @@
+"""A request that leaves the queue gives its place back."""
+
+import asyncio
+import time
+
+import pytest
+from geranium_model import ModelService, NotRun, Usage
+from geranium_policy import RequestProfile
+from geraniumd.admission import CompletionAdmission, Released
+from geraniumd.context import build_context
+from geraniumd.settings import PlatformSettings, Secrets, Settings
+
+SERVICE = ModelService('llm', 'model', '1')
+
+
+def make_admission():
+    settings = Settings(
+        host='h',
+        zone='z',
+        region='r',
+        platform=PlatformSettings(address='127.0.0.1:1'),
+    )
+    secrets = Secrets(operator_token='t', peer_secret=b's')
+    return CompletionAdmission(build_context(settings, secrets))
+
+
+def profile(number, wait_s=30):
+    return RequestProfile(
+        request_id=f'r-{number}',
+        team='registry',
+        service='llm',
+        priority=5,
+        prompt_tokens=1000,
+        expected_tokens=100,
+        prefix_hashes=(),
+        deadline=time.monotonic() + wait_s,
+    )
+
+
+async def fill(admission):
+    """Send until no more is released; return the profiles that run."""
+    running = []
+    while True:
+        sent = profile(len(running), 0.2)
+        turn = await admission.wait_turn(sent, SERVICE, '')
+        if not isinstance(turn, Released):
+            return running
+        running.append(sent)
+        assert len(running) < 500
+
+
+async def test_released_request_whose_caller_is_cancelled_frees_its_place():
+    admission = make_admission()
+    running = await fill(admission)
+    waiting = asyncio.create_task(
+        admission.wait_turn(profile('waits'), SERVICE, ''),
+    )
+    await asyncio.sleep(0)
+    assert len(admission.queues_by_service['llm']) == 1
+    admission.settle(running[0], SERVICE, Usage())  # releases the one waiting
+    waiting.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await waiting
+    turn = await admission.wait_turn(profile('last', 0.2), SERVICE, '')
+    assert turn == Released()
+
+
+async def test_deadline_in_the_queue_is_not_run():
+    admission = make_admission()
+    await fill(admission)
+    refused = await admission.wait_turn(profile('late', 0.2), SERVICE, '')
+    assert isinstance(refused, NotRun)
+    assert not admission.queues_by_service['llm']
