Serve the users' platform through a relay package and an adapter

Cause: the product spoke only its own interface; the users' platform routes opaque requests by host and path and keeps what must last in its own store. Change: geranium-relay (routes, placing, runs, peers' news, usage, orders of targets) on ports; platform/ decodes the platform's names once; decisions in geranium-policy (prompt placement, retry share, target choice, zone orders).

--- /dev/null
+++ b/packages/geranium-relay/src/geranium_relay/__init__.py
@@ -0,0 +1,163 @@
+"""Relays opaque requests by host and path over engines and plain targets.
+
+The package holds no wire format: callers, targets, the store and the
+provider are reached through ports, which an adapter brings.
+"""
+
+from .catalogue import (
+    Catalogue,
+    EngineProfile,
+    Limits,
+    PurchaseTerms,
+    Route,
+    RouteKind,
+    RouteTable,
+    Service,
+    Share,
+    Team,
+)
+from .catalogue_view import CatalogueView, FreshnessSettings
+from .clock import BootClock, TrueTime
+from .decision_log import DecisionLog, LogSettings, PipeWriter
+from .event_cutter import EventCutter
+from .host_registry import Directory, HostRegistry, RegistrySettings
+from .load_book import Dispatch, LoadBook, TargetLoad
+from .messages import (
+    AnswerHead,
+    AnswerLostError,
+    AnswerSink,
+    Arrival,
+    CacheHandle,
+    CutOff,
+    Delivered,
+    Failed,
+    Headers,
+    Job,
+    NotRunError,
+    NotSentError,
+    Outcome,
+    Prompt,
+    PromptPart,
+    Refused,
+    RelayError,
+    TargetAnswer,
+    TargetCall,
+    TargetPort,
+    TargetSilentError,
+    TimedOut,
+    UnknownKey,
+    UnknownRoute,
+)
+from .peer_news import News, Outbox, PeerIdentity, decode_news, encode_news
+from .peers import OwnState, PeerExchange, Peers, PeerSettings
+from .placing import Placing, PlacingSettings
+from .prompt_beliefs import PromptBeliefs, home_of
+from .purchasing import (
+    NoneAvailable,
+    Ordered,
+    OrderFailed,
+    OrderResult,
+    PurchasePort,
+    Purchasing,
+    PurchasingSettings,
+    TargetOrder,
+)
+from .relay import Relay, RelaySettings
+from .resends import ConnectionLostError, send_once
+from .run_context import RetryShares, RunContext, RunSettings
+from .targets import Fleet, FleetChange, Stage, Target
+from .usage import (
+    UsageCounter,
+    UsagePort,
+    UsageReporting,
+    UsageSettings,
+    UsageWriter,
+)
+
+__all__ = [
+    'AnswerHead',
+    'AnswerLostError',
+    'AnswerSink',
+    'Arrival',
+    'BootClock',
+    'CacheHandle',
+    'Catalogue',
+    'CatalogueView',
+    'ConnectionLostError',
+    'CutOff',
+    'DecisionLog',
+    'Delivered',
+    'Directory',
+    'Dispatch',
+    'EngineProfile',
+    'EventCutter',
+    'Failed',
+    'Fleet',
+    'FleetChange',
+    'FreshnessSettings',
+    'Headers',
+    'HostRegistry',
+    'Job',
+    'Limits',
+    'LoadBook',
+    'LogSettings',
+    'News',
+    'NoneAvailable',
+    'NotRunError',
+    'NotSentError',
+    'OrderFailed',
+    'OrderResult',
+    'Ordered',
+    'Outbox',
+    'Outcome',
+    'OwnState',
+    'PeerExchange',
+    'PeerIdentity',
+    'PeerSettings',
+    'Peers',
+    'PipeWriter',
+    'Placing',
+    'PlacingSettings',
+    'Prompt',
+    'PromptBeliefs',
+    'PromptPart',
+    'PurchasePort',
+    'PurchaseTerms',
+    'Purchasing',
+    'PurchasingSettings',
+    'Refused',
+    'RegistrySettings',
+    'Relay',
+    'RelayError',
+    'RelaySettings',
+    'RetryShares',
+    'Route',
+    'RouteKind',
+    'RouteTable',
+    'RunContext',
+    'RunSettings',
+    'Service',
+    'Share',
+    'Stage',
+    'Target',
+    'TargetAnswer',
+    'TargetCall',
+    'TargetLoad',
+    'TargetOrder',
+    'TargetPort',
+    'TargetSilentError',
+    'Team',
+    'TimedOut',
+    'TrueTime',
+    'UnknownKey',
+    'UnknownRoute',
+    'UsageCounter',
+    'UsagePort',
+    'UsageReporting',
+    'UsageSettings',
+    'UsageWriter',
+    'decode_news',
+    'encode_news',
+    'home_of',
+    'send_once',
+]
--- /dev/null
+++ b/packages/geranium-relay/src/geranium_relay/load_book.py
@@ -0,0 +1,133 @@
+"""What is under way at each target, by this host and by its peers."""
+
+import dataclasses
+import itertools
+from collections.abc import Iterable, Mapping
+
+RANKS = 4  # ranks beyond the last are counted with it
+
+
+def bounded_rank(rank: int) -> int:
+    """Return the rank under which a request is counted."""
+    return min(max(rank, 0), RANKS - 1)
+
+
+@dataclasses.dataclass(slots=True)
+class Dispatch:
+    """A request that was sent to a target.
+
+    Args:
+        target: Key of the target.
+        rank: Its priority, 0 for the most urgent.
+        tokens: Prompt tokens that have to be read.
+        sent_at: When it was sent.
+        expected_s: Expected time to its first token.
+        started: Whether its first token has come.
+    """
+
+    target: str
+    rank: int
+    tokens: int
+    sent_at: float
+    expected_s: float
+    started: bool = False
+
+    def queued_tokens(self, now: float) -> float:
+        """Return how much of the prompt is not read yet, by the estimate."""
+        if self.started:
+            return 0
+        passed = (now - self.sent_at) / max(self.expected_s, 0.001)
+        return self.tokens * max(1 - passed, 0.1)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetLoad:
+    """Requests under way at a target and the prompt tokens ahead by rank."""
+
+    running: int
+    tokens_by_rank: tuple[float, ...]
+
+    def ahead_of(self, rank: int) -> float:
+        """Return the tokens that are read before a request of a rank."""
+        return sum(self.tokens_by_rank[: bounded_rank(rank) + 1])
+
+
+IDLE = TargetLoad(0, (0.0,) * RANKS)
+
+
+class LoadBook:
+    """Adds up own dispatches and what peers last said of theirs."""
+
+    def __init__(self, peer_news_s: float) -> None:
+        self._peer_news_s = peer_news_s
+        self._numbers = itertools.count()
+        self._own_by_number: dict[int, Dispatch] = {}
+        self._peers_by_host: dict[str, tuple[float, Mapping[str, TargetLoad]]]
+        self._peers_by_host = {}
+
+    def open(self, dispatch: Dispatch) -> int:
+        """Count a request that is sent now; returns what closes it."""
+        number = next(self._numbers)
+        self._own_by_number[number] = dispatch
+        return number
+
+    def close(self, number: int) -> None:
+        """Stop counting a request."""
+        self._own_by_number.pop(number, None)
+
+    def take_in(
+        self,
+        host: str,
+        load_by_target: Mapping[str, TargetLoad],
+        now: float,
+    ) -> None:
+        """Note what a peer has under way."""
+        self._peers_by_host[host] = (now, load_by_target)
+
+    def own(self, now: float) -> dict[str, TargetLoad]:
+        """Return this host's load by target, as peers are told."""
+        load_by_target: dict[str, TargetLoad] = {}
+        for dispatch in self._own_by_number.values():
+            known = load_by_target.get(dispatch.target, IDLE)
+            load_by_target[dispatch.target] = _add(
+                known,
+                _load_of(dispatch, now),
+            )
+        return load_by_target
+
+    def all(self, now: float) -> dict[str, TargetLoad]:
+        """Return the load of all hosts by target."""
+        load_by_target = self.own(now)
+        for heard_at, loads in self._peers_by_host.values():
+            if now - heard_at > self._peer_news_s:
+                continue
+            _add_all(load_by_target, loads.items())
+        return load_by_target
+
+    @property
+    def open_count(self) -> int:
+        """Requests that this host has under way at targets."""
+        return len(self._own_by_number)
+
+
+def _add_all(
+    load_by_target: dict[str, TargetLoad],
+    loads: Iterable[tuple[str, TargetLoad]],
+) -> None:
+    for target, load in loads:
+        known = load_by_target.get(target, IDLE)
+        load_by_target[target] = _add(known, load)
+
+
+def _load_of(dispatch: Dispatch, now: float) -> TargetLoad:
+    tokens = [0.0] * RANKS
+    tokens[bounded_rank(dispatch.rank)] = dispatch.queued_tokens(now)
+    return TargetLoad(1, tuple(tokens))
+
+
+def _add(one: TargetLoad, other: TargetLoad) -> TargetLoad:
+    tokens = zip(one.tokens_by_rank, other.tokens_by_rank, strict=True)
+    return TargetLoad(
+        one.running + other.running,
+        tuple(first + second for first, second in tokens),
+    )
--- /dev/null
+++ b/packages/geranium-relay/src/geranium_relay/peer_news.py
@@ -0,0 +1,220 @@
+"""What hosts tell each other several times a second, and its encoding."""
+
+import collections
+import dataclasses
+import functools
+import pathlib
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any
+
+import capnp
+import xxhash
+from geranium_policy.suspects import CrashNotice
+
+from .load_book import RANKS, TargetLoad
+from .messages import PromptPart
+
+MOST_DISPATCHES = 40  # of one datagram, which then stays below 64 kB
+CRASH_REPEAT_S = 2.0  # datagrams get lost, so crashes are told for a while
+_MOST_TOKENS = 2**32 - 1
+
+
+class MalformedNewsError(Exception):
+    """A datagram that is not a peer's news."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerIdentity:
+    """A host and where it is reached.
+
+    Args:
+        host: Its name.
+        zone: Its availability zone.
+        front: Address for callers.
+        address: Address for peers' news.
+        incarnation: Grows with each start of its process.
+    """
+
+    host: str
+    zone: str
+    front: str
+    address: str
+    incarnation: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DispatchNotice:
+    """A prompt that was sent to a target, named by the hash of its key."""
+
+    target: int
+    parts: tuple[PromptPart, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class News:
+    """What a host tells.
+
+    Args:
+        sender: Who tells.
+        ready: Whether callers may be sent there.
+        leaving: Whether it is about to stop.
+        unix_s: Its Unix time.
+        load_by_target: Its load at targets, by the hash of their keys.
+        dispatches: Prompts that it has sent since the last news.
+        crashes: Crashes that it knows of.
+    """
+
+    sender: PeerIdentity
+    ready: bool
+    leaving: bool
+    unix_s: float
+    load_by_target: Mapping[int, TargetLoad]
+    dispatches: tuple[DispatchNotice, ...]
+    crashes: tuple[CrashNotice, ...]
+
+
+@functools.lru_cache(maxsize=4096)
+def target_hash(key: str) -> int:
+    """Return the number that stands for a target's key between hosts."""
+    return xxhash.xxh3_64_intdigest(key.encode())
+
+
+class Outbox:
+    """Collects what the next news has to tell."""
+
+    def __init__(self) -> None:
+        self._dispatches = collections.deque[DispatchNotice](
+            maxlen=MOST_DISPATCHES,
+        )
+        self._crashes: list[tuple[float, CrashNotice]] = []
+
+    def note_dispatch(self, key: str, parts: Sequence[PromptPart]) -> None:
+        """Tell that a prompt was sent to a target.
+
+        The last part is left out: it belongs to the request itself.
+        """
+        shared = tuple(parts[:-1])
+        if shared:
+            self._dispatches.append(DispatchNotice(target_hash(key), shared))
+
+    def note_crashes(self, notices: Iterable[CrashNotice], now: float) -> None:
+        """Tell of crashes, for as long as a datagram may get lost."""
+        until = now + CRASH_REPEAT_S
+        self._crashes.extend((until, notice) for notice in notices)
+
+    def take(
+        self,
+        now: float,
+    ) -> tuple[tuple[DispatchNotice, ...], tuple[CrashNotice, ...]]:
+        """Return what is to be told now."""
+        dispatches = tuple(self._dispatches)
+        self._dispatches.clear()
+        self._crashes = [known for known in self._crashes if known[0] > now]
+        return dispatches, tuple(notice for _, notice in self._crashes)
+
+
+@functools.cache
+def _schema() -> Any:
+    path = pathlib.Path(__file__).with_name('peers.capnp')
+    return capnp.load(str(path))
+
+
+def encode_news(news: News) -> bytes:
+    """Return the datagram that carries the news."""
+    sender = news.sender
+    message = _schema().News.new_message(
+        host=sender.host,
+        zone=sender.zone,
+        front=sender.front,
+        address=sender.address,
+        incarnation=sender.incarnation,
+        ready=news.ready,
+        leaving=news.leaving,
+        unixMs=int(news.unix_s * 1000),
+        loads=[
+            {
+                'target': target,
+                'running': min(load.running, 2**16 - 1),
+                'tokens': [
+                    min(int(tokens), _MOST_TOKENS)
+                    for tokens in load.tokens_by_rank
+                ],
+            }
+            for target, load in news.load_by_target.items()
+        ],
+        dispatches=[
+            {
+                'target': dispatch.target,
+                'parts': [
+                    dataclasses.asdict(part) for part in dispatch.parts
+                ],
+            }
+            for dispatch in news.dispatches
+        ],
+        crashes=[
+            {
+                'fingerprint': crash.fingerprint,
+                'crash': crash.crash_id,
+                'ageMs': int(crash.age_s * 1000),
+                'cleared': crash.cleared,
+            }
+            for crash in news.crashes
+        ],
+    )
+    packed: bytes = message.to_bytes_packed()
+    return packed
+
+
+def decode_news(datagram: bytes) -> News:
+    """Return the news that a datagram carries.
+
+    Raises:
+        MalformedNewsError: If it carries none.
+    """
+    try:
+        return _decode(_schema().News.from_bytes_packed(datagram))
+    except (capnp.KjException, ValueError) as error:
+        raise MalformedNewsError(str(error)) from error
+
+
+def _decode(message: Any) -> News:
+    return News(
+        sender=PeerIdentity(
+            message.host,
+            message.zone,
+            message.front,
+            message.address,
+            message.incarnation,
+        ),
+        ready=message.ready,
+        leaving=message.leaving,
+        unix_s=message.unixMs / 1000,
+        load_by_target={
+            load.target: TargetLoad(load.running, _tokens(load.tokens))
+            for load in message.loads
+        },
+        dispatches=tuple(
+            DispatchNotice(
+                dispatch.target,
+                tuple(
+                    PromptPart(part.identity, part.tokens)
+                    for part in dispatch.parts
+                ),
+            )
+            for dispatch in message.dispatches
+        ),
+        crashes=tuple(
+            CrashNotice(
+                crash.fingerprint,
+                crash.crash,
+                crash.ageMs / 1000,
+                crash.cleared,
+            )
+            for crash in message.crashes
+        ),
+    )
+
+
+def _tokens(listed: Sequence[int]) -> tuple[float, ...]:
+    tokens = [float(count) for count in listed][:RANKS]
+    return tuple(tokens + [0.0] * (RANKS - len(tokens)))
--- /dev/null
+++ b/packages/geranium-relay/src/geranium_relay/peers.capnp
@@ -0,0 +1,38 @@
+@0xc9d3a1f4b6e27085;
+
+struct News {
+  host @0 :Text;
+  zone @1 :Text;
+  front @2 :Text;
+  address @3 :Text;
+  incarnation @4 :UInt64;
+  ready @5 :Bool;
+  leaving @6 :Bool;
+  unixMs @7 :UInt64;
+  loads @8 :List(Load);
+  dispatches @9 :List(Dispatch);
+  crashes @10 :List(Crash);
+}
+
+struct Load {
+  target @0 :UInt64;
+  running @1 :UInt16;
+  tokens @2 :List(UInt32);
+}
+
+struct Dispatch {
+  target @0 :UInt64;
+  parts @1 :List(Part);
+}
+
+struct Part {
+  identity @0 :Text;
+  tokens @1 :UInt32;
+}
+
+struct Crash {
+  fingerprint @0 :UInt64;
+  crash @1 :Text;
+  ageMs @2 :UInt32;
+  cleared @3 :Bool;
+}
--- /dev/null
+++ b/packages/geranium-relay/src/geranium_relay/peers.py
@@ -0,0 +1,270 @@
+"""The other hosts: who they are, who is alive, and what they tell."""
+
+import asyncio
+import dataclasses
+import statistics
+from collections.abc import Callable, Mapping
+
+from .clock import BootClock, TrueTime
+from .decision_log import DecisionLog
+from .load_book import LoadBook, TargetLoad
+from .peer_news import (
+    MalformedNewsError,
+    News,
+    Outbox,
+    PeerIdentity,
+    decode_news,
+    encode_news,
+    target_hash,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerSettings:
+    """How often hosts tell each other news and when one counts as silent.
+
+    Args:
+        news_every_s: Time between two news with few hosts.
+        hosts_at_full_rate: With more hosts news come more seldom in
+            proportion, so that a host's traffic stays bounded.
+        silent_news: A host that misses so many news is not used.
+        forget_s: A host that is silent for so long is not told news.
+        least_step_s: Differences of true time below this are left alone.
+    """
+
+    news_every_s: float = 0.2
+    hosts_at_full_rate: int = 16
+    silent_news: float = 6
+    forget_s: float = 30
+    least_step_s: float = 0.25
+
+
+@dataclasses.dataclass(slots=True)
+class _Peer:
+    identity: PeerIdentity
+    known_at: float
+    heard_at: float | None = None
+    ready: bool = False
+    leaving: bool = False
+    ahead_s: float = 0
+
+
+class Peers:
+    """What this host knows of the others."""
+
+    def __init__(
+        self,
+        settings: PeerSettings,
+        own: PeerIdentity,
+        clock: BootClock,
+        log: DecisionLog,
+    ) -> None:
+        self.own = own
+        self._settings = settings
+        self._clock = clock
+        self._log = log
+        self._peers_by_host: dict[str, _Peer] = {}
+
+    def introduce(self, identity: PeerIdentity) -> None:
+        """Take in a host that the store lists."""
+        if identity.host == self.own.host:
+            return
+        known = self._peers_by_host.get(identity.host)
+        if known is not None:
+            if known.identity.incarnation >= identity.incarnation:
+                return
+        self._peers_by_host[identity.host] = _Peer(identity, self._clock.now())
+
+    def hear(self, news: News, true_s: float) -> None:
+        """Take in what a host says of itself."""
+        self.introduce(news.sender)
+        peer = self._peers_by_host.get(news.sender.host)
+        if peer is None:
+            return
+        if peer.identity.incarnation > news.sender.incarnation:
+            return
+        if peer.heard_at is None or peer.ready != news.ready:
+            self._log.note(
+                'peer_changed',
+                peer=news.sender.host,
+                ready=news.ready,
+                leaving=news.leaving,
+            )
+        peer.heard_at = self._clock.now()
+        peer.ready = news.ready
+        peer.leaving = news.leaving
+        peer.ahead_s = news.unix_s - true_s
+
+    def usable(self) -> tuple[PeerIdentity, ...]:
+        """Return the other hosts that callers may be sent to."""
+        return tuple(
+            peer.identity
+            for peer in self._peers_by_host.values()
+            if peer.ready and not peer.leaving and self._is_heard(peer)
+        )
+
+    def listed(self) -> tuple[PeerIdentity, ...]:
+        """Return the other hosts that are to be told news."""
+        oldest = self._clock.now() - self._settings.forget_s
+        return tuple(
+            peer.identity
+            for peer in self._peers_by_host.values()
+            if (peer.heard_at or peer.known_at) > oldest
+        )
+
+    def alive_count(self) -> int:
+        """Return how many hosts share the load, this one included."""
+        heard = sum(map(self._is_heard, self._peers_by_host.values()))
+        return heard + 1
+
+    def time_step_s(self) -> float:
+        """Return by how much this host's true time should be moved.
+
+        Most hosts are right at any moment, so the median says.
+        """
+        ahead = [
+            peer.ahead_s
+            for peer in self._peers_by_host.values()
+            if self._is_heard(peer)
+        ]
+        if len(ahead) < 2:
+            return 0
+        step_s = statistics.median([*ahead, 0.0])
+        return step_s if abs(step_s) > self._settings.least_step_s else 0
+
+    def news_every_s(self) -> float:
+        """Return the present time between two news."""
+        settings = self._settings
+        share = len(self._peers_by_host) / settings.hosts_at_full_rate
+        return settings.news_every_s * max(share, 1)
+
+    def _is_heard(self, peer: _Peer) -> bool:
+        if peer.heard_at is None:
+            return False
+        silent_s = self._clock.now() - peer.heard_at
+        return silent_s < self.news_every_s() * self._settings.silent_news
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnState:
+    """What this host says of itself at a moment."""
+
+    ready: bool
+    leaving: bool
+
+
+class PeerExchange(asyncio.DatagramProtocol):
+    """Sends this host's news to all others and takes in theirs.
+
+    Args:
+        peers: The other hosts.
+        loads: Gets their load.
+        outbox: What there is to tell.
+        time: True time.
+        clock: The clock of instants.
+        state: Says how this host is.
+        hear: Called with each news that was taken in.
+    """
+
+    def __init__(
+        self,
+        peers: Peers,
+        loads: LoadBook,
+        outbox: Outbox,
+        time: TrueTime,
+        clock: BootClock,
+        state: Callable[[], OwnState],
+        hear: Callable[[News], None],
+    ) -> None:
+        self._peers = peers
+        self._loads = loads
+        self._outbox = outbox
+        self._time = time
+        self._clock = clock
+        self._state = state
+        self._hear = hear
+        self._transport: asyncio.DatagramTransport | None = None
+        self._keys_by_hash: Mapping[int, str] = {}
+
+    def name_targets(self, keys: frozenset[str]) -> None:
+        """Tell which targets the hashes in news may stand for."""
+        self._keys_by_hash = {target_hash(key): key for key in keys}
+
+    def key_of(self, number: int) -> str | None:
+        """Return the key of the target that a hash stands for."""
+        return self._keys_by_hash.get(number)
+
+    async def run(self) -> None:
+        """Tell news until cancelled."""
+        host, port = _split(self._peers.own.address)
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: self,
+            local_addr=(host, port),
+        )
+        self._transport = transport
+        try:
+            while True:
+                self.tell()
+                await asyncio.sleep(self._peers.news_every_s())
+        finally:
+            transport.close()
+
+    def tell(self) -> None:
+        """Send this host's news to all others once."""
+        if self._transport is None:
+            return
+        now = self._clock.now()
+        state = self._state()
+        dispatches, crashes = self._outbox.take(now)
+        datagram = encode_news(
+            News(
+                self._peers.own,
+                state.ready,
+                state.leaving,
+                self._time.now(),
+                {
+                    target_hash(key): load
+                    for key, load in self._loads.own(now).items()
+                },
+                dispatches,
+                crashes,
+            ),
+        )
+        for peer in self._peers.listed():
+            self._transport.sendto(datagram, _split(peer.address))
+
+    def datagram_received(
+        self,
+        data: bytes,
+        addr: tuple[str | int, int],
+    ) -> None:
+        """Take in a datagram; one that is no news is left."""
+        try:
+            news = decode_news(data)
+        except MalformedNewsError:
+            return
+        self._peers.hear(news, self._time.now())
+        self._time.adjust(self._peers.time_step_s())
+        self._loads.take_in(
+            news.sender.host,
+            self._name_loads(news.load_by_target),
+            self._clock.now(),
+        )
+        self._hear(news)
+
+    def _name_loads(
+        self,
+        load_by_hash: Mapping[int, TargetLoad],
+    ) -> dict[str, TargetLoad]:
+        keys_by_hash = self._keys_by_hash
+        return {
+            keys_by_hash[number]: load
+            for number, load in load_by_hash.items()
+            if number in keys_by_hash
+        }
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(':')
+    return host, int(port)
--- /dev/null
+++ b/packages/geranium-relay/src/geranium_relay/placing.py
@@ -0,0 +1,225 @@
+"""Brings what is known of targets before the placement policies."""
+
+import dataclasses
+import random
+from collections.abc import Callable, Iterator
+
+from geranium_policy.engine_rates import (
+    CorrectionSettings,
+    Corrections,
+    EngineRates,
+)
+from geranium_policy.health import HealthSettings, HealthTracker, Observation
+from geranium_policy.prompt_placement import (
+    EngineState,
+    NoEngine,
+    Placement,
+    PlacementDecision,
+    PromptDemand,
+    PromptPlacementSettings,
+    PromptPlacer,
+    TooBusy,
+)
+from geranium_policy.target_choice import (
+    TargetChoiceSettings,
+    TargetChooser,
+    TargetState,
+)
+
+from .catalogue import EngineProfile
+from .load_book import IDLE, LoadBook
+from .messages import Job, Prompt, PromptPart
+from .prompt_beliefs import PromptBeliefs, home_of
+from .targets import Fleet, Stage, Target
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlacingSettings:
+    """Settings of the policies that choose targets."""
+
+    prompts: PromptPlacementSettings = PromptPlacementSettings()
+    targets: TargetChoiceSettings = TargetChoiceSettings()
+    corrections: CorrectionSettings = CorrectionSettings()
+    health: HealthSettings = HealthSettings()
+    rates: EngineRates = EngineRates()
+
+
+class Placing:
+    """Chooses targets for jobs and learns from how they went.
+
+    Args:
+        zone: The zone of this host.
+        fleet: The targets.
+        loads: What is under way at them.
+        settings: Settings of the policies.
+        clock: The clock of all instants.
+        source: Breaks ties.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        fleet: Fleet,
+        loads: LoadBook,
+        settings: PlacingSettings,
+        clock: Callable[[], float],
+        source: random.Random,
+    ) -> None:
+        self._zone = zone
+        self._fleet = fleet
+        self._loads = loads
+        self._rates = settings.rates
+        self._clock = clock
+        self._placer = PromptPlacer(settings.prompts)
+        self._chooser = TargetChooser(settings.targets, source)
+        self._health = HealthTracker(settings.health, source)
+        self.corrections = Corrections(settings.corrections)
+        self._beliefs_by_service: dict[str, PromptBeliefs] = {}
+
+    def place_prompt(
+        self,
+        job: Job,
+        profile: EngineProfile,
+        avoid: frozenset[str],
+    ) -> PlacementDecision:
+        """Return where a job with a prompt goes."""
+        now = self._clock()
+        prompt = job.arrival.prompt
+        if prompt is None:
+            return self._place_any(job, avoid)
+        engines = tuple(self._states(job, prompt, profile, avoid))
+        demand = PromptDemand(
+            tokens=prompt.tokens,
+            rank=job.priority,
+            target_latency_s=job.route.target_latency_s,
+            left_s=job.deadline - now,
+        )
+        return self._placer.choose(demand, engines, self._rates)
+
+    def place_call(self, job: Job, avoid: frozenset[str]) -> Target | None:
+        """Return the application target for a job, if there is one."""
+        now = self._clock()
+        loads = self._loads.all(now)
+        targets_by_key = self._usable(job.service, avoid)
+        states = [
+            TargetState(
+                name=key,
+                same_zone=target.zone == self._zone,
+                slots=target.slots,
+                running=loads.get(key, IDLE).running,
+                correction=self.corrections.of(key, now),
+            )
+            for key, target in targets_by_key.items()
+        ]
+        name = self._chooser.choose(states)
+        return None if name is None else targets_by_key[name]
+
+    def target(self, key: str) -> Target | None:
+        """Return the target with a key, ``None`` once it is gone."""
+        identity = key.rpartition('@')[0]
+        target = self._fleet.targets_by_identity.get(identity)
+        if target is None or target.key != key:
+            return None
+        return target
+
+    def note_dispatch(self, target: Target) -> None:
+        """Note that a target that was set aside is being tried."""
+        self._health.start_probe(target.key, self._clock())
+
+    def observe(self, target: Target, observation: Observation) -> None:
+        """Take in how a call went."""
+        self._health.observe(target.key, observation, self._clock())
+
+    def note_prompt(self, service: str, target: str, prompt: Prompt) -> None:
+        """Believe that a target keeps a prompt from now on."""
+        beliefs = self._beliefs_by_service.get(service)
+        if beliefs is not None:
+            beliefs.note(target, prompt.parts)
+
+    def note_parts(self, target: str, parts: tuple[PromptPart, ...]) -> None:
+        """Believe that a target keeps parts that a peer sent there."""
+        found = self.target(target)
+        if found is None:
+            return
+        beliefs = self._beliefs_by_service.get(found.service)
+        if beliefs is not None:
+            beliefs.note(target, parts)
+
+    def forget(self, target: str) -> None:
+        """Drop what is known of a target that is gone."""
+        self.corrections.forget(target)
+        self._health.forget(target)
+        for beliefs in self._beliefs_by_service.values():
+            beliefs.forget(target)
+
+    def beliefs(self, service: str, profile: EngineProfile) -> PromptBeliefs:
+        """Return the beliefs on a service's engines."""
+        beliefs = self._beliefs_by_service.get(service)
+        if beliefs is None:
+            beliefs = PromptBeliefs(profile.kv_tokens)
+            self._beliefs_by_service[service] = beliefs
+        return beliefs
+
+    def _place_any(
+        self,
+        job: Job,
+        avoid: frozenset[str],
+    ) -> PlacementDecision:
+        target = self.place_call(job, avoid)
+        if target is None:
+            return NoEngine()
+        return Placement(None, target.key, 0, 0, 0)
+
+    def _usable(
+        self,
+        service: str,
+        avoid: frozenset[str],
+    ) -> dict[str, Target]:
+        targets_by_key = {
+            target.key: target for target in self._fleet.of_service(service)
+        }
+        now = self._clock()
+        names = [key for key in targets_by_key if key not in avoid]
+        availability = self._health.availability(names, now)
+        usable = list(availability.usable)
+        usable.extend(availability.probes)
+        return {key: targets_by_key[key] for key in usable}
+
+    def _states(
+        self,
+        job: Job,
+        prompt: Prompt,
+        profile: EngineProfile,
+        avoid: frozenset[str],
+    ) -> Iterator[EngineState]:
+        now = self._clock()
+        loads = self._loads.all(now)
+        beliefs = self.beliefs(job.service, profile)
+        targets_by_key = self._usable(job.service, avoid)
+        homes = self._homes(prompt, tuple(targets_by_key.values()))
+        for key, target in targets_by_key.items():
+            load = loads.get(key, IDLE)
+            yield EngineState(
+                name=key,
+                same_zone=target.zone == self._zone,
+                reads_only=target.stage is Stage.PREFILL,
+                slots=target.slots,
+                running=load.running,
+                queued_tokens=load.ahead_of(job.priority),
+                cached_tokens=beliefs.cached_tokens(key, prompt.parts),
+                is_home=key in homes,
+                correction=self.corrections.of(key, now),
+            )
+
+    def _homes(
+        self,
+        prompt: Prompt,
+        engines: tuple[Target, ...],
+    ) -> frozenset[str]:
+        readers = [one for one in engines if one.stage is Stage.PREFILL]
+        others = [one for one in engines if one.stage is not Stage.PREFILL]
+        homes = (home_of(prompt.parts, readers), home_of(prompt.parts, others))
+        return frozenset(home for home in homes if home is not None)
+
+
+__all__ = ['NoEngine', 'Placement', 'Placing', 'PlacingSettings', 'TooBusy']
--- /dev/null
+++ b/packages/geranium-relay/src/geranium_relay/purchasing.py
@@ -0,0 +1,197 @@
+"""The duty of ordering targets."""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable, Mapping
+from typing import Protocol, TypeAlias
+
+from geranium_coordination import Lease
+from geranium_policy.zone_purchases import (
+    PurchaseBounds,
+    ZoneHoldings,
+    ZoneOrder,
+    ZonePurchases,
+    ZonePurchaseSettings,
+)
+
+from .catalogue import PurchaseTerms, Service
+from .catalogue_view import CatalogueView
+from .decision_log import DecisionLog
+from .targets import Fleet
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ordered:
+    """The provider has taken the order."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoneAvailable:
+    """There are no such targets to be had in the zone now."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderFailed:
+    """The order was refused, or it is not known whether it was taken."""
+
+    reason: str
+
+
+OrderResult: TypeAlias = Ordered | NoneAvailable | OrderFailed
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetOrder:
+    """How many targets of a kind a zone should have."""
+
+    service: str
+    zone: str
+    reclaimable: bool
+    count: int
+
+
+class PurchasePort(Protocol):
+    """Orders targets from the provider."""
+
+    async def order(self, order: TargetOrder, epoch: int) -> OrderResult:
+        """Send one order."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PurchasingSettings:
+    """How orders are paced.
+
+    Args:
+        every_s: Time between two looks at the fleet.
+        repeat_s: An order is repeated after so long if the fleet does not
+            show it, since orders may be lost.
+        policy: How zones are filled.
+    """
+
+    every_s: float = 0.7
+    repeat_s: float = 6
+    policy: ZonePurchaseSettings = ZonePurchaseSettings()
+
+
+_Subject: TypeAlias = tuple[str, str, bool]
+
+
+class Purchasing:
+    """Keeps the fleet at what the policy wants."""
+
+    def __init__(
+        self,
+        settings: PurchasingSettings,
+        view: CatalogueView,
+        fleet: Fleet,
+        port: PurchasePort,
+        log: DecisionLog,
+        clock: Callable[[], float],
+        quiet_s: float,
+    ) -> None:
+        self._settings = settings
+        self._view = view
+        self._fleet = fleet
+        self._port = port
+        self._log = log
+        self._clock = clock
+        self._quiet_s = quiet_s
+        self._plans_by_service: dict[str, ZonePurchases] = {}
+        self._ordered: dict[_Subject, tuple[int, float]] = {}
+
+    async def run(self, lease: Lease) -> None:
+        """Order what is missing while the lease lasts.
+
+        The first act comes a quiet time after the lease was taken, so that
+        acts of two holders never alternate closely.
+        """
+        self._ordered.clear()
+        await asyncio.sleep(self._quiet_s)
+        while True:
+            catalogue = self._view.catalogue
+            if catalogue is not None:
+                for service in catalogue.services_by_name.values():
+                    await self._order_service(service, lease)
+            await asyncio.sleep(self._settings.every_s)
+
+    async def _order_service(self, service: Service, lease: Lease) -> None:
+        terms = service.purchase
+        if terms is None:
+            return
+        holdings_by_zone = self._holdings(service.name, terms)
+        policy = self._plans_by_service.setdefault(
+            service.name,
+            ZonePurchases(self._settings.policy),
+        )
+        bounds = PurchaseBounds(terms.least, terms.most)
+        plan = policy.plan(bounds, holdings_by_zone, self._clock())
+        for zone, wanted in plan.items():
+            held = holdings_by_zone[zone]
+            for order, count in _orders(service.name, zone, wanted, held):
+                if self._is_due(order, count):
+                    await self._send(order, lease, policy)
+
+    def _is_due(self, order: TargetOrder, held: int) -> bool:
+        subject = (order.service, order.zone, order.reclaimable)
+        last = self._ordered.get(subject)
+        if last is None or last[0] != order.count:
+            return last is not None or held != order.count
+        if held == order.count:
+            return False
+        return self._clock() - last[1] > self._settings.repeat_s
+
+    async def _send(
+        self,
+        order: TargetOrder,
+        lease: Lease,
+        policy: ZonePurchases,
+    ) -> None:
+        if not lease.is_held():
+            return
+        answer = await self._port.order(order, lease.epoch)
+        now = self._clock()
+        self._log.note(
+            'targets_ordered',
+            service=order.service,
+            zone=order.zone,
+            reclaimable=order.reclaimable,
+            count=order.count,
+            epoch=lease.epoch,
+            answer=repr(answer),
+        )
+        subject = (order.service, order.zone, order.reclaimable)
+        match answer:
+            case Ordered():
+                self._ordered[subject] = order.count, now
+            case NoneAvailable():
+                policy.note_unavailable(order.zone, now)
+                self._ordered.pop(subject, None)
+            case OrderFailed():
+                self._ordered.pop(subject, None)
+
+    def _holdings(
+        self,
+        service: str,
+        terms: PurchaseTerms,
+    ) -> Mapping[str, ZoneHoldings]:
+        counts = {zone: [0, 0] for zone in terms.price_by_zone}
+        for target in self._fleet.of_service(service):
+            counted = counts.setdefault(target.zone, [0, 0])
+            counted[target.reclaimable] += 1
+        return {
+            zone: ZoneHoldings(firm, reclaimable)
+            for zone, (firm, reclaimable) in counts.items()
+        }
+
+
+def _orders(
+    service: str,
+    zone: str,
+    wanted: ZoneOrder,
+    held: ZoneHoldings,
+) -> tuple[tuple[TargetOrder, int], ...]:
+    """Return the orders of a zone with what it holds, reductions first."""
+    firm = TargetOrder(service, zone, reclaimable=False, count=wanted.firm)
+    spot = TargetOrder(service, zone, reclaimable=True, count=wanted.reclaimable)
+    return (firm, held.firm), (spot, held.reclaimable)
--- /dev/null
+++ b/packages/geranium-relay/src/geranium_relay/relay.py
@@ -0,0 +1,191 @@
+"""Admits requests and sees each to its one outcome."""
+
+import asyncio
+import dataclasses
+import random
+
+from geranium_policy.suspects import Verdict
+
+from .catalogue import Route, Team
+from .catalogue_view import CatalogueView
+from .messages import (
+    AnswerSink,
+    Arrival,
+    Job,
+    Outcome,
+    Refused,
+    UnknownKey,
+    UnknownRoute,
+)
+from .run_context import RunContext, RunSettings, fingerprint_of
+from .runs import Run
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelaySettings:
+    """How requests are admitted and run.
+
+    Args:
+        run: Limits of one request.
+        unready_retry_s: When a caller may come back to a host that has no
+            fresh catalogue; other hosts may have one at once.
+        suspect_retry_s: The same for a request that crashed targets.
+    """
+
+    run: RunSettings
+    unready_retry_s: float = 0.5
+    suspect_retry_s: float = 30
+
+
+class Relay:
+    """Turns arrivals into jobs and runs them."""
+
+    def __init__(
+        self,
+        settings: RelaySettings,
+        view: CatalogueView,
+        context: RunContext,
+        source: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._view = view
+        self._context = context
+        self._source = source
+
+    async def serve(
+        self,
+        host: str,
+        key: str | None,
+        arrival: Arrival,
+        sink: AnswerSink,
+    ) -> Outcome:
+        """See a request to its outcome.
+
+        Args:
+            host: The host name that the caller asked for, without a port.
+            key: The caller's key, if it sent one.
+            arrival: The request.
+            sink: Gets the answer, if there is one.
+        """
+        admitted = self._admit(host, key, arrival)
+        match admitted:
+            case Job():
+                outcome = await self._run(admitted, sink)
+                self._note_end(admitted, outcome)
+                return outcome
+            case _:
+                self._context.log.note(
+                    'rejected',
+                    request=arrival.identity,
+                    outcome=type(admitted).__name__,
+                    reason=getattr(admitted, 'reason', None),
+                    catalogue=self._version(),
+                    catalogue_age_s=round(self._view.age_s(), 3),
+                )
+                return admitted
+
+    def _version(self) -> int | None:
+        catalogue = self._view.catalogue
+        return None if catalogue is None else catalogue.version
+
+    def _admit(
+        self,
+        host: str,
+        key: str | None,
+        arrival: Arrival,
+    ) -> Job | Refused | UnknownRoute | UnknownKey:
+        path = arrival.path.partition('?')[0]
+        route = self._view.table.find(host, path)
+        if route is None:
+            return self._if_fresh(UnknownRoute())
+        team = self._team(key)
+        if self._needs_key(route):
+            if not self._view.is_fresh():
+                return self._unready()
+            if team is None:
+                return UnknownKey()
+        return self._job(arrival, route, team)
+
+    def _team(self, key: str | None) -> Team | None:
+        catalogue = self._view.catalogue
+        if key is None or catalogue is None:
+            return None
+        return catalogue.teams_by_key.get(key)
+
+    def _needs_key(self, route: Route) -> bool:
+        catalogue = self._view.catalogue
+        if catalogue is None or route.public:
+            return False
+        return catalogue.has_teams
+
+    def _if_fresh(self, rejection: UnknownRoute) -> UnknownRoute | Refused:
+        return rejection if self._view.is_fresh() else self._unready()
+
+    def _unready(self) -> Refused:
+        return Refused(
+            'catalogue not fresh',
+            self._settings.unready_retry_s,
+        )
+
+    def _job(
+        self,
+        arrival: Arrival,
+        route: Route,
+        team: Team | None,
+    ) -> Job | Refused:
+        verdict = self._context.suspects.verdict(
+            fingerprint_of(arrival, team),
+            self._context.clock(),
+        )
+        if verdict is Verdict.REJECT:
+            return Refused('crashed targets', self._settings.suspect_retry_s)
+        shares = route.shares
+        service = shares[0].service
+        if len(shares) > 1:
+            weights = [share.weight for share in shares]
+            service = self._source.choices(shares, weights)[0].service
+        own_deadline = arrival.arrived_at + route.timeout_s
+        return Job(
+            arrival,
+            route,
+            service,
+            team,
+            min(arrival.caller_deadline, own_deadline),
+        )
+
+    async def _run(self, job: Job, sink: AnswerSink) -> Outcome:
+        catalogue = self._view.catalogue
+        if catalogue is None or job.service not in catalogue.services_by_name:
+            return Refused('no such service', self._settings.unready_retry_s)
+        service = catalogue.services_by_name[job.service]
+        run = Run(job, service, sink, self._context, self._settings.run)
+        left_s = job.deadline - self._context.clock()
+        limit_s = left_s + self._settings.run.answer_grace_s
+        try:
+            async with asyncio.timeout(limit_s):
+                return await run.serve()
+        except TimeoutError:
+            return run.late_outcome()
+
+    def _note_end(self, job: Job, outcome: Outcome) -> None:
+        now = self._context.clock()
+        self._context.log.note(
+            'ended',
+            request=job.arrival.identity,
+            route=job.route.name,
+            service=job.service,
+            team=job.team.name if job.team else None,
+            outcome=type(outcome).__name__,
+            detail=_detail(outcome),
+            took_s=round(now - job.arrival.arrived_at, 4),
+            left_s=round(job.deadline - now, 3),
+        )
+
+
+def _detail(outcome: Outcome) -> object:
+    match outcome:
+        case Refused(reason=reason, retry_after_s=retry_after_s):
+            return [reason, round(retry_after_s, 3)]
+        case _:
+            status = getattr(outcome, 'status', None)
+            return status or getattr(outcome, 'reason', None)
--- /dev/null
+++ b/packages/geranium-relay/src/geranium_relay/targets.py
@@ -0,0 +1,128 @@
+"""Targets: the engines and application servers that run requests."""
+
+import dataclasses
+import enum
+from collections.abc import Iterable, Mapping
+
+
+class Stage(enum.Enum):
+    """What a model engine does: read prompts, or generate as well."""
+
+    PREFILL = 'prefill'
+    DECODE = 'decode'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """A target as it last described itself.
+
+    Args:
+        identity: Unique among the targets that live.
+        born_ms: Unix milliseconds of its start; a restart changes it and
+            loses all that the target held.
+        service: The service that it belongs to.
+        address: IP address and port.
+        zone: Its availability zone.
+        slots: Requests that it runs at once.
+        leaving: Whether it takes no new requests.
+        reclaimable: Whether it may be taken away at short notice.
+        stage: ``None`` for an application target.
+        weights_version: Version of its model's weights.
+    """
+
+    identity: str
+    born_ms: int
+    service: str
+    address: str
+    zone: str
+    slots: int
+    leaving: bool
+    reclaimable: bool
+    stage: Stage | None
+    weights_version: int | None
+
+    @property
+    def key(self) -> str:
+        """Identifies one incarnation of the target."""
+        return f'{self.identity}@{self.born_ms}'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetChange:
+    """Targets that came, went, and began to leave with one reading."""
+
+    came: tuple[Target, ...]
+    gone: tuple[Target, ...]
+    leaving: tuple[Target, ...]
+
+
+class Fleet:
+    """The targets that may be used, from complete readings of the list.
+
+    After a time in which the list could not be read, entries that are
+    missing may have lapsed meanwhile: they count as gone only once the list
+    has been readable for ``return_grace_s``.
+    """
+
+    def __init__(self, return_grace_s: float, outage_s: float) -> None:
+        self._return_grace_s = return_grace_s
+        self._outage_s = outage_s
+        self._read_at: float | None = None
+        self._doubtful_until = 0.0
+        self._targets_by_identity: dict[str, Target] = {}
+
+    def replace(self, found: Iterable[Target], now: float) -> FleetChange:
+        """Take in a complete reading of the list made at an instant."""
+        self._note_outage(now)
+        found_by_identity = {target.identity: target for target in found}
+        change = self._compare(found_by_identity, now)
+        for gone in change.gone:
+            self._targets_by_identity.pop(gone.identity)
+        self._targets_by_identity.update(found_by_identity)
+        return change
+
+    @property
+    def targets_by_identity(self) -> Mapping[str, Target]:
+        """All targets, those that are leaving included."""
+        return self._targets_by_identity
+
+    def of_service(self, service: str) -> tuple[Target, ...]:
+        """Return the targets of a service that take new requests."""
+        return tuple(
+            target
+            for target in self._targets_by_identity.values()
+            if target.service == service and not target.leaving
+        )
+
+    def _note_outage(self, now: float) -> None:
+        last = self._read_at
+        self._read_at = now
+        if last is not None and now - last > self._outage_s:
+            self._doubtful_until = now + self._return_grace_s
+
+    def _compare(
+        self,
+        found_by_identity: Mapping[str, Target],
+        now: float,
+    ) -> FleetChange:
+        known = self._targets_by_identity
+        missing = tuple(
+            target
+            for identity, target in known.items()
+            if identity not in found_by_identity
+        )
+        return FleetChange(
+            came=tuple(
+                target
+                for identity, target in found_by_identity.items()
+                if identity not in known or known[identity].key != target.key
+            ),
+            gone=() if now < self._doubtful_until else missing,
+            leaving=tuple(
+                target
+                for identity, target in found_by_identity.items()
+                if target.leaving
+                and identity in known
+                and not known[identity].leaving
+            ),
+        )
--- /dev/null
+++ b/packages/geranium-relay/src/geranium_relay/usage.py
@@ -0,0 +1,231 @@
+"""Usage: counted by every host, sealed once a window, reported by one."""
+
+import asyncio
+import dataclasses
+from collections.abc import Mapping
+from typing import Any, Protocol
+
+from geranium_coordination import (
+    ConflictError,
+    IfAbsent,
+    Lease,
+    ObjectStore,
+    StoreError,
+    Unconditional,
+)
+
+from .clock import TrueTime
+from .decision_log import DecisionLog
+
+COUNTS_PREFIX = 'usage/counts/'
+SEALS_PREFIX = 'usage/seals/'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UsageSettings:
+    """When counts are written and windows reported.
+
+    Args:
+        window_s: Length of a window; windows count from 1970.
+        late_s: A report is due so long after its window's end.
+        write_after_s: Hosts write their counts so long after a window's
+            end, which leaves room for requests that were beginning.
+        seal_after_s: The counts are read so long after a window's end.
+        kept_windows: Windows that a host's written counts cover.
+        retry_s: Pause after a failed call.
+    """
+
+    window_s: float
+    late_s: float
+    write_after_s: float = 0.3
+    seal_after_s: float = 1.5
+    kept_windows: int = 4
+    retry_s: float = 0.4
+
+
+class UsageCounter:
+    """Counts the requests of each team by window of true time."""
+
+    def __init__(self, settings: UsageSettings, time: TrueTime) -> None:
+        self._settings = settings
+        self._time = time
+        self._counts_by_window: dict[int, dict[str, int]] = {}
+
+    def count(self, team: str) -> None:
+        """Count a request that begins to run now."""
+        window = int(self._time.now() // self._settings.window_s)
+        counts = self._counts_by_window.setdefault(window, {})
+        counts[team] = counts.get(team, 0) + 1
+
+    def recent(self, through: int) -> dict[int, dict[str, int]]:
+        """Return the counts of the last windows up to one, and forget more."""
+        oldest = through - self._settings.kept_windows
+        for window in tuple(self._counts_by_window):
+            if window <= oldest:
+                self._counts_by_window.pop(window)
+        return {
+            window: dict(counts)
+            for window, counts in self._counts_by_window.items()
+            if window <= through
+        }
+
+
+class UsagePort(Protocol):
+    """Reports usage to the provider."""
+
+    async def report(
+        self,
+        window: int,
+        counts_by_team: Mapping[str, int],
+        epoch: int,
+    ) -> bool:
+        """Return whether the provider has taken the report."""
+        ...
+
+
+class UsageWriter:
+    """Writes this host's counts to the store after each window."""
+
+    def __init__(
+        self,
+        settings: UsageSettings,
+        counter: UsageCounter,
+        store: ObjectStore,
+        time: TrueTime,
+        log: DecisionLog,
+        writer: str,
+    ) -> None:
+        self._settings = settings
+        self._counter = counter
+        self._store = store
+        self._time = time
+        self._log = log
+        self._key = f'{COUNTS_PREFIX}{writer}'
+
+    async def run(self) -> None:
+        """Write after each window until cancelled."""
+        settings = self._settings
+        while True:
+            now = self._time.now() - settings.write_after_s
+            window = int(now // settings.window_s)
+            end = (window + 1) * settings.window_s + settings.write_after_s
+            await asyncio.sleep(max(end - self._time.now(), 0.01))
+            await self.write(window)
+
+    async def write(self, through: int) -> None:
+        """Write the counts of windows up to one, again after failures."""
+        counts_by_window = self._counter.recent(through)
+        if not counts_by_window:
+            return
+        body = {
+            str(window): counts for window, counts in counts_by_window.items()
+        }
+        deadline = self._time.now() + self._settings.window_s / 2
+        while self._time.now() < deadline:
+            try:
+                await self._store.write(self._key, body, Unconditional())
+            except StoreError as error:
+                self._log.note('usage_not_written', error=repr(error))
+                await asyncio.sleep(self._settings.retry_s)
+                continue
+            return
+
+
+class UsageReporting:
+    """The duty of sealing and reporting windows.
+
+    A window's counts are sealed by creating an object of its own, so that
+    whoever reports it reports the same figures.
+    """
+
+    def __init__(
+        self,
+        settings: UsageSettings,
+        store: ObjectStore,
+        port: UsagePort,
+        time: TrueTime,
+        log: DecisionLog,
+        quiet_s: float,
+    ) -> None:
+        self._settings = settings
+        self._store = store
+        self._port = port
+        self._time = time
+        self._log = log
+        self._quiet_s = quiet_s
+
+    async def run(self, lease: Lease) -> None:
+        """Report every window that is not over its due time.
+
+        The first act comes a quiet time after the lease was taken, so that
+        acts of two holders never alternate closely.
+        """
+        await asyncio.sleep(self._quiet_s)
+        settings = self._settings
+        window = self._oldest_due()
+        while True:
+            ready = (window + 1) * settings.window_s + settings.seal_after_s
+            await asyncio.sleep(max(ready - self._time.now(), 0))
+            if await self._report(window, lease):
+                window += 1
+            else:
+                await asyncio.sleep(settings.retry_s)
+            window = max(window, self._oldest_due())
+
+    def _oldest_due(self) -> int:
+        settings = self._settings
+        due = self._time.now() - settings.late_s
+        return int(due // settings.window_s)
+
+    async def _report(self, window: int, lease: Lease) -> bool:
+        """Seal and report a window; say whether it is done with."""
+        try:
+            counts_by_team = await self._seal(window)
+        except StoreError as error:
+            self._log.note('window_not_sealed', window=window, error=str(error))
+            return False
+        if not counts_by_team:
+            return True
+        if not lease.is_held():
+            return False
+        taken = await self._port.report(window, counts_by_team, lease.epoch)
+        self._log.note(
+            'window_reported',
+            window=window,
+            epoch=lease.epoch,
+            counts=counts_by_team,
+            taken=taken,
+        )
+        return taken
+
+    async def _seal(self, window: int) -> dict[str, int]:
+        key = f'{SEALS_PREFIX}{window}'
+        counts_by_team = await self._collect(window)
+        if not counts_by_team:
+            return counts_by_team
+        try:
+            await self._store.write(key, counts_by_team, IfAbsent())
+        except ConflictError:
+            sealed = await self._store.read(key)
+            if sealed is None:
+                raise
+            return _counts(sealed.body)
+        return counts_by_team
+
+    async def _collect(self, window: int) -> dict[str, int]:
+        total: dict[str, int] = {}
+        for found in await self._store.read_prefix(COUNTS_PREFIX):
+            body = found.body if isinstance(found.body, dict) else {}
+            for team, count in _counts(body.get(str(window))).items():
+                total[team] = total.get(team, 0) + count
+        return total
+
+
+def _counts(body: Any) -> dict[str, int]:
+    """Return the counts that a stored body holds, leaving out others."""
+    if not isinstance(body, dict):
+        return {}
+    return {
+        team: count for team, count in body.items() if isinstance(count, int)
+    }
+
--- a/packages/geraniumd/src/geraniumd/platform.py
+++ b/packages/geraniumd/src/geraniumd/platform.py
@@ -21,7 +21,7 @@
 from yarl import URL
 
 from .listings import ListedTarget, parse_hosts, parse_targets
-from .resends import ConnectionLostError, send_once
+from geranium_relay.resends import ConnectionLostError, send_once
 from .settings import PlatformSettings
 
 MS_PER_S = 1000
--- a/packages/geraniumd/src/geraniumd/transport.py
+++ b/packages/geraniumd/src/geraniumd/transport.py
@@ -11,7 +11,7 @@
     TargetRefusedError,
     TargetSilentError,
 )
-from .resends import ConnectionLostError, send_once
+from geranium_relay.resends import ConnectionLostError, send_once
 from .settings import TargetSettings
 
 _DETAIL_BYTES = 512
