Count a late prompt as mostly unread in the load of its reader

Ruled out: the reading rate (ratio 0.8-1.0 while idle). Change: 0.6 of a prompt counts until its first token.

--- a/packages/geranium-relay/src/geranium_relay/load_book.py
+++ b/packages/geranium-relay/src/geranium_relay/load_book.py
@@ -4,6 +4,7 @@
 import itertools
 from collections.abc import Iterable, Mapping
 
+LEAST_UNREAD_SHARE = 0.6  # of a prompt, until its first token is there
 RANKS = 4  # ranks beyond the last are counted with it
 
 
@@ -33,11 +34,15 @@
     started: bool = False
 
     def queued_tokens(self, now: float) -> float:
-        """Return how much of the prompt is not read yet, by the estimate."""
+        """Return how much of the prompt is not read yet, by the estimate.
+
+        A request that takes longer than expected waits behind others, so
+        that a part of it counts until its first token is there.
+        """
         if self.started:
             return 0
         passed = (now - self.sent_at) / max(self.expected_s, 0.001)
-        return self.tokens * max(1 - passed, 0.1)
+        return self.tokens * max(1 - passed, LEAST_UNREAD_SHARE)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -389,6 +389,13 @@
             attempt.target,
             Answered(taken_s, expected_s),
         )
+        self._context.log.note(
+            'begun',
+            **self._log_fields,
+            target=attempt.target.key,
+            expected_s=round(expected_s, 4),
+            taken_s=round(now - attempt.started_at, 4),
+        )
         self._count()
 
     def _learn(self, target: Target, dispatch: Dispatch) -> None:
