Run both duties under one lease, quiet only towards own earlier acts

The quiet time only has to keep one host's acts apart when another held the lease between, so it counts from a host's own last act and from a restart. Ruled out: a shorter term (the platform's lease bound).

--- a/packages/geranium-relay/src/geranium_relay/__init__.py
+++ b/packages/geranium-relay/src/geranium_relay/__init__.py
@@ -48,6 +48,7 @@
     UnknownKey,
     UnknownRoute,
 )
+from .operations import Operations
 from .peer_news import News, Outbox, PeerIdentity, decode_news, encode_news
 from .peers import OwnState, PeerExchange, Peers, PeerSettings
 from .placing import Placing, PlacingSettings
@@ -107,6 +108,7 @@
     'NotSentError',
     'OrderFailed',
     'OrderResult',
+    'Operations',
     'Ordered',
     'Outbox',
     'Outcome',
--- a/packages/geranium-relay/src/geranium_relay/purchasing.py
+++ b/packages/geranium-relay/src/geranium_relay/purchasing.py
@@ -88,7 +88,6 @@
         port: PurchasePort,
         log: DecisionLog,
         clock: Callable[[], float],
-        quiet_s: float,
     ) -> None:
         self._settings = settings
         self._view = view
@@ -96,18 +95,12 @@
         self._port = port
         self._log = log
         self._clock = clock
-        self._quiet_s = quiet_s
         self._plans_by_service: dict[str, ZonePurchases] = {}
         self._ordered: dict[_Subject, tuple[int, float]] = {}
 
     async def run(self, lease: Lease) -> None:
-        """Order what is missing while the lease lasts.
-
-        The first act comes a quiet time after the lease was taken, so that
-        acts of two holders never alternate closely.
-        """
+        """Order what is missing while the lease lasts."""
         self._ordered.clear()
-        await asyncio.sleep(self._quiet_s)
         while True:
             catalogue = self._view.catalogue
             if catalogue is not None:
--- a/packages/geranium-relay/src/geranium_relay/usage.py
+++ b/packages/geranium-relay/src/geranium_relay/usage.py
@@ -145,22 +145,15 @@
         port: UsagePort,
         time: TrueTime,
         log: DecisionLog,
-        quiet_s: float,
     ) -> None:
         self._settings = settings
         self._store = store
         self._port = port
         self._time = time
         self._log = log
-        self._quiet_s = quiet_s
 
     async def run(self, lease: Lease) -> None:
-        """Report every window that is not over its due time.
-
-        The first act comes a quiet time after the lease was taken, so that
-        acts of two holders never alternate closely.
-        """
-        await asyncio.sleep(self._quiet_s)
+        """Report every window that is not over its due time."""
         settings = self._settings
         window = self._oldest_due()
         while True:
