--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := $(wildcard packages/*)
+PACKAGES := $(wildcard packages/*) platform
 EDITABLE := $(addprefix -e ./,$(PACKAGES))
 STAMP := $(VENV)/.installed
 
@@ -24,8 +24,8 @@
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/flake8 packages examples
-	$(BIN)/mypy packages/*/src
+	$(BIN)/flake8 packages platform examples
+	$(BIN)/mypy packages/*/src platform/src
 	$(BIN)/lint-imports
 
 format: $(STAMP)
--- a/packages/geranium-policy/src/geranium_policy/prompt_placement.py
+++ b/packages/geranium-policy/src/geranium_policy/prompt_placement.py
@@ -8,6 +8,7 @@
 """
 
 import dataclasses
+import functools
 from collections.abc import Iterable, Iterator
 from typing import TypeAlias
 
@@ -148,9 +149,7 @@
                 return TooBusy(demand.target_latency_s)
             return NoEngine()
         in_time = [
-            option
-            for option in options
-            if self._is_in_time(demand, option[1])
+            option for option in options if self._is_in_time(demand, option[1])
         ]
         if not in_time:
             return TooBusy(min(option[1].wait_s for option in options))
@@ -179,7 +178,10 @@
             yield self._whole(demand, engine, rates)
         if not generators:
             return
-        partner = min(generators, key=self._partner_cost)
+        partner = min(
+            generators,
+            key=functools.partial(self._partner_cost, rates),
+        )
         for engine in engines:
             if engine.reads_only and self._has_room(engine):
                 yield self._split(demand, engine, partner, rates)
@@ -187,8 +189,11 @@
     def _has_room(self, engine: EngineState) -> bool:
         return engine.running < engine.slots * self._settings.full_share
 
-    def _partner_cost(self, engine: EngineState) -> float:
-        cost = engine.running / engine.slots * engine.correction
+    def _partner_cost(self, rates: EngineRates, engine: EngineState) -> float:
+        """Weigh an engine that only generates: what it runs and reads."""
+        cost = engine.running / engine.slots
+        cost += engine.queued_tokens / rates.generating_tokens_per_s
+        cost *= engine.correction
         return cost if engine.same_zone else cost + self._settings.cross_zone_s
 
     def _whole(
--- a/packages/geranium-policy/src/geranium_policy/zone_purchases.py
+++ b/packages/geranium-policy/src/geranium_policy/zone_purchases.py
@@ -3,10 +3,13 @@
 Answers a fleet that is billed by the second and swings of load that are
 shorter than a target's start: reclaimable targets cost a fraction, so a zone
 is filled with them beside the few that can't be taken away. A zone that loses
-its reclaimable targets is filled with others until they are to be had again.
+its reclaimable targets is filled with others until they are to be had again, and
+then returned to reclaimable ones in steps, since each step costs capacity for
+the time of a start.
 """
 
 import dataclasses
+import math
 from collections.abc import Mapping
 
 
@@ -18,10 +21,16 @@
         firm_floor: Targets of a zone that can't be taken away.
         unavailable_s: After a refusal no reclaimable targets are ordered in
             a zone for so long.
+        probe_places: Places of a zone that are left free meanwhile, so that
+            an order shows whether reclaimable targets are to be had again.
+        replaced_at_once: Firm targets that are replaced in one step while
+            there is load.
     """
 
     firm_floor: int = 1
     unavailable_s: float = 3
+    probe_places: int = 1
+    replaced_at_once: int = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,29 +74,47 @@
         bounds: PurchaseBounds,
         holdings_by_zone: Mapping[str, ZoneHoldings],
         now: float,
+        *,
+        idle: bool,
     ) -> dict[str, ZoneOrder]:
         """Return what each zone should have.
 
-        Firm targets beyond the floor are kept until reclaimable ones fill
-        the zone, and replaced then.
+        Args:
+            bounds: What may be ordered.
+            holdings_by_zone: What serves now.
+            now: The present instant in seconds.
+            idle: Whether there is no load, so that targets may be replaced
+                at once.
         """
         return {
-            zone: self._plan_zone(zone, bounds, holdings, now)
+            zone: self._plan_zone(
+                bounds,
+                holdings,
+                available=now >= self._unavailable_until(zone),
+                idle=idle,
+            )
             for zone, holdings in holdings_by_zone.items()
         }
 
+    def _unavailable_until(self, zone: str) -> float:
+        return self._unavailable_until_by_zone.get(zone, -math.inf)
+
     def _plan_zone(
         self,
-        zone: str,
         bounds: PurchaseBounds,
         holdings: ZoneHoldings,
-        now: float,
+        *,
+        available: bool,
+        idle: bool,
     ) -> ZoneOrder:
-        floor = max(self._settings.firm_floor, bounds.least)
-        wanted = max(bounds.most - floor, 0)
-        if now < self._unavailable_until_by_zone.get(zone, 0):
-            return ZoneOrder(max(holdings.firm, floor), holdings.reclaimable)
-        if holdings.firm + holdings.reclaimable >= bounds.most:
-            return ZoneOrder(floor, wanted)
+        settings = self._settings
+        floor = max(settings.firm_floor, bounds.least)
+        if not available:
+            free = bounds.most - settings.probe_places - holdings.reclaimable
+            return ZoneOrder(max(floor, free), holdings.reclaimable)
         firm = max(min(holdings.firm, bounds.most - 1), floor)
+        if idle:
+            firm = floor
+        elif holdings.firm + holdings.reclaimable >= bounds.most:
+            firm = max(firm - settings.replaced_at_once, floor)
         return ZoneOrder(firm, max(bounds.most - firm, 0))
--- /dev/null
+++ b/packages/geranium-policy/tests/test_prompt_placement.py
@@ -0,0 +1,119 @@
+"""Prompts are placed by what engines keep, how busy they are and where."""
+
+import dataclasses
+
+from geranium_policy.engine_rates import EngineRates
+from geranium_policy.prompt_placement import (
+    EngineState,
+    NoEngine,
+    Placement,
+    PromptDemand,
+    PromptPlacementSettings,
+    PromptPlacer,
+    TooBusy,
+)
+
+RATES = EngineRates(60000, 30000)
+DEMAND = PromptDemand(tokens=17000, rank=2, target_latency_s=0.6, left_s=5)
+GENERATOR = EngineState(
+    name='generator',
+    same_zone=True,
+    reads_only=False,
+    slots=64,
+    running=4,
+    queued_tokens=0,
+    cached_tokens=0,
+    is_home=False,
+    correction=1,
+)
+READER = dataclasses.replace(GENERATOR, name='reader', reads_only=True)
+
+
+def choose(*engines: EngineState, demand: PromptDemand = DEMAND) -> object:
+    placer = PromptPlacer(PromptPlacementSettings())
+    return placer.choose(demand, engines, RATES)
+
+
+def test_prefers_the_engine_that_keeps_the_shared_parts() -> None:
+    warm = dataclasses.replace(GENERATOR, name='warm', cached_tokens=13300)
+
+    found = choose(GENERATOR, warm, READER)
+
+    assert isinstance(found, Placement)
+    assert found.generator == 'warm'
+    assert found.reader is None
+    assert found.fresh_tokens == 3700
+
+
+def test_long_unknown_prompt_is_read_by_an_engine_that_only_reads() -> None:
+    found = choose(GENERATOR, READER)
+
+    assert isinstance(found, Placement)
+    assert (found.reader, found.generator) == ('reader', 'generator')
+
+
+def test_queue_outweighs_kept_parts() -> None:
+    warm = dataclasses.replace(
+        GENERATOR,
+        name='warm',
+        cached_tokens=13300,
+        queued_tokens=30000,
+    )
+
+    found = choose(warm, GENERATOR, READER)
+
+    assert isinstance(found, Placement)
+    assert found.generator == 'generator'
+
+
+def test_burst_beyond_all_queues_is_turned_away_with_when_to_return() -> None:
+    """A burst of one kind on a fleet that lost a zone: every queue is long."""
+    engines = [
+        dataclasses.replace(GENERATOR, name=f'e{rank}', queued_tokens=40000)
+        for rank in range(4)
+    ]
+
+    found = choose(*engines)
+
+    assert isinstance(found, TooBusy)
+    assert found.free_in_s > DEMAND.target_latency_s
+
+
+def test_long_prompts_are_not_turned_away_for_their_own_size() -> None:
+    long = dataclasses.replace(DEMAND, tokens=53000)
+
+    assert isinstance(choose(GENERATOR, READER, demand=long), Placement)
+
+
+def test_more_urgent_requests_may_wait_longer() -> None:
+    busy = dataclasses.replace(GENERATOR, queued_tokens=15000)
+    urgent = dataclasses.replace(DEMAND, rank=0)
+
+    assert isinstance(choose(busy, demand=urgent), Placement)
+    assert isinstance(choose(busy), TooBusy)
+
+
+def test_request_whose_time_is_over_before_its_first_token_is_refused() -> None:
+    late = dataclasses.replace(DEMAND, left_s=0.1)
+
+    assert isinstance(choose(GENERATOR, READER, demand=late), TooBusy)
+
+
+def test_slow_engine_is_avoided_until_it_recovers() -> None:
+    slow = dataclasses.replace(GENERATOR, name='slow', correction=4)
+
+    found = choose(slow, GENERATOR)
+
+    assert isinstance(found, Placement)
+    assert found.generator == 'generator'
+
+
+def test_full_engines_take_nothing() -> None:
+    full = dataclasses.replace(GENERATOR, running=64)
+
+    assert isinstance(choose(full), TooBusy)
+
+
+def test_engines_that_only_read_serve_nobody_alone() -> None:
+    assert isinstance(choose(READER), NoEngine)
+    assert isinstance(choose(), NoEngine)
--- /dev/null
+++ b/packages/geranium-policy/tests/test_retry_share.py
@@ -0,0 +1,41 @@
+"""Repeats of all hosts stay within the budget that they share."""
+
+from geranium_policy.retry_share import RetryShare, RetryShareSettings
+
+SETTINGS = RetryShareSettings(ratio=0.2, allowance=56, window_s=10)
+HOSTS = 8
+
+
+def test_all_hosts_together_stay_within_the_budget() -> None:
+    """Every target fails at once: each host repeats as often as it may."""
+    shares = [RetryShare(SETTINGS) for _ in range(HOSTS)]
+    taken = []
+    sent = 0
+    for step in range(400):
+        now = step * 0.05
+        for share in shares:
+            share.record_first(now)
+            sent += 1
+            if share.take(HOSTS, now):
+                taken.append(now)
+
+    for start in range(11):
+        in_window = [at for at in taken if start <= at < start + 10]
+        first_sends = HOSTS * 200
+        assert len(in_window) <= 0.2 * first_sends + 56
+
+
+def test_quiet_host_may_repeat_by_the_allowance() -> None:
+    share = RetryShare(SETTINGS)
+    share.record_first(0)
+
+    assert share.take(HOSTS, 0.1)
+
+
+def test_repeats_are_allowed_again_after_the_window() -> None:
+    share = RetryShare(RetryShareSettings(0, 8, 10, used_share=1))
+    for _ in range(8):
+        assert share.take(1, 0)
+
+    assert not share.take(1, 9.9)
+    assert share.take(1, 10.1)
--- /dev/null
+++ b/packages/geranium-policy/tests/test_zone_purchases.py
@@ -0,0 +1,67 @@
+"""Zones are filled with reclaimable targets, and with others without them."""
+
+import pytest
+from geranium_policy.zone_purchases import (
+    PurchaseBounds,
+    ZoneHoldings,
+    ZoneOrder,
+    ZonePurchases,
+    ZonePurchaseSettings,
+)
+
+BOUNDS = PurchaseBounds(least=1, most=6)
+
+
+@pytest.fixture
+def purchases() -> ZonePurchases:
+    return ZonePurchases(ZonePurchaseSettings())
+
+
+def plan(
+    purchases: ZonePurchases,
+    holdings: ZoneHoldings,
+    now: float = 0,
+    *,
+    idle: bool = False,
+) -> ZoneOrder:
+    found = purchases.plan(BOUNDS, {'a': holdings}, now, idle=idle)
+    return found['a']
+
+
+def test_idle_zone_is_replaced_at_once(purchases: ZonePurchases) -> None:
+    assert plan(purchases, ZoneHoldings(3, 0), idle=True) == ZoneOrder(1, 5)
+
+
+def test_loaded_zone_is_filled_before_anything_is_given_back(
+    purchases: ZonePurchases,
+) -> None:
+    assert plan(purchases, ZoneHoldings(3, 0)) == ZoneOrder(3, 3)
+    assert plan(purchases, ZoneHoldings(3, 2)) == ZoneOrder(3, 3)
+
+
+def test_full_loaded_zone_is_replaced_in_steps(
+    purchases: ZonePurchases,
+) -> None:
+    assert plan(purchases, ZoneHoldings(5, 1)) == ZoneOrder(3, 3)
+    assert plan(purchases, ZoneHoldings(3, 3)) == ZoneOrder(1, 5)
+
+
+def test_reclaimed_zone_is_filled_with_others_under_load(
+    purchases: ZonePurchases,
+) -> None:
+    """A zone is taken away inside a burst and none are to be had for a while."""
+    purchases.note_unavailable('a', now=10)
+
+    during = plan(purchases, ZoneHoldings(1, 0), now=11)
+    after = plan(purchases, ZoneHoldings(5, 0), now=14)
+
+    assert during == ZoneOrder(5, 0)
+    assert after == ZoneOrder(5, 1)
+
+
+def test_never_below_what_must_be_kept(purchases: ZonePurchases) -> None:
+    bounds = PurchaseBounds(least=2, most=2)
+
+    found = purchases.plan(bounds, {'a': ZoneHoldings(2, 0)}, 0, idle=True)
+
+    assert found['a'] == ZoneOrder(2, 0)
--- a/packages/geranium-relay/src/geranium_relay/__init__.py
+++ b/packages/geranium-relay/src/geranium_relay/__init__.py
@@ -4,6 +4,13 @@
 provider are reached through ports, which an adapter brings.
 """
 
+from .call_errors import (
+    AnswerLostError,
+    NotRunError,
+    NotSentError,
+    RelayError,
+    TargetSilentError,
+)
 from .catalogue import (
     Catalogue,
     EngineProfile,
@@ -24,36 +31,39 @@
 from .load_book import Dispatch, LoadBook, TargetLoad
 from .messages import (
     AnswerHead,
-    AnswerLostError,
-    AnswerSink,
     Arrival,
     CacheHandle,
-    CutOff,
-    Delivered,
-    Failed,
     Headers,
     Job,
-    NotRunError,
-    NotSentError,
-    Outcome,
     Prompt,
     PromptPart,
-    Refused,
-    RelayError,
-    TargetAnswer,
     TargetCall,
-    TargetPort,
-    TargetSilentError,
+)
+from .operations import Operations
+from .outcomes import (
+    CutOff,
+    Delivered,
+    Failed,
+    Outcome,
+    Refused,
     TimedOut,
     UnknownKey,
     UnknownRoute,
 )
-from .operations import Operations
 from .peer_news import News, Outbox, PeerIdentity, decode_news, encode_news
-from .peers import OwnState, PeerExchange, Peers, PeerSettings
+from .peers import (
+    KeysByHash,
+    NewsSources,
+    OwnState,
+    PeerExchange,
+    Peers,
+    PeerSettings,
+)
 from .placing import Placing, PlacingSettings
+from .ports import AnswerSink, TargetAnswer, TargetPort
 from .prompt_beliefs import PromptBeliefs, home_of
 from .purchasing import (
+    FleetView,
     NoneAvailable,
     Ordered,
     OrderFailed,
@@ -65,7 +75,8 @@
 )
 from .relay import Relay, RelaySettings
 from .resends import ConnectionLostError, send_once
-from .run_context import RetryShares, RunContext, RunSettings
+from .run_context import RetryShares, RunContext
+from .run_settings import RunSettings
 from .targets import Fleet, FleetChange, Stage, Target
 from .usage import (
     UsageCounter,
@@ -95,20 +106,23 @@
     'Failed',
     'Fleet',
     'FleetChange',
+    'FleetView',
     'FreshnessSettings',
     'Headers',
     'HostRegistry',
     'Job',
+    'KeysByHash',
     'Limits',
     'LoadBook',
     'LogSettings',
     'News',
+    'NewsSources',
     'NoneAvailable',
     'NotRunError',
     'NotSentError',
+    'Operations',
     'OrderFailed',
     'OrderResult',
-    'Operations',
     'Ordered',
     'Outbox',
     'Outcome',
--- a/packages/geranium-relay/src/geranium_relay/catalogue.py
+++ b/packages/geranium-relay/src/geranium_relay/catalogue.py
@@ -156,7 +156,7 @@
         for route in routes:
             self._routes_by_host.setdefault(route.host, []).append(route)
         for of_host in self._routes_by_host.values():
-            of_host.sort(key=lambda route: -len(route.prefix))
+            of_host.sort(key=_prefix_length, reverse=True)
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of the path, if any."""
@@ -164,3 +164,7 @@
             if path.startswith(route.prefix):
                 return route
         return None
+
+
+def _prefix_length(route: Route) -> int:
+    return len(route.prefix)
--- a/packages/geranium-relay/src/geranium_relay/decision_log.py
+++ b/packages/geranium-relay/src/geranium_relay/decision_log.py
@@ -8,13 +8,14 @@
 import asyncio
 import collections
 import dataclasses
-import logging
 import os
 from collections.abc import Callable
 from typing import Any
 
 import structlog
 
+FLUSH_S = 0.05  # lines of so long are written by one call
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LogSettings:
@@ -54,10 +55,10 @@
         if len(self._lines) >= self._limit:
             self.dropped += 1
             return
-        self._lines.append(line.encode(errors='replace') + b'\n')
+        self._lines.append(f'{line}\n'.encode(errors='replace'))
         if not self._scheduled:
             self._scheduled = True
-            asyncio.get_running_loop().call_later(0.05, self.flush)
+            asyncio.get_running_loop().call_later(FLUSH_S, self.flush)
 
     def flush(self) -> None:
         """Write what the pipe takes now; the rest stays queued."""
@@ -92,11 +93,10 @@
         self._logger = structlog.wrap_logger(
             _LineSink(write),
             processors=[
-                structlog.processors.add_log_level,
                 structlog.processors.TimeStamper(fmt='iso', utc=True),
                 structlog.processors.JSONRenderer(),
             ],
-            wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+            wrapper_class=structlog.BoundLogger,
             cache_logger_on_first_use=True,
         ).bind(**bound)
 
@@ -110,7 +110,7 @@
         if allowance.left_out:
             inputs['left_out'] = allowance.left_out
             allowance.left_out = 0
-        self._logger.info(event, **inputs)
+        self._logger.msg(event, **inputs)
 
     def _fill(self, event: str) -> _Allowance:
         settings = self._settings
@@ -132,4 +132,4 @@
     """What structlog hands its rendered lines to."""
 
     def __init__(self, write: Callable[[str], None]) -> None:
-        self.info = write
+        self.msg = write
--- a/packages/geranium-relay/src/geranium_relay/event_cutter.py
+++ b/packages/geranium-relay/src/geranium_relay/event_cutter.py
@@ -20,16 +20,16 @@
     def feed(self, chunk: bytes) -> bytes:
         """Take bytes as read and return the whole events that they end."""
         data = self._rest + chunk
-        end = 0
-        for found in _END.finditer(data):
-            end = found.end()
-        whole, self._rest = data[:end], data[end:]
+        end = max((found.end() for found in _END.finditer(data)), default=0)
+        whole = data[:end]
+        self._rest = data[end:]
         self._note_identity(whole)
         return whole
 
     def take_rest(self) -> bytes:
         """Return what follows the last whole event, at a stream's end."""
-        rest, self._rest = self._rest, b''
+        rest = self._rest
+        self.drop_rest()
         return rest
 
     def drop_rest(self) -> None:
--- a/packages/geranium-relay/src/geranium_relay/load_book.py
+++ b/packages/geranium-relay/src/geranium_relay/load_book.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable, Mapping
 
 LEAST_UNREAD_SHARE = 0.6  # of a prompt, until its first token is there
+LEAST_EXPECTED_S = 0.001  # calls without an estimate
 RANKS = 4  # ranks beyond the last are counted with it
 
 
@@ -41,7 +42,7 @@
         """
         if self.started:
             return 0
-        passed = (now - self.sent_at) / max(self.expected_s, 0.001)
+        passed = (now - self.sent_at) / max(self.expected_s, LEAST_EXPECTED_S)
         return self.tokens * max(1 - passed, LEAST_UNREAD_SHARE)
 
 
@@ -57,7 +58,13 @@
         return sum(self.tokens_by_rank[: bounded_rank(rank) + 1])
 
 
-IDLE = TargetLoad(0, (0.0,) * RANKS)
+IDLE = TargetLoad(0, (0,) * RANKS)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _PeerLoads:
+    heard_at: float
+    load_by_target: Mapping[str, TargetLoad]
 
 
 class LoadBook:
@@ -67,8 +74,7 @@
         self._peer_news_s = peer_news_s
         self._numbers = itertools.count()
         self._own_by_number: dict[int, Dispatch] = {}
-        self._peers_by_host: dict[str, tuple[float, Mapping[str, TargetLoad]]]
-        self._peers_by_host = {}
+        self._peers_by_host: dict[str, _PeerLoads] = {}
 
     def open(self, dispatch: Dispatch) -> int:
         """Count a request that is sent now; returns what closes it."""
@@ -87,7 +93,7 @@
         now: float,
     ) -> None:
         """Note what a peer has under way."""
-        self._peers_by_host[host] = (now, load_by_target)
+        self._peers_by_host[host] = _PeerLoads(now, load_by_target)
 
     def own(self, now: float) -> dict[str, TargetLoad]:
         """Return this host's load by target, as peers are told."""
@@ -103,10 +109,9 @@
     def all(self, now: float) -> dict[str, TargetLoad]:
         """Return the load of all hosts by target."""
         load_by_target = self.own(now)
-        for heard_at, loads in self._peers_by_host.values():
-            if now - heard_at > self._peer_news_s:
-                continue
-            _add_all(load_by_target, loads.items())
+        for peer in self._peers_by_host.values():
+            if now - peer.heard_at <= self._peer_news_s:
+                _add_all(load_by_target, peer.load_by_target.items())
         return load_by_target
 
     @property
@@ -125,9 +130,12 @@
 
 
 def _load_of(dispatch: Dispatch, now: float) -> TargetLoad:
-    tokens = [0.0] * RANKS
-    tokens[bounded_rank(dispatch.rank)] = dispatch.queued_tokens(now)
-    return TargetLoad(1, tuple(tokens))
+    own_rank = bounded_rank(dispatch.rank)
+    queued = dispatch.queued_tokens(now)
+    return TargetLoad(
+        1,
+        tuple(queued if rank == own_rank else 0 for rank in range(RANKS)),
+    )
 
 
 def _add(one: TargetLoad, other: TargetLoad) -> TargetLoad:
--- a/packages/geranium-relay/src/geranium_relay/messages.py
+++ b/packages/geranium-relay/src/geranium_relay/messages.py
@@ -1,8 +1,8 @@
 """What passes between callers, the relay and targets, free of any wire."""
 
 import dataclasses
-from collections.abc import AsyncIterator
-from typing import Protocol, TypeAlias
+from http import HTTPStatus
+from typing import TypeAlias
 
 from .catalogue import Route, Team
 from .targets import Target
@@ -82,7 +82,7 @@
     """A prompt that an engine has read and keeps for another."""
 
     source: Target
-    handle: str
+    name: str
     tokens: int
 
 
@@ -105,41 +105,6 @@
     resume_after: str | None = None
 
 
-class RelayError(Exception):
-    """Base of the errors of calls to targets."""
-
-
-class NotSentError(RelayError):
-    """No byte of the call reached the target."""
-
-
-class NotRunError(RelayError):
-    """The target says that it did not run the call.
-
-    ``misdirected`` tells that another target has the address.
-    """
-
-    def __init__(self, detail: str, *, misdirected: bool = False) -> None:
-        super().__init__(detail)
-        self.misdirected = misdirected
-
-
-class AnswerLostError(RelayError):
-    """The call was sent and its answer is lost or not one: it may have run.
-
-    ``broken`` tells that the connection ended, as it does when the target
-    crashes.
-    """
-
-    def __init__(self, detail: str, *, broken: bool = False) -> None:
-        super().__init__(detail)
-        self.broken = broken
-
-
-class TargetSilentError(RelayError):
-    """The target sent nothing by the deadline of the call."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerHead:
     """Status and headers of an answer, to be passed on unchanged."""
@@ -151,121 +116,4 @@
     @property
     def succeeded(self) -> bool:
         """Whether the status is a success."""
-        return 200 <= self.status < 300
-
-
-class TargetAnswer(Protocol):
-    """An answer that has begun."""
-
-    head: AnswerHead
-
-    def chunks(self) -> AsyncIterator[bytes]:
-        """Give the body as it comes.
-
-        Raises:
-            AnswerLostError: If the body is cut before its end.
-        """
-        ...
-
-    def close(self) -> None:
-        """Drop the connection, which stops the target's work."""
-        ...
-
-
-class TargetPort(Protocol):
-    """Calls to targets."""
-
-    async def send(self, call: TargetCall) -> TargetAnswer:
-        """Send a call and return its answer once its head is there.
-
-        Raises:
-            RelayError: One of its subclasses.
-        """
-        ...
-
-    async def read_prompt(self, call: TargetCall) -> CacheHandle:
-        """Have the target read the job's prompt and keep it.
-
-        Raises:
-            RelayError: One of its subclasses.
-        """
-        ...
-
-    async def is_reachable(self, target: Target) -> bool:
-        """Say whether the target accepts a new connection."""
-        ...
-
-    async def drop_prompt(self, handle: CacheHandle) -> None:
-        """Free a prompt that nobody will fetch; failures are logged."""
-        ...
-
-
-class AnswerSink(Protocol):
-    """The caller's side of an answer."""
-
-    async def start(self, head: AnswerHead, length: int | None) -> None:
-        """Begin the answer; ``length`` is ``None`` for a stream."""
-        ...
-
-    async def write(self, data: bytes) -> None:
-        """Pass a part of the body on."""
-        ...
-
-    async def finish(self) -> None:
-        """End the answer as complete."""
-        ...
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Delivered:
-    """The target's whole answer was passed on."""
-
-    status: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Refused:
-    """Nothing of the request ran; the caller may come back after a while."""
-
-    reason: str
-    retry_after_s: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class UnknownRoute:
-    """No route matches the request."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class UnknownKey:
-    """The request needs a key that stands in the catalogue."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Failed:
-    """The request may have run; there is no whole answer."""
-
-    reason: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class TimedOut:
-    """The deadline passed after the request had been sent."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class CutOff:
-    """The answer had begun and can't be completed."""
-
-    reason: str
-
-
-Outcome: TypeAlias = (
-    Delivered
-    | Refused
-    | UnknownRoute
-    | UnknownKey
-    | Failed
-    | TimedOut
-    | CutOff
-)
+        return HTTPStatus.OK <= self.status < HTTPStatus.MULTIPLE_CHOICES
--- a/packages/geranium-relay/src/geranium_relay/peer_news.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_news.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import functools
+import itertools
 import pathlib
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Any
@@ -16,7 +17,9 @@
 
 MOST_DISPATCHES = 40  # of one datagram, which then stays below 64 kB
 CRASH_REPEAT_S = 2.0  # datagrams get lost, so crashes are told for a while
-_MOST_TOKENS = 2**32 - 1
+_MOST_TOKENS = 0xFFFFFFFF
+_MOST_RUNNING = 0xFFFF
+_KNOWN_TARGETS = 4096  # keys whose hashes are kept
 
 
 class MalformedNewsError(Exception):
@@ -73,7 +76,7 @@
     crashes: tuple[CrashNotice, ...]
 
 
-@functools.lru_cache(maxsize=4096)
+@functools.lru_cache(maxsize=_KNOWN_TARGETS)
 def target_hash(key: str) -> int:
     """Return the number that stands for a target's key between hosts."""
     return xxhash.xxh3_64_intdigest(key.encode())
@@ -134,7 +137,7 @@
         loads=[
             {
                 'target': target,
-                'running': min(load.running, 2**16 - 1),
+                'running': min(load.running, _MOST_RUNNING),
                 'tokens': [
                     min(int(tokens), _MOST_TOKENS)
                     for tokens in load.tokens_by_rank
@@ -145,9 +148,7 @@
         dispatches=[
             {
                 'target': dispatch.target,
-                'parts': [
-                    dataclasses.asdict(part) for part in dispatch.parts
-                ],
+                'parts': [dataclasses.asdict(part) for part in dispatch.parts],
             }
             for dispatch in news.dispatches
         ],
@@ -216,5 +217,6 @@
 
 
 def _tokens(listed: Sequence[int]) -> tuple[float, ...]:
-    tokens = [float(count) for count in listed][:RANKS]
-    return tuple(tokens + [0.0] * (RANKS - len(tokens)))
+    """Return a count for each rank, whatever ranks the sender knows."""
+    known = itertools.chain(listed, itertools.repeat(0))
+    return tuple(map(float, itertools.islice(known, RANKS)))
--- a/packages/geranium-relay/src/geranium_relay/peers.py
+++ b/packages/geranium-relay/src/geranium_relay/peers.py
@@ -4,6 +4,7 @@
 import dataclasses
 import statistics
 from collections.abc import Callable, Mapping
+from typing import TypeAlias
 
 from .clock import BootClock, TrueTime
 from .decision_log import DecisionLog
@@ -18,6 +19,8 @@
     target_hash,
 )
 
+KeysByHash: TypeAlias = Mapping[int, str]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerSettings:
@@ -129,7 +132,7 @@
         ]
         if len(ahead) < 2:
             return 0
-        step_s = statistics.median([*ahead, 0.0])
+        step_s = statistics.median([*ahead, 0])
         return step_s if abs(step_s) > self._settings.least_step_s else 0
 
     def news_every_s(self) -> float:
@@ -153,47 +156,47 @@
     leaving: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NewsSources:
+    """Where a host's news come from, and where those of peers go."""
+
+    loads: LoadBook
+    outbox: Outbox
+    state: Callable[[], OwnState]
+
+
 class PeerExchange(asyncio.DatagramProtocol):
     """Sends this host's news to all others and takes in theirs.
 
     Args:
         peers: The other hosts.
-        loads: Gets their load.
-        outbox: What there is to tell.
+        sources: What there is to tell; its load book gets theirs.
         time: True time.
         clock: The clock of instants.
-        state: Says how this host is.
-        hear: Called with each news that was taken in.
+        hear: Called with each news that was taken in, and with the keys of
+            the targets that hashes stand for.
     """
 
     def __init__(
         self,
         peers: Peers,
-        loads: LoadBook,
-        outbox: Outbox,
+        sources: NewsSources,
         time: TrueTime,
         clock: BootClock,
-        state: Callable[[], OwnState],
-        hear: Callable[[News], None],
+        hear: Callable[[News, KeysByHash], None],
     ) -> None:
         self._peers = peers
-        self._loads = loads
-        self._outbox = outbox
+        self._sources = sources
         self._time = time
         self._clock = clock
-        self._state = state
         self._hear = hear
         self._transport: asyncio.DatagramTransport | None = None
-        self._keys_by_hash: Mapping[int, str] = {}
+        self._keys_by_hash: KeysByHash = {}
 
     def name_targets(self, keys: frozenset[str]) -> None:
         """Tell which targets the hashes in news may stand for."""
         self._keys_by_hash = {target_hash(key): key for key in keys}
 
-    def key_of(self, number: int) -> str | None:
-        """Return the key of the target that a hash stands for."""
-        return self._keys_by_hash.get(number)
-
     async def run(self) -> None:
         """Tell news until cancelled."""
         host, port = _split(self._peers.own.address)
@@ -215,8 +218,8 @@
         if self._transport is None:
             return
         now = self._clock.now()
-        state = self._state()
-        dispatches, crashes = self._outbox.take(now)
+        state = self._sources.state()
+        dispatches, crashes = self._sources.outbox.take(now)
         datagram = encode_news(
             News(
                 self._peers.own,
@@ -225,7 +228,7 @@
                 self._time.now(),
                 {
                     target_hash(key): load
-                    for key, load in self._loads.own(now).items()
+                    for key, load in self._sources.loads.own(now).items()
                 },
                 dispatches,
                 crashes,
@@ -246,12 +249,12 @@
             return
         self._peers.hear(news, self._time.now())
         self._time.adjust(self._peers.time_step_s())
-        self._loads.take_in(
+        self._sources.loads.take_in(
             news.sender.host,
             self._name_loads(news.load_by_target),
             self._clock.now(),
         )
-        self._hear(news)
+        self._hear(news, self._keys_by_hash)
 
     def _name_loads(
         self,
--- a/packages/geranium-relay/src/geranium_relay/placing.py
+++ b/packages/geranium-relay/src/geranium_relay/placing.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable, Iterator
 
 from geranium_policy.engine_rates import (
-    CorrectionSettings,
     Corrections,
+    CorrectionSettings,
     EngineRates,
 )
 from geranium_policy.health import HealthSettings, HealthTracker, Observation
@@ -27,7 +27,7 @@
 )
 
 from .catalogue import EngineProfile
-from .load_book import IDLE, LoadBook
+from .load_book import IDLE, Dispatch, LoadBook
 from .messages import Job, Prompt, PromptPart
 from .prompt_beliefs import PromptBeliefs, home_of
 from .targets import Fleet, Stage, Target
@@ -37,11 +37,21 @@
 class PlacingSettings:
     """Settings of the policies that choose targets."""
 
-    prompts: PromptPlacementSettings = PromptPlacementSettings()
-    targets: TargetChoiceSettings = TargetChoiceSettings()
-    corrections: CorrectionSettings = CorrectionSettings()
-    health: HealthSettings = HealthSettings()
-    rates: EngineRates = EngineRates()
+    prompts: PromptPlacementSettings = dataclasses.field(
+        default_factory=PromptPlacementSettings,
+    )
+    targets: TargetChoiceSettings = dataclasses.field(
+        default_factory=TargetChoiceSettings,
+    )
+    corrections: CorrectionSettings = dataclasses.field(
+        default_factory=CorrectionSettings,
+    )
+    health: HealthSettings = dataclasses.field(
+        default_factory=HealthSettings,
+    )
+    rates: EngineRates = dataclasses.field(
+        default_factory=EngineRates,
+    )
 
 
 class Placing:
@@ -73,7 +83,7 @@
         self._placer = PromptPlacer(settings.prompts)
         self._chooser = TargetChooser(settings.targets, source)
         self._health = HealthTracker(settings.health, source)
-        self.corrections = Corrections(settings.corrections)
+        self._corrections = Corrections(settings.corrections)
         self._beliefs_by_service: dict[str, PromptBeliefs] = {}
 
     def place_prompt(
@@ -86,7 +96,7 @@
         now = self._clock()
         prompt = job.arrival.prompt
         if prompt is None:
-            return self._place_any(job, avoid)
+            return self.place_call(job, avoid)
         engines = tuple(self._states(job, prompt, profile, avoid))
         demand = PromptDemand(
             tokens=prompt.tokens,
@@ -96,7 +106,7 @@
         )
         return self._placer.choose(demand, engines, self._rates)
 
-    def place_call(self, job: Job, avoid: frozenset[str]) -> Target | None:
+    def place_call(self, job: Job, avoid: frozenset[str]) -> PlacementDecision:
         """Return the application target for a job, if there is one."""
         now = self._clock()
         loads = self._loads.all(now)
@@ -107,12 +117,12 @@
                 same_zone=target.zone == self._zone,
                 slots=target.slots,
                 running=loads.get(key, IDLE).running,
-                correction=self.corrections.of(key, now),
+                correction=self._corrections.of(key, now),
             )
             for key, target in targets_by_key.items()
         ]
         name = self._chooser.choose(states)
-        return None if name is None else targets_by_key[name]
+        return NoEngine() if name is None else Placement(None, name, 0, 0, 0)
 
     def target(self, key: str) -> Target | None:
         """Return the target with a key, ``None`` once it is gone."""
@@ -126,6 +136,16 @@
         """Note that a target that was set aside is being tried."""
         self._health.start_probe(target.key, self._clock())
 
+    def learn(self, target: Target, dispatch: Dispatch) -> None:
+        """Take in how long a target took where an estimate stood."""
+        now = self._clock()
+        self._corrections.observe(
+            target.key,
+            dispatch.expected_s,
+            now - dispatch.sent_at,
+            now,
+        )
+
     def observe(self, target: Target, observation: Observation) -> None:
         """Take in how a call went."""
         self._health.observe(target.key, observation, self._clock())
@@ -147,7 +167,7 @@
 
     def forget(self, target: str) -> None:
         """Drop what is known of a target that is gone."""
-        self.corrections.forget(target)
+        self._corrections.forget(target)
         self._health.forget(target)
         for beliefs in self._beliefs_by_service.values():
             beliefs.forget(target)
@@ -160,16 +180,6 @@
             self._beliefs_by_service[service] = beliefs
         return beliefs
 
-    def _place_any(
-        self,
-        job: Job,
-        avoid: frozenset[str],
-    ) -> PlacementDecision:
-        target = self.place_call(job, avoid)
-        if target is None:
-            return NoEngine()
-        return Placement(None, target.key, 0, 0, 0)
-
     def _usable(
         self,
         service: str,
@@ -208,7 +218,7 @@
                 queued_tokens=load.ahead_of(job.priority),
                 cached_tokens=beliefs.cached_tokens(key, prompt.parts),
                 is_home=key in homes,
-                correction=self.corrections.of(key, now),
+                correction=self._corrections.of(key, now),
             )
 
     def _homes(
--- /dev/null
+++ b/packages/geranium-relay/src/geranium_relay/prompt_reading.py
@@ -0,0 +1,80 @@
+"""Has prompts read by engines that read for others."""
+
+import asyncio
+
+from geranium_policy.health import Silent, Unreachable
+
+from .attempts import Attempt
+from .call_errors import NotRunError, RelayError, TargetSilentError
+from .load_book import Dispatch
+from .messages import CacheHandle, Job, TargetCall
+from .run_context import RunContext
+from .run_settings import RunSettings
+from .targets import Target
+
+
+class PromptReading:
+    """Reads the prompts of jobs apart from generating."""
+
+    def __init__(self, context: RunContext, settings: RunSettings) -> None:
+        self._context = context
+        self._settings = settings
+
+    async def read(self, job: Job, attempt: Attempt) -> CacheHandle | None:
+        """Have the attempt's reader read the prompt.
+
+        ``None`` means that the generating engine has to read it: there is
+        no reader, or it failed, which is logged.
+        """
+        reader = attempt.reader
+        if reader is None:
+            return None
+        dispatch = Dispatch(
+            reader.key,
+            job.priority,
+            attempt.placement.fresh_tokens,
+            self._context.clock(),
+            attempt.placement.first_s,
+        )
+        number = self._context.loads.open(dispatch)
+        try:
+            return await self._call(job, reader, dispatch.expected_s)
+        except (RelayError, TimeoutError) as error:
+            self._note_failure(job, reader, error)
+            return None
+        finally:
+            self._context.loads.close(number)
+            self._context.placing.learn(reader, dispatch)
+
+    async def _call(
+        self,
+        job: Job,
+        reader: Target,
+        expected_s: float,
+    ) -> CacheHandle:
+        limit_s = self._settings.stream_silence_s
+        limit_s += expected_s * self._settings.read_patience
+        async with asyncio.timeout(limit_s):
+            return await self._context.targets.read_prompt(
+                TargetCall(job, reader, job.deadline),
+            )
+
+    def _note_failure(
+        self,
+        job: Job,
+        reader: Target,
+        error: Exception,
+    ) -> None:
+        self._context.log.note(
+            'prompt_not_read',
+            request=job.arrival.identity,
+            reader=reader.key,
+            error=repr(error),
+        )
+        match error:
+            case NotRunError():
+                return
+            case TimeoutError() | TargetSilentError():
+                self._context.placing.observe(reader, Silent())
+            case _:
+                self._context.placing.observe(reader, Unreachable())
--- a/packages/geranium-relay/src/geranium_relay/purchasing.py
+++ b/packages/geranium-relay/src/geranium_relay/purchasing.py
@@ -17,6 +17,7 @@
 from .catalogue import PurchaseTerms, Service
 from .catalogue_view import CatalogueView
 from .decision_log import DecisionLog
+from .load_book import LoadBook
 from .targets import Fleet
 
 
@@ -70,28 +71,37 @@
     """
 
     every_s: float = 0.7
-    repeat_s: float = 6
-    policy: ZonePurchaseSettings = ZonePurchaseSettings()
+    repeat_s: float = 3
+    policy: ZonePurchaseSettings = dataclasses.field(
+        default_factory=ZonePurchaseSettings,
+    )
 
 
 _Subject: TypeAlias = tuple[str, str, bool]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetView:
+    """What orders are decided by."""
+
+    catalogue: CatalogueView
+    fleet: Fleet
+    loads: LoadBook
+
+
 class Purchasing:
     """Keeps the fleet at what the policy wants."""
 
     def __init__(
         self,
         settings: PurchasingSettings,
-        view: CatalogueView,
-        fleet: Fleet,
+        view: FleetView,
         port: PurchasePort,
         log: DecisionLog,
         clock: Callable[[], float],
     ) -> None:
         self._settings = settings
         self._view = view
-        self._fleet = fleet
         self._port = port
         self._log = log
         self._clock = clock
@@ -102,7 +112,7 @@
         """Order what is missing while the lease lasts."""
         self._ordered.clear()
         while True:
-            catalogue = self._view.catalogue
+            catalogue = self._view.catalogue.catalogue
             if catalogue is not None:
                 for service in catalogue.services_by_name.values():
                     await self._order_service(service, lease)
@@ -118,14 +128,19 @@
             ZonePurchases(self._settings.policy),
         )
         bounds = PurchaseBounds(terms.least, terms.most)
-        plan = policy.plan(bounds, holdings_by_zone, self._clock())
+        plan = policy.plan(
+            bounds,
+            holdings_by_zone,
+            self._clock(),
+            idle=not self._view.loads.all(self._clock()),
+        )
         for zone, wanted in plan.items():
-            held = holdings_by_zone[zone]
-            for order, count in _orders(service.name, zone, wanted, held):
-                if self._is_due(order, count):
+            for order in _orders(service.name, zone, wanted):
+                if self._is_due(order, holdings_by_zone[zone]):
                     await self._send(order, lease, policy)
 
-    def _is_due(self, order: TargetOrder, held: int) -> bool:
+    def _is_due(self, order: TargetOrder, holdings: ZoneHoldings) -> bool:
+        held = holdings.reclaimable if order.reclaimable else holdings.firm
         subject = (order.service, order.zone, order.reclaimable)
         last = self._ordered.get(subject)
         if last is None or last[0] != order.count:
@@ -169,7 +184,7 @@
         terms: PurchaseTerms,
     ) -> Mapping[str, ZoneHoldings]:
         counts = {zone: [0, 0] for zone in terms.price_by_zone}
-        for target in self._fleet.of_service(service):
+        for target in self._view.fleet.of_service(service):
             counted = counts.setdefault(target.zone, [0, 0])
             counted[target.reclaimable] += 1
         return {
@@ -182,9 +197,9 @@
     service: str,
     zone: str,
     wanted: ZoneOrder,
-    held: ZoneHoldings,
-) -> tuple[tuple[TargetOrder, int], ...]:
-    """Return the orders of a zone with what it holds, reductions first."""
-    firm = TargetOrder(service, zone, reclaimable=False, count=wanted.firm)
-    spot = TargetOrder(service, zone, reclaimable=True, count=wanted.reclaimable)
-    return (firm, held.firm), (spot, held.reclaimable)
+) -> tuple[TargetOrder, TargetOrder]:
+    """Return the orders of a zone, the one that may free places first."""
+    return (
+        TargetOrder(service, zone, reclaimable=False, count=wanted.firm),
+        TargetOrder(service, zone, reclaimable=True, count=wanted.reclaimable),
+    )
--- a/packages/geranium-relay/src/geranium_relay/relay.py
+++ b/packages/geranium-relay/src/geranium_relay/relay.py
@@ -8,16 +8,11 @@
 
 from .catalogue import Route, Team
 from .catalogue_view import CatalogueView
-from .messages import (
-    AnswerSink,
-    Arrival,
-    Job,
-    Outcome,
-    Refused,
-    UnknownKey,
-    UnknownRoute,
-)
-from .run_context import RunContext, RunSettings, fingerprint_of
+from .messages import Arrival, Job
+from .outcomes import Outcome, Refused, UnknownKey, UnknownRoute
+from .ports import AnswerSink
+from .run_context import RunContext, fingerprint_of
+from .run_settings import RunSettings
 from .runs import Run
 
 
--- a/packages/geranium-relay/src/geranium_relay/targets.py
+++ b/packages/geranium-relay/src/geranium_relay/targets.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 from collections.abc import Iterable, Mapping
 
 
@@ -68,7 +69,7 @@
         self._return_grace_s = return_grace_s
         self._outage_s = outage_s
         self._read_at: float | None = None
-        self._doubtful_until = 0.0
+        self._doubtful_until = -math.inf
         self._targets_by_identity: dict[str, Target] = {}
 
     def replace(self, found: Iterable[Target], now: float) -> FleetChange:
--- a/packages/geranium-relay/src/geranium_relay/usage.py
+++ b/packages/geranium-relay/src/geranium_relay/usage.py
@@ -19,6 +19,7 @@
 
 COUNTS_PREFIX = 'usage/counts/'
 SEALS_PREFIX = 'usage/seals/'
+LEAST_PAUSE_S = 0.01  # keeps a clock that steps back from a busy loop
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,26 +48,28 @@
     """Counts the requests of each team by window of true time."""
 
     def __init__(self, settings: UsageSettings, time: TrueTime) -> None:
+        self.time = time
         self._settings = settings
-        self._time = time
         self._counts_by_window: dict[int, dict[str, int]] = {}
 
     def count(self, team: str) -> None:
         """Count a request that begins to run now."""
-        window = int(self._time.now() // self._settings.window_s)
+        window = int(self.time.now() // self._settings.window_s)
         counts = self._counts_by_window.setdefault(window, {})
         counts[team] = counts.get(team, 0) + 1
 
     def recent(self, through: int) -> dict[int, dict[str, int]]:
         """Return the counts of the last windows up to one, and forget more."""
         oldest = through - self._settings.kept_windows
-        for window in tuple(self._counts_by_window):
-            if window <= oldest:
-                self._counts_by_window.pop(window)
-        return {
-            window: dict(counts)
+        self._counts_by_window = {
+            window: counts
             for window, counts in self._counts_by_window.items()
-            if window <= through
+            if window > oldest
+        }
+        return {
+            known: dict(counts)
+            for known, counts in self._counts_by_window.items()
+            if known <= through
         }
 
 
@@ -91,14 +94,13 @@
         settings: UsageSettings,
         counter: UsageCounter,
         store: ObjectStore,
-        time: TrueTime,
         log: DecisionLog,
         writer: str,
     ) -> None:
         self._settings = settings
         self._counter = counter
         self._store = store
-        self._time = time
+        self._time = counter.time
         self._log = log
         self._key = f'{COUNTS_PREFIX}{writer}'
 
@@ -109,7 +111,7 @@
             now = self._time.now() - settings.write_after_s
             window = int(now // settings.window_s)
             end = (window + 1) * settings.window_s + settings.write_after_s
-            await asyncio.sleep(max(end - self._time.now(), 0.01))
+            await asyncio.sleep(max(end - self._time.now(), LEAST_PAUSE_S))
             await self.write(window)
 
     async def write(self, through: int) -> None:
@@ -221,4 +223,3 @@
     return {
         team: count for team, count in body.items() if isinstance(count, int)
     }
-
