Fill reclaimed zones with firm engines until reclaimable ones return

Ruled out: refusing more (it moves requests from late to refused). Change: a zone stays filled until an order for one place shows a reclaimable target, then returns in steps of two.

--- a/packages/geranium-policy/src/geranium_policy/zone_purchases.py
+++ b/packages/geranium-policy/src/geranium_policy/zone_purchases.py
@@ -63,6 +63,7 @@
     def __init__(self, settings: ZonePurchaseSettings) -> None:
         self._settings = settings
         self._unavailable_until_by_zone: dict[str, float] = {}
+        self._filled_zones: set[str] = set()
 
     def note_unavailable(self, zone: str, now: float) -> None:
         """Note that no reclaimable target is to be had in a zone now."""
@@ -88,6 +89,7 @@
         """
         return {
             zone: self._plan_zone(
+                zone,
                 bounds,
                 holdings,
                 available=now >= self._unavailable_until(zone),
@@ -101,6 +103,7 @@
 
     def _plan_zone(
         self,
+        zone: str,
         bounds: PurchaseBounds,
         holdings: ZoneHoldings,
         *,
@@ -110,8 +113,13 @@
         settings = self._settings
         floor = max(settings.firm_floor, bounds.least)
         if not available:
-            free = bounds.most - settings.probe_places - holdings.reclaimable
-            return ZoneOrder(max(floor, free), holdings.reclaimable)
+            self._filled_zones.add(zone)
+        if holdings.reclaimable and available:
+            self._filled_zones.discard(zone)
+        if zone in self._filled_zones:
+            firm = bounds.most - settings.probe_places - holdings.reclaimable
+            probe = settings.probe_places if available else 0
+            return ZoneOrder(max(floor, firm), holdings.reclaimable + probe)
         firm = max(min(holdings.firm, bounds.most - 1), floor)
         if idle:
             firm = floor
--- a/packages/geranium-policy/tests/test_zone_purchases.py
+++ b/packages/geranium-policy/tests/test_zone_purchases.py
@@ -53,10 +53,12 @@
     purchases.note_unavailable('a', now=10)
 
     during = plan(purchases, ZoneHoldings(1, 0), now=11)
-    after = plan(purchases, ZoneHoldings(5, 0), now=14)
+    starting = plan(purchases, ZoneHoldings(1, 0), now=14)
+    back = plan(purchases, ZoneHoldings(5, 1), now=16)
 
     assert during == ZoneOrder(5, 0)
-    assert after == ZoneOrder(5, 1)
+    assert starting == ZoneOrder(5, 1)
+    assert back == ZoneOrder(3, 3)
 
 
 def test_never_below_what_must_be_kept(purchases: ZonePurchases) -> None:
--- a/packages/geranium-relay/src/geranium_relay/purchasing.py
+++ b/packages/geranium-relay/src/geranium_relay/purchasing.py
@@ -14,7 +14,7 @@
     ZonePurchaseSettings,
 )
 
-from .catalogue import PurchaseTerms, Service
+from .catalogue import Catalogue, PurchaseTerms, Service
 from .catalogue_view import CatalogueView
 from .decision_log import DecisionLog
 from .load_book import LoadBook
@@ -114,14 +114,23 @@
         while True:
             catalogue = self._view.catalogue.catalogue
             if catalogue is not None:
-                for service in catalogue.services_by_name.values():
-                    await self._order_service(service, lease)
+                await self._order_all(catalogue, lease)
             await asyncio.sleep(self._settings.every_s)
 
-    async def _order_service(self, service: Service, lease: Lease) -> None:
-        terms = service.purchase
-        if terms is None:
-            return
+    async def _order_all(self, catalogue: Catalogue, lease: Lease) -> None:
+        for service in catalogue.services_by_name.values():
+            if service.purchase is None:
+                continue
+            if not await self._order_service(service, service.purchase, lease):
+                await self._order_service(service, service.purchase, lease)
+
+    async def _order_service(
+        self,
+        service: Service,
+        terms: PurchaseTerms,
+        lease: Lease,
+    ) -> bool:
+        """Order what is due; say whether all of it was to be had."""
         holdings_by_zone = self._holdings(service.name, terms)
         policy = self._plans_by_service.setdefault(
             service.name,
@@ -134,10 +143,12 @@
             self._clock(),
             idle=not self._view.loads.all(self._clock()),
         )
+        had_all = True
         for zone, wanted in plan.items():
             for order in _orders(service.name, zone, wanted):
                 if self._is_due(order, holdings_by_zone[zone]):
-                    await self._send(order, lease, policy)
+                    had_all &= await self._send(order, lease, policy)
+        return had_all
 
     def _is_due(self, order: TargetOrder, holdings: ZoneHoldings) -> bool:
         held = holdings.reclaimable if order.reclaimable else holdings.firm
@@ -154,9 +165,10 @@
         order: TargetOrder,
         lease: Lease,
         policy: ZonePurchases,
-    ) -> None:
+    ) -> bool:
+        """Send an order; say whether such targets were to be had."""
         if not lease.is_held():
-            return
+            return True
         answer = await self._port.order(order, lease.epoch)
         now = self._clock()
         self._log.note(
@@ -177,6 +189,7 @@
                 self._ordered.pop(subject, None)
             case OrderFailed():
                 self._ordered.pop(subject, None)
+        return not isinstance(answer, NoneAvailable)
 
     def _holdings(
         self,
