Hand counts that can't be written to peers, and name them by process

Ruled out: how requests are counted (windows with the store whole were exact). Change: news carry the counts that were not written; a restarted process writes under a name of its own; a stopping one writes its last window.

--- a/packages/geranium-relay/src/geranium_relay/__init__.py
+++ b/packages/geranium-relay/src/geranium_relay/__init__.py
@@ -79,6 +79,7 @@
 from .run_settings import RunSettings
 from .targets import Fleet, FleetChange, Stage, Target
 from .usage import (
+    ToldUsage,
     UsageCounter,
     UsagePort,
     UsageReporting,
@@ -164,6 +165,7 @@
     'TargetSilentError',
     'Team',
     'TimedOut',
+    'ToldUsage',
     'TrueTime',
     'UnknownKey',
     'UnknownRoute',
--- a/packages/geranium-relay/src/geranium_relay/peer_news.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_news.py
@@ -65,6 +65,8 @@
         load_by_target: Its load at targets, by the hash of their keys.
         dispatches: Prompts that it has sent since the last news.
         crashes: Crashes that it knows of.
+        usage_by_window: Requests by team in windows whose counts it could
+            not write to the store.
     """
 
     sender: PeerIdentity
@@ -74,6 +76,7 @@
     load_by_target: Mapping[int, TargetLoad]
     dispatches: tuple[DispatchNotice, ...]
     crashes: tuple[CrashNotice, ...]
+    usage_by_window: Mapping[int, Mapping[str, int]]
 
 
 @functools.lru_cache(maxsize=_KNOWN_TARGETS)
@@ -161,6 +164,10 @@
             }
             for crash in news.crashes
         ],
+        usage=[
+            {'window': window, 'counts': _encode_counts(counts)}
+            for window, counts in news.usage_by_window.items()
+        ],
     )
     packed: bytes = message.to_bytes_packed()
     return packed
@@ -213,9 +220,20 @@
             )
             for crash in message.crashes
         ),
+        usage_by_window={
+            usage.window: {count.team: count.requests for count in usage.counts}
+            for usage in message.usage
+        },
     )
 
 
+def _encode_counts(counts: Mapping[str, int]) -> list[dict[str, object]]:
+    return [
+        {'team': team, 'requests': requests}
+        for team, requests in counts.items()
+    ]
+
+
 def _tokens(listed: Sequence[int]) -> tuple[float, ...]:
     """Return a count for each rank, whatever ranks the sender knows."""
     known = itertools.chain(listed, itertools.repeat(0))
--- a/packages/geranium-relay/src/geranium_relay/peers.capnp
+++ b/packages/geranium-relay/src/geranium_relay/peers.capnp
@@ -12,6 +12,17 @@
   loads @8 :List(Load);
   dispatches @9 :List(Dispatch);
   crashes @10 :List(Crash);
+  usage @11 :List(Usage);
+}
+
+struct Usage {
+  window @0 :UInt64;
+  counts @1 :List(Count);
+}
+
+struct Count {
+  team @0 :Text;
+  requests @1 :UInt32;
 }
 
 struct Load {
--- a/packages/geranium-relay/src/geranium_relay/peers.py
+++ b/packages/geranium-relay/src/geranium_relay/peers.py
@@ -20,6 +20,7 @@
 )
 
 KeysByHash: TypeAlias = Mapping[int, str]
+UsageByWindow: TypeAlias = Mapping[int, Mapping[str, int]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -163,6 +164,7 @@
     loads: LoadBook
     outbox: Outbox
     state: Callable[[], OwnState]
+    usage: Callable[[], UsageByWindow]
 
 
 class PeerExchange(asyncio.DatagramProtocol):
@@ -232,6 +234,7 @@
                 },
                 dispatches,
                 crashes,
+                self._sources.usage(),
             ),
         )
         for peer in self._peers.listed():
--- a/packages/geranium-relay/src/geranium_relay/usage.py
+++ b/packages/geranium-relay/src/geranium_relay/usage.py
@@ -1,15 +1,18 @@
 """Usage: counted by every host, sealed once a window, reported by one."""
 
 import asyncio
+import collections
 import dataclasses
-from collections.abc import Mapping
+from collections.abc import Collection, Iterator, Mapping
 from typing import Any, Protocol
 
 from geranium_coordination import (
     ConflictError,
     IfAbsent,
+    IfVersion,
     Lease,
     ObjectStore,
+    StoredObject,
     StoreError,
     Unconditional,
 )
@@ -103,6 +106,11 @@
         self._time = counter.time
         self._log = log
         self._key = f'{COUNTS_PREFIX}{writer}'
+        self._unwritten: dict[int, dict[str, int]] = {}
+
+    def unwritten(self) -> dict[int, dict[str, int]]:
+        """Return the counts that the store does not have, by window."""
+        return self._unwritten
 
     async def run(self) -> None:
         """Write after each window until cancelled."""
@@ -114,6 +122,10 @@
             await asyncio.sleep(max(end - self._time.now(), LEAST_PAUSE_S))
             await self.write(window)
 
+    async def write_all(self) -> None:
+        """Write all counts, those of the present window included."""
+        await self.write(int(self._time.now() // self._settings.window_s))
+
     async def write(self, through: int) -> None:
         """Write the counts of windows up to one, again after failures."""
         counts_by_window = self._counter.recent(through)
@@ -122,6 +134,7 @@
         body = {
             str(window): counts for window, counts in counts_by_window.items()
         }
+        self._unwritten = counts_by_window
         deadline = self._time.now() + self._settings.window_s / 2
         while self._time.now() < deadline:
             try:
@@ -130,9 +143,42 @@
                 self._log.note('usage_not_written', error=repr(error))
                 await asyncio.sleep(self._settings.retry_s)
                 continue
+            self._unwritten = {}
             return
 
 
+class ToldUsage:
+    """Counts that peers told because they could not write them."""
+
+    def __init__(self, settings: UsageSettings) -> None:
+        self._kept_windows = settings.kept_windows
+        self._counts_by_source: dict[tuple[str, int], dict[str, int]] = {}
+
+    def hear(
+        self,
+        writer: str,
+        counts_by_window: Mapping[int, Mapping[str, int]],
+    ) -> None:
+        """Take in what a peer tells."""
+        for window, counts in counts_by_window.items():
+            self._counts_by_source[writer, window] = dict(counts)
+
+    def of_window(
+        self,
+        window: int,
+        written: Collection[str],
+    ) -> Iterator[dict[str, int]]:
+        """Give the counts of a window by peers that have not written it."""
+        self._counts_by_source = {
+            source: counts
+            for source, counts in self._counts_by_source.items()
+            if source[1] > window - self._kept_windows
+        }
+        for (writer, told), counts in self._counts_by_source.items():
+            if told == window and writer not in written:
+                yield counts
+
+
 class UsageReporting:
     """The duty of sealing and reporting windows.
 
@@ -144,12 +190,14 @@
         self,
         settings: UsageSettings,
         store: ObjectStore,
+        told: ToldUsage,
         port: UsagePort,
         time: TrueTime,
         log: DecisionLog,
     ) -> None:
         self._settings = settings
         self._store = store
+        self._told = told
         self._port = port
         self._time = time
         self._log = log
@@ -208,12 +256,33 @@
         return counts_by_team
 
     async def _collect(self, window: int) -> dict[str, int]:
-        total: dict[str, int] = {}
+        written = set()
+        total: collections.Counter[str] = collections.Counter()
         for found in await self._store.read_prefix(COUNTS_PREFIX):
             body = found.body if isinstance(found.body, dict) else {}
-            for team, count in _counts(body.get(str(window))).items():
-                total[team] = total.get(team, 0) + count
-        return total
+            if str(window) in body:
+                written.add(found.key.removeprefix(COUNTS_PREFIX))
+                total.update(_counts(body[str(window)]))
+            elif self._is_outdated(window, body):
+                await self._remove(found)
+        for counts in self._told.of_window(window, written):
+            total.update(counts)
+        return dict(total)
+
+    def _is_outdated(self, window: int, body: Mapping[str, object]) -> bool:
+        """Say whether an object is of a process that has ended."""
+        newest = max(map(_window, body), default=0)
+        return newest < window - self._settings.kept_windows
+
+    async def _remove(self, found: StoredObject) -> None:
+        try:
+            await self._store.delete(found.key, IfVersion(found.version))
+        except StoreError as error:
+            self._log.note('usage_not_removed', key=found.key, error=str(error))
+
+
+def _window(key: str) -> int:
+    return int(key) if key.isdecimal() else 0
 
 
 def _counts(body: Any) -> dict[str, int]:
