--- a/packages/geraniumd/src/geraniumd/platform.py
+++ b/packages/geraniumd/src/geraniumd/platform.py
@@ -18,10 +18,10 @@
     Unconditional,
 )
 from geranium_model import Host, TargetOrder, Usage
+from geranium_relay.resends import ConnectionLostError, send_once
 from yarl import URL
 
 from .listings import ListedTarget, parse_hosts, parse_targets
-from geranium_relay.resends import ConnectionLostError, send_once
 from .settings import PlatformSettings
 
 MS_PER_S = 1000
--- a/packages/geraniumd/src/geraniumd/transport.py
+++ b/packages/geraniumd/src/geraniumd/transport.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 
 import aiohttp
+from geranium_relay.resends import ConnectionLostError, send_once
 
 from .exceptions import (
     TargetFailedError,
@@ -11,7 +12,6 @@
     TargetRefusedError,
     TargetSilentError,
 )
-from geranium_relay.resends import ConnectionLostError, send_once
 from .settings import TargetSettings
 
 _DETAIL_BYTES = 512
