Share what is read from the store; move a request off a leaving target

Two hosts of a zone read now; the others take over what news confirm, and read themselves when they hear of something else or nothing in time.

--- a/packages/geranium-policy/src/geranium_policy/prompt_placement.py
+++ b/packages/geranium-policy/src/geranium_policy/prompt_placement.py
@@ -155,6 +155,15 @@
             return TooBusy(min(option[1].wait_s for option in options))
         return min(in_time, key=_by_cost)[1]
 
+    def choose_partner(
+        self,
+        engines: Iterable[EngineState],
+        rates: EngineRates,
+    ) -> str | None:
+        """Return the engine to generate from a prompt that has been read."""
+        partner = self._partner(self._generators(engines), rates)
+        return None if partner is None else partner.name
+
     def _is_in_time(self, demand: PromptDemand, option: Placement) -> bool:
         settings = self._settings
         share = settings.wait_share - settings.rank_step * demand.rank
@@ -169,22 +178,36 @@
         engines: tuple[EngineState, ...],
         rates: EngineRates,
     ) -> Iterator[tuple[float, Placement]]:
-        generators = [
+        generators = self._generators(engines)
+        for engine in generators:
+            yield self._whole(demand, engine, rates)
+        partner = self._partner(generators, rates)
+        if partner is None:
+            return
+        for engine in engines:
+            if engine.reads_only and self._has_room(engine):
+                yield self._split(demand, engine, partner, rates)
+
+    def _generators(
+        self,
+        engines: Iterable[EngineState],
+    ) -> list[EngineState]:
+        return [
             engine
             for engine in engines
             if not engine.reads_only and self._has_room(engine)
         ]
-        for engine in generators:
-            yield self._whole(demand, engine, rates)
-        if not generators:
-            return
-        partner = min(
+
+    def _partner(
+        self,
+        generators: Iterable[EngineState],
+        rates: EngineRates,
+    ) -> EngineState | None:
+        return min(
             generators,
             key=functools.partial(self._partner_cost, rates),
+            default=None,
         )
-        for engine in engines:
-            if engine.reads_only and self._has_room(engine):
-                yield self._split(demand, engine, partner, rates)
 
     def _has_room(self, engine: EngineState) -> bool:
         return engine.running < engine.slots * self._settings.full_share
--- a/packages/geranium-relay/src/geranium_relay/__init__.py
+++ b/packages/geranium-relay/src/geranium_relay/__init__.py
@@ -50,7 +50,14 @@
     UnknownKey,
     UnknownRoute,
 )
-from .peer_news import News, Outbox, PeerIdentity, decode_news, encode_news
+from .peer_news import (
+    Knowledge,
+    News,
+    Outbox,
+    PeerIdentity,
+    decode_news,
+    encode_news,
+)
 from .peers import (
     KeysByHash,
     NewsSources,
@@ -77,6 +84,11 @@
 from .resends import ConnectionLostError, send_once
 from .run_context import RetryShares, RunContext
 from .run_settings import RunSettings
+from .shared_readings import (
+    SharedReadings,
+    SharedReadingSettings,
+    StoreKnowledge,
+)
 from .targets import Fleet, FleetChange, Stage, Target
 from .usage import (
     ToldUsage,
@@ -113,6 +125,7 @@
     'HostRegistry',
     'Job',
     'KeysByHash',
+    'Knowledge',
     'Limits',
     'LoadBook',
     'LogSettings',
@@ -155,7 +168,10 @@
     'RunSettings',
     'Service',
     'Share',
+    'SharedReadingSettings',
+    'SharedReadings',
     'Stage',
+    'StoreKnowledge',
     'Target',
     'TargetAnswer',
     'TargetCall',
--- a/packages/geranium-relay/src/geranium_relay/catalogue_view.py
+++ b/packages/geranium-relay/src/geranium_relay/catalogue_view.py
@@ -52,6 +52,11 @@
         """Note that no newer version stood when a call was sent."""
         self._confirmed_at = max(self._confirmed_at, sent_at)
 
+    @property
+    def confirmed_at(self) -> float:
+        """When a call was sent that last confirmed the catalogue."""
+        return self._confirmed_at
+
     def age_s(self) -> float:
         """Return the time since the catalogue was last confirmed."""
         return self._clock() - self._confirmed_at
--- a/packages/geranium-relay/src/geranium_relay/load_book.py
+++ b/packages/geranium-relay/src/geranium_relay/load_book.py
@@ -2,10 +2,12 @@
 
 import dataclasses
 import itertools
+import math
 from collections.abc import Iterable, Mapping
 
 LEAST_UNREAD_SHARE = 0.6  # of a prompt, until its first token is there
 LEAST_EXPECTED_S = 0.001  # calls without an estimate
+SUM_EVERY_S = 0.05  # peers' news come a few times a second
 RANKS = 4  # ranks beyond the last are counted with it
 
 
@@ -75,6 +77,8 @@
         self._numbers = itertools.count()
         self._own_by_number: dict[int, Dispatch] = {}
         self._peers_by_host: dict[str, _PeerLoads] = {}
+        self._sum_by_target: dict[str, TargetLoad] = {}
+        self._summed_at = -math.inf
 
     def open(self, dispatch: Dispatch) -> int:
         """Count a request that is sent now; returns what closes it."""
@@ -109,11 +113,19 @@
     def all(self, now: float) -> dict[str, TargetLoad]:
         """Return the load of all hosts by target."""
         load_by_target = self.own(now)
-        for peer in self._peers_by_host.values():
-            if now - peer.heard_at <= self._peer_news_s:
-                _add_all(load_by_target, peer.load_by_target.items())
+        _add_all(load_by_target, self._of_peers(now).items())
         return load_by_target
 
+    def _of_peers(self, now: float) -> Mapping[str, TargetLoad]:
+        """Return the sum of the peers' loads, added up now and then."""
+        if now - self._summed_at > SUM_EVERY_S:
+            self._summed_at = now
+            self._sum_by_target = {}
+            for peer in self._peers_by_host.values():
+                if now - peer.heard_at <= self._peer_news_s:
+                    _add_all(self._sum_by_target, peer.load_by_target.items())
+        return self._sum_by_target
+
     @property
     def open_count(self) -> int:
         """Requests that this host has under way at targets."""
--- a/packages/geranium-relay/src/geranium_relay/peer_news.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_news.py
@@ -17,7 +17,7 @@
 
 MOST_DISPATCHES = 40  # of one datagram, which then stays below 64 kB
 CRASH_REPEAT_S = 2.0  # datagrams get lost, so crashes are told for a while
-_MOST_TOKENS = 0xFFFFFFFF
+_MOST_UINT32 = 0xFFFFFFFF
 _MOST_RUNNING = 0xFFFF
 _KNOWN_TARGETS = 4096  # keys whose hashes are kept
 
@@ -53,6 +53,23 @@
     parts: tuple[PromptPart, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Knowledge:
+    """What a host knows from the store, and how long ago that stood there.
+
+    Args:
+        catalogue_version: 0 before the first catalogue.
+        catalogue_age_s: Since the call was sent that confirmed it.
+        targets_digest: Stands for the list of targets.
+        targets_age_s: Since the call was sent that brought it.
+    """
+
+    catalogue_version: int
+    catalogue_age_s: float
+    targets_digest: int
+    targets_age_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class News:
     """What a host tells.
@@ -67,6 +84,7 @@
         crashes: Crashes that it knows of.
         usage_by_window: Requests by team in windows whose counts it could
             not write to the store.
+        known: What it knows from the store.
     """
 
     sender: PeerIdentity
@@ -77,6 +95,7 @@
     dispatches: tuple[DispatchNotice, ...]
     crashes: tuple[CrashNotice, ...]
     usage_by_window: Mapping[int, Mapping[str, int]]
+    known: Knowledge
 
 
 @functools.lru_cache(maxsize=_KNOWN_TARGETS)
@@ -137,12 +156,16 @@
         ready=news.ready,
         leaving=news.leaving,
         unixMs=int(news.unix_s * 1000),
+        catalogueVersion=news.known.catalogue_version,
+        catalogueAgeMs=_bounded_ms(news.known.catalogue_age_s),
+        targetsDigest=news.known.targets_digest,
+        targetsAgeMs=_bounded_ms(news.known.targets_age_s),
         loads=[
             {
                 'target': target,
                 'running': min(load.running, _MOST_RUNNING),
                 'tokens': [
-                    min(int(tokens), _MOST_TOKENS)
+                    min(int(tokens), _MOST_UINT32)
                     for tokens in load.tokens_by_rank
                 ],
             }
@@ -224,9 +247,19 @@
             usage.window: {count.team: count.requests for count in usage.counts}
             for usage in message.usage
         },
+        known=Knowledge(
+            message.catalogueVersion,
+            message.catalogueAgeMs / 1000,
+            message.targetsDigest,
+            message.targetsAgeMs / 1000,
+        ),
     )
 
 
+def _bounded_ms(age_s: float) -> int:
+    return int(min(age_s * 1000, _MOST_UINT32))
+
+
 def _encode_counts(counts: Mapping[str, int]) -> list[dict[str, object]]:
     return [
         {'team': team, 'requests': requests}
--- a/packages/geranium-relay/src/geranium_relay/peers.capnp
+++ b/packages/geranium-relay/src/geranium_relay/peers.capnp
@@ -13,6 +13,10 @@
   dispatches @9 :List(Dispatch);
   crashes @10 :List(Crash);
   usage @11 :List(Usage);
+  catalogueVersion @12 :UInt64;
+  catalogueAgeMs @13 :UInt32;
+  targetsDigest @14 :UInt64;
+  targetsAgeMs @15 :UInt32;
 }
 
 struct Usage {
--- a/packages/geranium-relay/src/geranium_relay/peers.py
+++ b/packages/geranium-relay/src/geranium_relay/peers.py
@@ -10,6 +10,7 @@
 from .decision_log import DecisionLog
 from .load_book import LoadBook, TargetLoad
 from .peer_news import (
+    Knowledge,
     MalformedNewsError,
     News,
     Outbox,
@@ -165,6 +166,7 @@
     outbox: Outbox
     state: Callable[[], OwnState]
     usage: Callable[[], UsageByWindow]
+    known: Callable[[], Knowledge]
 
 
 class PeerExchange(asyncio.DatagramProtocol):
@@ -235,6 +237,7 @@
                 dispatches,
                 crashes,
                 self._sources.usage(),
+                self._sources.known(),
             ),
         )
         for peer in self._peers.listed():
--- a/packages/geranium-relay/src/geranium_relay/placing.py
+++ b/packages/geranium-relay/src/geranium_relay/placing.py
@@ -106,6 +106,20 @@
         )
         return self._placer.choose(demand, engines, self._rates)
 
+    def place_read_prompt(
+        self,
+        job: Job,
+        profile: EngineProfile,
+        avoid: frozenset[str],
+    ) -> Target | None:
+        """Return where a prompt that has been read goes now."""
+        prompt = job.arrival.prompt
+        if prompt is None:
+            return None
+        engines = tuple(self._states(job, prompt, profile, avoid))
+        name = self._placer.choose_partner(engines, self._rates)
+        return None if name is None else self.target(name)
+
     def place_call(self, job: Job, avoid: frozenset[str]) -> PlacementDecision:
         """Return the application target for a job, if there is one."""
         now = self._clock()
@@ -132,6 +146,11 @@
             return None
         return target
 
+    def takes_requests(self, target: Target) -> bool:
+        """Say whether a target that was chosen earlier may still be used."""
+        known = self.target(target.key)
+        return known is not None and not known.leaving
+
     def note_dispatch(self, target: Target) -> None:
         """Note that a target that was set aside is being tried."""
         self._health.start_probe(target.key, self._clock())
--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -1,5 +1,6 @@
 """Runs one admitted request to its outcome."""
 
+import dataclasses
 from http import HTTPStatus
 
 from geranium_policy.health import Answered, Silent, Unreachable
@@ -171,6 +172,8 @@
 
     async def _send(self, attempt: Attempt) -> Outcome | None:
         kept = await self._reading.read(self._job, attempt)
+        if not self._context.placing.takes_requests(attempt.target):
+            attempt = await self._move(attempt, kept)
         dispatch = Dispatch(
             attempt.target.key,
             self._job.priority,
@@ -184,6 +187,29 @@
         finally:
             self._context.loads.close(number)
 
+    async def _move(
+        self,
+        attempt: Attempt,
+        kept: CacheHandle | None,
+    ) -> Attempt:
+        """Replace a target that began to leave while the prompt was read.
+
+        Raises:
+            NotSentError: If there is no other.
+        """
+        found = None
+        if self._service.engine is not None:
+            found = self._context.placing.place_read_prompt(
+                self._job,
+                self._service.engine,
+                frozenset(self._avoid | {attempt.target.key}),
+            )
+        if found is None:
+            if kept is not None:
+                await self._context.targets.drop_prompt(kept)
+            raise NotSentError('the target is leaving')
+        return dataclasses.replace(attempt, target=found)
+
     async def _call(
         self,
         attempt: Attempt,
--- /dev/null
+++ b/packages/geranium-relay/src/geranium_relay/shared_readings.py
@@ -0,0 +1,123 @@
+"""Spares most hosts the reading of the store, which is priced by the call.
+
+A few hosts of each zone read it; all tell in their news what they know and
+when the call was sent that confirmed it. A host whose knowledge is the same
+counts as confirmed at that instant. One that hears of something else, or
+nothing in time, reads for itself.
+"""
+
+import asyncio
+import dataclasses
+import math
+from collections.abc import Callable
+
+from .peer_news import News
+from .peers import Peers
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SharedReadingSettings:
+    """How readings are shared.
+
+    Args:
+        readers_per_zone: Hosts of a zone that always read.
+        margin_s: Taken off what is told, for the time on the way.
+    """
+
+    readers_per_zone: int = 2
+    margin_s: float = 0.02
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreKnowledge:
+    """What a host knows from the store, and when that was confirmed.
+
+    Args:
+        catalogue_version: 0 before the first catalogue.
+        catalogue_at: When the call was sent that confirmed it.
+        targets_digest: Stands for the list of targets.
+        targets_at: When the call was sent that brought it.
+    """
+
+    catalogue_version: int = 0
+    catalogue_at: float = -math.inf
+    targets_digest: int = 0
+    targets_at: float = -math.inf
+
+
+class SharedReadings:
+    """What other hosts know from the store.
+
+    Args:
+        settings: See there.
+        peers: The other hosts.
+        own: Returns what this host knows.
+        clock: The clock of all instants.
+    """
+
+    def __init__(
+        self,
+        settings: SharedReadingSettings,
+        peers: Peers,
+        own: Callable[[], StoreKnowledge],
+        clock: Callable[[], float],
+    ) -> None:
+        self._settings = settings
+        self._peers = peers
+        self._own = own
+        self._clock = clock
+        self._told = StoreKnowledge()
+        self.catalogue_differs = asyncio.Event()
+        self.targets_differ = asyncio.Event()
+
+    def is_reader(self) -> bool:
+        """Say whether this host has to read in any case."""
+        own = self._peers.own
+        rivals = sorted(
+            peer.host
+            for peer in self._peers.usable()
+            if peer.zone == own.zone and peer.host < own.host
+        )
+        return len(rivals) < self._settings.readers_per_zone
+
+    def hear(self, news: News) -> None:
+        """Take in what a peer knows."""
+        now = self._clock() - self._settings.margin_s
+        own = self._own()
+        known = news.known
+        if known.catalogue_version > own.catalogue_version:
+            self.catalogue_differs.set()
+        elif known.catalogue_version == own.catalogue_version:
+            self._note_catalogue(now - known.catalogue_age_s)
+        told_at = now - known.targets_age_s
+        if known.targets_digest == own.targets_digest:
+            self._note_targets(told_at)
+        elif told_at > own.targets_at:
+            self.targets_differ.set()
+
+    def catalogue_at(self) -> float:
+        """Return the last instant at which this host's version stood."""
+        return self._told.catalogue_at
+
+    def targets_at(self) -> float:
+        """Return the last instant at which this host's list stood."""
+        own = self._own()
+        if self._told.targets_digest != own.targets_digest:
+            return -math.inf
+        return self._told.targets_at
+
+    def _note_catalogue(self, at: float) -> None:
+        self._told = dataclasses.replace(
+            self._told,
+            catalogue_at=max(self._told.catalogue_at, at),
+        )
+
+    def _note_targets(self, at: float) -> None:
+        digest = self._own().targets_digest
+        if self._told.targets_digest == digest:
+            at = max(self._told.targets_at, at)
+        self._told = dataclasses.replace(
+            self._told,
+            targets_digest=digest,
+            targets_at=at,
+        )
--- a/packages/geranium-relay/src/geranium_relay/targets.py
+++ b/packages/geranium-relay/src/geranium_relay/targets.py
@@ -5,6 +5,8 @@
 import math
 from collections.abc import Iterable, Mapping
 
+import xxhash
+
 
 class Stage(enum.Enum):
     """What a model engine does: read prompts, or generate as well."""
@@ -71,6 +73,17 @@
         self._read_at: float | None = None
         self._doubtful_until = -math.inf
         self._targets_by_identity: dict[str, Target] = {}
+        self.digest = 0
+
+    @property
+    def read_at(self) -> float:
+        """When the list was last read or confirmed."""
+        return -math.inf if self._read_at is None else self._read_at
+
+    def confirm(self, at: float) -> None:
+        """Note that the list stood as it is known at an instant."""
+        if self._read_at is not None:
+            self._read_at = max(self._read_at, at)
 
     def replace(self, found: Iterable[Target], now: float) -> FleetChange:
         """Take in a complete reading of the list made at an instant."""
@@ -80,6 +93,8 @@
         for gone in change.gone:
             self._targets_by_identity.pop(gone.identity)
         self._targets_by_identity.update(found_by_identity)
+        if change.came or change.gone or change.leaving:
+            self.digest = _digest(self._targets_by_identity.values())
         return change
 
     @property
@@ -127,3 +142,13 @@
                 and not known[identity].leaving
             ),
         )
+
+
+def _digest(targets: Iterable[Target]) -> int:
+    """Return a number that stands for a list of targets in any order."""
+    digest = 0
+    for target in targets:
+        digest ^= xxhash.xxh3_64_intdigest(
+            f'{target.key} {target.address} {target.leaving}'.encode(),
+        )
+    return digest
--- a/packages/geranium-relay/tests/test_runs.py
+++ b/packages/geranium-relay/tests/test_runs.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import random
 import time
 from collections.abc import AsyncIterator, Callable, Sequence
 
 import pytest
+from geranium_policy.prompt_placement import Placement
 from geranium_policy.retry_share import RetryShareSettings
 from geranium_policy.suspects import SuspectRegister, SuspectSettings
 from geranium_relay import (
@@ -91,6 +93,7 @@
         self.calls: list[TargetCall] = []
         self.dropped: list[CacheHandle] = []
         self.reachable = True
+        self.chosen = ''
         self.answers: list[FakeAnswer] = []
         self._scripts = list(scripts)
 
@@ -193,6 +196,13 @@
         self.view.accept(self._catalogue(engines), self.clock.now())
         self.relay = self._relay(engines)
 
+    def place_apart(self) -> None:
+        """Have the next prompt read by one engine for another."""
+        reader, target, *_ = self.fleet.targets_by_identity.values()
+        self.targets.chosen = target.key
+        placement = Placement(reader.key, target.key, 10, 0, 0.01)
+        self.placing.place_prompt = lambda *_: placement
+
     async def serve(
         self,
         route: str,
@@ -252,9 +262,18 @@
         loads = LoadBook(1)
         source = random.Random(1)
         log = DecisionLog(LogSettings(), self.lines.append, now)
+        self.fleet = fleet
+        self.placing = Placing(
+            'a',
+            fleet,
+            loads,
+            PlacingSettings(),
+            now,
+            source,
+        )
         context = RunContext(
             self.targets,
-            Placing('a', fleet, loads, PlacingSettings(), now, source),
+            self.placing,
             loads,
             RetryShares(RetryShareSettings(0.2, 56, 10), lambda: 1),
             self.suspects,
@@ -475,3 +494,30 @@
     window = int(time.time() // 5)
     counts = world.usage.recent(window + 1)
     assert list(counts.values()) == [{'team': 1}]
+
+
+async def test_target_that_began_to_leave_meanwhile_gets_nothing() -> None:
+    """A prompt is read for a target that starts to drain before it is sent."""
+    world = World(answer(*EVENTS), engines=True)
+    prompt = Prompt(10, 3, (PromptPart('p', 10),))
+    leaving = world.fleet.targets_by_identity
+
+    async def leave(call: TargetCall) -> CacheHandle:
+        chosen = world.targets.chosen
+        world.fleet.replace(
+            [
+                dataclasses.replace(target, leaving=target.key == chosen)
+                for target in tuple(leaving.values())
+            ],
+            world.clock.now(),
+        )
+        return CacheHandle(call.target, 'kept', 10)
+
+    world.targets.read_prompt = leave
+    world.place_apart()
+
+    outcome, _ = await world.serve('resumable', prompt=prompt)
+
+    assert outcome == Delivered(200)
+    assert world.targets.calls[0].target.key != world.targets.chosen
+    assert world.targets.calls[0].fetch_from is not None
