--- a/packages/geranium-policy/src/geranium_policy/target_choice.py
+++ b/packages/geranium-policy/src/geranium_policy/target_choice.py
@@ -53,7 +53,8 @@
         return None if best is None else best.name
 
     def _cost(self, target: TargetState) -> tuple[float, float]:
-        load = (target.running + 1) / max(target.slots, 1) * target.correction
+        load = (target.running + 1) / max(target.slots, 1)
+        load *= target.correction
         if not target.same_zone:
             load += self._settings.cross_zone_load
         return load, self._source.random()
--- a/packages/geranium-relay/src/geranium_relay/event_cutter.py
+++ b/packages/geranium-relay/src/geranium_relay/event_cutter.py
@@ -20,7 +20,8 @@
     def feed(self, chunk: bytes) -> bytes:
         """Take bytes as read and return the whole events that they end."""
         data = self._rest + chunk
-        end = max((found.end() for found in _END.finditer(data)), default=0)
+        ends = [found.end() for found in _END.finditer(data)]
+        end = ends[-1] if ends else 0
         whole = data[:end]
         self._rest = data[end:]
         self._note_identity(whole)
--- /dev/null
+++ b/packages/geranium-relay/src/geranium_relay/run_notes.py
@@ -0,0 +1,83 @@
+"""What is learnt and told of a request while it runs."""
+
+from geranium_policy.health import Answered
+
+from .attempts import Attempt
+from .load_book import Dispatch
+from .messages import Job
+from .run_context import RunContext
+
+
+class RunNotes:
+    """Tells the log, the peers, the policies and the usage of one request."""
+
+    def __init__(self, job: Job, context: RunContext) -> None:
+        self._job = job
+        self._context = context
+        self._counted = False
+
+    def note_dispatch(self, attempt: Attempt, send: int) -> None:
+        """Note that a request goes to a target."""
+        placement = attempt.placement
+        self._context.placing.note_dispatch(attempt.target)
+        self._context.log.note(
+            'dispatched',
+            request=self._job.arrival.identity,
+            send=send,
+            target=attempt.target.key,
+            reader=placement.reader,
+            fresh_tokens=placement.fresh_tokens,
+            wait_s=round(placement.wait_s, 4),
+            first_s=round(placement.first_s, 4),
+        )
+        prompt = self._job.arrival.prompt
+        if prompt is None:
+            return
+        for key in filter(None, (placement.reader, placement.generator)):
+            self._context.placing.note_prompt(self._job.service, key, prompt)
+            self._context.outbox.note_dispatch(key, prompt.parts)
+
+    def note_begun(self, attempt: Attempt, dispatch: Dispatch) -> None:
+        """Note a first token or an answer: the target runs the request."""
+        dispatch.started = True
+        now = self._context.clock()
+        if attempt.reader is None:
+            self._context.placing.learn(attempt.target, dispatch)
+        expected_s = attempt.placement.first_s
+        self._context.placing.observe(
+            attempt.target,
+            Answered(
+                now - dispatch.sent_at,
+                expected_s or self._job.route.target_latency_s,
+            ),
+        )
+        self._context.log.note(
+            'begun',
+            request=self._job.arrival.identity,
+            target=attempt.target.key,
+            expected_s=round(expected_s, 4),
+            taken_s=round(now - attempt.started_at, 4),
+        )
+
+    def note_failure(
+        self,
+        attempt: Attempt,
+        error: Exception,
+        *,
+        started: bool,
+    ) -> None:
+        """Note that an attempt failed."""
+        self._context.log.note(
+            'attempt_failed',
+            request=self._job.arrival.identity,
+            target=attempt.target.key,
+            error=repr(error),
+            started=started,
+        )
+
+    def count(self) -> None:
+        """Count the request as begun, once."""
+        if self._counted or self._job.team is None:
+            return
+        self._counted = True
+        self._context.usage.count(self._job.team.name)
--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -3,7 +3,7 @@
 import dataclasses
 from http import HTTPStatus
 
-from geranium_policy.health import Answered, Silent, Unreachable
+from geranium_policy.health import Silent, Unreachable
 
 from .attempts import Attempt, patience_with
 from .call_errors import (
@@ -22,6 +22,7 @@
 from .ports import AnswerSink, TargetAnswer
 from .prompt_reading import PromptReading
 from .run_context import RunContext
+from .run_notes import RunNotes
 from .run_settings import RunSettings
 from .sending import open_answer
 from .suspicion import suspect
@@ -56,10 +57,10 @@
             resumable=job.route.resumable,
             resume_after=job.arrival.resume_after,
         )
+        self._notes = RunNotes(job, context)
         self._avoid: set[str] = set()
         self._sends = 0
         self._runs = 0
-        self._counted = False
         self._failure: tuple[AnswerHead, bytes] | None = None
 
     async def serve(self) -> Outcome:
@@ -128,7 +129,8 @@
         if not self._may_send():
             refusal = Refused('no repeat left', self._settings.retry_after_s)
             return await self._give_up(refusal)
-        self._note_dispatch(attempt)
+        self._sends += 1
+        self._notes.note_dispatch(attempt, self._sends)
         try:
             return await self._send(attempt)
         except RelayError as error:
@@ -149,27 +151,6 @@
         route = self._job.route
         return route.repeatable and self._runs < route.max_attempts
 
-    def _note_dispatch(self, attempt: Attempt) -> None:
-        self._sends += 1
-        placement = attempt.placement
-        self._context.placing.note_dispatch(attempt.target)
-        self._context.log.note(
-            'dispatched',
-            request=self._job.arrival.identity,
-            send=self._sends,
-            target=attempt.target.key,
-            reader=placement.reader,
-            fresh_tokens=placement.fresh_tokens,
-            wait_s=round(placement.wait_s, 4),
-            first_s=round(placement.first_s, 4),
-        )
-        prompt = self._job.arrival.prompt
-        if prompt is None:
-            return
-        for key in filter(None, (placement.reader, placement.generator)):
-            self._context.placing.note_prompt(self._job.service, key, prompt)
-            self._context.outbox.note_dispatch(key, prompt.parts)
-
     async def _send(self, attempt: Attempt) -> Outcome | None:
         kept = await self._reading.read(self._job, attempt)
         if not self._context.placing.takes_requests(attempt.target):
@@ -249,7 +230,7 @@
         head = answer.head
         if head.succeeded and not head.signed:
             raise AnswerLostError('success without signature')
-        self._count()
+        self._notes.count()
         if self._job.route.kind is RouteKind.STREAM and head.succeeded:
             return await self._passing.pass_stream(
                 answer,
@@ -259,10 +240,10 @@
                     self._settings,
                     may_repeat=self._may_repeat(),
                 ),
-                lambda: self._note_begun(attempt, dispatch),
+                lambda: self._notes.note_begun(attempt, dispatch),
             )
         body = b''.join([chunk async for chunk in answer.chunks()])
-        self._note_begun(attempt, dispatch)
+        self._notes.note_begun(attempt, dispatch)
         if head.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
             self._failure = head, body
             if self._may_repeat():
@@ -270,36 +251,6 @@
                 return None
         return await self._passing.pass_whole(head, body)
 
-    def _note_begun(self, attempt: Attempt, dispatch: Dispatch) -> None:
-        """Note a first token or an answer: the target runs the request."""
-        dispatch.started = True
-        now = self._context.clock()
-        if attempt.reader is None:
-            self._context.placing.learn(attempt.target, dispatch)
-        expected_s = attempt.placement.first_s
-        self._context.placing.observe(
-            attempt.target,
-            Answered(
-                now - dispatch.sent_at,
-                expected_s or self._job.route.target_latency_s,
-            ),
-        )
-        self._context.log.note(
-            'begun',
-            request=self._job.arrival.identity,
-            send=self._sends,
-            target=attempt.target.key,
-            expected_s=round(expected_s, 4),
-            taken_s=round(now - attempt.started_at, 4),
-        )
-
-    def _count(self) -> None:
-        """Count the request as begun, once."""
-        if self._counted or self._job.team is None:
-            return
-        self._counted = True
-        self._context.usage.count(self._job.team.name)
-
     async def _after(
         self,
         attempt: Attempt,
@@ -311,12 +262,9 @@
         """
         target = attempt.target
         self._avoid.add(target.key)
-        self._context.log.note(
-            'attempt_failed',
-            request=self._job.arrival.identity,
-            send=self._sends,
-            target=target.key,
-            error=repr(error),
+        self._notes.note_failure(
+            attempt,
+            error,
             started=self._passing.started,
         )
         match error:
@@ -336,7 +284,7 @@
     def _after_run(self, reason: str) -> Outcome | None:
         self._passing.forget_partial_event()
         if self._service.engine is None:
-            self._count()
+            self._notes.count()
         if self._may_repeat() and self._passing.knows_position():
             return None
         if self._passing.started:
--- a/packages/geranium-relay/src/geranium_relay/usage.py
+++ b/packages/geranium-relay/src/geranium_relay/usage.py
@@ -124,7 +124,8 @@
 
     async def write_all(self) -> None:
         """Write all counts, those of the present window included."""
-        await self.write(int(self._time.now() // self._settings.window_s))
+        window = self._time.now() // self._settings.window_s
+        await self.write(int(window))
 
     async def write(self, through: int) -> None:
         """Write the counts of windows up to one, again after failures."""
@@ -260,9 +261,10 @@
         total: collections.Counter[str] = collections.Counter()
         for found in await self._store.read_prefix(COUNTS_PREFIX):
             body = found.body if isinstance(found.body, dict) else {}
-            if str(window) in body:
+            counted = body.get(str(window))
+            if counted is not None:
                 written.add(found.key.removeprefix(COUNTS_PREFIX))
-                total.update(_counts(body[str(window)]))
+                total.update(_counts(counted))
             elif self._is_outdated(window, body):
                 await self._remove(found)
         for counts in self._told.of_window(window, written):
