--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/flake8 packages platform examples
+	$(BIN)/flake8 packages platform tests examples
 	$(BIN)/mypy packages/*/src platform/src
 	$(BIN)/lint-imports
 
--- a/packages/geranium-relay/src/geranium_relay/peers.py
+++ b/packages/geranium-relay/src/geranium_relay/peers.py
@@ -32,6 +32,8 @@
         news_every_s: Time between two news with few hosts.
         hosts_at_full_rate: With more hosts news come more seldom in
             proportion, so that a host's traffic stays bounded.
+        reader_news_every_s: Longest time between two news of a host that
+            others rely on for what it reads from the store.
         silent_news: A host that misses so many news is not used.
         forget_s: A host that is silent for so long is not told news.
         least_step_s: Differences of true time below this are left alone.
@@ -39,6 +41,7 @@
 
     news_every_s: float = 0.2
     hosts_at_full_rate: int = 16
+    reader_news_every_s: float = 0.4
     silent_news: float = 6
     forget_s: float = 30
     least_step_s: float = 0.25
@@ -143,6 +146,10 @@
         share = len(self._peers_by_host) / settings.hosts_at_full_rate
         return settings.news_every_s * max(share, 1)
 
+    def reader_news_every_s(self) -> float:
+        """Return the same for a host that reads the store for others."""
+        return min(self.news_every_s(), self._settings.reader_news_every_s)
+
     def _is_heard(self, peer: _Peer) -> bool:
         if peer.heard_at is None:
             return False
@@ -167,6 +174,7 @@
     state: Callable[[], OwnState]
     usage: Callable[[], UsageByWindow]
     known: Callable[[], Knowledge]
+    is_reader: Callable[[], bool]
 
 
 class PeerExchange(asyncio.DatagramProtocol):
@@ -213,7 +221,7 @@
         try:
             while True:
                 self.tell()
-                await asyncio.sleep(self._peers.news_every_s())
+                await asyncio.sleep(self._pause_s())
         finally:
             transport.close()
 
@@ -262,6 +270,11 @@
         )
         self._hear(news, self._keys_by_hash)
 
+    def _pause_s(self) -> float:
+        if self._sources.is_reader():
+            return self._peers.reader_news_every_s()
+        return self._peers.news_every_s()
+
     def _name_loads(
         self,
         load_by_hash: Mapping[int, TargetLoad],
--- /dev/null
+++ b/tests/adapter/conftest.py
@@ -0,0 +1,210 @@
+"""Stand-ins on ports of the kernel's choice, and a host before them."""
+
+import asyncio
+import contextlib
+import dataclasses
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from typing import Any
+
+import aiohttp
+import pytest
+from aiohttp import web
+from geranium_platform import PlatformSettings
+from geranium_platform.host import Host
+from geranium_platform_standins import (
+    StandinCloud,
+    StandinStore,
+    StandinTarget,
+)
+
+Serve = Callable[[web.Application], Awaitable[str]]
+
+ROUTE: dict[str, Any] = {
+    'host': 'example',
+    'timeoutMs': 800,
+    'targetLatencyMs': 200,
+    'targetGapMs': 250,
+    'priority': 0,
+    'service': 'app',
+    'maxAttempts': 2,
+    'public': False,
+}
+CONFIGURATION: dict[str, Any] = {
+    'version': 1,
+    'routes': [
+        {**ROUTE, 'name': kind, 'pathPrefix': f'/{kind}/', 'kind': kind}
+        for kind in ('safe', 'unsafe', 'streaming')
+    ],
+    'services': [{'name': 'app', 'maxConnections': 100}],
+    'tenants': [{'name': 'team', 'apiKeys': ['key']}],
+}
+
+
+@dataclasses.dataclass(slots=True)
+class World:
+    """A running host, what stands around it and a caller."""
+
+    settings: PlatformSettings
+    host: Host
+    store: StandinStore
+    cloud: StandinCloud
+    target: StandinTarget
+    caller: aiohttp.ClientSession
+
+    def url(self, path: str) -> str:
+        """Return where a caller sends a request."""
+        return f'http://{self.settings.listen.front}{path}'
+
+    def headers(self, **more: str) -> dict[str, str]:
+        """Return a caller's headers."""
+        named = {name.replace('_', '-'): text for name, text in more.items()}
+        return {
+            'Host': 'example',
+            'Authorization': 'Bearer key',
+            'Request-Id': 'r1',
+            'Deadline-Ms': '700',
+            **named,
+        }
+
+
+@pytest.fixture
+async def serve() -> AsyncIterator[Serve]:
+    """Serve an application and return its address."""
+    runners = []
+
+    async def start(application: web.Application) -> str:
+        runner = web.AppRunner(
+            application,
+            shutdown_timeout=0,
+            handler_cancellation=True,
+        )
+        await runner.setup()
+        await web.TCPSite(runner, '127.0.0.1', 0).start()
+        runners.append(runner)
+        host, port = runner.addresses[0][:2]
+        return f'{host}:{port}'
+
+    yield start
+    for runner in runners:
+        await runner.cleanup()
+
+
+@pytest.fixture
+def standin() -> StandinStore:
+    return StandinStore()
+
+
+@pytest.fixture
+async def store_address(standin: StandinStore, serve: Serve) -> str:
+    return await serve(standin.application())
+
+
+@pytest.fixture
+def target() -> StandinTarget:
+    return StandinTarget()
+
+
+@pytest.fixture
+async def world(
+    standin: StandinStore,
+    store_address: str,
+    target: StandinTarget,
+    serve: Serve,
+) -> AsyncIterator[World]:
+    """Give a host that is ready, with one target of one service."""
+    cloud = StandinCloud()
+    settings = make_settings(
+        platform={'address': store_address},
+        cloud={'address': await serve(cloud.application())},
+    )
+    standin.put('config', 'main', CONFIGURATION)
+    standin.put('servers', 't1', describe(await serve(target.application())))
+    host = Host(settings)
+    running = asyncio.create_task(host.run())
+    caller = aiohttp.ClientSession()
+    ready = f'http://{settings.listen.ready}/ready'
+    await wait_for(lambda: answers(caller, ready))
+    await wait_for(lambda: has_targets(host))
+    yield World(settings, host, standin, cloud, target, caller)
+    await caller.close()
+    running.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await running
+
+
+def describe(address: str, **changes: object) -> dict[str, object]:
+    """Return the entry of an application target."""
+    return {
+        'service': 'app',
+        'address': address,
+        'zone': 'a',
+        'version': 'v1',
+        'slots': 6,
+        'state': 'ready',
+        'coldRemainingMs': 0,
+        'sequence': 0,
+        'born': 1,
+        **changes,
+    }
+
+
+def make_settings(**changes: Mapping[str, object]) -> PlatformSettings:
+    """Return settings of a host on free ports of this machine."""
+    ports = free_ports(4)
+    return PlatformSettings.model_validate(
+        {
+            'nodeName': 'host-1',
+            'ip': '127.0.0.1',
+            'zone': 'a',
+            'internalPorts': [ports[3], ports[3]],
+            'heartbeatMs': 1200,
+            'bootstrap': True,
+            'listen': {
+                'front': f'127.0.0.1:{ports[0]}',
+                'ready': f'127.0.0.1:{ports[1]}',
+                'directory': f'127.0.0.1:{ports[2]}',
+            },
+            'bounds': {
+                'revokeMs': 5000,
+                'graceS': 8,
+                'leaseMs': 3000,
+                'retryBudgetRatio': 0.2,
+                'budgetWindowS': 10,
+                'budgetSlack': 56,
+                'reportWindowS': 5,
+                'usageLateS': 10,
+            },
+            **changes,
+        },
+    )
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that the kernel has just given out."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for opened in sockets:
+            opened.bind(('127.0.0.1', 0))
+        return [opened.getsockname()[1] for opened in sockets]
+
+
+async def wait_for(condition: Callable[[], Awaitable[bool]]) -> None:
+    """Return once a condition holds; fail after a generous time."""
+    async with asyncio.timeout(20):
+        while not await condition():
+            await asyncio.sleep(0.02)
+
+
+async def answers(caller: aiohttp.ClientSession, url: str) -> bool:
+    """Say whether a URL answers 200."""
+    try:
+        async with caller.get(url) as response:
+            return response.status == 200
+    except aiohttp.ClientError:
+        return False
+
+
+async def has_targets(host: Host) -> bool:
+    """Say whether a host knows a target."""
+    return bool(host.knowledge.fleet.targets_by_identity)
--- /dev/null
+++ b/tests/adapter/test_host.py
@@ -0,0 +1,240 @@
+"""A host serves callers over HTTP against stand-ins of the platform."""
+
+import asyncio
+
+import aiohttp
+import pytest
+from aiohttp import web
+from geranium_platform_standins import StandinTarget
+
+FORGED = {
+    'Tenant': 'other',
+    'Kv-Hold': 'h',
+    'Kv-Source': '10.0.0.1:80/x',
+    'Kv-Backup': '10.0.0.1:80',
+    'Pin-Ms': '4000',
+    'Expect-Instance': 'i-x',
+    'Request-Priority': '0',
+    'Stage': 'prefill',
+}
+
+
+async def post(world, path: str, **options):
+    headers = options.pop('headers', None) or world.headers()
+    return await world.caller.post(
+        world.url(path),
+        headers=headers,
+        **options,
+    )
+
+
+async def test_request_reaches_its_target_unchanged(world) -> None:
+    path = '/unsafe/a%2Fb/../c?q=%20x&y'
+    url = aiohttp.client.URL(world.url(path), encoded=True)
+
+    response = await world.caller.post(
+        url,
+        data=b'body',
+        headers=world.headers(X_Own='kept'),
+    )
+
+    assert response.status == 200
+    assert await response.read() == b'body'
+    assert response.headers['Response-Signature'] == 'signed'
+    (request,) = world.target.requests
+    assert request.raw_path == path
+    assert request.headers['X-Own'] == 'kept'
+    assert request.headers['Host'] == 'example'
+    assert request.headers['Tenant'] == 'team'
+    assert request.headers['Expect-Instance'] == 't1'
+    assert 0 < int(request.headers['Deadline-Ms']) <= 700
+
+
+async def test_headers_that_are_ours_are_never_taken_from_a_caller(
+    world,
+) -> None:
+    response = await post(
+        world,
+        '/safe/x',
+        headers={**world.headers(), **FORGED},
+    )
+
+    assert response.status == 200
+    (request,) = world.target.requests
+    assert request.headers['Tenant'] == 'team'
+    assert request.headers['Expect-Instance'] == 't1'
+    for name in ('Authorization', 'Kv-Hold', 'Kv-Source', 'Kv-Backup'):
+        assert name not in request.headers
+    for name in ('Pin-Ms', 'Stage', 'Request-Priority'):
+        assert name not in request.headers
+
+
+@pytest.mark.parametrize(
+    ('path', 'authorization', 'status'),
+    [
+        ('/unsafe/x', 'Bearer other', 401),
+        ('/nothing/x', 'Bearer key', 404),
+    ],
+)
+async def test_what_the_catalogue_does_not_allow_is_rejected(
+    world,
+    path: str,
+    authorization: str,
+    status: int,
+) -> None:
+    headers = world.headers(Authorization=authorization)
+
+    response = await post(world, path, headers=headers)
+
+    assert response.status == status
+    assert not world.target.requests
+
+
+async def test_withdrawn_key_is_refused_and_a_new_route_served(world) -> None:
+    configuration = dict(world.store.spec('config', 'main'))
+    configuration['version'] = 2
+    configuration['tenants'] = [{'name': 'team', 'apiKeys': ['new']}]
+    world.store.put('config', 'main', configuration)
+    async with asyncio.timeout(10):
+        while (await post(world, '/safe/x')).status != 401:
+            await asyncio.sleep(0.02)
+
+    headers = world.headers(Authorization='Bearer new')
+
+    assert (await post(world, '/safe/x', headers=headers)).status == 200
+
+
+async def test_unreadable_configuration_leaves_the_former_in_force(
+    world,
+) -> None:
+    world.store.put('config', 'main', {'version': 'broken'})
+    await asyncio.sleep(0.3)
+
+    assert (await post(world, '/safe/x')).status == 200
+
+
+async def test_directory_names_this_host(world) -> None:
+    directory = world.settings.listen.directory
+    url = f'http://{directory}/resolve?name=example&zone=a&region=r'
+
+    async with world.caller.get(url) as response:
+        told = await response.json()
+
+    assert told['addresses'] == [world.settings.listen.front]
+    assert 0 < told['ttlS'] <= 5
+
+
+async def test_store_that_is_away_makes_keys_unusable_in_time(world) -> None:
+    world.store.faults.status = 503
+    async with asyncio.timeout(20):
+        while True:
+            response = await post(world, '/safe/x')
+            if response.status == 503:
+                break
+            assert response.status == 200
+            await asyncio.sleep(0.1)
+
+    assert float(response.headers['Retry-After']) > 0
+
+
+class TestFailingTargets:
+    """Each failure of a target ends as what it is."""
+
+    @pytest.fixture
+    def target(self) -> StandinTarget:
+        return StandinTarget(self.behave)
+
+    async def behave(self, request: web.Request) -> web.StreamResponse:
+        match request.match_info['path'].partition('/')[2]:
+            case 'full':
+                return web.Response(status=503, headers={'Not-Executed': '1'})
+            case 'crossed':
+                return web.Response(
+                    headers={
+                        'Request-Id': 'another',
+                        'Response-Signature': 's',
+                    },
+                )
+            case 'encoded':
+                return web.Response(
+                    headers={
+                        'Request-Id': 'r1',
+                        'Response-Signature': 's',
+                        'Content-Encoding': 'gzip',
+                    },
+                )
+            case 'slow':
+                await asyncio.sleep(30)
+            case 'reset':
+                request.transport.abort()
+            case 'half':
+                return await self.answer_half(request)
+        return web.Response(headers={'Request-Id': 'r1'})
+
+    async def answer_half(self, request: web.Request) -> web.StreamResponse:
+        response = web.StreamResponse(
+            headers={'Request-Id': 'r1', 'Response-Signature': 's'},
+        )
+        await response.prepare(request)
+        await response.write(b'id: 1\ndata: x\n\n')
+        request.transport.abort()
+        return response
+
+    @pytest.mark.parametrize(
+        ('path', 'status'),
+        [
+            ('/unsafe/full', 503),
+            ('/unsafe/crossed', 502),
+            ('/unsafe/encoded', 502),
+            ('/unsafe/unsigned', 502),
+            ('/unsafe/slow', 504),
+            ('/unsafe/reset', 502),
+            ('/unsafe/half', 502),
+        ],
+    )
+    async def test_answer_tells_what_happened(
+        self,
+        world,
+        path: str,
+        status: int,
+    ) -> None:
+        response = await post(world, path, data=b'x')
+
+        assert response.status == status
+        assert ('Retry-After' in response.headers) == (status == 503)
+        assert len(world.target.requests) == 1
+
+    async def test_cut_stream_does_not_look_complete(self, world) -> None:
+        response = await post(world, '/streaming/half')
+
+        assert response.status == 200
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await response.read()
+
+    async def test_work_stops_when_the_caller_leaves(self, world) -> None:
+        with pytest.raises(TimeoutError):
+            await post(
+                world,
+                '/unsafe/slow',
+                timeout=aiohttp.ClientTimeout(total=0.2),
+            )
+        (request,) = world.target.requests
+        async with asyncio.timeout(5):
+            while request.transport is not None:
+                await asyncio.sleep(0.01)
+
+
+async def test_windows_are_reported_once_by_the_holder(world) -> None:
+    for _ in range(3):
+        assert (await post(world, '/safe/x')).status == 200
+
+    async with asyncio.timeout(40):
+        while not world.cloud.calls:
+            await asyncio.sleep(0.1)
+
+    (call,) = world.cloud.calls
+    assert call.path == 'usage'
+    assert call.holder == 'host-1'
+    assert call.body['counts'] == {'team': 3}
+    sealed = world.store.names('geranium-usage-seals')
+    assert sealed == [str(call.body['windowId'])]
--- /dev/null
+++ b/tests/adapter/test_object_store.py
@@ -0,0 +1,158 @@
+"""The adapter's store keeps the promises of the product's port."""
+
+import contextlib
+from collections.abc import AsyncIterator
+
+import pytest
+from geranium_coordination import (
+    AnswerLostError,
+    ConflictError,
+    IfAbsent,
+    IfVersion,
+    UnavailableError,
+    Unconditional,
+)
+from geranium_platform.object_store import (
+    Changes,
+    HistoryGone,
+    PlatformStore,
+    StoreSettings,
+)
+from geranium_platform_standins import StandinStore
+
+KEY = 'usage/counts/host'
+
+
+@pytest.fixture
+async def store(store_address: str) -> AsyncIterator[PlatformStore]:
+    client = PlatformStore(StoreSettings(store_address))
+    yield client
+    await client.cleanup()
+
+
+async def test_created_object_is_read_back(store: PlatformStore) -> None:
+    version = await store.write(KEY, {'a': 1}, IfAbsent())
+
+    found = await store.read(KEY)
+
+    assert found is not None
+    assert (found.version, found.body) == (version, {'a': 1})
+
+
+async def test_conditions_hold(store: PlatformStore) -> None:
+    version = await store.write(KEY, {'a': 1}, IfAbsent())
+
+    with pytest.raises(ConflictError) as conflict:
+        await store.write(KEY, {'a': 2}, IfAbsent())
+    assert conflict.value.present_version == version
+    with pytest.raises(ConflictError):
+        await store.write(KEY, {'a': 2}, IfVersion(version - 1))
+    assert await store.write(KEY, {'a': 2}, IfVersion(version)) > version
+
+
+async def test_unconditional_write_creates_and_replaces(
+    store: PlatformStore,
+) -> None:
+    await store.write(KEY, {'a': 1}, Unconditional())
+    await store.write(KEY, {'a': 2}, Unconditional())
+
+    found = await store.read(KEY)
+
+    assert found is not None
+    assert found.body == {'a': 2}
+
+
+async def test_absent_object_is_none_and_its_deletion_a_conflict(
+    store: PlatformStore,
+) -> None:
+    assert await store.read(KEY) is None
+    with pytest.raises(ConflictError):
+        await store.delete(KEY, IfVersion(3))
+
+
+async def test_list_goes_through_all_pages(
+    store: PlatformStore,
+    standin: StandinStore,
+) -> None:
+    standin.page = 2
+    for number in range(5):
+        standin.put('servers', f's{number}', {'n': number})
+
+    listing = await store.list_kind('servers')
+
+    assert [found.key for found in listing.found] == [
+        's0',
+        's1',
+        's2',
+        's3',
+        's4',
+    ]
+
+
+@pytest.mark.parametrize('status', [429, 503])
+async def test_refused_call_took_no_effect(
+    store: PlatformStore,
+    standin: StandinStore,
+    status: int,
+) -> None:
+    standin.faults.status = status
+
+    with pytest.raises(UnavailableError):
+        await store.write(KEY, {}, IfAbsent())
+    with pytest.raises(UnavailableError):
+        await store.read(KEY)
+
+
+async def test_lost_answer_of_a_write_is_told_as_such(
+    store: PlatformStore,
+    standin: StandinStore,
+) -> None:
+    standin.faults.loses_answers = True
+
+    with pytest.raises(AnswerLostError):
+        await store.write(KEY, {'a': 1}, IfAbsent())
+
+    assert standin.names('geranium-usage-counts') == ['host']
+
+
+async def test_lost_write_is_sent_once(
+    store: PlatformStore,
+    standin: StandinStore,
+) -> None:
+    standin.put('geranium-usage-counts', 'host', {})
+    standin.faults.loses_answers = True
+    with contextlib.suppress(AnswerLostError):
+        await store.write(KEY, {'a': 1}, IfVersion(2))
+
+    assert [call[0] for call in standin.calls] == ['PUT']
+
+
+async def test_watch_tells_what_changed_and_what_went(
+    store: PlatformStore,
+    standin: StandinStore,
+) -> None:
+    standin.put('servers', 'kept', {'n': 1})
+    since = standin.put('servers', 'gone', {'n': 2})
+    standin.put('servers', 'kept', {'n': 3})
+    standin.remove('servers', 'gone')
+
+    changes = await store.watch_kind('servers', since, 0.1)
+
+    assert isinstance(changes, Changes)
+    assert changes.body_by_name == {'kept': {'n': 3}, 'gone': None}
+
+
+async def test_dropped_history_is_told(
+    store: PlatformStore,
+    standin: StandinStore,
+) -> None:
+    standin.faults.history_gone = True
+
+    assert await store.watch_kind('servers', 1, 0.1) == HistoryGone()
+
+
+async def test_unreachable_store_is_unavailable() -> None:
+    client = PlatformStore(StoreSettings('127.0.0.1:1'))
+
+    with pytest.raises(UnavailableError):
+        await client.write(KEY, {}, IfAbsent())
