--- a/packages/geranium-relay/src/geranium_relay/__init__.py
+++ b/packages/geranium-relay/src/geranium_relay/__init__.py
@@ -90,6 +90,7 @@
     StoreKnowledge,
 )
 from .targets import Fleet, FleetChange, Stage, Target
+from .telemetry import Telemetry
 from .usage import (
     ToldUsage,
     UsageCounter,
@@ -180,6 +181,7 @@
     'TargetPort',
     'TargetSilentError',
     'Team',
+    'Telemetry',
     'TimedOut',
     'ToldUsage',
     'TrueTime',
--- a/packages/geranium-relay/src/geranium_relay/relay.py
+++ b/packages/geranium-relay/src/geranium_relay/relay.py
@@ -69,6 +69,11 @@
                 self._note_end(admitted, outcome)
                 return outcome
             case _:
+                self._context.telemetry.record_end(
+                    type(admitted).__name__,
+                    'none',
+                    0,
+                )
                 self._context.log.note(
                     'rejected',
                     request=arrival.identity,
@@ -164,6 +169,11 @@
 
     def _note_end(self, job: Job, outcome: Outcome) -> None:
         now = self._context.clock()
+        self._context.telemetry.record_end(
+            type(outcome).__name__,
+            job.service,
+            now - job.arrival.arrived_at,
+        )
         self._context.log.note(
             'ended',
             request=job.arrival.identity,
--- a/packages/geranium-relay/src/geranium_relay/run_context.py
+++ b/packages/geranium-relay/src/geranium_relay/run_context.py
@@ -13,6 +13,7 @@
 from .peer_news import Outbox
 from .placing import Placing
 from .ports import TargetPort
+from .telemetry import Telemetry
 from .usage import UsageCounter
 
 
@@ -56,6 +57,7 @@
     outbox: Outbox
     usage: UsageCounter
     log: DecisionLog
+    telemetry: Telemetry
     clock: Callable[[], float]
 
 
--- a/packages/geranium-relay/src/geranium_relay/run_notes.py
+++ b/packages/geranium-relay/src/geranium_relay/run_notes.py
@@ -40,6 +40,7 @@
     def note_begun(self, attempt: Attempt, dispatch: Dispatch) -> None:
         """Note a first token or an answer: the target runs the request."""
         dispatch.started = True
+        self._context.telemetry.record_attempt('Begun')
         now = self._context.clock()
         if attempt.reader is None:
             self._context.placing.learn(attempt.target, dispatch)
@@ -67,6 +68,7 @@
         started: bool,
     ) -> None:
         """Note that an attempt failed."""
+        self._context.telemetry.record_attempt(type(error).__name__)
         self._context.log.note(
             'attempt_failed',
             request=self._job.arrival.identity,
--- a/packages/geranium-relay/tests/test_runs.py
+++ b/packages/geranium-relay/tests/test_runs.py
@@ -243,6 +243,7 @@
             relay.Outbox(),
             self.usage,
             log,
+            relay.Telemetry(),
             now,
         )
         self.loads = loads
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -155,7 +155,7 @@
 
 def make_settings(**changes: Mapping[str, object]) -> PlatformSettings:
     """Return settings of a host on free ports of this machine."""
-    ports = free_ports(4)
+    ports = free_ports(5)
     return PlatformSettings.model_validate(
         {
             'nodeName': 'host-1',
@@ -168,6 +168,7 @@
                 'front': f'127.0.0.1:{ports[0]}',
                 'ready': f'127.0.0.1:{ports[1]}',
                 'directory': f'127.0.0.1:{ports[2]}',
+                'metricsPort': ports[4],
             },
             'bounds': {
                 'revokeMs': 5000,
--- a/tests/adapter/test_host.py
+++ b/tests/adapter/test_host.py
@@ -249,3 +249,15 @@
     assert call.body['counts'] == {'team': 3}
     sealed = world.store.names('geranium-usage-seals')
     assert sealed == [str(call.body['windowId'])]
+
+
+async def test_metrics_count_requests_by_outcome(world) -> None:
+    await post(world, '/safe/x')
+    port = world.settings.listen.metrics_port
+
+    async with world.caller.get(f'http://127.0.0.1:{port}/metrics') as shown:
+        text = await shown.text()
+
+    counted = 'geraniumdrum_requests{outcome="Delivered",service="app"} 1'
+    assert counted in text.splitlines()
+    assert 'geraniumdrum_request_duration_seconds_bucket' in text
