--- a/packages/geraniumctl/src/geraniumctl/cli.py
+++ b/packages/geraniumctl/src/geraniumctl/cli.py
@@ -14,6 +14,7 @@
 from .exceptions import ClientError
 from .exit_codes import EXIT_CODES_HELP
 from .failures import report_failure
+from .log_files import describe_record, find_request
 from .options import (
     FILE_TYPE,
     Invocation,
@@ -112,6 +113,18 @@
     _perform(context, ReadState(), output)
 
 
+@main.command()
+@click.argument('identity', metavar='REQUEST-ID')
+@click.argument('files', nargs=-1, required=True, type=click.File('r'))
+def logs(identity: str, files: tuple[TextIO, ...]) -> None:
+    """Show what hosts logged of one request, from FILES of their output."""
+    records = find_request(identity, files)
+    for record in records:
+        click.echo(describe_record(record))
+    if not records:
+        raise click.ClickException(f'no line names {identity}')
+
+
 @main.command()
 @click.pass_obj
 def prompt(invocation: Invocation) -> None:
