--- a/packages/geranium-relay/src/geranium_relay/relay.py
+++ b/packages/geranium-relay/src/geranium_relay/relay.py
@@ -65,9 +65,7 @@
         admitted = self._admit(host, key, arrival)
         match admitted:
             case Job():
-                outcome = await self._run(admitted, sink)
-                self._note_end(admitted, outcome)
-                return outcome
+                return await self._see_through(admitted, sink)
             case _:
                 self._context.telemetry.record_end(
                     type(admitted).__name__,
@@ -84,6 +82,15 @@
                 )
                 return admitted
 
+    async def _see_through(self, job: Job, sink: AnswerSink) -> Outcome:
+        try:
+            outcome = await self._run(job, sink)
+        except asyncio.CancelledError:
+            self._note_end(job, 'CallerLeft', None)
+            raise
+        self._note_end(job, type(outcome).__name__, _detail(outcome))
+        return outcome
+
     def _version(self) -> int | None:
         catalogue = self._view.catalogue
         return None if catalogue is None else catalogue.version
@@ -167,10 +174,10 @@
         except TimeoutError:
             return run.late_outcome()
 
-    def _note_end(self, job: Job, outcome: Outcome) -> None:
+    def _note_end(self, job: Job, outcome: str, detail: object) -> None:
         now = self._context.clock()
         self._context.telemetry.record_end(
-            type(outcome).__name__,
+            outcome,
             job.service,
             now - job.arrival.arrived_at,
         )
@@ -180,8 +187,10 @@
             route=job.route.name,
             service=job.service,
             team=job.team.name if job.team else None,
-            outcome=type(outcome).__name__,
-            detail=_detail(outcome),
+            outcome=outcome,
+            detail=detail,
+            catalogue=self._version(),
+            catalogue_age_s=round(self._view.age_s(), 3),
             took_s=round(now - job.arrival.arrived_at, 4),
             left_s=round(job.deadline - now, 3),
         )
--- a/packages/geranium-relay/src/geranium_relay/run_notes.py
+++ b/packages/geranium-relay/src/geranium_relay/run_notes.py
@@ -1,5 +1,7 @@
 """What is learnt and told of a request while it runs."""
 
+from collections.abc import Collection
+
 from geranium_policy.health import Answered
 
 from .attempts import Attempt
@@ -37,6 +39,18 @@
             self._context.placing.note_prompt(self._job.service, key, prompt)
             self._context.outbox.note_dispatch(key, prompt.parts)
 
+    def note_busy(self, avoid: Collection[str], free_in_s: float) -> None:
+        """Note that no engine gets to the request in time."""
+        self._context.log.note(
+            'engines_busy',
+            request=self._job.arrival.identity,
+            service=self._job.service,
+            rank=self._job.priority,
+            avoided=sorted(avoid),
+            free_in_s=round(free_in_s, 3),
+            objective_s=self._job.route.target_latency_s,
+        )
+
     def note_begun(self, attempt: Attempt, dispatch: Dispatch) -> None:
         """Note a first token or an answer: the target runs the request."""
         dispatch.started = True
--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -91,6 +91,7 @@
             case Placement():
                 return self._attempt(decision, now)
             case TooBusy(free_in_s=free_in_s):
+                self._notes.note_busy(self._avoid, free_in_s)
                 wait_s = max(free_in_s, self._settings.retry_after_s)
                 return Refused('engines busy', wait_s)
             case NoEngine():
--- a/packages/geranium-relay/tests/test_runs.py
+++ b/packages/geranium-relay/tests/test_runs.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import itertools
+import json
 import random
 import time
 from collections.abc import AsyncIterator, Callable, Sequence
@@ -398,6 +399,9 @@
         await serving
 
     assert world.loads.open_count == 0
+    last = json.loads(world.lines[-1])
+    assert (last['event'], last['outcome']) == ('ended', 'CallerLeft')
+    assert last['request'] == 'r1'
 
 
 async def test_request_that_crashed_two_targets_is_held_back() -> None:
