--- /dev/null
+++ b/packages/geranium-relay/tests/world.py
@@ -0,0 +1,246 @@
+"""A relay over fake targets and fake callers."""
+
+import asyncio
+import random
+from collections.abc import AsyncIterator, Callable, Sequence
+
+import geranium_relay as relay
+from geranium_policy.prompt_placement import Placement
+from geranium_policy.retry_share import RetryShareSettings
+from geranium_policy.suspects import SuspectRegister, SuspectSettings
+
+WHOLE = relay.AnswerHead(200, (), signed=True)
+EVENTS = (b'id: 1\ndata: a\n\n', b'id: 2\ndata: b\n\n', b'id: 3\ndata: c\n\n')
+Script = Callable[[relay.TargetCall], 'FakeAnswer']
+
+
+class FakeAnswer:
+    def __init__(
+        self,
+        head: relay.AnswerHead,
+        chunks: Sequence[bytes],
+        error: Exception | None = None,
+    ) -> None:
+        self.head = head
+        self.closed = False
+        self._chunks = chunks
+        self._error = error
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        for chunk in self._chunks:
+            yield chunk
+        if self._error is not None:
+            raise self._error
+
+    def close(self) -> None:
+        self.closed = True
+
+
+class FakeTargets:
+    """Answers each call by the next script and remembers the calls."""
+
+    def __init__(self, *scripts: Script) -> None:
+        self.calls: list[relay.TargetCall] = []
+        self.dropped: list[relay.CacheHandle] = []
+        self.reachable = True
+        self.chosen = ''
+        self.answers: list[FakeAnswer] = []
+        self._scripts = list(scripts)
+
+    async def send(self, call: relay.TargetCall) -> FakeAnswer:
+        self.calls.append(call)
+        script = self._scripts.pop(0)
+        answer = script(call)
+        if answer.head.status == 0:
+            await asyncio.Event().wait()
+        self.answers.append(answer)
+        return answer
+
+    async def read_prompt(self, call: relay.TargetCall) -> relay.CacheHandle:
+        raise relay.NotSentError('nobody reads here')
+
+    async def is_reachable(self, target: relay.Target) -> bool:
+        return self.reachable
+
+    async def drop_prompt(self, kept: relay.CacheHandle) -> None:
+        self.dropped.append(kept)
+
+
+class FakeSink:
+    def __init__(self) -> None:
+        self.head: relay.AnswerHead | None = None
+        self.data = b''
+        self.finished = False
+
+    async def start(self, head: relay.AnswerHead, length: int | None) -> None:
+        assert self.head is None
+        self.head = head
+
+    async def write(self, data: bytes) -> None:
+        self.data += data
+
+    async def finish(self) -> None:
+        self.finished = True
+
+
+def answer(*chunks: bytes, head: relay.AnswerHead = WHOLE) -> Script:
+    return lambda _call: FakeAnswer(head, chunks)
+
+
+def cut(*chunks: bytes) -> Script:
+    lost = relay.AnswerLostError('cut', broken=True)
+    return lambda _call: FakeAnswer(WHOLE, chunks, lost)
+
+
+def failing(error: Exception) -> Script:
+    def script(_call: relay.TargetCall) -> FakeAnswer:
+        raise error
+
+    return script
+
+
+def silent(_call: relay.TargetCall) -> FakeAnswer:
+    return FakeAnswer(relay.AnswerHead(0, (), signed=False), ())
+
+
+def make_route(
+    name: str, kind: relay.RouteKind, **changes: object
+) -> relay.Route:
+    terms = {
+        'resumable': False,
+        'timeout_s': 0.6,
+        'target_latency_s': 0.1,
+        'target_gap_s': 0.25,
+        'priority': 0,
+        'max_attempts': 2,
+        'public': False,
+        **changes,
+    }
+    return relay.Route(
+        name=name,
+        host='example',
+        prefix=f'/{name}/',
+        kind=kind,
+        shares=(relay.Share('service', 1),),
+        **terms,
+    )
+
+
+ROUTES = (
+    make_route('safe', relay.RouteKind.SAFE),
+    make_route('unsafe', relay.RouteKind.UNSAFE),
+    make_route('stream', relay.RouteKind.STREAM),
+    make_route('resumable', relay.RouteKind.STREAM, resumable=True),
+    make_route('open', relay.RouteKind.SAFE, public=True),
+)
+
+
+class World:
+    """A relay over fake targets."""
+
+    def __init__(self, *scripts: Script, engines: bool = False) -> None:
+        self.clock = relay.BootClock()
+        self.targets = FakeTargets(*scripts)
+        self.suspects = SuspectRegister(SuspectSettings(max_crashes=2))
+        self.lines: list[str] = []
+        self.usage = relay.UsageCounter(
+            relay.UsageSettings(5, 10), relay.TrueTime(self.clock)
+        )
+        self.view = relay.CatalogueView(
+            relay.FreshnessSettings(5), self.clock.now
+        )
+        self.view.accept(self._catalogue(engines), self.clock.now())
+        self.relay = self._make_relay(engines)
+
+    def place_apart(self) -> None:
+        """Have the next prompt read by one engine for another."""
+        reader, target, *_ = self.fleet.targets_by_identity.values()
+        self.targets.chosen = target.key
+        placement = Placement(reader.key, target.key, 10, 0, 0.01)
+        self.placing.place_prompt = lambda *_: placement
+
+    async def serve(
+        self,
+        route: str,
+        key: str | None = 'key',
+        **changes: object,
+    ) -> tuple[relay.Outcome, FakeSink]:
+        sink = FakeSink()
+        now = self.clock.now()
+        fields = {
+            'identity': 'r1',
+            'method': 'POST',
+            'path': f'/{route}/x?q=1',
+            'headers': (),
+            'body': b'body',
+            'arrived_at': now,
+            'caller_deadline': now + 2,
+            'resume_after': None,
+            'prompt': None,
+            **changes,
+        }
+        arrival = relay.Arrival(**fields)
+        return await self.relay.serve('example', key, arrival, sink), sink
+
+    def _catalogue(self, engines: bool) -> relay.Catalogue:
+        profile = relay.EngineProfile(64, 500000, 4, 5) if engines else None
+        return relay.Catalogue(
+            version=1,
+            routes=ROUTES,
+            services_by_name={
+                'service': relay.Service('service', 10, profile, None)
+            },
+            teams_by_key={'key': relay.Team('team', None)},
+            has_teams=True,
+            limits=relay.Limits(1, 1, 1, 1),
+        )
+
+    def _make_relay(self, engines: bool) -> relay.Relay:
+        now = self.clock.now
+        fleet = relay.Fleet(2, 2)
+        stage = relay.Stage.DECODE if engines else None
+        fleet.replace(
+            [
+                relay.Target(
+                    identity=f't{number}',
+                    born_ms=1,
+                    service='service',
+                    address=f'10.0.0.{number}:1',
+                    zone='a',
+                    slots=6,
+                    leaving=False,
+                    reclaimable=False,
+                    stage=stage,
+                    weights_version=None,
+                )
+                for number in range(3)
+            ],
+            now(),
+        )
+        loads = relay.LoadBook(1)
+        source = random.Random(1)
+        log = relay.DecisionLog(relay.LogSettings(), self.lines.append, now)
+        self.fleet = fleet
+        self.placing = relay.Placing(
+            'a',
+            fleet,
+            loads,
+            relay.PlacingSettings(),
+            now,
+            source,
+        )
+        context = relay.RunContext(
+            self.targets,
+            self.placing,
+            loads,
+            relay.RetryShares(RetryShareSettings(0.2, 56, 10), lambda: 1),
+            self.suspects,
+            relay.Outbox(),
+            self.usage,
+            log,
+            relay.Telemetry(),
+            now,
+        )
+        self.loads = loads
+        settings = relay.RelaySettings(relay.RunSettings())
+        return relay.Relay(settings, self.view, context, source)
