--- a/packages/geranium-relay/src/geranium_relay/relay.py
+++ b/packages/geranium-relay/src/geranium_relay/relay.py
@@ -146,11 +146,9 @@
         )
         if verdict is Verdict.REJECT:
             return Refused('crashed targets', self._settings.suspect_retry_s)
-        shares = route.shares
-        service = shares[0].service
-        if len(shares) > 1:
-            weights = [share.weight for share in shares]
-            service = self._source.choices(shares, weights)[0].service
+        service = self._pick_service(route)
+        if service is None:
+            return Refused('no service', self._settings.unready_retry_s)
         own_deadline = arrival.arrived_at + route.timeout_s
         return Job(
             arrival,
@@ -160,6 +158,14 @@
             min(arrival.caller_deadline, own_deadline),
         )
 
+    def _pick_service(self, route: Route) -> str | None:
+        """Return a service of the route by weight, if it has any."""
+        shares = [share for share in route.shares if share.weight > 0]
+        if not shares:
+            return None
+        weights = [share.weight for share in shares]
+        return self._source.choices(shares, weights)[0].service
+
     async def _run(self, job: Job, sink: AnswerSink) -> Outcome:
         catalogue = self._view.catalogue
         if catalogue is None or job.service not in catalogue.services_by_name:
--- a/packages/geranium-relay/tests/test_admission.py
+++ b/packages/geranium-relay/tests/test_admission.py
@@ -1,5 +1,7 @@
 """Requests are admitted by what the catalogue says and how old it is."""
 
+import itertools
+
 import geranium_relay as relay
 import pytest
 
@@ -39,3 +41,28 @@
 
     assert isinstance(keyed, relay.Refused)
     assert isinstance(unknown, relay.Refused)
+
+
+@pytest.mark.parametrize('weights', [(), (0,), (0, 0)])
+async def test_route_without_a_service_is_refused_as_not_run(
+    weights: tuple[float, ...],
+) -> None:
+    world = World()
+    shares = tuple(relay.Share('service', weight) for weight in weights)
+    world.replace_routes(shares)
+
+    outcome, _ = await world.serve('safe')
+
+    assert isinstance(outcome, relay.Refused)
+
+
+async def test_routes_split_by_weight() -> None:
+    world = World(*itertools.repeat(answer(b'yes'), 200))
+    world.replace_routes(
+        (relay.Share('service', 9), relay.Share('elsewhere', 1)),
+    )
+
+    outcomes = [(await world.serve('safe'))[0] for _ in range(200)]
+
+    served = outcomes.count(relay.Delivered(200))
+    assert 160 <= served < 200
--- a/packages/geranium-relay/tests/world.py
+++ b/packages/geranium-relay/tests/world.py
@@ -1,6 +1,7 @@
 """A relay over fake targets and fake callers."""
 
 import asyncio
+import dataclasses
 import random
 from collections.abc import AsyncIterator, Callable, Sequence
 
@@ -152,6 +153,19 @@
         self.view.accept(self._catalogue(engines), self.clock.now())
         self.relay = self._make_relay(engines)
 
+    def replace_routes(self, shares: tuple[relay.Share, ...]) -> None:
+        """Put a version in force whose routes have other shares."""
+        known = self._catalogue(engines=False)
+        changed = dataclasses.replace(
+            known,
+            version=known.version + 1,
+            routes=tuple(
+                dataclasses.replace(route, shares=shares)
+                for route in known.routes
+            ),
+        )
+        self.view.accept(changed, self.clock.now())
+
     def place_apart(self) -> None:
         """Have the next prompt read by one engine for another."""
         reader, target, *_ = self.fleet.targets_by_identity.values()
--- a/packages/geraniumd/tests/test_invariants_page.py
+++ b/packages/geraniumd/tests/test_invariants_page.py
@@ -8,7 +8,7 @@
 
 ROOT = pathlib.Path(__file__).parents[3]
 PAGE = ROOT / 'docs' / 'INVARIANTS.md'
-TEST_ID = re.compile(r'`(packages/[\w/.-]+\.py)::(test_\w+)`')
+TEST_ID = re.compile(r'`((?:packages|tests)/[\w/.-]+\.py)::(test_\w+)`')
 SCENARIO = re.compile(r'Scenario(?: Outline)?: (.+)')
 
 
