--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -17,6 +17,8 @@
     StandinTarget,
 )
 
+from .waits import wait_for
+
 HOST = '127.0.0.1'
 Serve = Callable[[web.Application], Awaitable[str]]
 
@@ -199,21 +201,6 @@
     return port
 
 
-async def wait_for(condition: Callable[[], Awaitable[bool]]) -> None:
-    """Return once a condition holds; fail after a generous time."""
-    async for _ in ticks():
-        if await condition():
-            return
-
-
-async def ticks() -> AsyncIterator[None]:
-    """Come back many times a second; fail after a generous time."""
-    async with asyncio.timeout(40):
-        while True:
-            yield
-            await asyncio.sleep(0.02)
-
-
 async def answers(caller: ClientSession, url: str) -> bool:
     """Say whether a URL answers 200."""
     try:
--- a/tests/adapter/test_host.py
+++ b/tests/adapter/test_host.py
@@ -7,6 +7,8 @@
 from geranium_platform_standins import StandinTarget
 from yarl import URL
 
+from .waits import ticks
+
 FORGED = {
     'Tenant': 'other',
     'Kv-Hold': 'h',
@@ -37,14 +39,6 @@
             return response
 
 
-async def ticks():
-    """Come back many times a second; fail after a generous time."""
-    async with asyncio.timeout(40):
-        while True:
-            yield
-            await asyncio.sleep(0.02)
-
-
 async def test_request_reaches_its_target_unchanged(world) -> None:
     path = '/unsafe/a%2Fb/../c?q=%20x&y'
     url = URL(world.url(path), encoded=True)
