Keep an operator's order though the former one ends meanwhile

Cause: an intent was added with IfAbsent; on a conflict the holder was read, and if it had been removed between the two calls the method returned as if the order were kept. The order was lost and its operator told that it was done. Ruled out: a slow takeover (ten copies at once on six cores pass in 50 s each).

Change: the write is tried again until it succeeds or the waiting order is seen.

--- a/packages/geraniumd/src/geraniumd/intents.py
+++ b/packages/geraniumd/src/geraniumd/intents.py
@@ -56,11 +56,9 @@
         Raises:
             OperatorConflictError: If another order waits for the engine.
         """
-        body = dataclasses.asdict(intent)
-        try:
-            await self._store.write(_key(intent), body, IfAbsent())
-        except ConflictError:
-            await self._check_own(intent)
+        is_kept = False
+        while not is_kept:
+            is_kept = await self._write(intent) or await self._is_kept(intent)
 
     async def list(self, service: str) -> tuple[StoredIntent, ...]:
         """Return the intents for a service's engines."""
@@ -85,16 +83,26 @@
         except ConflictError:
             return
 
-    async def _check_own(self, intent: EngineIntent) -> None:
+    async def _write(self, intent: EngineIntent) -> bool:
+        body = dataclasses.asdict(intent)
+        try:
+            await self._store.write(_key(intent), body, IfAbsent())
+        except ConflictError:
+            return False
+        return True
+
+    async def _is_kept(self, intent: EngineIntent) -> bool:
+        """Tell whether it is the one that waits; false if none does."""
         found = await self._store.read(_key(intent))
         if found is None:
-            return
+            return False
         other = _ADAPTER.validate_python(found.body)
         if other.order_id != intent.order_id:
             raise OperatorConflictError(
                 f'{other.command} by {other.author} waits for '
                 f'{intent.engine} (operation {other.order_id})',
             )
+        return True
 
 
 def _key(intent: EngineIntent) -> str:
