Take no repeats for targets that accept no connection; drop fields that nobody reads

Ruled out: the budget itself, which counts arrivals alone.

Change: such a send is taken back and counted against a bound of its own (SendLimit). Two tests fail without it.

--- a/packages/geranium-policy/src/geranium_policy/retry_share.py
+++ b/packages/geranium-policy/src/geranium_policy/retry_share.py
@@ -33,7 +33,7 @@
     """Counts the sends of one service on one host."""
 
     def __init__(self, settings: RetryShareSettings) -> None:
-        self._settings = settings
+        self.settings = settings
         self._first_sends = collections.deque[float]()
         self._repeats = collections.deque[float]()
 
@@ -48,7 +48,7 @@
             hosts: Hosts that share the allowance.
             now: The present instant in seconds.
         """
-        settings = self._settings
+        settings = self.settings
         self._forget_before(now - settings.window_s)
         allowed = settings.ratio * len(self._first_sends)
         allowed += settings.allowance / max(hosts, 1)
@@ -57,6 +57,11 @@
         self._repeats.append(now)
         return True
 
+    def give_back(self) -> None:
+        """Give back the right that was taken last and not used."""
+        if self._repeats:
+            self._repeats.pop()
+
     def _forget_before(self, oldest: float) -> None:
         for sends in (self._first_sends, self._repeats):
             while sends and sends[0] < oldest:
--- a/packages/geranium-policy/tests/test_retry_share.py
+++ b/packages/geranium-policy/tests/test_retry_share.py
@@ -39,3 +39,11 @@
 
     assert not share.take(1, 9.9)
     assert share.take(1, 10.1)
+
+
+def test_right_that_was_given_back_is_had_again() -> None:
+    share = RetryShare(RetryShareSettings(0, 1, 10, used_share=1))
+    assert share.take(1, 0)
+    assert not share.take(1, 0)
+    share.give_back()
+    assert share.take(1, 0)
--- a/packages/geranium-relay/src/geranium_relay/catalogue.py
+++ b/packages/geranium-relay/src/geranium_relay/catalogue.py
@@ -71,14 +71,10 @@
     Args:
         slots: Requests that run at once on one engine.
         kv_tokens: Tokens that an engine's memory holds.
-        event_watchers: Long polls on cache events that an engine keeps open.
-        handle_ttl_s: How long an engine keeps a prompt that nobody fetched.
     """
 
     slots: int
     kv_tokens: int
-    event_watchers: int
-    handle_ttl_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -88,15 +84,11 @@
     Args:
         least: Targets of a zone that have to be kept.
         most: Targets of a zone that can be had, of both kinds together.
-        boot_s: Time from an order until the target serves.
-        spot_price: Price of a reclaimable target relative to others.
         price_by_zone: Price of a target a second.
     """
 
     least: int
     most: int
-    boot_s: float
-    spot_price: float
     price_by_zone: Mapping[str, float]
 
 
--- a/packages/geranium-relay/src/geranium_relay/run_context.py
+++ b/packages/geranium-relay/src/geranium_relay/run_context.py
@@ -29,6 +29,12 @@
         self._hosts = hosts
         self._shares_by_service: dict[str, RetryShare] = {}
 
+    def replace_settings(self, settings: RetryShareSettings) -> None:
+        """Put another budget in force; what was sent stays counted."""
+        self._settings = settings
+        for share in self._shares_by_service.values():
+            share.settings = settings
+
     def record_first(self, service: str, now: float) -> None:
         """Count the first send of a request to a service."""
         self._share(service).record_first(now)
@@ -37,6 +43,10 @@
         """Take the right to send a request to a service once more."""
         return self._share(service).take(self._hosts(), now)
 
+    def give_back(self, service: str) -> None:
+        """Give the last right back: nothing was sent."""
+        self._share(service).give_back()
+
     def _share(self, service: str) -> RetryShare:
         share = self._shares_by_service.get(service)
         if share is None:
--- a/packages/geranium-relay/src/geranium_relay/run_settings.py
+++ b/packages/geranium-relay/src/geranium_relay/run_settings.py
@@ -9,6 +9,8 @@
 
     Args:
         most_sends: Targets that a request is offered to, refusals included.
+        most_unconnected: Targets that may besides turn out not to accept a
+            connection.
         answer_grace_s: A target's own answer at the deadline is waited for
             so long.
         call_patience: Latency objectives after which a call that may be
@@ -27,6 +29,7 @@
     """
 
     most_sends: int = 3
+    most_unconnected: int = 3
     answer_grace_s: float = 0.12
     call_patience: float = 2
     stream_silence_s: float = 1
--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -24,6 +24,7 @@
 from .run_context import RunContext
 from .run_notes import RunNotes
 from .run_settings import RunSettings
+from .send_limit import SendLimit
 from .sending import open_answer
 from .suspicion import suspect
 
@@ -59,7 +60,12 @@
         )
         self._notes = RunNotes(job, context)
         self._avoid: set[str] = set()
-        self._sends = 0
+        self._limit = SendLimit(
+            job.service,
+            context.retries,
+            settings,
+            context.clock,
+        )
         self._runs = 0
         self._failure: tuple[AnswerHead, bytes] | None = None
 
@@ -127,26 +133,15 @@
 
     async def _try(self, attempt: Attempt) -> Outcome | None:
         """Make one attempt; ``None`` means that another may follow."""
-        if not self._may_send():
+        if not self._limit.take():
             refusal = Refused('no repeat left', self._settings.retry_after_s)
             return await self._give_up(refusal)
-        self._sends += 1
-        self._notes.note_dispatch(attempt, self._sends)
+        self._notes.note_dispatch(attempt, self._limit.sends)
         try:
             return await self._send(attempt)
         except RelayError as error:
             return await self._after(attempt, error)
 
-    def _may_send(self) -> bool:
-        """Say whether a send is within the limits, and count it."""
-        now = self._context.clock()
-        if not self._sends:
-            self._context.retries.record_first(self._job.service, now)
-            return True
-        if self._sends >= self._settings.most_sends:
-            return False
-        return self._context.retries.take(self._job.service, now)
-
     def _may_repeat(self) -> bool:
         """Say whether the request may run once more after this run."""
         route = self._job.route
@@ -272,6 +267,8 @@
             case NotRunError():
                 return None
             case NotSentError():
+                if attempt.reader is None:
+                    self._limit.take_back()
                 self._context.placing.observe(target, Unreachable())
                 return None
             case TargetSilentError():
--- a/packages/geranium-relay/tests/test_duties.py
+++ b/packages/geranium-relay/tests/test_duties.py
@@ -11,7 +11,8 @@
 
 SETTINGS = relay.UsageSettings(window_s=5, late_s=10)
 WINDOW = 1000
-TERMS = relay.PurchaseTerms(1, 3, 4, 0.2, {'a': 1.0})
+QUIET_S = 0.3
+TERMS = relay.PurchaseTerms(1, 3, {'a': 1.0})
 SERVICE = relay.Service('s', 10, None, TERMS)
 
 
@@ -248,10 +249,10 @@
         await asyncio.sleep(0.1)
 
     clock = relay.BootClock()
-    operations = relay.Operations((act,), clock, quiet_s=0.3)
+    operations = relay.Operations((act,), clock, quiet_s=QUIET_S)
     await operations.run(FakeLease())
     ended_at = clock.now()
 
     await operations.run(FakeLease())
 
-    assert acts[1] - ended_at >= 0.3
+    assert round(acts[1] - ended_at, 9) >= QUIET_S
--- a/packages/geranium-relay/tests/test_runs.py
+++ b/packages/geranium-relay/tests/test_runs.py
@@ -78,6 +78,26 @@
     assert outcome == relay.Delivered(200)
 
 
+async def test_targets_without_a_connection_take_no_repeats() -> None:
+    gone = failing(relay.NotSentError('connection refused'))
+    full = failing(relay.NotRunError('full'))
+    world = World(gone, gone, full, answer(b'yes'), targets=5)
+
+    outcome, _ = await world.serve('unsafe')
+
+    assert outcome == relay.Delivered(200)
+
+
+async def test_targets_without_a_connection_are_tried_a_few_times() -> None:
+    gone = failing(relay.NotSentError('connection refused'))
+    world = World(*itertools.repeat(gone, 6), targets=6)
+
+    outcome, _ = await world.serve('unsafe')
+
+    assert isinstance(outcome, relay.Refused)
+    assert len(world.targets.calls) == 4
+
+
 async def test_refusals_of_all_targets_end_as_not_run() -> None:
     full = failing(relay.NotRunError('full'))
     world = World(full, full, full)
--- a/packages/geranium-relay/tests/world.py
+++ b/packages/geranium-relay/tests/world.py
@@ -139,7 +139,13 @@
 class World:
     """A relay over fake targets."""
 
-    def __init__(self, *scripts: Script, engines: bool = False) -> None:
+    def __init__(
+        self,
+        *scripts: Script,
+        engines: bool = False,
+        targets: int = 3,
+    ) -> None:
+        self._target_count = targets
         self.clock = relay.BootClock()
         self.targets = FakeTargets(*scripts)
         self.suspects = SuspectRegister(SuspectSettings(max_crashes=2))
@@ -197,7 +203,7 @@
         return await self.relay.serve('example', key, arrival, sink), sink
 
     def _catalogue(self, engines: bool) -> relay.Catalogue:
-        profile = relay.EngineProfile(64, 500000, 4, 5) if engines else None
+        profile = relay.EngineProfile(64, 500000) if engines else None
         return relay.Catalogue(
             version=1,
             routes=ROUTES,
@@ -227,7 +233,7 @@
                     stage=stage,
                     weights_version=None,
                 )
-                for number in range(3)
+                for number in range(self._target_count)
             ],
             now(),
         )
