--- a/packages/geranium-coordination/tests/test_configuration_histories.py
+++ b/packages/geranium-coordination/tests/test_configuration_histories.py
@@ -191,8 +191,8 @@
 SECOND_V1 = StoredVersion(1, 'b', frozenset('ab'))
 FORGETFUL_V2 = StoredVersion(2, 'b', frozenset('b'))
 REPEATED_A = StoredVersion(2, 'a', frozenset('ab'))
-IN_FORCE_1 = InForce('r', 1, V1.teams)
-IN_FORCE_2 = InForce('r', 2, V2.teams)
+FIRST_IN_FORCE = InForce('r', 1, V1.teams)
+SECOND_IN_FORCE = InForce('r', 2, V2.teams)
 
 
 @pytest.mark.parametrize(
@@ -203,7 +203,7 @@
         ([V1, REPEATED_A], []),
         ([V1], [NotMade('a')]),
         ([V1], [Accepted('b', 2)]),
-        ([V1, V2], [IN_FORCE_2, IN_FORCE_1]),
+        ([V1, V2], [SECOND_IN_FORCE, FIRST_IN_FORCE]),
         ([V1], [InForce('r', 1, frozenset('b'))]),
     ],
 )
@@ -212,7 +212,7 @@
 
 
 def test_checker_accepts_a_right_history():
-    seen = [Accepted('a', 1), NotMade('c'), IN_FORCE_1, IN_FORCE_2]
+    seen = [Accepted('a', 1), NotMade('c'), FIRST_IN_FORCE, SECOND_IN_FORCE]
     assert not History([V1, V2], seen).complaints()
 
 
--- a/packages/geranium-coordination/tests/test_usage.py
+++ b/packages/geranium-coordination/tests/test_usage.py
@@ -85,19 +85,19 @@
 
 
 ONCE = Submitted(1, {'a': 1})
-NONE_IN_1 = Submitted(1, {})
-NONE_IN_2 = Submitted(2, {})
-NONE_IN_3 = Submitted(3, {})
+NONE_IN_FIRST = Submitted(1, {})
+NONE_IN_SECOND = Submitted(2, {})
+NONE_IN_THIRD = Submitted(3, {})
 
 
 @pytest.mark.parametrize(
     'history',
     [
-        History({'a'}, set(), [NONE_IN_1, ONCE]),
-        History({'a'}, set(), [ONCE, NONE_IN_3]),
+        History({'a'}, set(), [NONE_IN_FIRST, ONCE]),
+        History({'a'}, set(), [ONCE, NONE_IN_THIRD]),
         History({'a'}, set(), [Submitted(1, {'a': 2})]),
         History({'a'}, set(), [ONCE, Submitted(2, {'a': 1})]),
-        History({'a'}, {'a'}, [NONE_IN_1]),
+        History({'a'}, {'a'}, [NONE_IN_FIRST]),
         History(set(), set(), [ONCE]),
     ],
 )
@@ -106,7 +106,7 @@
 
 
 def test_checker_accepts_a_right_history():
-    reports = [ONCE, ONCE, NONE_IN_2]
+    reports = [ONCE, ONCE, NONE_IN_SECOND]
     history = History({'a', 'b'}, {'a'}, reports)
     assert not list(history.complaints())
 
--- a/packages/geranium-model/tests/test_documents.py
+++ b/packages/geranium-model/tests/test_documents.py
@@ -26,7 +26,9 @@
     configuration = build_configuration(document, version=4)
     assert configuration.version == 4
     assert isinstance(configuration.service('wording-llm'), ModelService)
-    assert [target.name for target in configuration.targets_of('wording-llm')]
+    targets = configuration.targets_of('wording-llm')
+    assert all(target.name for target in targets)
+    assert targets
 
 
 @pytest.mark.parametrize(
--- a/packages/geranium-relay/src/geranium_relay/catalogue_view.py
+++ b/packages/geranium-relay/src/geranium_relay/catalogue_view.py
@@ -32,6 +32,10 @@
         self.catalogue: Catalogue | None = None
         self.table = RouteTable(())
 
+    def replace_settings(self, settings: FreshnessSettings) -> None:
+        """Put other bounds in force."""
+        self._settings = settings
+
     def accept(self, catalogue: Catalogue, sent_at: float) -> bool:
         """Take in a catalogue that was read by a call sent at an instant.
 
--- a/packages/geranium-standins/benchmarks/capacity/changes.py
+++ b/packages/geranium-standins/benchmarks/capacity/changes.py
@@ -14,7 +14,7 @@
 from geranium_coordination.manifests import encode_manifest
 from geranium_coordination.memory import MemoryStore
 from geranium_model import ConfigurationDocument, parse_document
-from geraniumd.admission import CompletionAdmission
+from geraniumd.callers import CompletionAdmission
 
 from .figures import Figure
 from .world import Size, build_document, open_context, team_name
--- a/packages/geranium-standins/benchmarks/capacity/decisions.py
+++ b/packages/geranium-standins/benchmarks/capacity/decisions.py
@@ -17,9 +17,7 @@
     ServiceQueue,
 )
 from geranium_policy import Fleet as ServingFleet
-from geraniumd.admission import CompletionAdmission
-from geraniumd.events import EventBuffer
-from geraniumd.selection import TargetSelector
+from geraniumd.callers import CompletionAdmission, EventBuffer, TargetSelector
 
 from .figures import Figure, processor_us
 from .world import (
--- a/packages/geranium-standins/benchmarks/capacity/exchange.py
+++ b/packages/geranium-standins/benchmarks/capacity/exchange.py
@@ -12,9 +12,8 @@
     RoleDemand,
     TeamConsumption,
 )
-from geraniumd.channel import Channel
-from geraniumd.context import Context
-from geraniumd.messages import (
+from geraniumd.hosts import (
+    Channel,
     EngineDispatch,
     Envelope,
     Ping,
@@ -22,8 +21,10 @@
     ServiceDemand,
     Status,
     UsageReplica,
+    decode,
+    encode,
 )
-from geraniumd.wire import decode, encode
+from geraniumd.state import Context
 
 from .figures import US_PER_S, Figure
 from .world import (
--- a/packages/geranium-standins/benchmarks/capacity/lists.py
+++ b/packages/geranium-standins/benchmarks/capacity/lists.py
@@ -4,8 +4,8 @@
 from functools import partial
 from typing import Any
 
-from geraniumd.context import Context
-from geraniumd.listings import parse_hosts, parse_targets
+from geraniumd.platform import parse_hosts, parse_targets
+from geraniumd.state import Context
 
 from .figures import Figure, processor_us
 from .world import (
--- a/packages/geranium-standins/benchmarks/capacity/memory.py
+++ b/packages/geranium-standins/benchmarks/capacity/memory.py
@@ -15,12 +15,8 @@
 from geranium_model import EngineLoad, Role, Usage
 from geranium_policy import EngineChoice
 from geranium_policy.costs import CostEstimate
-from geraniumd.context import Context
-from geraniumd.directory import Presence
-from geraniumd.handshake import Identity
-from geraniumd.messages import Status
-from geraniumd.peer_links import PeerLink
-from geraniumd.usage import UsageMeter
+from geraniumd.hosts import Identity, PeerLink, Presence, Status
+from geraniumd.state import Context, UsageMeter
 
 from .exchange import build_ping
 from .figures import Figure
--- a/packages/geranium-standins/benchmarks/capacity/reach.py
+++ b/packages/geranium-standins/benchmarks/capacity/reach.py
@@ -3,11 +3,14 @@
 import statistics
 from collections.abc import Iterator, Mapping, Sequence
 
-from geraniumd.directory import Presence
-from geraniumd.electors import ELECTOR_COUNT, choose_electors
-from geraniumd.neighbours import choose_neighbours
-from geraniumd.settings import PeerSettings
-from geraniumd.usage_peers import REPLICA_COUNT
+from geraniumd.hosts import (
+    ELECTOR_COUNT,
+    REPLICA_COUNT,
+    Presence,
+    choose_electors,
+    choose_neighbours,
+)
+from geraniumd.process import PeerSettings
 
 from .figures import Figure
 from .world import zone_name
--- a/packages/geranium-standins/benchmarks/capacity/surface.py
+++ b/packages/geranium-standins/benchmarks/capacity/surface.py
@@ -10,9 +10,8 @@
 from geranium_model import Usage
 from geranium_statements import Collection
 from geranium_statements.answers import table_to_json
-from geraniumd.context import Context
-from geraniumd.records import RECENT_LIMIT
-from geraniumd.tables import LocalTables
+from geraniumd.operators import LocalTables
+from geraniumd.state import RECENT_LIMIT, Context
 
 from .figures import Figure, processor_us
 from .memory import note_requests
--- a/packages/geranium-standins/benchmarks/capacity/world.py
+++ b/packages/geranium-standins/benchmarks/capacity/world.py
@@ -14,8 +14,8 @@
     ConfigurationDocument,
     parse_document,
 )
-from geraniumd.context import Context, build_context
-from geraniumd.settings import Secrets, parse_settings
+from geraniumd.process import Secrets, parse_settings
+from geraniumd.state import Context, build_context
 
 HOST = 'khomas-a-1'
 _NAME = 'name'
--- a/packages/geranium-standins/tests/test_objects.py
+++ b/packages/geranium-standins/tests/test_objects.py
@@ -84,7 +84,7 @@
     assert (await deleted).status == 404
 
 
-async def test_calls_over_the_rate_get_429(platform):
+async def test_calls_over_the_rate_are_told_too_many(platform):
     await platform.set_faults(writes_per_second=2, reads_per_second=3)
     writes = [await platform.put('/objects/k', 1) for _ in range(4)]
     reads = [await platform.get('/objects/k') for _ in range(5)]
--- a/packages/geranium-standins/tests/test_processes.py
+++ b/packages/geranium-standins/tests/test_processes.py
@@ -39,7 +39,7 @@
         assert await process.stop() == 0
 
 
-async def test_crash_marker_ends_the_process_with_70():
+async def test_crash_marker_ends_the_process():
     process = await launch('engine')
     url = f'http://{process.address}'
     async with aiohttp.ClientSession() as session:
--- a/packages/geraniumd/benchmarks/gateway_overhead.py
+++ b/packages/geraniumd/benchmarks/gateway_overhead.py
@@ -171,10 +171,7 @@
     send: Callable[[], Awaitable[int]],
 ) -> int:
     """Send once for each number that no other worker took."""
-    events = 0
-    for _ in numbers:
-        events += await send()
-    return events
+    return sum([await send() for _ in numbers])
 
 
 def _cpu_s(pid: int) -> float:
@@ -201,7 +198,8 @@
     parser.add_argument('--streams', type=int, default=400)
     parser.add_argument('--tokens', type=int, default=200)
     parser.add_argument('--concurrency', type=int, default=32)
-    load = Load(**vars(parser.parse_args()))
+    asked = parser.parse_args()
+    load = Load(asked.calls, asked.streams, asked.tokens, asked.concurrency)
     json.dump(asyncio.run(measure(load)), sys.stdout, indent=2)
 
 
--- a/packages/geraniumd/src/geraniumd/__init__.py
+++ b/packages/geraniumd/src/geraniumd/__init__.py
@@ -2,8 +2,14 @@
 
 from .cli import main
 from .daemon import Daemon
-from .exceptions import DaemonError, SettingsError
-from .settings import Secrets, Settings, load_settings, parse_settings
+from .process import (
+    DaemonError,
+    Secrets,
+    Settings,
+    SettingsError,
+    load_settings,
+    parse_settings,
+)
 
 __all__ = [
     'Daemon',
--- a/packages/geraniumd/src/geraniumd/engines.py
+++ b/packages/geraniumd/src/geraniumd/backends/engine_interface.py
@@ -18,7 +18,7 @@
 from geranium_policy import PrefixEvicted, PrefixStored
 from geranium_policy.prefixes import CacheEvent
 
-from .exceptions import TargetError
+from ..process import TargetError
 from .transport import TargetTransport, raise_for_status, read_body
 
 MS_PER_S = 1000
--- a/packages/geraniumd/src/geraniumd/transport.py
+++ b/packages/geraniumd/src/geraniumd/backends/transport.py
@@ -6,13 +6,13 @@
 import aiohttp
 from geranium_relay.resends import ConnectionLostError, send_once
 
-from .exceptions import (
+from ..process import (
     TargetFailedError,
     TargetLostError,
     TargetRefusedError,
+    TargetSettings,
     TargetSilentError,
 )
-from .settings import TargetSettings
 
 _DETAIL_BYTES = 512
 _READ_BYTES = 65536
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/callers/__init__.py
@@ -0,0 +1,41 @@
+"""The callers' side: requests from arrival to outcome."""
+
+from .accounting import RequestAccounting
+from .admission import CompletionAdmission, Released
+from .application_endpoint import ApplicationEndpoint
+from .applications import ApplicationRunner
+from .arrivals import ArrivalReader
+from .attempts import AttemptRecorder
+from .claimed_calls import ClaimingRunner
+from .completions import CompletionParts, CompletionRunner
+from .endpoints import AccessControl
+from .events import EventBuffer
+from .gateway import Gateway
+from .handoff import KvHandoff
+from .model_endpoint import ModelEndpoint
+from .selection import TargetSelector
+from .streams import StreamClient
+from .suspects import SuspectGuard
+from .targets import TargetClient
+
+__all__ = [
+    'AccessControl',
+    'ApplicationEndpoint',
+    'ApplicationRunner',
+    'ArrivalReader',
+    'AttemptRecorder',
+    'ClaimingRunner',
+    'CompletionAdmission',
+    'CompletionParts',
+    'CompletionRunner',
+    'EventBuffer',
+    'Gateway',
+    'KvHandoff',
+    'ModelEndpoint',
+    'Released',
+    'RequestAccounting',
+    'StreamClient',
+    'SuspectGuard',
+    'TargetClient',
+    'TargetSelector',
+]
--- a/packages/geraniumd/src/geraniumd/accounting.py
+++ b/packages/geraniumd/src/geraniumd/callers/accounting.py
@@ -10,11 +10,9 @@
     Usage,
 )
 
+from ..process import Telemetry, get_logger
+from ..state import RequestLog, RequestRecord, UsageMeter
 from .arrivals import Arrival
-from .logs import get_logger
-from .records import RequestLog, RequestRecord
-from .telemetry import Telemetry
-from .usage import UsageMeter
 
 
 class RequestAccounting:
--- a/packages/geraniumd/src/geraniumd/admission.py
+++ b/packages/geraniumd/src/geraniumd/callers/admission.py
@@ -17,8 +17,8 @@
 )
 from geranium_policy import Fleet as ServingFleet
 
-from .context import Context
-from .messages import ServiceConsumption
+from ..hosts import ServiceConsumption
+from ..state import Context
 
 _REBALANCE_INTERVAL_S = 0.25
 _MS_PER_S = 1000
--- a/packages/geraniumd/src/geraniumd/application_endpoint.py
+++ b/packages/geraniumd/src/geraniumd/callers/application_endpoint.py
@@ -5,13 +5,13 @@
 from aiohttp import web
 from geranium_model import ApplicationService, Completed, NotRun, Usage
 
+from ..state import RequestRecord
 from .access import Grant
 from .accounting import RequestAccounting
 from .arrivals import Arrival, ArrivalReader
 from .claimed_calls import ClaimingRunner
 from .endpoints import AccessControl, AccessResult
 from .problems import problem_response
-from .records import RequestRecord
 from .targets import ApplicationAnswer, ApplicationCall
 
 _PREFIX = '/apps/'
--- a/packages/geraniumd/src/geraniumd/applications.py
+++ b/packages/geraniumd/src/geraniumd/callers/applications.py
@@ -8,10 +8,9 @@
 from geranium_policy import RetryAt, RetryPolicy
 from geranium_policy.attempts import AttemptFailure
 
+from ..process import TargetError, TargetRefusedError
+from ..state import RequestRecord, TargetLink
 from .attempts import AttemptRecorder, Attempts
-from .exceptions import TargetError, TargetRefusedError
-from .fleet import TargetLink
-from .records import RequestRecord
 from .selection import TargetSelector
 from .targets import ApplicationAnswer, ApplicationCall, TargetClient
 
--- a/packages/geraniumd/src/geraniumd/arrivals.py
+++ b/packages/geraniumd/src/geraniumd/callers/arrivals.py
@@ -11,7 +11,7 @@
 from geranium_coordination import Clock
 from geranium_model import NotRun
 
-from .settings import GatewaySettings
+from ..process import GatewaySettings
 
 HIGHEST_PRIORITY = 0
 LOWEST_PRIORITY = 9
--- a/packages/geraniumd/src/geraniumd/attempts.py
+++ b/packages/geraniumd/src/geraniumd/callers/attempts.py
@@ -17,16 +17,15 @@
 from geranium_policy.attempts import AttemptFailure
 from geranium_policy.health import Observation
 
-from .exceptions import (
+from ..process import (
     TargetError,
     TargetFailedError,
     TargetRefusedError,
     TargetSilentError,
+    Telemetry,
+    get_logger,
 )
-from .fleet import Link
-from .logs import get_logger
-from .records import RequestRecord
-from .telemetry import Telemetry
+from ..state import Link, RequestRecord
 
 RETRY_AFTER_S = 1
 
--- a/packages/geraniumd/src/geraniumd/claimed_calls.py
+++ b/packages/geraniumd/src/geraniumd/callers/claimed_calls.py
@@ -19,8 +19,8 @@
 from geranium_model import NotRun, OutcomeUnknown
 from multidict import CIMultiDict
 
+from ..state import RequestRecord
 from .applications import ApplicationResult, ApplicationRunner
-from .records import RequestRecord
 from .targets import ApplicationAnswer, ApplicationCall
 
 IDEMPOTENCY_KEY_HEADER = 'Idempotency-Key'
--- a/packages/geraniumd/src/geraniumd/completions.py
+++ b/packages/geraniumd/src/geraniumd/callers/completions.py
@@ -25,20 +25,20 @@
 )
 from geranium_policy.attempts import AttemptFailure
 
-from .access import AccessDecision
-from .admission import CompletionAdmission
-from .attempts import AttemptRecorder, Attempts
-from .calls import CompletionCall
-from .events import EventBuffer
-from .exceptions import (
+from ..process import (
     CallerGoneError,
     TargetError,
     TargetLostError,
     TargetRefusedError,
     TargetSilentError,
 )
+from ..state import RequestRecord
+from .access import AccessDecision
+from .admission import CompletionAdmission
+from .attempts import AttemptRecorder, Attempts
+from .calls import CompletionCall
+from .events import EventBuffer
 from .handoff import KvHandoff
-from .records import RequestRecord
 from .selection import Selection, TargetSelector
 from .sinks import Sink
 from .streams import StreamClient, final_usage
--- a/packages/geraniumd/src/geraniumd/endpoints.py
+++ b/packages/geraniumd/src/geraniumd/callers/endpoints.py
@@ -6,8 +6,8 @@
 from aiohttp import web
 from geranium_model import NotRun
 
+from ..state import ConfigurationFollower
 from .access import Grant, decide_access, read_credentials
-from .follower import ConfigurationFollower
 
 _RETRY_AFTER_S = 1
 
--- a/packages/geraniumd/src/geraniumd/gateway.py
+++ b/packages/geraniumd/src/geraniumd/callers/gateway.py
@@ -8,15 +8,13 @@
 from aiohttp import web
 from geranium_model import ModelService, NotRun, Outcome, OutcomeUnknown
 
+from ..hosts import HostDirectory
+from ..process import GatewaySettings, Lifecycle, get_logger
+from ..state import ConfigurationFollower
 from .access import find_key, read_credentials
 from .application_endpoint import ApplicationEndpoint
-from .directory import HostDirectory
-from .follower import ConfigurationFollower
-from .lifecycle import Lifecycle
-from .logs import get_logger
 from .model_endpoint import ModelEndpoint
 from .problems import problem_response
-from .settings import GatewaySettings
 
 _MS_PER_S = 1000
 _NO_REQUEST_ID = '-'
--- a/packages/geraniumd/src/geraniumd/handoff.py
+++ b/packages/geraniumd/src/geraniumd/callers/handoff.py
@@ -8,11 +8,10 @@
 from geranium_model import Engine
 from geranium_policy import RequestProfile
 
+from ..backends import TargetTransport, raise_for_status, read_body
+from ..process import TargetError, get_logger
+from ..state import EngineLink, Fleet
 from .calls import CompletionCall
-from .exceptions import TargetError
-from .fleet import EngineLink, Fleet
-from .logs import get_logger
-from .transport import TargetTransport, raise_for_status, read_body
 
 PREFILL_TIMEOUT_S = 10
 IMPORT_TIMEOUT_S = 5
--- a/packages/geraniumd/src/geraniumd/model_endpoint.py
+++ b/packages/geraniumd/src/geraniumd/callers/model_endpoint.py
@@ -7,17 +7,13 @@
 from aiohttp import web
 from geranium_model import Completed, ModelService, NotRun, Outcome
 
+from ..process import GatewaySettings
 from .accounting import RequestAccounting
 from .arrivals import Arrival, ArrivalReader
-from .calls import (
-    CompletionCall,
-    engine_body,
-    parse_completion_body,
-)
+from .calls import CompletionCall, engine_body, parse_completion_body
 from .completions import CompletionOrder, CompletionRunner
 from .endpoints import AccessControl
 from .problems import problem_response
-from .settings import GatewaySettings
 from .sinks import StreamSink, WholeSink
 
 CallResult: TypeAlias = CompletionCall | NotRun
--- a/packages/geraniumd/src/geraniumd/selection.py
+++ b/packages/geraniumd/src/geraniumd/callers/selection.py
@@ -15,7 +15,7 @@
     RouterSettings,
 )
 
-from .fleet import EngineLink, Fleet, Link, TargetLink
+from ..state import EngineLink, Fleet, Link, TargetLink
 
 _Link = TypeVar('_Link', EngineLink, TargetLink)
 
--- a/packages/geraniumd/src/geraniumd/sinks.py
+++ b/packages/geraniumd/src/geraniumd/callers/sinks.py
@@ -8,9 +8,9 @@
 from aiohttp import web
 from geranium_model import Outcome
 
+from ..process import CallerGoneError
 from .calls import CompletionCall
 from .events import Batch
-from .exceptions import CallerGoneError
 from .problems import problem_event
 
 _EVENT_END = b'\n\n'
--- a/packages/geraniumd/src/geraniumd/streams.py
+++ b/packages/geraniumd/src/geraniumd/callers/streams.py
@@ -7,11 +7,15 @@
 import pydantic
 from geranium_model import Engine, Usage
 
+from ..backends import TargetTransport, raise_for_status
+from ..process import (
+    TargetError,
+    TargetLostError,
+    TargetSettings,
+    TargetSilentError,
+)
 from .calls import CompletionCall
 from .events import Batch, EventBuffer
-from .exceptions import TargetError, TargetLostError, TargetSilentError
-from .settings import TargetSettings
-from .transport import TargetTransport, raise_for_status
 
 _CANCEL_TIMEOUT_S = 2
 
--- a/packages/geraniumd/src/geraniumd/suspects.py
+++ b/packages/geraniumd/src/geraniumd/callers/suspects.py
@@ -9,12 +9,10 @@
 from geranium_policy import SuspectRegister, Verdict, request_fingerprint
 from geranium_policy.suspects import isolation_target
 
+from ..backends import EngineClient
+from ..process import TargetError, get_logger
+from ..state import Context, EngineLink
 from .calls import CompletionCall
-from .context import Context
-from .engines import EngineClient
-from .exceptions import TargetError
-from .fleet import EngineLink
-from .logs import get_logger
 
 CRASHED = RanAndFailed(
     'Crashes its engines',
--- a/packages/geraniumd/src/geraniumd/targets.py
+++ b/packages/geraniumd/src/geraniumd/callers/targets.py
@@ -6,10 +6,9 @@
 from geranium_model import Target
 from multidict import CIMultiDict, CIMultiDictProxy
 
+from ..backends import TargetTransport, read_body, says_not_run
+from ..process import TargetRefusedError, TargetSettings
 from .arrivals import Arrival
-from .exceptions import TargetRefusedError
-from .settings import TargetSettings
-from .transport import TargetTransport, read_body, says_not_run
 
 _HOP_BY_HOP = frozenset(
     (
--- a/packages/geraniumd/src/geraniumd/cli.py
+++ b/packages/geraniumd/src/geraniumd/cli.py
@@ -10,11 +10,12 @@
 import click
 
 from .daemon import Daemon
-from .exceptions import SettingsError
-from .logs import LEVELS_BY_NAME, configure_logs
-from .settings import (
+from .process import (
+    LEVELS_BY_NAME,
     Secrets,
     Settings,
+    SettingsError,
+    configure_logs,
     load_secrets,
     load_settings,
     settings_schema,
--- a/packages/geraniumd/src/geraniumd/daemon.py
+++ b/packages/geraniumd/src/geraniumd/daemon.py
@@ -14,21 +14,20 @@
     StoreError,
 )
 
-from .admission import CompletionAdmission
-from .context import build_context
-from .directory import Presence
-from .duties import DutyManager
-from .engines import EngineClient
-from .handshake import Identity
-from .listeners import HttpListener, split_address
-from .lists import ListPoller
-from .logs import get_logger
-from .peer_server import PeerServer
-from .peering import Peering
-from .probes import LoadProber
-from .reporter import UsageForgetter
-from .settings import Secrets, Settings
-from .supervision import supervise
+from .backends import EngineClient
+from .callers import CompletionAdmission
+from .duties import DutyManager, UsageForgetter
+from .hosts import Identity, Presence
+from .process import (
+    HttpListener,
+    Secrets,
+    Settings,
+    get_logger,
+    split_address,
+    supervise,
+)
+from .state import build_context
+from .upkeep import ListPoller, LoadProber, Peering, PeerServer
 from .wiring import (
     build_clients,
     build_gateway,
--- a/packages/geraniumd/src/geraniumd/director.py
+++ b/packages/geraniumd/src/geraniumd/duties/director.py
@@ -16,7 +16,9 @@
 from geranium_policy import EngineRole, RolePlanner, RoleSettings
 from geranium_policy.role_policies import FixedSplit, PlannedSplit
 
-from .context import Context
+from ..backends import command_body
+from ..process import ControlSettings, get_logger
+from ..state import Context, EngineLink, StoredIntent
 from .engine_orders import (
     ENGINE_JOURNALS,
     WANTED_ROLE,
@@ -24,11 +26,6 @@
     EngineOrderSender,
     engine_subject,
 )
-from .engines import command_body
-from .fleet import EngineLink
-from .intents import StoredIntent
-from .logs import get_logger
-from .settings import ControlSettings
 from .stages import KIND, RESUME, is_carried_out, next_order
 
 TICK_S = 1
--- a/packages/geraniumd/src/geraniumd/engine_orders.py
+++ b/packages/geraniumd/src/geraniumd/duties/engine_orders.py
@@ -23,10 +23,15 @@
 from geranium_coordination.orders import LateCopies
 from geranium_model import Engine
 
-from .control_transport import ControlAnswer, ControlTransport, NoAnswer
-from .exceptions import TargetError
-from .logs import get_logger
-from .transport import TargetTransport, raise_for_status, read_body
+from ..backends import (
+    ControlAnswer,
+    ControlTransport,
+    NoAnswer,
+    TargetTransport,
+    raise_for_status,
+    read_body,
+)
+from ..process import TargetError, get_logger
 
 ORDER_TIMEOUT_S = 1.5
 ENGINE_JOURNALS = 'engines'
--- a/packages/geraniumd/src/geraniumd/reporter.py
+++ b/packages/geraniumd/src/geraniumd/duties/reporter.py
@@ -14,9 +14,9 @@
 from geranium_coordination.usage_reporter import HEAD_KEY
 from geranium_coordination.usage_seals import decode_seal, seal_key
 
-from .context import Context
-from .logs import get_logger
-from .usage_peers import PeerCollector, PlatformSubmitter
+from ..hosts import PeerCollector, PlatformSubmitter
+from ..process import get_logger
+from ..state import Context
 
 REPORTER_DUTY = 'usage-reporter'
 _SUBMIT_TIMEOUT_S = 2
--- a/packages/geraniumd/src/geraniumd/duties.py
+++ b/packages/geraniumd/src/geraniumd/duties/roster.py
@@ -14,14 +14,13 @@
 )
 from geranium_model import Configuration, ModelService
 
-from .context import Context
-from .control_transport import ControlTransport
+from ..backends import ControlTransport, TargetTransport
+from ..platform import PlatformClient
+from ..process import get_logger
+from ..state import Context
 from .director import EngineDirector
 from .engine_orders import EngineOrderSender
-from .logs import get_logger
-from .platform import PlatformClient
 from .reporter import REPORTER_DUTY, UsageDuty
-from .transport import TargetTransport
 
 _DIRECTOR = 'director'
 
--- a/packages/geraniumd/src/geraniumd/stages.py
+++ b/packages/geraniumd/src/geraniumd/duties/stages.py
@@ -7,9 +7,8 @@
 
 from geranium_coordination.orders import JournalRecord
 
+from ..state import EngineIntent, EngineLink
 from .engine_orders import EngineOrder
-from .fleet import EngineLink
-from .intents import EngineIntent
 
 KIND = 'kind'
 RESUME = 'resume'
--- a/packages/geraniumd/src/geraniumd/channel.py
+++ b/packages/geraniumd/src/geraniumd/hosts/channel.py
@@ -11,8 +11,7 @@
 import struct
 from types import MappingProxyType
 
-from .exceptions import FrameError, PeerError
-from .telemetry import Telemetry
+from ..process import FrameError, PeerError, Telemetry
 
 MAC_BYTES = 16
 _LENGTH = struct.Struct('>I')
--- a/packages/geraniumd/src/geraniumd/claim_peers.py
+++ b/packages/geraniumd/src/geraniumd/hosts/claim_peers.py
@@ -11,10 +11,10 @@
     encode_claim_message,
 )
 
+from ..process import PeerError
 from .directory import HostDirectory, holder_name
-from .exceptions import PeerError
+from .links import PeerLink
 from .messages import ClaimAnswer, ClaimQuestion
-from .peer_links import PeerLink
 
 
 class ClaimOwners:
--- a/packages/geraniumd/src/geraniumd/electors.py
+++ b/packages/geraniumd/src/geraniumd/hosts/electors.py
@@ -9,10 +9,10 @@
     announce_to_electors,
 )
 
+from ..process import PeerError
 from .directory import HostDirectory
-from .exceptions import PeerError
+from .links import PeerLink
 from .messages import Acknowledgement, Announcement
-from .peer_links import PeerLink
 
 ELECTOR_COUNT = 7
 _ANNOUNCE_TIMEOUT_S = 3
--- a/packages/geraniumd/src/geraniumd/handshake.py
+++ b/packages/geraniumd/src/geraniumd/hosts/handshake.py
@@ -4,8 +4,8 @@
 import hmac
 import secrets
 
+from ..process import PeerAuthenticationError
 from .channel import Channel
-from .exceptions import PeerAuthenticationError
 from .messages import Hello
 from .wire import decode_hello, encode_hello
 
--- a/packages/geraniumd/src/geraniumd/peer_links.py
+++ b/packages/geraniumd/src/geraniumd/hosts/links.py
@@ -5,9 +5,9 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+from ..process import FrameError, PeerError, PeerSettings, Telemetry
 from .channel import Channel
 from .directory import Presence
-from .exceptions import FrameError, PeerError
 from .handshake import Identity, dial
 from .messages import (
     Acknowledgement,
@@ -19,8 +19,6 @@
     Status,
     UsageReplica,
 )
-from .settings import PeerSettings
-from .telemetry import Telemetry
 from .wire import decode, encode
 
 
--- a/packages/geraniumd/src/geraniumd/neighbours.py
+++ b/packages/geraniumd/src/geraniumd/hosts/neighbours.py
@@ -5,9 +5,9 @@
 from collections.abc import Iterable
 from functools import partial
 
+from ..process import PeerSettings
 from .directory import Presence
 from .electors import choose_electors
-from .settings import PeerSettings
 
 
 def choose_neighbours(
--- a/packages/geraniumd/src/geraniumd/usage_peers.py
+++ b/packages/geraniumd/src/geraniumd/hosts/usage_peers.py
@@ -10,10 +10,10 @@
     UsageReport,
 )
 
-from .exceptions import PeerError
+from ..platform import PlatformClient
+from ..process import PeerError
+from .links import PeerLink
 from .messages import Acknowledgement, UsageReplica, UsageWanted
-from .peer_links import PeerLink
-from .platform import PlatformClient
 
 REPLICA_COUNT = 2
 
--- a/packages/geraniumd/src/geraniumd/wire.py
+++ b/packages/geraniumd/src/geraniumd/hosts/wire.py
@@ -10,7 +10,7 @@
     PendingWithdrawal,
 )
 
-from .exceptions import FrameError
+from ..process import FrameError
 from .messages import (
     Acknowledgement,
     Announcement,
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/operators/__init__.py
@@ -0,0 +1,15 @@
+"""The operators' side: statements, tables and dumps."""
+
+from .api import OperatorApi
+from .dumps import StateDump
+from .execution import StatementExecutor
+from .fanout import Fanout
+from .tables import LocalTables
+
+__all__ = [
+    'Fanout',
+    'LocalTables',
+    'OperatorApi',
+    'StateDump',
+    'StatementExecutor',
+]
--- a/packages/geraniumd/src/geraniumd/operator.py
+++ b/packages/geraniumd/src/geraniumd/operators/api.py
@@ -13,18 +13,18 @@
 from geranium_statements import StatementError, Table
 from geranium_statements.answers import error_to_json, table_to_json
 
-from .dumps import StateDump
-from .exceptions import (
+from ..process import (
+    Lifecycle,
     OperatorConflictError,
     OperatorError,
     OperatorUnavailableError,
+    Secrets,
+    Telemetry,
 )
+from .dumps import StateDump
 from .execution import StatementExecutor
 from .fanout import HOST_SCOPE, SCOPE_PARAMETER, STATEMENTS_PATH
-from .lifecycle import Lifecycle
-from .operator_requests import OperatorRequest
-from .settings import Secrets
-from .telemetry import Telemetry
+from .requests import OperatorRequest
 
 MAX_CONFIGURATION_BYTES = 67_108_864
 
--- a/packages/geraniumd/src/geraniumd/dumps.py
+++ b/packages/geraniumd/src/geraniumd/operators/dumps.py
@@ -9,7 +9,7 @@
 from geranium_statements import Collection
 from geranium_statements.answers import table_to_json
 
-from .context import Context
+from ..state import Context
 from .tables import LocalTables
 
 _MS_PER_S = 1000
--- a/packages/geraniumd/src/geraniumd/execution.py
+++ b/packages/geraniumd/src/geraniumd/operators/execution.py
@@ -37,16 +37,16 @@
 )
 from geranium_statements.commands import Command, CreateKey
 
-from .context import Context
-from .exceptions import (
+from ..process import (
     OperatorConflictError,
     OperatorRefusedError,
     OperatorUnavailableError,
+    get_logger,
 )
+from ..state import Context
 from .fanout import Fanout, HostQuestion
-from .logs import get_logger
-from .operator_requests import OperatorRequest
 from .order_requests import EngineOrderRequests
+from .requests import OperatorRequest
 from .stored_tables import STORED_COLLECTIONS, StoredTables
 from .tables import COLLECTIONS_BY_HOST, LocalTables
 
--- a/packages/geraniumd/src/geraniumd/fanout.py
+++ b/packages/geraniumd/src/geraniumd/operators/fanout.py
@@ -8,7 +8,7 @@
 from geranium_statements import HostAnswer, NoAnswer
 from geranium_statements.answers import table_from_json
 
-from .directory import HostDirectory, Presence
+from ..hosts import HostDirectory, Presence
 
 _TIMEOUT_S = 2
 STATEMENTS_PATH = '/operator/v1/statements'
--- a/packages/geraniumd/src/geraniumd/order_requests.py
+++ b/packages/geraniumd/src/geraniumd/operators/order_requests.py
@@ -12,15 +12,10 @@
     engine_command,
 )
 
-from .context import Context
-from .engines import command_body
-from .exceptions import (
-    OperatorRefusedError,
-    OperatorUnavailableError,
-)
-from .intents import EngineIntent
-from .logs import get_logger
-from .operator_requests import OperatorRequest
+from ..backends import command_body
+from ..process import OperatorRefusedError, OperatorUnavailableError, get_logger
+from ..state import Context, EngineIntent
+from .requests import OperatorRequest
 
 _WAIT_S = 15
 _POLL_INTERVAL_S = 0.5
--- a/packages/geraniumd/src/geraniumd/stored_tables.py
+++ b/packages/geraniumd/src/geraniumd/operators/stored_tables.py
@@ -5,8 +5,8 @@
 from geranium_coordination.usage_seals import SEAL_PREFIX, decode_seal
 from geranium_statements import Collection, Row, Table, build_table
 
-from .engine_orders import ENGINE_JOURNALS
-from .exceptions import OperatorUnavailableError
+from ..duties import ENGINE_JOURNALS
+from ..process import OperatorUnavailableError
 
 STORED_COLLECTIONS = frozenset((Collection.ORDERS, Collection.WINDOWS))
 
--- a/packages/geraniumd/src/geraniumd/tables.py
+++ b/packages/geraniumd/src/geraniumd/operators/tables.py
@@ -6,11 +6,9 @@
 
 from geranium_statements import Collection, Row, Table, build_table
 
+from ..duties import DutyManager
+from ..state import Context, EngineLink, Link, RequestRecord
 from .configuration_tables import CONFIGURATION_BUILDERS
-from .context import Context
-from .duties import DutyManager
-from .fleet import EngineLink, Link
-from .records import RequestRecord
 
 _Link = TypeVar('_Link', bound=Link)
 
--- /dev/null
+++ b/packages/geraniumd/src/geraniumd/platform/__init__.py
@@ -0,0 +1,11 @@
+"""The platform's interface: its objects, lists, orders and reports."""
+
+from .client import PlatformClient
+from .listings import ListedTarget, parse_hosts, parse_targets
+
+__all__ = [
+    'ListedTarget',
+    'PlatformClient',
+    'parse_hosts',
+    'parse_targets',
+]
--- a/packages/geraniumd/src/geraniumd/platform.py
+++ b/packages/geraniumd/src/geraniumd/platform/client.py
@@ -1,11 +1,10 @@
 """The adapter to the platform: its objects, lists, orders and reports."""
 
-from collections.abc import AsyncIterator, Mapping
-from contextlib import asynccontextmanager
+from collections.abc import Mapping
 from http import HTTPStatus
 from typing import Any
+from urllib.parse import quote
 
-import aiohttp
 from geranium_coordination import (
     ABSENT_VERSION,
     AnswerLostError,
@@ -18,14 +17,12 @@
     Unconditional,
 )
 from geranium_model import Host, TargetOrder, Usage
-from geranium_relay.resends import ConnectionLostError, send_once
-from yarl import URL
+from geranium_relay import StoreCalls, StoreReply, StoreSettings
 
+from ..process import PlatformSettings
 from .listings import ListedTarget, parse_hosts, parse_targets
-from .settings import PlatformSettings
 
 MS_PER_S = 1000
-_WATCH_GRACE_S = 5
 
 
 class PlatformClient:
@@ -36,31 +33,29 @@
     """
 
     def __init__(self, settings: PlatformSettings) -> None:
-        self._settings = settings
-        self._base = URL(f'http://{settings.address}')
-        self._session: aiohttp.ClientSession | None = None
+        self._calls = StoreCalls(
+            StoreSettings(settings.address, settings.call_timeout_s),
+        )
         self._watched_by_key: dict[str, StoredObject] = {}
         self.calls_by_kind = {'read': 0, 'write': 0, 'watch': 0}
 
     async def close(self) -> None:
         """Close the connections."""
-        if self._session is not None:
-            await self._session.close()
+        await self._calls.cleanup()
 
     async def read(self, key: str) -> StoredObject | None:
         """Return the object, or ``None`` where it is absent."""
         self.calls_by_kind['read'] += 1
-        async with self._call('GET', self._object_url(key)) as response:
-            if response.status == HTTPStatus.NOT_FOUND:
-                return None
-            return await _to_object(key, response)
+        reply = await self._read(_object_path(key))
+        if reply.status == HTTPStatus.NOT_FOUND:
+            return None
+        return _to_object(key, reply)
 
     async def read_prefix(self, prefix: str) -> tuple[StoredObject, ...]:
         """Return the objects whose keys begin so, ordered by key."""
         self.calls_by_kind['read'] += 1
-        url = (self._base / 'objects').with_query(prefix=prefix)
-        async with self._call('GET', url) as response:
-            listing = await response.json()
+        reply = await self._read(f'objects?prefix={quote(prefix)}')
+        listing = reply.document
         return tuple(
             StoredObject(row['key'], row['version'], row['value'])
             for row in listing['objects']
@@ -73,14 +68,14 @@
             ConflictError: If the condition did not hold.
         """
         self.calls_by_kind['write'] += 1
-        async with self._call(
+        reply = await self._write(
             'PUT',
-            self._object_url(key),
-            json=body,
-            headers=_condition_headers(condition),
-        ) as response:
-            _raise_conflict(key, response)
-            return _version(response)
+            _object_path(key),
+            body,
+            _condition_headers(condition),
+        )
+        _raise_conflict(key, reply)
+        return _version(reply)
 
     async def delete(self, key: str, condition: Condition) -> None:
         """Delete the object; an absent one is a conflict.
@@ -89,14 +84,14 @@
             ConflictError: If the condition did not hold.
         """
         self.calls_by_kind['write'] += 1
-        async with self._call(
+        reply = await self._write(
             'DELETE',
-            self._object_url(key),
+            _object_path(key),
             headers=_condition_headers(condition),
-        ) as response:
-            _raise_conflict(key, response)
-            if response.status == HTTPStatus.NOT_FOUND:
-                raise ConflictError(key, ABSENT_VERSION)
+        )
+        _raise_conflict(key, reply)
+        if reply.status == HTTPStatus.NOT_FOUND:
+            raise ConflictError(key, ABSENT_VERSION)
 
     async def watch(
         self,
@@ -107,31 +102,29 @@
         """Wait until the object's version differs from the one seen."""
         self.calls_by_kind['watch'] += 1
         wait_ms = int(wait_s * MS_PER_S)
-        url = self._object_url(key).with_query(
-            watch=seen_version,
-            wait_ms=wait_ms,
+        reply = await self._read(
+            f'{_object_path(key)}?watch={seen_version}&wait_ms={wait_ms}',
+            wait_s,
         )
-        timeout_s = wait_s + _WATCH_GRACE_S
-        async with self._call('GET', url, timeout_s=timeout_s) as response:
-            if response.status == HTTPStatus.NOT_FOUND:
-                return None
-            if response.status == HTTPStatus.OK:
-                seen = await _to_object(key, response)
-                self._watched_by_key[key] = seen
-                return seen
+        if reply.status == HTTPStatus.NOT_FOUND:
+            return None
+        if reply.status == HTTPStatus.OK:
+            seen = _to_object(key, reply)
+            self._watched_by_key[key] = seen
+            return seen
         return await self._unchanged(key, seen_version)
 
     async def hosts(self) -> tuple[Host, ...]:
         """Return the platform's lagging list of hosts."""
         self.calls_by_kind['read'] += 1
-        async with self._call('GET', self._base / 'hosts') as response:
-            return parse_hosts(await response.read())
+        reply = await self._read('hosts')
+        return parse_hosts(reply.raw)
 
     async def targets(self) -> tuple[ListedTarget, ...]:
         """Return the platform's lagging list of targets."""
         self.calls_by_kind['read'] += 1
-        async with self._call('GET', self._base / 'targets') as response:
-            return parse_targets(await response.read())
+        reply = await self._read('targets')
+        return parse_targets(reply.raw)
 
     async def order_targets(
         self,
@@ -149,9 +142,7 @@
             'purchase': order.purchase.value,
             'count': order.count,
         }
-        url = self._base / 'target-orders'
-        async with self._call('POST', url, json=body):
-            return
+        await self._write('POST', 'target-orders', body)
 
     async def report_usage(
         self,
@@ -171,9 +162,7 @@
             for team, usage in usage_by_team.items()
         }
         body = {'report_id': report_id, 'epoch': epoch, 'figures': figures}
-        url = self._base / 'usage-reports' / window
-        async with self._call('PUT', url, json=body):
-            return
+        await self._write('PUT', f'usage-reports/{quote(window)}', body)
 
     async def _unchanged(
         self,
@@ -188,45 +177,23 @@
             return watched
         return await self.read(key)
 
-    def _object_url(self, key: str) -> URL:
-        return self._base / 'objects' / key
+    async def _read(self, path: str, wait_s: float = 0) -> StoreReply:
+        return _served(await self._calls.read(path, wait_s))
 
-    @asynccontextmanager
-    async def _call(
+    async def _write(
         self,
         method: str,
-        url: URL,
-        *,
-        timeout_s: float | None = None,
-        json: Any = None,
+        path: str,
+        document: Any = None,
         headers: Mapping[str, str] | None = None,
-    ) -> AsyncIterator[aiohttp.ClientResponse]:
-        timeout = aiohttp.ClientTimeout(
-            total=timeout_s or self._settings.call_timeout_s,
+    ) -> StoreReply:
+        return _served(
+            await self._calls.write(method, path, document, headers),
         )
-        try:
-            async with self._open_session().request(
-                method,
-                url,
-                json=json,
-                headers=headers,
-                timeout=timeout,
-            ) as response:
-                _raise_unavailable(response)
-                yield response
-        except aiohttp.ClientConnectorError as error:
-            raise UnavailableError(f'platform: {error}') from error
-        except (
-            TimeoutError,
-            aiohttp.ClientError,
-            ConnectionLostError,
-        ) as error:
-            raise AnswerLostError(f'platform: {error!r}') from error
-
-    def _open_session(self) -> aiohttp.ClientSession:
-        if self._session is None:
-            self._session = aiohttp.ClientSession(middlewares=(send_once,))
-        return self._session
+
+
+def _object_path(key: str) -> str:
+    return f'objects/{quote(key)}'
 
 
 def _condition_headers(condition: Condition) -> Mapping[str, str]:
@@ -239,32 +206,30 @@
             return {}
 
 
-def _version(response: aiohttp.ClientResponse) -> int:
-    return int(response.headers['ETag'].strip('"'))
+def _version(reply: StoreReply) -> int:
+    return int(reply.headers['ETag'].strip('"'))
 
 
-async def _to_object(
-    key: str,
-    response: aiohttp.ClientResponse,
-) -> StoredObject:
-    return StoredObject(key, _version(response), await response.json())
+def _to_object(key: str, reply: StoreReply) -> StoredObject:
+    return StoredObject(key, _version(reply), reply.document)
 
 
-def _raise_conflict(key: str, response: aiohttp.ClientResponse) -> None:
-    if response.status == HTTPStatus.PRECONDITION_FAILED:
+def _raise_conflict(key: str, reply: StoreReply) -> None:
+    if reply.status == HTTPStatus.PRECONDITION_FAILED:
         present = ABSENT_VERSION
-        if 'ETag' in response.headers:
-            present = _version(response)
+        if 'ETag' in reply.headers:
+            present = _version(reply)
         raise ConflictError(key, present)
 
 
-def _raise_unavailable(response: aiohttp.ClientResponse) -> None:
-    match response.status:
+def _served(reply: StoreReply) -> StoreReply:
+    """Return a reply that the platform has not failed with."""
+    match reply.status:
         case HTTPStatus.TOO_MANY_REQUESTS | HTTPStatus.SERVICE_UNAVAILABLE:
-            retry_after_s = float(response.headers.get('Retry-After', 0))
             raise UnavailableError(
-                f'platform: status {response.status}',
-                retry_after_s,
+                f'platform: status {reply.status}',
+                reply.retry_after_s,
             )
         case status if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
             raise AnswerLostError(f'platform: status {status}')
+    return reply
--- a/packages/geraniumd/src/geraniumd/context.py
+++ b/packages/geraniumd/src/geraniumd/state/context.py
@@ -19,23 +19,24 @@
 from geranium_policy import SuspectRegister
 from geranium_policy.suspects import SuspectSettings
 
-from .claim_peers import ClaimOwners
+from ..hosts import (
+    ClaimOwners,
+    HostDirectory,
+    PeerLink,
+    PeerReplicator,
+    PresenceRegistry,
+    WithdrawalAnnouncer,
+    holder_name,
+)
+from ..platform import PlatformClient
+from ..process import Lifecycle, Secrets, Settings, Telemetry
 from .demand import ServiceDemands
-from .directory import HostDirectory, holder_name
-from .electors import WithdrawalAnnouncer
 from .fleet import Fleet
 from .follower import ConfigurationFollower
 from .gossip import Gossip
 from .intents import EngineIntents
-from .lifecycle import Lifecycle
-from .peer_links import PeerLink
-from .platform import PlatformClient
-from .presence import PresenceRegistry
 from .records import RequestLog
-from .settings import Secrets, Settings
-from .telemetry import Telemetry
 from .usage import UsageMeter
-from .usage_peers import PeerReplicator
 
 # A host counts as an elector once the hold has passed since its start; the
 # hold outlasts the time that a change may take.
--- a/packages/geraniumd/src/geraniumd/fleet.py
+++ b/packages/geraniumd/src/geraniumd/state/fleet.py
@@ -15,7 +15,7 @@
 )
 from geranium_policy import EngineView
 
-from .listings import ListedTarget
+from ..platform import ListedTarget
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/geraniumd/src/geraniumd/follower.py
+++ b/packages/geraniumd/src/geraniumd/state/follower.py
@@ -13,10 +13,8 @@
 )
 from geranium_model import Configuration
 
-from .directory import HostDirectory
-from .logs import get_logger
-from .settings import Settings
-from .telemetry import Telemetry
+from ..hosts import HostDirectory
+from ..process import Settings, Telemetry, get_logger
 
 WATCHERS_PER_ZONE = 2
 _WATCH_WAIT_S = 1
--- a/packages/geraniumd/src/geraniumd/gossip.py
+++ b/packages/geraniumd/src/geraniumd/state/gossip.py
@@ -9,9 +9,9 @@
     SuspectRegister,
 )
 
+from ..hosts import EngineDispatch, Ping, ServiceConsumption, ServiceDemand
 from .demand import ServiceDemands
 from .fleet import Fleet
-from .messages import EngineDispatch, Ping, ServiceConsumption, ServiceDemand
 
 _PEER_TIMEOUT_S = 3
 
--- a/packages/geraniumd/src/geraniumd/intents.py
+++ b/packages/geraniumd/src/geraniumd/state/intents.py
@@ -11,7 +11,7 @@
     ObjectStore,
 )
 
-from .exceptions import OperatorConflictError
+from ..process import OperatorConflictError
 
 PREFIX = 'intents/engines/'
 
--- a/packages/geraniumd/src/geraniumd/usage.py
+++ b/packages/geraniumd/src/geraniumd/state/usage.py
@@ -5,8 +5,7 @@
 from geranium_coordination import UsageLedger
 from geranium_model import Usage
 
-from .settings import UsageSettings
-from .telemetry import Telemetry
+from ..process import Telemetry, UsageSettings
 
 
 class UsageMeter:
--- a/packages/geraniumd/src/geraniumd/lists.py
+++ b/packages/geraniumd/src/geraniumd/upkeep/lists.py
@@ -5,8 +5,8 @@
 
 from geranium_coordination import StoreError
 
-from .context import Context
-from .logs import get_logger
+from ..process import get_logger
+from ..state import Context
 
 
 class ListPoller:
--- a/packages/geraniumd/src/geraniumd/peer_server.py
+++ b/packages/geraniumd/src/geraniumd/upkeep/peer_server.py
@@ -9,33 +9,15 @@
     encode_delta,
 )
 
-from .channel import Channel
-from .context import Context
-from .exceptions import FrameError, PeerError
-from .handshake import Identity, accept
-from .logs import get_logger
-from .messages import (
-    Acknowledgement,
-    Announcement,
-    Answer,
-    ClaimAnswer,
-    ClaimQuestion,
-    ConfigurationUpdate,
-    ConfigurationWanted,
-    Envelope,
-    Message,
-    Ping,
-    Status,
-    UsageReplica,
-    UsageWanted,
-)
-from .wire import decode, encode
+from .. import hosts
+from ..process import FrameError, PeerError, get_logger
+from ..state import Context
 
 
 class PeerServer:
     """Listens for other daemons."""
 
-    def __init__(self, context: Context, identity: Identity) -> None:
+    def __init__(self, context: Context, identity: hosts.Identity) -> None:
         self._identity = identity
         self._settings = context.settings.peers
         self._replica = context.replica
@@ -46,7 +28,7 @@
         self._telemetry = context.telemetry
         self._log = get_logger()
         self._server: asyncio.Server | None = None
-        self._channels: set[Channel] = set()
+        self._channels: set[hosts.Channel] = set()
         self._commits: set[asyncio.Task[None]] = set()
 
     async def start(self, address: str, port: int) -> int:
@@ -67,7 +49,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        channel = Channel(
+        channel = hosts.Channel(
             reader,
             writer,
             self._settings.max_frame_bytes,
@@ -82,47 +64,49 @@
             self._channels.discard(channel)
             channel.close()
 
-    async def _converse(self, channel: Channel) -> None:
+    async def _converse(self, channel: hosts.Channel) -> None:
         try:
             async with asyncio.timeout(self._settings.handshake_timeout_s):
-                hello = await accept(channel, self._identity)
+                hello = await hosts.accept(channel, self._identity)
         except TimeoutError:
             raise PeerError('no handshake in time') from None
         while True:
-            envelope = decode(await channel.receive())
+            envelope = hosts.decode(await channel.receive())
             question = envelope.message
-            if isinstance(question, ClaimQuestion):
+            if isinstance(question, hosts.ClaimQuestion):
                 # A commit takes a write to the platform: pings go on.
                 self._commit_soon(channel, envelope.number, question)
                 continue
             answer = self._answer(hello.host, question)
-            await channel.send(encode(Envelope(envelope.number, answer)))
+            await channel.send(
+                hosts.encode(hosts.Envelope(envelope.number, answer))
+            )
 
-    def _answer(self, host: str, question: Message) -> Answer:
+    def _answer(self, host: str, question: hosts.Message) -> hosts.Answer:
         match question:
-            case Ping():
+            case hosts.Ping():
                 self._gossip.take(host, question)
-                return Status(
+                return hosts.Status(
                     self._replica.report(), self._lifecycle.is_leaving
                 )
-            case ConfigurationWanted(since_version=version):
+            case hosts.ConfigurationWanted(since_version=version):
                 delta = self._replica.loaded.delta_since(version)
-                return ConfigurationUpdate(encode_delta(delta))
-            case Announcement(pending=pending):
-                return Acknowledgement(self._replica.announce(pending))
-            case UsageReplica(batches=batches):
+                return hosts.ConfigurationUpdate(encode_delta(delta))
+            case hosts.Announcement(pending=pending):
+                return hosts.Acknowledgement(self._replica.announce(pending))
+            case hosts.UsageReplica(batches=batches):
                 self._ledger.merge(batches)
-                return Acknowledgement(counts=True)
-            case UsageWanted(through_window=window):
-                return UsageReplica(self._ledger.batches(window))
+                return hosts.Acknowledgement(counts=True)
+            case hosts.UsageWanted(through_window=window):
+                return hosts.UsageReplica(self._ledger.batches(window))
             case _:
                 raise FrameError('an answer where a question was due')
 
     def _commit_soon(
         self,
-        channel: Channel,
+        channel: hosts.Channel,
         number: int,
-        question: ClaimQuestion,
+        question: hosts.ClaimQuestion,
     ) -> None:
         commit = asyncio.create_task(self._commit(channel, number, question))
         self._commits.add(commit)
@@ -130,9 +114,9 @@
 
     async def _commit(
         self,
-        channel: Channel,
+        channel: hosts.Channel,
         number: int,
-        question: ClaimQuestion,
+        question: hosts.ClaimQuestion,
     ) -> None:
         try:
             operation = decode_claim_message(question.encoded_operation)
@@ -141,8 +125,8 @@
             return
         outcome = await self._claims.serve(operation)
         encoded = encode_claim_message(outcome) if outcome else b''
-        answer = Envelope(number, ClaimAnswer(encoded))
+        answer = hosts.Envelope(number, hosts.ClaimAnswer(encoded))
         try:
-            await channel.send(encode(answer))
+            await channel.send(hosts.encode(answer))
         except PeerError as error:
             self._log.debug('claim_not_answered', error=str(error))
--- a/packages/geraniumd/src/geraniumd/peering.py
+++ b/packages/geraniumd/src/geraniumd/upkeep/peering.py
@@ -8,18 +8,17 @@
     decode_delta,
 )
 
-from .context import Context
-from .directory import Presence
-from .exceptions import PeerError
-from .handshake import Identity
-from .logs import get_logger
-from .messages import (
+from ..hosts import (
     ConfigurationUpdate,
     ConfigurationWanted,
+    Identity,
+    PeerLink,
+    Presence,
     Status,
+    choose_neighbours,
 )
-from .neighbours import choose_neighbours
-from .peer_links import PeerLink
+from ..process import PeerError, get_logger
+from ..state import Context
 
 _RECONCILE_INTERVAL_S = 0.5
 
--- a/packages/geraniumd/src/geraniumd/probes.py
+++ b/packages/geraniumd/src/geraniumd/upkeep/probes.py
@@ -5,10 +5,9 @@
 from geranium_coordination import Clock
 from geranium_policy import CacheCleared
 
-from .engines import EngineClient
-from .exceptions import TargetError
-from .fleet import EngineLink, Fleet
-from .settings import TargetSettings
+from ..backends import EngineClient
+from ..process import TargetError, TargetSettings
+from ..state import EngineLink, Fleet
 
 
 class LoadProber:
--- a/packages/geraniumd/src/geraniumd/wiring.py
+++ b/packages/geraniumd/src/geraniumd/wiring.py
@@ -10,31 +10,17 @@
     RouterSettings,
 )
 
-from .accounting import RequestAccounting
-from .admission import CompletionAdmission
-from .application_endpoint import ApplicationEndpoint
-from .applications import ApplicationRunner
-from .arrivals import ArrivalReader
-from .attempts import AttemptRecorder
-from .claimed_calls import ClaimingRunner
-from .completions import CompletionParts, CompletionRunner
-from .context import Context
-from .dumps import StateDump
+from . import callers
+from .backends import EngineClient, TargetTransport
 from .duties import DutyManager
-from .endpoints import AccessControl
-from .engines import EngineClient
-from .execution import StatementExecutor
-from .fanout import Fanout
-from .gateway import Gateway
-from .handoff import KvHandoff
-from .model_endpoint import ModelEndpoint
-from .operator import OperatorApi
-from .selection import TargetSelector
-from .streams import StreamClient
-from .suspects import SuspectGuard
-from .tables import LocalTables
-from .targets import TargetClient
-from .transport import TargetTransport
+from .operators import (
+    Fanout,
+    LocalTables,
+    OperatorApi,
+    StateDump,
+    StatementExecutor,
+)
+from .state import Context
 
 _SEED_BITS = 32
 
@@ -44,7 +30,7 @@
     """The clients of targets and of other daemons' operator side."""
 
     streams: TargetTransport
-    targets: TargetClient
+    targets: callers.TargetClient
     fanout: Fanout
 
     async def close(self) -> None:
@@ -59,7 +45,7 @@
     settings = context.settings.targets
     return Clients(
         streams=TargetTransport(settings),
-        targets=TargetClient(settings),
+        targets=callers.TargetClient(settings),
         fanout=Fanout(context.directory),
     )
 
@@ -67,29 +53,31 @@
 def build_gateway(
     context: Context,
     clients: Clients,
-    admission: CompletionAdmission,
-) -> Gateway:
+    admission: callers.CompletionAdmission,
+) -> callers.Gateway:
     """Return the callers' side."""
     settings = context.settings.gateway
-    access = AccessControl(context.follower)
-    arrivals = ArrivalReader(settings, context.clock)
-    accounting = RequestAccounting(
+    access = callers.AccessControl(context.follower)
+    arrivals = callers.ArrivalReader(settings, context.clock)
+    accounting = callers.RequestAccounting(
         context.requests,
         context.meter,
         context.telemetry,
         context.clock,
     )
     completions, applications = _build_runners(context, clients, admission)
-    return Gateway(
+    return callers.Gateway(
         settings,
         context.follower,
         context.directory,
         context.lifecycle,
-        ModelEndpoint(settings, access, arrivals, completions, accounting),
-        ApplicationEndpoint(
+        callers.ModelEndpoint(
+            settings, access, arrivals, completions, accounting
+        ),
+        callers.ApplicationEndpoint(
             access,
             arrivals,
-            ClaimingRunner(applications, context.claims),
+            callers.ClaimingRunner(applications, context.claims),
             accounting,
         ),
     )
@@ -98,10 +86,10 @@
 def _build_runners(
     context: Context,
     clients: Clients,
-    admission: CompletionAdmission,
-) -> tuple[CompletionRunner, ApplicationRunner]:
+    admission: callers.CompletionAdmission,
+) -> tuple[callers.CompletionRunner, callers.ApplicationRunner]:
     clock = context.clock
-    selector = TargetSelector(
+    selector = callers.TargetSelector(
         context.fleet,
         RouterSettings(seed=context.rng.getrandbits(_SEED_BITS)),
         clock,
@@ -110,20 +98,22 @@
     retry_settings = RetrySettings()
     budget = RetryBudget(retry_settings, clock.now())
     retries = RetryPolicy(retry_settings, budget, context.rng)
-    recorder = AttemptRecorder(context.telemetry, selector.health, clock)
-    completions = CompletionRunner(
-        CompletionParts(
+    recorder = callers.AttemptRecorder(
+        context.telemetry, selector.health, clock
+    )
+    completions = callers.CompletionRunner(
+        callers.CompletionParts(
             admission,
             selector,
-            SuspectGuard(context, EngineClient(clients.streams)),
-            KvHandoff(clients.streams, context.fleet, clock),
-            StreamClient(context.settings.targets, clients.streams),
+            callers.SuspectGuard(context, EngineClient(clients.streams)),
+            callers.KvHandoff(clients.streams, context.fleet, clock),
+            callers.StreamClient(context.settings.targets, clients.streams),
             retries,
             recorder,
         ),
         clock,
     )
-    applications = ApplicationRunner(
+    applications = callers.ApplicationRunner(
         selector,
         clients.targets,
         retries,
--- a/packages/geraniumd/tests/test_admission.py
+++ b/packages/geraniumd/tests/test_admission.py
@@ -6,9 +6,9 @@
 import pytest
 from geranium_model import ModelService, NotRun, Usage
 from geranium_policy import RequestProfile
-from geraniumd.admission import CompletionAdmission, Released
-from geraniumd.context import build_context
-from geraniumd.settings import PlatformSettings, Secrets, Settings
+from geraniumd.callers import CompletionAdmission, Released
+from geraniumd.process import PlatformSettings, Secrets, Settings
+from geraniumd.state import build_context
 
 SERVICE = ModelService('llm', 'model', '1')
 
--- a/packages/geraniumd/tests/test_handshake.py
+++ b/packages/geraniumd/tests/test_handshake.py
@@ -3,10 +3,13 @@
 import asyncio
 
 import pytest
-from geraniumd.channel import Channel
-from geraniumd.exceptions import FrameError, PeerAuthenticationError, PeerError
-from geraniumd.handshake import Identity, accept, dial
-from geraniumd.telemetry import Telemetry
+from geraniumd.hosts import Channel, Identity, accept, dial
+from geraniumd.process import (
+    FrameError,
+    PeerAuthenticationError,
+    PeerError,
+    Telemetry,
+)
 
 LIMIT_BYTES = 1024
 
--- a/packages/geraniumd/tests/test_intents.py
+++ b/packages/geraniumd/tests/test_intents.py
@@ -2,8 +2,8 @@
 
 import pytest
 from geranium_coordination import MemoryStore, Unconditional
-from geraniumd.exceptions import OperatorConflictError
-from geraniumd.intents import EngineIntent, EngineIntents
+from geraniumd.process import OperatorConflictError
+from geraniumd.state import EngineIntent, EngineIntents
 
 
 class RemovingStore(MemoryStore):
--- a/packages/geraniumd/tests/test_logs_page.py
+++ b/packages/geraniumd/tests/test_logs_page.py
@@ -6,8 +6,8 @@
 from collections import defaultdict
 
 import geraniumd
-from geraniumd.directory import Presence
-from geraniumd.logs import LEVELS_BY_NAME
+from geraniumd.hosts import Presence
+from geraniumd.process import LEVELS_BY_NAME
 
 from .page_tables import names_in, read_rows
 
@@ -17,7 +17,7 @@
 
 
 def logged_calls():
-    for path in SOURCES.glob('*.py'):
+    for path in SOURCES.rglob('*.py'):
         for node in ast.walk(ast.parse(path.read_text())):
             if isinstance(node, ast.Call) and _is_log_call(node):
                 yield node
--- a/packages/geraniumd/tests/test_metrics_page.py
+++ b/packages/geraniumd/tests/test_metrics_page.py
@@ -1,6 +1,6 @@
 """The page of metrics and the instruments say the same."""
 
-from geraniumd.telemetry import Telemetry
+from geraniumd.process import Telemetry
 from opentelemetry.metrics import Counter, Histogram
 
 from .page_tables import read_rows
--- a/packages/geraniumd/tests/test_neighbours.py
+++ b/packages/geraniumd/tests/test_neighbours.py
@@ -1,10 +1,8 @@
 """Which links a daemon keeps, at any number of daemons."""
 
 import pytest
-from geraniumd.directory import Presence
-from geraniumd.electors import choose_electors
-from geraniumd.neighbours import choose_neighbours
-from geraniumd.settings import PeerSettings
+from geraniumd.hosts import Presence, choose_electors, choose_neighbours
+from geraniumd.process import PeerSettings
 
 ZONES = 25
 
--- a/packages/geraniumd/tests/test_settings.py
+++ b/packages/geraniumd/tests/test_settings.py
@@ -55,7 +55,7 @@
     assert raised.value.complaints[0].startswith(complaint)
 
 
-def test_bad_settings_exit_with_2(tmp_path):
+def test_bad_settings_exit_with_two(tmp_path):
     path = tmp_path / 'settings.json'
     path.write_text(json.dumps({**VALID, 'zone': ''}))
     checked = CliRunner().invoke(main, ['--check-settings', str(path)])
@@ -63,7 +63,7 @@
     assert 'zone: ' in checked.output
 
 
-def test_missing_secret_exits_with_2(tmp_path, monkeypatch):
+def test_missing_secret_exits_with_two(tmp_path, monkeypatch):
     monkeypatch.delenv('GERANIUM_OPERATOR_TOKEN', raising=False)
     path = tmp_path / 'settings.json'
     path.write_text(json.dumps(VALID))
--- a/packages/geraniumd/tests/test_settings_page.py
+++ b/packages/geraniumd/tests/test_settings_page.py
@@ -2,8 +2,7 @@
 
 import pathlib
 
-from geraniumd.settings_meanings import MEANINGS
-from geraniumd.settings_page import render_page, setting_paths
+from geraniumd.process import MEANINGS, render_page, setting_paths
 
 PAGE = pathlib.Path(__file__).parents[3] / 'docs' / 'SETTINGS.md'
 
--- a/packages/geraniumd/tests/test_supervision.py
+++ b/packages/geraniumd/tests/test_supervision.py
@@ -2,8 +2,7 @@
 
 import json
 
-from geraniumd.logs import configure_logs
-from geraniumd.supervision import supervise
+from geraniumd.process import configure_logs, supervise
 
 
 async def test_failed_task_starts_again(capsys):
--- a/packages/geraniumd/tests/test_wire.py
+++ b/packages/geraniumd/tests/test_wire.py
@@ -15,10 +15,11 @@
     RoleDemand,
     TeamConsumption,
 )
-from geraniumd import messages
-from geraniumd.exceptions import FrameError
-from geraniumd.wire import decode, encode
+from geraniumd.hosts import decode, encode, messages
+from geraniumd.process import FrameError
 
+STORE_AGE_S = 0.0125
+WITHDRAWAL_AGE_S = 0.5
 PENDING = PendingWithdrawal('op-1', 7, ('a' * 64, 'b' * 64))
 
 REPORT = ConsumptionReport(
@@ -59,17 +60,17 @@
     report = FreshnessReport(
         'h',
         4,
-        store_age_s=0.0125,
+        store_age_s=STORE_AGE_S,
         quorum_age_s=None,
         votes=True,
-        withdrawals=(HeldWithdrawal(PENDING, 0.5),),
+        withdrawals=(HeldWithdrawal(PENDING, WITHDRAWAL_AGE_S),),
     )
     sent = messages.Envelope(1, messages.Status(report, is_leaving=True))
     received = decode(encode(sent)).message
     assert isinstance(received, messages.Status)
-    assert received.report.store_age_s >= 0.0125
+    assert received.report.store_age_s >= STORE_AGE_S
     assert received.report.quorum_age_s is None
-    assert received.report.withdrawals[0].age_s >= 0.5
+    assert received.report.withdrawals[0].age_s >= WITHDRAWAL_AGE_S
     assert received.report.withdrawals[0].pending == PENDING
 
 
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import dataclasses
+import json
+import pathlib
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from typing import Any
@@ -11,6 +13,7 @@
 from aiohttp import ClientError, ClientSession, web
 from geranium_platform import PlatformSettings
 from geranium_platform.host import Host
+from geranium_platform.reloading import SettingsFile
 from geranium_platform_standins import (
     StandinCloud,
     StandinStore,
@@ -47,6 +50,7 @@
 class World:
     """A running host, what stands around it and a caller."""
 
+    path: pathlib.Path
     settings: PlatformSettings
     host: Host
     store: StandinStore
@@ -116,6 +120,7 @@
     store_address: str,
     target: StandinTarget,
     serve: Serve,
+    tmp_path: pathlib.Path,
 ) -> AsyncIterator[World]:
     """Give a host that is ready, with one target of one service."""
     cloud = StandinCloud()
@@ -125,14 +130,16 @@
     )
     standin.put('config', 'main', CONFIGURATION)
     standin.put('servers', 't1', describe(await serve(target.application())))
-    host = Host(settings)
+    path = tmp_path / 'local.toml'
+    write_settings(path, settings)
+    host = Host(SettingsFile(path, settings))
     running = asyncio.create_task(host.run())
     caller = ClientSession()
     checked = settings.listen.ready
     ready = f'http://{checked}/ready'
     await wait_for(lambda: answers(caller, ready))
     await wait_for(lambda: has_targets(host))
-    yield World(settings, host, standin, cloud, target, caller)
+    yield World(path, settings, host, standin, cloud, target, caller)
     await caller.close()
     running.cancel()
     with contextlib.suppress(asyncio.CancelledError):
@@ -164,7 +171,6 @@
             'ip': '127.0.0.1',
             'zone': 'a',
             'internalPorts': [ports[3], ports[3]],
-            'heartbeatMs': 1200,
             'bootstrap': True,
             'listen': {
                 'front': f'127.0.0.1:{ports[0]}',
@@ -187,6 +193,24 @@
     )
 
 
+def write_settings(path: pathlib.Path, settings: PlatformSettings) -> None:
+    """Write settings as a file; JSON values of one line are TOML values."""
+    sections = settings.model_dump(by_alias=True, exclude_none=True)
+    plain = {
+        name: one for name, one in sections.items() if not isinstance(one, dict)
+    }
+    lines = _fields(plain)
+    for name, section in sections.items():
+        if isinstance(section, dict):
+            lines.append(f'[{name}]')
+            lines.extend(_fields(section))
+    path.write_text('\n'.join(lines))
+
+
+def _fields(section: Mapping[str, Any]) -> list[str]:
+    return [f'{name} = {json.dumps(one)}' for name, one in section.items()]
+
+
 def free_ports(count: int) -> list[int]:
     """Return ports that the kernel has just given out."""
     with contextlib.ExitStack() as stack:
--- a/tests/adapter/test_object_store.py
+++ b/tests/adapter/test_object_store.py
@@ -16,9 +16,9 @@
     Changes,
     HistoryGone,
     PlatformStore,
-    StoreSettings,
 )
 from geranium_platform_standins import StandinStore
+from geranium_relay import StoreSettings
 
 KEY = 'usage/counts/host'
 
--- /dev/null
+++ b/tests/adapter/test_reloading.py
@@ -0,0 +1,84 @@
+"""A settings file that changes while the process runs is taken in."""
+
+import json
+
+from geranium_platform import PlatformSettings
+from geranium_platform.reloading import SettingsFile, SettingsWatch
+from geranium_relay import DecisionLog, LogSettings
+
+from .conftest import make_settings, write_settings
+from .waits import wait_for
+
+
+class Watched:
+    """A watch over a file, what it applied and what it logged."""
+
+    def __init__(self, path) -> None:
+        self.path = path
+        self.settings = make_settings(platform={'address': '127.0.0.1:1'})
+        write_settings(path, self.settings)
+        self.applied = []
+        self._lines = []
+        self.watch = SettingsWatch(
+            SettingsFile(path, self.settings),
+            self.applied.append,
+            DecisionLog(LogSettings(), self._lines.append, float),
+        )
+
+    def rewrite(self, **bounds: object) -> PlatformSettings:
+        changed = self.settings.model_copy(
+            update={'bounds': self.settings.bounds.model_copy(update=bounds)},
+        )
+        write_settings(self.path, changed)
+        return changed
+
+    def only_event(self) -> dict[str, object]:
+        assert len(self._lines) == 1
+        return json.loads(self._lines[0])
+
+    def check(self) -> None:
+        self.watch._check()
+
+
+def test_changed_bounds_are_applied_and_named(tmp_path) -> None:
+    watched = Watched(tmp_path / 'local.toml')
+    changed = watched.rewrite(revoke_ms=2000, lease_ms=4000)
+
+    watched.check()
+    watched.check()
+
+    assert watched.applied == [changed]
+    line = watched.only_event()
+    assert line['event'] == 'settings_changed'
+    assert line['applied'] == ['revoke_ms']
+    assert line['at_next_start'] == ['lease_ms']
+
+
+def test_unusable_file_changes_nothing_and_is_named_once(tmp_path) -> None:
+    watched = Watched(tmp_path / 'local.toml')
+    watched.path.write_text('nodeName = ')
+
+    watched.check()
+    watched.check()
+
+    assert not watched.applied
+    line = watched.only_event()
+    assert line['event'] == 'settings_left_out'
+
+
+async def test_host_applies_a_bound_without_a_signal(world) -> None:
+    bounds = world.settings.bounds.model_copy(update={'revoke_ms': 0})
+    write_settings(
+        world.path,
+        world.settings.model_copy(update={'bounds': bounds}),
+    )
+
+    async def is_unready() -> bool:
+        return not world.host.is_ready()
+
+    await wait_for(is_unready)
+    response = await world.caller.post(
+        world.url('/safe/x'),
+        headers=world.headers(),
+    )
+    assert response.status == 503
