--- a/packages/geranium-relay/src/geranium_relay/__init__.py
+++ b/packages/geranium-relay/src/geranium_relay/__init__.py
@@ -89,7 +89,8 @@
     SharedReadingSettings,
     StoreKnowledge,
 )
-from .targets import Fleet, FleetChange, Stage, Target
+from .store_calls import StoreCalls, StoreReply, StoreSettings
+from .targets import Fleet, FleetChange, Stage, Target, TargetChange
 from .telemetry import Telemetry
 from .usage import (
     ToldUsage,
@@ -172,10 +173,14 @@
     'SharedReadingSettings',
     'SharedReadings',
     'Stage',
+    'StoreCalls',
     'StoreKnowledge',
+    'StoreReply',
+    'StoreSettings',
     'Target',
     'TargetAnswer',
     'TargetCall',
+    'TargetChange',
     'TargetLoad',
     'TargetOrder',
     'TargetPort',
--- a/packages/geranium-relay/src/geranium_relay/peer_news.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_news.py
@@ -14,6 +14,8 @@
 
 from .load_book import RANKS, TargetLoad
 from .messages import PromptPart
+from .target_news import decode_changes, encode_changes
+from .targets import TargetChange
 
 MOST_DISPATCHES = 40  # of one datagram, which then stays below 64 kB
 CRASH_REPEAT_S = 2.0  # datagrams get lost, so crashes are told for a while
@@ -85,6 +87,7 @@
         usage_by_window: Requests by team in windows whose counts it could
             not write to the store.
         known: What it knows from the store.
+        target_changes: Targets that have changed in its list lately.
     """
 
     sender: PeerIdentity
@@ -96,6 +99,7 @@
     crashes: tuple[CrashNotice, ...]
     usage_by_window: Mapping[int, Mapping[str, int]]
     known: Knowledge
+    target_changes: tuple[TargetChange, ...] = ()
 
 
 @functools.lru_cache(maxsize=_KNOWN_TARGETS)
@@ -191,6 +195,7 @@
             {'window': window, 'counts': _encode_counts(counts)}
             for window, counts in news.usage_by_window.items()
         ],
+        targets=encode_changes(news.target_changes),
     )
     packed: bytes = message.to_bytes_packed()
     return packed
@@ -253,6 +258,7 @@
             message.targetsDigest,
             message.targetsAgeMs / 1000,
         ),
+        target_changes=tuple(decode_changes(message.targets)),
     )
 
 
--- a/packages/geranium-relay/src/geranium_relay/peers.capnp
+++ b/packages/geranium-relay/src/geranium_relay/peers.capnp
@@ -17,6 +17,21 @@
   catalogueAgeMs @13 :UInt32;
   targetsDigest @14 :UInt64;
   targetsAgeMs @15 :UInt32;
+  targets @16 :List(Target);
+}
+
+struct Target {
+  identity @0 :Text;
+  gone @1 :Bool;
+  bornMs @2 :UInt64;
+  service @3 :Text;
+  address @4 :Text;
+  zone @5 :Text;
+  slots @6 :UInt32;
+  leaving @7 :Bool;
+  reclaimable @8 :Bool;
+  stage @9 :Text;
+  weightsVersion @10 :Int64;
 }
 
 struct Usage {
--- a/packages/geranium-relay/src/geranium_relay/peers.py
+++ b/packages/geranium-relay/src/geranium_relay/peers.py
@@ -19,6 +19,7 @@
     encode_news,
     target_hash,
 )
+from .targets import TargetChange
 
 KeysByHash: TypeAlias = Mapping[int, str]
 UsageByWindow: TypeAlias = Mapping[int, Mapping[str, int]]
@@ -175,6 +176,7 @@
     usage: Callable[[], UsageByWindow]
     known: Callable[[], Knowledge]
     is_reader: Callable[[], bool]
+    target_changes: Callable[[], tuple[TargetChange, ...]]
 
 
 class PeerExchange(asyncio.DatagramProtocol):
@@ -232,24 +234,21 @@
         now = self._clock.now()
         state = self._sources.state()
         dispatches, crashes = self._sources.outbox.take(now)
-        datagram = encode_news(
-            News(
-                self._peers.own,
-                state.ready,
-                state.leaving,
-                self._time.now(),
-                {
-                    target_hash(key): load
-                    for key, load in self._sources.loads.own(now).items()
-                },
-                dispatches,
-                crashes,
-                self._sources.usage(),
-                self._sources.known(),
-            ),
+        news = News(
+            self._peers.own,
+            state.ready,
+            state.leaving,
+            self._time.now(),
+            {
+                target_hash(key): load
+                for key, load in self._sources.loads.own(now).items()
+            },
+            dispatches,
+            crashes,
+            self._sources.usage(),
+            self._sources.known(),
         )
-        for peer in self._peers.listed():
-            self._transport.sendto(datagram, _split(peer.address))
+        self._send(self._transport, news)
 
     def datagram_received(
         self,
@@ -270,6 +269,25 @@
         )
         self._hear(news, self._keys_by_hash)
 
+    def _send(self, transport: asyncio.DatagramTransport, news: News) -> None:
+        """Send news; those of changed targets stay within the zone.
+
+        Each zone has hosts that read the list, and traffic between zones is
+        priced.
+        """
+        datagram = encode_news(news)
+        near = datagram
+        if self._sources.is_reader():
+            changes = self._sources.target_changes()
+            if changes:
+                near = encode_news(
+                    dataclasses.replace(news, target_changes=changes),
+                )
+        zone = self._peers.own.zone
+        for peer in self._peers.listed():
+            chosen = near if peer.zone == zone else datagram
+            transport.sendto(chosen, _split(peer.address))
+
     def _pause_s(self) -> float:
         if self._sources.is_reader():
             return self._peers.reader_news_every_s()
--- a/packages/geranium-relay/src/geranium_relay/shared_readings.py
+++ b/packages/geranium-relay/src/geranium_relay/shared_readings.py
@@ -89,12 +89,17 @@
             self.catalogue_differs.set()
         elif known.catalogue_version == own.catalogue_version:
             self._note_catalogue(now - known.catalogue_age_s)
-        told_at = now - known.targets_age_s
+        told_at = self.told_targets_at(news)
         if known.targets_digest == own.targets_digest:
             self._note_targets(told_at)
         elif told_at > own.targets_at:
             self.targets_differ.set()
 
+    def told_targets_at(self, news: News) -> float:
+        """Return when a peer sent the call that brought its targets."""
+        sent_at = self._clock() - self._settings.margin_s
+        return sent_at - news.known.targets_age_s
+
     def catalogue_at(self) -> float:
         """Return the last instant at which this host's version stood."""
         return self._told.catalogue_at
--- a/packages/geranium-relay/src/geranium_relay/targets.py
+++ b/packages/geranium-relay/src/geranium_relay/targets.py
@@ -59,6 +59,14 @@
     leaving: tuple[Target, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetChange:
+    """What became of a target; ``None`` if it is gone."""
+
+    identity: str
+    target: Target | None
+
+
 class Fleet:
     """The targets that may be used, from complete readings of the list.
 
@@ -68,11 +76,12 @@
     """
 
     def __init__(self, return_grace_s: float, outage_s: float) -> None:
-        self._return_grace_s = return_grace_s
+        self.return_grace_s = return_grace_s
         self._outage_s = outage_s
         self._read_at: float | None = None
         self._doubtful_until = -math.inf
         self._targets_by_identity: dict[str, Target] = {}
+        self._changed_at_by_identity: dict[str, float] = {}
         self.digest = 0
 
     @property
@@ -93,10 +102,53 @@
         for gone in change.gone:
             self._targets_by_identity.pop(gone.identity)
         self._targets_by_identity.update(found_by_identity)
-        if change.came or change.gone or change.leaving:
+        changed = (*change.came, *change.gone, *change.leaving)
+        for target in changed:
+            self._changed_at_by_identity[target.identity] = now
+        if changed:
             self.digest = _digest(self._targets_by_identity.values())
         return change
 
+    def changes_since(self, instant: float) -> tuple[TargetChange, ...]:
+        """Return what became of the targets that changed since then."""
+        self._changed_at_by_identity = {
+            identity: at
+            for identity, at in self._changed_at_by_identity.items()
+            if at >= instant
+        }
+        return tuple(
+            TargetChange(identity, self._targets_by_identity.get(identity))
+            for identity in self._changed_at_by_identity
+        )
+
+    def take_in(
+        self,
+        changes: Iterable[TargetChange],
+        digest: int,
+        now: float,
+    ) -> FleetChange | None:
+        """Take in what another host has read of the list.
+
+        Args:
+            changes: What has changed in the other host's list.
+            digest: Stands for its whole list.
+            now: When it read the list.
+
+        Returns:
+            The change of this list, ``None`` if the lists would still differ
+            and nothing was changed.
+        """
+        found_by_identity = dict(self._targets_by_identity)
+        for change in changes:
+            if change.target is None:
+                found_by_identity.pop(change.identity, None)
+            else:
+                found_by_identity[change.identity] = change.target
+        found = tuple(found_by_identity.values())
+        if now < self._doubtful_until or _digest(found) != digest:
+            return None
+        return self.replace(found, now)
+
     @property
     def targets_by_identity(self) -> Mapping[str, Target]:
         """All targets, those that are leaving included."""
@@ -114,7 +166,7 @@
         last = self._read_at
         self._read_at = now
         if last is not None and now - last > self._outage_s:
-            self._doubtful_until = now + self._return_grace_s
+            self._doubtful_until = now + self.return_grace_s
 
     def _compare(
         self,
--- a/packages/geranium-relay/tests/test_news.py
+++ b/packages/geranium-relay/tests/test_news.py
@@ -8,7 +8,10 @@
 from geranium_relay.peer_news import DispatchNotice, MalformedNewsError
 
 OWN = relay.PeerIdentity('h2', 'a', '10.0.0.2:1', '10.0.0.2:2', 5)
-KNOWN = relay.Knowledge(7, 0.25, 99, 0.5)
+NOW = 100
+CATALOGUE_AGE_S = 0.25
+TARGETS_AGE_S = 0.5
+KNOWN = relay.Knowledge(7, CATALOGUE_AGE_S, 99, TARGETS_AGE_S)
 
 
 def make_news(host: str = 'h1', zone: str = 'a', **changes) -> relay.News:
@@ -26,6 +29,22 @@
     return dataclasses.replace(news, **changes)
 
 
+def make_target(identity: str, **changes) -> relay.Target:
+    target = relay.Target(
+        identity=identity,
+        born_ms=1,
+        service='s',
+        address='10.0.0.9:1',
+        zone='a',
+        slots=6,
+        leaving=False,
+        reclaimable=True,
+        stage=relay.Stage.PREFILL,
+        weights_version=None,
+    )
+    return dataclasses.replace(target, **changes)
+
+
 class Clock(relay.BootClock):
     def __init__(self) -> None:
         self.instant = 100.0
@@ -51,6 +70,10 @@
         dispatches=(DispatchNotice(7, (relay.PromptPart('p', 9),)),),
         crashes=(CrashNotice(2**63, 't@1', 0.5, cleared=False),),
         usage_by_window={353: {'team': 12}},
+        target_changes=(
+            relay.TargetChange('t1', make_target('t1')),
+            relay.TargetChange('t2', None),
+        ),
     )
 
     assert relay.decode_news(relay.encode_news(news)) == news
@@ -129,8 +152,8 @@
     ) -> None:
         shared.hear(make_news())
 
-        assert shared.catalogue_at() == 99.75
-        assert shared.targets_at() == 99.5
+        assert shared.catalogue_at() == NOW - CATALOGUE_AGE_S
+        assert shared.targets_at() == NOW - TARGETS_AGE_S
         assert not shared.catalogue_differs.is_set()
         assert not shared.targets_differ.is_set()
 
@@ -166,3 +189,69 @@
         peers.hear(make_news('h1a', 'a'), 1000)
 
         assert not shared.is_reader()
+
+
+class TestChangedTargets:
+    """A burst of changes of the list is told, not read by every host."""
+
+    @pytest.fixture
+    def reader(self) -> relay.Fleet:
+        return self.make_fleet()
+
+    @pytest.fixture
+    def follower(self) -> relay.Fleet:
+        return self.make_fleet()
+
+    def make_fleet(self) -> relay.Fleet:
+        fleet = relay.Fleet(return_grace_s=2, outage_s=2)
+        fleet.replace([make_target('t1'), make_target('t2')], NOW)
+        return fleet
+
+    def test_told_changes_bring_the_same_list(
+        self,
+        reader: relay.Fleet,
+        follower: relay.Fleet,
+    ) -> None:
+        reader.replace(
+            [make_target('t2', leaving=True), make_target('t3')],
+            NOW + 1,
+        )
+
+        changes = reader.changes_since(NOW + 0.5)
+        change = follower.take_in(changes, reader.digest, NOW + 1)
+
+        assert change is not None
+        assert [target.identity for target in change.gone] == ['t1']
+        assert [target.identity for target in change.came] == ['t3']
+        assert [target.identity for target in change.leaving] == ['t2']
+        assert follower.digest == reader.digest
+        assert follower.read_at == NOW + 1
+
+    def test_changes_that_explain_too_little_change_nothing(
+        self,
+        reader: relay.Fleet,
+        follower: relay.Fleet,
+    ) -> None:
+        reader.replace([make_target('t2'), make_target('t3')], NOW + 0.5)
+        reader.replace([make_target('t2')], NOW + 1)
+        told = reader.changes_since(NOW + 0.7)
+
+        assert follower.take_in(told, reader.digest, NOW + 1) is None
+        assert sorted(follower.targets_by_identity) == ['t1', 't2']
+
+    def test_old_changes_are_not_told(self, reader: relay.Fleet) -> None:
+        reader.replace([make_target('t2')], NOW + 1)
+
+        assert not reader.changes_since(NOW + 1.5)
+
+    def test_nothing_is_taken_in_after_an_outage(
+        self,
+        reader: relay.Fleet,
+        follower: relay.Fleet,
+    ) -> None:
+        """Entries that lapsed in an outage are no targets that are gone."""
+        follower.replace([make_target('t1'), make_target('t2')], NOW + 5)
+        reader.replace([make_target('t2')], NOW + 1)
+        told = reader.changes_since(NOW)
+
+        assert follower.take_in(told, reader.digest, NOW + 6) is None
--- /dev/null
+++ b/tests/adapter/test_feeds.py
@@ -0,0 +1,98 @@
+"""The list of targets follows peers' news and the store."""
+
+import random
+
+import geranium_relay as relay
+import pytest
+from geranium_platform.feeds import FeedSettings, TargetFeed
+from geranium_platform.knowledge import Knowledge
+from geranium_platform.object_store import PlatformStore
+
+from .conftest import make_settings
+
+
+def make_target(identity: str) -> relay.Target:
+    return relay.Target(
+        identity=identity,
+        born_ms=1,
+        service='app',
+        address='127.0.0.1:9',
+        zone='a',
+        slots=6,
+        leaving=False,
+        reclaimable=False,
+        stage=None,
+        weights_version=None,
+    )
+
+
+class Follower:
+    """A host's feed without a store, and what it noted."""
+
+    def __init__(self) -> None:
+        clock = relay.BootClock()
+        self.now = clock.now()
+        self.lines: list[str] = []
+        self.changes: list[relay.FleetChange] = []
+        log = relay.DecisionLog(
+            relay.LogSettings(),
+            self.lines.append,
+            clock.now,
+        )
+        settings = make_settings(platform={'address': '127.0.0.1:1'})
+        knowledge = Knowledge(settings, clock, random.Random(1), log)
+        self.fleet = knowledge.fleet
+        self.fleet.replace([make_target('t1')], self.now - 2)
+        store = PlatformStore(relay.StoreSettings('127.0.0.1:1'))
+        self.feed = TargetFeed(
+            FeedSettings(),
+            store,
+            knowledge,
+            log,
+            self.changes.append,
+        )
+
+    def hear(self, digest: int, *changes: relay.TargetChange) -> None:
+        self.feed.hear(
+            relay.News(
+                sender=relay.PeerIdentity('h0', 'a', 'h0:1', 'h0:2', 1),
+                ready=True,
+                leaving=False,
+                unix_s=1000,
+                load_by_target={},
+                dispatches=(),
+                crashes=(),
+                usage_by_window={},
+                known=relay.Knowledge(1, 0, digest, 0),
+                target_changes=changes,
+            ),
+        )
+
+
+@pytest.fixture
+def follower() -> Follower:
+    return Follower()
+
+
+def test_changes_that_a_reader_tells_need_no_reading(
+    follower: Follower,
+) -> None:
+    reader = relay.Fleet(2, 2)
+    reader.replace([make_target('t2')], 0)
+
+    follower.hear(
+        reader.digest,
+        relay.TargetChange('t1', None),
+        relay.TargetChange('t2', make_target('t2')),
+    )
+
+    assert list(follower.fleet.targets_by_identity) == ['t2']
+    assert len(follower.changes) == 1
+    assert 'target_came' in follower.lines[0]
+
+
+def test_changes_of_another_list_are_left(follower: Follower) -> None:
+    follower.hear(1, relay.TargetChange('t1', None))
+
+    assert list(follower.fleet.targets_by_identity) == ['t1']
+    assert not follower.changes
