Show refusals by reason, store calls, ages of knowledge and the duty as metrics

docs/platform/METRICS.md lists them; a test holds the page and what a host shows equal. The settings page is made by its own module again without being part of the sub-package's surface.

--- a/packages/geranium-policy/src/geranium_policy/retry_share.py
+++ b/packages/geranium-policy/src/geranium_policy/retry_share.py
@@ -62,6 +62,11 @@
         if self._repeats:
             self._repeats.pop()
 
+    @property
+    def recent_repeats(self) -> int:
+        """Repeats of the last window, as of the last repeat."""
+        return len(self._repeats)
+
     def _forget_before(self, oldest: float) -> None:
         for sends in (self._first_sends, self._repeats):
             while sends and sends[0] < oldest:
--- a/packages/geranium-relay/src/geranium_relay/__init__.py
+++ b/packages/geranium-relay/src/geranium_relay/__init__.py
@@ -89,7 +89,7 @@
     SharedReadingSettings,
     StoreKnowledge,
 )
-from .store_calls import StoreCalls, StoreReply, StoreSettings
+from .store_calls import Observe, StoreCalls, StoreReply, StoreSettings
 from .targets import Fleet, FleetChange, Stage, Target, TargetChange
 from .telemetry import Telemetry
 from .usage import (
@@ -136,6 +136,7 @@
     'NoneAvailable',
     'NotRunError',
     'NotSentError',
+    'Observe',
     'Operations',
     'OrderFailed',
     'OrderResult',
--- a/packages/geranium-relay/src/geranium_relay/operations.py
+++ b/packages/geranium-relay/src/geranium_relay/operations.py
@@ -19,6 +19,8 @@
     held the lease does nothing in a later holding until ``quiet_s`` after
     the former one, so that the acts of two holders never alternate closely.
 
+    ``is_held`` tells whether this host acts at the moment.
+
     Args:
         works: What to run while the lease lasts.
         clock: The clock of leases.
@@ -35,6 +37,7 @@
         self._clock = clock
         self._quiet_s = quiet_s
         self._quiet_until = -quiet_s
+        self.is_held = False
 
     def duty(self) -> Duty:
         """Return what to campaign for."""
@@ -43,11 +46,13 @@
     async def run(self, lease: Lease) -> None:
         """Work until the lease is lost."""
         await self._clock.sleep_until(self._quiet_until)
+        self.is_held = True
         try:
             async with asyncio.TaskGroup() as group:
                 for work in self._works:
                     group.create_task(_run(work, lease))
         finally:
+            self.is_held = False
             self._quiet_until = self._clock.now() + self._quiet_s
 
 
--- a/packages/geranium-relay/src/geranium_relay/relay.py
+++ b/packages/geranium-relay/src/geranium_relay/relay.py
@@ -72,6 +72,8 @@
                     'none',
                     0,
                 )
+                if isinstance(admitted, Refused):
+                    self._context.telemetry.record_refusal(admitted.reason)
                 self._context.log.note(
                     'rejected',
                     request=arrival.identity,
@@ -88,6 +90,8 @@
         except asyncio.CancelledError:
             self._note_end(job, 'CallerLeft', None)
             raise
+        if isinstance(outcome, Refused):
+            self._context.telemetry.record_refusal(outcome.reason)
         self._note_end(job, type(outcome).__name__, _detail(outcome))
         return outcome
 
--- a/packages/geranium-relay/src/geranium_relay/run_context.py
+++ b/packages/geranium-relay/src/geranium_relay/run_context.py
@@ -47,6 +47,11 @@
         """Give the last right back: nothing was sent."""
         self._share(service).give_back()
 
+    def recent_repeats(self) -> int:
+        """Return how many repeats count against the budget now."""
+        shares = self._shares_by_service.values()
+        return sum(share.recent_repeats for share in shares)
+
     def _share(self, service: str) -> RetryShare:
         share = self._shares_by_service.get(service)
         if share is None:
--- a/packages/geranium-relay/src/geranium_relay/store_calls.py
+++ b/packages/geranium-relay/src/geranium_relay/store_calls.py
@@ -8,7 +8,7 @@
 import asyncio
 import dataclasses
 import json
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import aiohttp
@@ -16,6 +16,7 @@
 
 from .resends import send_once
 
+Observe = Callable[[str, str], None]
 _NO_ANSWER = (TimeoutError, aiohttp.ClientError, ConnectionError)
 
 
@@ -67,10 +68,20 @@
 
 
 class StoreCalls:
-    """Sends calls over kept connections, each at most once."""
+    """Sends calls over kept connections, each at most once.
 
-    def __init__(self, settings: StoreSettings) -> None:
+    Args:
+        settings: Where the store is.
+        observe: Told of each call's method and its status or error.
+    """
+
+    def __init__(
+        self,
+        settings: StoreSettings,
+        observe: Observe | None = None,
+    ) -> None:
         self._settings = settings
+        self._observe = observe
         self._base_url = f'http://{settings.address}/'
         self._session: aiohttp.ClientSession | None = None
 
@@ -90,7 +101,7 @@
             UnavailableError: If no answer came.
         """
         try:
-            return await self._call('GET', path, None, {}, wait_s)
+            return await self._observed('GET', path, None, {}, wait_s)
         except _NO_ANSWER as error:
             raise UnavailableError(f'store: {error!r}') from error
 
@@ -109,7 +120,12 @@
                 effect.
         """
         try:
-            return await self._call(method, path, document, headers or {}, 0)
+            return await self._observed(
+                method,
+                path,
+                document,
+                headers or {},
+            )
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
@@ -118,6 +134,26 @@
         except _NO_ANSWER as error:
             raise AnswerLostError(f'store: {error!r}') from error
 
+    async def _observed(
+        self,
+        method: str,
+        path: str,
+        document: Any,
+        headers: Mapping[str, str],
+        wait_s: float = 0,
+    ) -> StoreReply:
+        outcome = 'cancelled'
+        try:
+            reply = await self._call(method, path, document, headers, wait_s)
+            outcome = str(reply.status)
+        except _NO_ANSWER as error:
+            outcome = type(error).__name__
+            raise
+        finally:
+            if self._observe is not None:
+                self._observe(method, outcome)
+        return reply
+
     async def _call(
         self,
         method: str,
--- a/packages/geranium-relay/src/geranium_relay/telemetry.py
+++ b/packages/geranium-relay/src/geranium_relay/telemetry.py
@@ -1,7 +1,7 @@
 """Counters and latency histograms of a host, and their text form."""
 
 import functools
-from collections.abc import Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
 PREFIX = 'geraniumdrum_'
@@ -14,6 +14,13 @@
     delay the start of a host. ``docs/METRICS.md`` lists the names.
     """
 
+    def __init__(self) -> None:
+        self._reads_by_gauge: dict[str, Callable[[], float]] = {}
+
+    def watch(self, name: str, read: Callable[[], float]) -> None:
+        """Show what a function returns at the moment of a scrape."""
+        self._reads_by_gauge[name] = read
+
     def record_end(self, outcome: str, service: str, took_s: float) -> None:
         """Record a request's outcome and its duration in seconds."""
         labels = {'outcome': outcome, 'service': service}
@@ -24,17 +31,27 @@
         """Record how an attempt at a target ended."""
         self._instruments.attempts.add(1, {'outcome': outcome})
 
+    def record_refusal(self, reason: str) -> None:
+        """Record why a request was refused."""
+        self._instruments.refusals.add(1, {'reason': reason})
+
+    def record_store_call(self, method: str, outcome: str) -> None:
+        """Record a call to the store by its HTTP method and its end."""
+        labels = {'method': method, 'outcome': outcome}
+        self._instruments.store_calls.add(1, labels)
+
     def expose(self) -> str:
         """Return all readings, a line each, as ``name{labels} value``."""
         return ''.join(f'{line}\n' for line in _lines(self._instruments.reader))
 
     @functools.cached_property
     def _instruments(self) -> '_Instruments':
-        return _Instruments()
+        return _Instruments(self._reads_by_gauge)
 
 
 class _Instruments:
-    def __init__(self) -> None:
+    def __init__(self, reads_by_gauge: dict[str, Callable[[], float]]) -> None:
+        from opentelemetry.metrics import Observation
         from opentelemetry.sdk.metrics import MeterProvider
         from opentelemetry.sdk.metrics.export import InMemoryMetricReader
 
@@ -54,6 +71,27 @@
             'attempts',
             description='Attempts at targets by outcome.',
         )
+        self.refusals = meter.create_counter(
+            'refusals',
+            description='Refused requests by reason.',
+        )
+        self.store_calls = meter.create_counter(
+            'store_calls',
+            description='Calls to the store by method and outcome.',
+        )
+        for name, read in reads_by_gauge.items():
+            meter.create_observable_gauge(
+                name,
+                callbacks=[functools.partial(_observe, Observation, read)],
+            )
+
+
+def _observe(
+    make: Callable[[float], Any],
+    read: Callable[[], float],
+    _options: object,
+) -> Iterable[Any]:
+    return [make(read())]
 
 
 def _lines(reader: Any) -> Iterator[str]:
--- a/packages/geraniumd/src/geraniumd/process/__init__.py
+++ b/packages/geraniumd/src/geraniumd/process/__init__.py
@@ -34,14 +34,11 @@
     parse_settings,
     settings_schema,
 )
-from .settings_meanings import MEANINGS
-from .settings_page import render_page, setting_paths
 from .supervision import supervise
 from .telemetry import Telemetry
 
 __all__ = [
     'LEVELS_BY_NAME',
-    'MEANINGS',
     'CallerGoneError',
     'ControlSettings',
     'DaemonError',
@@ -73,8 +70,6 @@
     'load_secrets',
     'load_settings',
     'parse_settings',
-    'render_page',
-    'setting_paths',
     'settings_schema',
     'split_address',
     'supervise',
--- a/packages/geraniumd/src/geraniumd/process/settings_page.py
+++ b/packages/geraniumd/src/geraniumd/process/settings_page.py
@@ -1,6 +1,6 @@
 """Writes the page of settings from the models.
 
-``python -m geraniumd.settings_page`` prints ``docs/SETTINGS.md``.
+``python -m geraniumd.process.settings_page`` prints ``docs/SETTINGS.md``.
 """
 
 import json
@@ -17,7 +17,7 @@
 
 _INTRODUCTION = """# Settings
 
-Written by `python -m geraniumd.settings_page` from the models; a test fails
+Written by `python -m geraniumd.process.settings_page` from the models; a test fails
 when this page is not current. A daemon reads one JSON file at its start;
 `geraniumd --check-settings FILE` names every fault by its path, and
 `geraniumd --print-schema` prints the JSON schema. An unknown field is a fault.
--- a/packages/geraniumd/tests/test_settings_page.py
+++ b/packages/geraniumd/tests/test_settings_page.py
@@ -2,7 +2,8 @@
 
 import pathlib
 
-from geraniumd.process import MEANINGS, render_page, setting_paths
+from geraniumd.process.settings_meanings import MEANINGS
+from geraniumd.process.settings_page import render_page, setting_paths
 
 PAGE = pathlib.Path(__file__).parents[3] / 'docs' / 'SETTINGS.md'
 
--- /dev/null
+++ b/tests/adapter/test_metrics_page.py
@@ -0,0 +1,33 @@
+"""The page of metrics and a host's exposition name the same."""
+
+import pathlib
+import re
+
+from .waits import wait_for
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+PAGE = ROOT / 'docs' / 'platform' / 'METRICS.md'
+DESCRIBED = re.compile(r'^\| `(\w+?)(?:_bucket)?`', re.MULTILINE)
+SHOWN = re.compile(r'^(\w+?)(?:_bucket|_sum|_count)?\{', re.MULTILINE)
+
+
+async def test_page_describes_all_that_a_host_shows(world) -> None:
+    for path, headers in (
+        ('/safe/x', world.headers()),
+        ('/safe/x', world.headers(Authorization='Bearer wrong')),
+    ):
+        answer = await world.caller.post(world.url(path), headers=headers)
+        await answer.read()
+    port = world.settings.listen.metrics_port
+    exposition = f'http://127.0.0.1:{port}/metrics'
+    described = set(DESCRIBED.findall(PAGE.read_text()))
+    shown = set()
+
+    async def is_complete() -> bool:
+        async with world.caller.get(exposition) as response:
+            shown.update(SHOWN.findall(await response.text()))
+        # No request of this test is refused.
+        return shown | {'geraniumdrum_refusals'} >= described
+
+    await wait_for(is_complete)
+    assert shown <= described
