--- a/packages/geraniumctl/src/geraniumctl/cli.py
+++ b/packages/geraniumctl/src/geraniumctl/cli.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import pathlib
 import sys
 from collections.abc import Iterator
@@ -13,8 +14,9 @@
 from .documents import read_document
 from .exceptions import ClientError
 from .exit_codes import EXIT_CODES_HELP
+from .explanations import Explainer
 from .failures import report_failure
-from .log_files import describe_record, find_request
+from .log_files import describe_record, find_request, read_records
 from .options import (
     FILE_TYPE,
     Invocation,
@@ -125,6 +127,24 @@
         raise click.ClickException(f'no line names {identity}')
 
 
+@main.command()
+@click.argument('files', nargs=-1, required=True, type=click.File('r'))
+@click.option('--request', 'requests', multiple=True, help='Only this id.')
+def explain(files: tuple[TextIO, ...], requests: tuple[str, ...]) -> None:
+    """Say why requests failed, from FILES of hosts' output."""
+    explainer = Explainer(
+        record for lines in files for record in read_records(lines)
+    )
+    explanations = explainer.failed()
+    if requests:
+        found = map(explainer.explain, requests)
+        explanations = [one for one in found if one is not None]
+    for one in explanations:
+        click.echo('\t'.join(dataclasses.astuple(one)))
+    if requests and len(explanations) < len(requests):
+        raise click.ClickException('no line names some of the requests')
+
+
 @main.command()
 @click.pass_obj
 def prompt(invocation: Invocation) -> None:
--- /dev/null
+++ b/packages/geraniumctl/src/geraniumctl/explanations.py
@@ -0,0 +1,140 @@
+"""Tells from hosts' logs why requests failed."""
+
+import dataclasses
+import datetime
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
+from typing import Any, TypeAlias
+
+Record: TypeAlias = dict[str, Any]
+
+# A target that goes takes its list entry with it some seconds later.
+GONE_WITHIN = datetime.timedelta(seconds=5)
+SHORT_OF_TIME_S = 0.3  # too little for most prompts, however idle the engines
+SERVER_ERROR = 500
+_EVENT = 'event'
+_TARGET = 'target'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Explanation:
+    """Why a request ended as it did.
+
+    Args:
+        request: Its id.
+        route: Its route, ``-`` if it was not admitted.
+        outcome: Its outcome, as logged.
+        cause: What the lines say of the cause.
+    """
+
+    request: str
+    route: str
+    outcome: str
+    cause: str
+
+
+class Explainer:
+    """Explains requests from the records of all hosts."""
+
+    def __init__(self, records: Iterable[Record]) -> None:
+        self._records_by_request: dict[str, list[Record]] = defaultdict(list)
+        self._gone_at_by_target: dict[str, list[datetime.datetime]] = (
+            defaultdict(list)
+        )
+        for record in records:
+            request = record.get('request')
+            if request is not None:
+                self._records_by_request[request].append(record)
+            elif record.get(_EVENT) == 'target_gone':
+                at = _instant(record)
+                self._gone_at_by_target[record[_TARGET]].append(at)
+
+    def explain(self, request: str) -> Explanation | None:
+        """Return why a request ended as it did, ``None`` if none names it."""
+        records = self._records_by_request.get(request)
+        if not records:
+            return None
+        records = sorted(records, key=_instant)
+        last = records[-1]
+        match last.get(_EVENT):
+            case 'rejected':
+                cause = _rejection(last)
+            case 'ended':
+                cause = self._ending(last, records)
+            case event:
+                cause = f'no end was logged after {event!r}'
+        return Explanation(
+            request,
+            last.get('route', '-'),
+            last.get('outcome', '-'),
+            cause,
+        )
+
+    def failed(self) -> list[Explanation]:
+        """Return the explanations of all requests that were not served."""
+        explanations = map(self.explain, self._records_by_request)
+        return [
+            explanation
+            for explanation in explanations
+            if explanation is not None and not self._is_served(explanation)
+        ]
+
+    def _is_served(self, explanation: Explanation) -> bool:
+        if explanation.outcome != 'Delivered':
+            return False
+        last = self._records_by_request[explanation.request][-1]
+        status = last.get('detail')
+        return not isinstance(status, int) or status < SERVER_ERROR
+
+    def _ending(self, end: Record, records: list[Record]) -> str:
+        failures = [
+            self._failure(record)
+            for record in records
+            if record[_EVENT] == 'attempt_failed'
+        ]
+        history = '; '.join(failures)
+        match end['outcome']:
+            case 'Refused':
+                reason = _refusal(end, records)
+                return f'{reason}; {history}' if history else reason
+            case 'Delivered':
+                return 'the target answered so itself'
+            case 'CallerLeft':
+                return 'the caller closed its connection'
+            case _:
+                reason = history or 'no answer by the deadline'
+                detail = end.get('detail') or 'deadline'
+                return f'{reason}; then: {detail}'
+
+    def _failure(self, record: Record) -> str:
+        target = record[_TARGET]
+        failed_at = _instant(record)
+        went = any(
+            abs(gone_at - failed_at) < GONE_WITHIN
+            for gone_at in self._gone_at_by_target[target]
+        )
+        fate = ', which went down' if went else ''
+        kind = record['error'].partition('(')[0]
+        return f'{kind} at {target}{fate}'
+
+
+def _rejection(record: Mapping[str, Any]) -> str:
+    reason = record.get('reason') or 'route or key is not in the catalogue'
+    version, age_s = record.get('catalogue'), record.get('catalogue_age_s')
+    return f'{reason} (version {version}, {age_s} s old)'
+
+
+def _refusal(end: Record, records: list[Record]) -> str:
+    reason = end['detail'][0]
+    busy = [one for one in records if one[_EVENT] == 'engines_busy']
+    if not busy:
+        return str(reason)
+    if end['left_s'] < SHORT_OF_TIME_S:
+        left_s = end['left_s']
+        return f'{reason}: only {left_s} s left to the deadline'
+    free_in_s = busy[-1]['free_in_s']
+    return f'{reason}: the least busy one is free in {free_in_s} s'
+
+
+def _instant(record: Mapping[str, Any]) -> datetime.datetime:
+    return datetime.datetime.fromisoformat(record['timestamp'])
--- a/packages/geraniumctl/src/geraniumctl/log_files.py
+++ b/packages/geraniumctl/src/geraniumctl/log_files.py
@@ -20,7 +20,7 @@
     found = [
         record
         for lines in files
-        for record in _records(lines)
+        for record in read_records(lines)
         if any(record.get(name) == identity for name in _ID_FIELDS)
     ]
     return sorted(found, key=_timestamp)
@@ -37,7 +37,8 @@
     return ' '.join(leading + inputs)
 
 
-def _records(lines: Iterable[str]) -> Iterator[dict[str, Any]]:
+def read_records(lines: Iterable[str]) -> Iterator[dict[str, Any]]:
+    """Give the records of a file, without lines that are none."""
     for line in lines:
         start = line.find('{')
         try:
