Tell the own zone's hosts more often than the others

Cause: 74 hosts told each other their loads every 0.93 s, so that many of them chose the same engine by loads that were a second old. Traffic between zones is priced and most requests stay in a zone.

Change: the interval to the own zone grows with that zone's hosts alone.

--- a/packages/geranium-relay/src/geranium_relay/__init__.py
+++ b/packages/geranium-relay/src/geranium_relay/__init__.py
@@ -51,6 +51,7 @@
     UnknownRoute,
 )
 from .peer_news import (
+    Audience,
     Knowledge,
     News,
     Outbox,
@@ -106,6 +107,7 @@
     'AnswerLostError',
     'AnswerSink',
     'Arrival',
+    'Audience',
     'BootClock',
     'CacheHandle',
     'Catalogue',
--- a/packages/geranium-relay/src/geranium_relay/peer_news.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_news.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import enum
 import functools
 import itertools
 import pathlib
@@ -108,13 +109,21 @@
     return xxhash.xxh3_64_intdigest(key.encode())
 
 
+class Audience(enum.Enum):
+    """Hosts of the own zone, which are told often, and the others."""
+
+    NEAR = 'near'
+    FAR = 'far'
+
+
 class Outbox:
-    """Collects what the next news has to tell."""
+    """Collects what the next news to each audience has to tell."""
 
     def __init__(self) -> None:
-        self._dispatches = collections.deque[DispatchNotice](
-            maxlen=MOST_DISPATCHES,
-        )
+        self._dispatches_by_audience = {
+            audience: collections.deque[DispatchNotice](maxlen=MOST_DISPATCHES)
+            for audience in Audience
+        }
         self._crashes: list[tuple[float, CrashNotice]] = []
 
     def note_dispatch(self, key: str, parts: Sequence[PromptPart]) -> None:
@@ -123,8 +132,11 @@
         The last part is left out: it belongs to the request itself.
         """
         shared = tuple(parts[:-1])
-        if shared:
-            self._dispatches.append(DispatchNotice(target_hash(key), shared))
+        if not shared:
+            return
+        notice = DispatchNotice(target_hash(key), shared)
+        for dispatches in self._dispatches_by_audience.values():
+            dispatches.append(notice)
 
     def note_crashes(self, notices: Iterable[CrashNotice], now: float) -> None:
         """Tell of crashes, for as long as a datagram may get lost."""
@@ -133,13 +145,15 @@
 
     def take(
         self,
+        audience: Audience,
         now: float,
     ) -> tuple[tuple[DispatchNotice, ...], tuple[CrashNotice, ...]]:
-        """Return what is to be told now."""
-        dispatches = tuple(self._dispatches)
-        self._dispatches.clear()
+        """Return what an audience is to be told now."""
+        dispatches = self._dispatches_by_audience[audience]
+        told = tuple(dispatches)
+        dispatches.clear()
         self._crashes = [known for known in self._crashes if known[0] > now]
-        return dispatches, tuple(notice for _, notice in self._crashes)
+        return told, tuple(notice for _, notice in self._crashes)
 
 
 @functools.cache
--- a/packages/geranium-relay/src/geranium_relay/peers.py
+++ b/packages/geranium-relay/src/geranium_relay/peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 import statistics
 from collections.abc import Callable, Mapping
 from typing import TypeAlias
@@ -10,6 +11,7 @@
 from .decision_log import DecisionLog
 from .load_book import LoadBook, TargetLoad
 from .peer_news import (
+    Audience,
     Knowledge,
     MalformedNewsError,
     News,
@@ -32,9 +34,11 @@
     Args:
         news_every_s: Time between two news with few hosts.
         hosts_at_full_rate: With more hosts news come more seldom in
-            proportion, so that a host's traffic stays bounded.
+            proportion, so that a host's traffic stays bounded. Hosts of the
+            own zone are counted by themselves: they choose among the same
+            targets, and traffic within a zone has no price.
         reader_news_every_s: Longest time between two news of a host that
-            others rely on for what it reads from the store.
+            others of its zone rely on for what it reads from the store.
         silent_news: A host that misses so many news is not used.
         forget_s: A host that is silent for so long is not told news.
         least_step_s: Differences of true time below this are left alone.
@@ -141,15 +145,22 @@
         step_s = statistics.median([*ahead, 0])
         return step_s if abs(step_s) > self._settings.least_step_s else 0
 
-    def news_every_s(self) -> float:
-        """Return the present time between two news."""
+    def news_every_s(self, audience: Audience = Audience.FAR) -> float:
+        """Return the present time between two news to an audience."""
+        told = sum(
+            audience is Audience.FAR or peer.identity.zone == self.own.zone
+            for peer in self._peers_by_host.values()
+        )
         settings = self._settings
-        share = len(self._peers_by_host) / settings.hosts_at_full_rate
+        share = told / settings.hosts_at_full_rate
         return settings.news_every_s * max(share, 1)
 
     def reader_news_every_s(self) -> float:
-        """Return the same for a host that reads the store for others."""
-        return min(self.news_every_s(), self._settings.reader_news_every_s)
+        """Return the time between two news of readers to their zone."""
+        return min(
+            self.news_every_s(Audience.NEAR),
+            self._settings.reader_news_every_s,
+        )
 
     def _is_heard(self, peer: _Peer) -> bool:
         if peer.heard_at is None:
@@ -206,6 +217,7 @@
         self._hear = hear
         self._transport: asyncio.DatagramTransport | None = None
         self._keys_by_hash: KeysByHash = {}
+        self._far_due_at = -math.inf
 
     def name_targets(self, keys: frozenset[str]) -> None:
         """Tell which targets the hashes in news may stand for."""
@@ -222,33 +234,15 @@
         self._transport = transport
         try:
             while True:
-                self.tell()
+                self._tell_due()
                 await asyncio.sleep(self._pause_s())
         finally:
             transport.close()
 
     def tell(self) -> None:
         """Send this host's news to all others once."""
-        if self._transport is None:
-            return
-        now = self._clock.now()
-        state = self._sources.state()
-        dispatches, crashes = self._sources.outbox.take(now)
-        news = News(
-            self._peers.own,
-            state.ready,
-            state.leaving,
-            self._time.now(),
-            {
-                target_hash(key): load
-                for key, load in self._sources.loads.own(now).items()
-            },
-            dispatches,
-            crashes,
-            self._sources.usage(),
-            self._sources.known(),
-        )
-        self._send(self._transport, news)
+        for audience in Audience:
+            self._tell(audience)
 
     def datagram_received(
         self,
@@ -269,29 +263,60 @@
         )
         self._hear(news, self._keys_by_hash)
 
-    def _send(self, transport: asyncio.DatagramTransport, news: News) -> None:
-        """Send news; those of changed targets stay within the zone.
+    def _tell_due(self) -> None:
+        """Send news to the own zone, and to the others if it is time."""
+        now = self._clock.now()
+        self._tell(Audience.NEAR)
+        if now >= self._far_due_at:
+            self._far_due_at = now + self._peers.news_every_s()
+            self._tell(Audience.FAR)
 
-        Each zone has hosts that read the list, and traffic between zones is
-        priced.
+    def _tell(self, audience: Audience) -> None:
+        if self._transport is None:
+            return
+        own_zone = self._peers.own.zone
+        addresses = [
+            _split(peer.address)
+            for peer in self._peers.listed()
+            if (peer.zone == own_zone) is (audience is Audience.NEAR)
+        ]
+        if not addresses:
+            return
+        datagram = encode_news(self._news(audience))
+        for address in addresses:
+            self._transport.sendto(datagram, address)
+
+    def _news(self, audience: Audience) -> News:
+        """Return what an audience is told.
+
+        Changed targets are told to the own zone alone: each zone has hosts
+        that read the list, and traffic between zones is priced.
         """
-        datagram = encode_news(news)
-        near = datagram
-        if self._sources.is_reader():
-            changes = self._sources.target_changes()
-            if changes:
-                near = encode_news(
-                    dataclasses.replace(news, target_changes=changes),
-                )
-        zone = self._peers.own.zone
-        for peer in self._peers.listed():
-            chosen = near if peer.zone == zone else datagram
-            transport.sendto(chosen, _split(peer.address))
+        now = self._clock.now()
+        sources = self._sources
+        state = sources.state()
+        dispatches, crashes = sources.outbox.take(audience, now)
+        tells_changes = audience is Audience.NEAR and sources.is_reader()
+        return News(
+            self._peers.own,
+            state.ready,
+            state.leaving,
+            self._time.now(),
+            {
+                target_hash(key): load
+                for key, load in sources.loads.own(now).items()
+            },
+            dispatches,
+            crashes,
+            sources.usage(),
+            sources.known(),
+            sources.target_changes() if tells_changes else (),
+        )
 
     def _pause_s(self) -> float:
         if self._sources.is_reader():
             return self._peers.reader_news_every_s()
-        return self._peers.news_every_s()
+        return self._peers.news_every_s(Audience.NEAR)
 
     def _name_loads(
         self,
--- a/packages/geranium-relay/tests/test_news.py
+++ b/packages/geranium-relay/tests/test_news.py
@@ -9,6 +9,7 @@
 
 OWN = relay.PeerIdentity('h2', 'a', '10.0.0.2:1', '10.0.0.2:2', 5)
 NOW = 100
+OFTEN_S = 0.4
 CATALOGUE_AGE_S = 0.25
 TARGETS_AGE_S = 0.5
 KNOWN = relay.Knowledge(7, CATALOGUE_AGE_S, 99, TARGETS_AGE_S)
@@ -129,6 +130,29 @@
     assert peers.time_step_s() == 0
 
 
+def test_own_zone_is_told_more_often_than_all(peers: relay.Peers) -> None:
+    """Many hosts of one zone choose among the same targets."""
+    for number in range(74):
+        peers.hear(make_news(f'n{number}', 'abc'[number % 3]), 1000)
+
+    near_s = peers.news_every_s(relay.Audience.NEAR)
+
+    assert near_s < OFTEN_S < peers.news_every_s()
+    assert peers.reader_news_every_s() <= near_s
+
+
+def test_each_audience_is_told_of_each_dispatch_once() -> None:
+    outbox = relay.Outbox()
+    parts = (relay.PromptPart('shared', 9), relay.PromptPart('own', 1))
+    outbox.note_dispatch('t1@1', parts)
+
+    near = [outbox.take(relay.Audience.NEAR, NOW) for _ in range(2)]
+    far, _ = outbox.take(relay.Audience.FAR, NOW)
+
+    assert [len(dispatches) for dispatches, _ in near] == [1, 0]
+    assert len(far) == 1
+
+
 class TestSharedReadings:
     """Hosts spare themselves what others have just read."""
 
