--- a/tests/adapter/test_feeds.py
+++ b/tests/adapter/test_feeds.py
@@ -1,10 +1,11 @@
 """The list of targets follows peers' news and the store."""
 
+import asyncio
 import random
 
 import geranium_relay as relay
 import pytest
-from geranium_platform.feeds import FeedSettings, TargetFeed
+from geranium_platform.feeds import CatalogueFeed, FeedSettings, TargetFeed
 from geranium_platform.knowledge import Knowledge
 from geranium_platform.object_store import PlatformStore
 
@@ -26,6 +27,35 @@
     )
 
 
+CATALOGUE = relay.Catalogue(
+    version=1,
+    routes=(),
+    services_by_name={},
+    teams_by_key={},
+    has_teams=True,
+    limits=relay.Limits(1, 1, 1, 1),
+)
+
+
+def make_news(
+    sender: relay.PeerIdentity,
+    known: relay.Knowledge,
+    *changes: relay.TargetChange,
+) -> relay.News:
+    return relay.News(
+        sender=sender,
+        ready=True,
+        leaving=False,
+        unix_s=1000,
+        load_by_target={},
+        dispatches=(),
+        crashes=(),
+        usage_by_window={},
+        known=known,
+        target_changes=changes,
+    )
+
+
 class Follower:
     """A host's feed without a store, and what it noted."""
 
@@ -52,21 +82,30 @@
             self.changes.append,
         )
 
-    def hear(self, digest: int, *changes: relay.TargetChange) -> None:
-        self.feed.hear(
-            relay.News(
-                sender=relay.PeerIdentity('h0', 'a', 'h0:1', 'h0:2', 1),
-                ready=True,
-                leaving=False,
-                unix_s=1000,
-                load_by_target={},
-                dispatches=(),
-                crashes=(),
-                usage_by_window={},
-                known=relay.Knowledge(1, 0, digest, 0),
-                target_changes=changes,
-            ),
+        self.catalogue_feed = CatalogueFeed(
+            FeedSettings(),
+            store,
+            knowledge,
+            log,
+            self.lines.clear,
         )
+        self.knowledge = knowledge
+
+    def confirm_catalogue(self, age_s: float) -> None:
+        """Know a catalogue that a reader of the zone confirms."""
+        knowledge = self.knowledge
+        knowledge.view.accept(CATALOGUE, self.now - 4)
+        for number in range(3):
+            host = f'a{number}'
+            sender = relay.PeerIdentity(host, 'a', f'{host}:1', f'{host}:2', 1)
+            news = make_news(sender, relay.Knowledge(1, age_s, 0, 0))
+            knowledge.peers.hear(news, 1000)
+            knowledge.shared.hear(news)
+
+    def hear(self, digest: int, *changes: relay.TargetChange) -> None:
+        sender = relay.PeerIdentity('h0', 'a', 'h0:1', 'h0:2', 1)
+        news = make_news(sender, relay.Knowledge(1, 0, digest, 0), *changes)
+        self.feed.hear(news)
 
 
 @pytest.fixture
@@ -96,3 +135,19 @@
 
     assert list(follower.fleet.targets_by_identity) == ['t1']
     assert not follower.changes
+
+
+@pytest.mark.parametrize(('age_s', 'reads'), [(3.2, False), (4, True)])
+async def test_catalogue_is_read_only_if_readers_fall_behind(
+    follower: Follower,
+    age_s: float,
+    reads: bool,
+) -> None:
+    """A watch of 1.5 s confirms what is up to 3 s old, and news take time."""
+    follower.confirm_catalogue(age_s)
+    following = asyncio.create_task(follower.catalogue_feed.run())
+    await asyncio.sleep(0.05)
+    following.cancel()
+
+    lost = [line for line in follower.lines if 'dependency_lost' in line]
+    assert bool(lost) is reads
