--- /dev/null
+++ b/packages/geranium-emulator/src/geranium_emulator/clusters.py
@@ -0,0 +1,231 @@
+"""The engines of an emulated day, and what becomes of them."""
+
+import dataclasses
+import functools
+import itertools
+import random
+from collections.abc import Callable, Iterable
+
+import geranium_relay as relay
+from geranium_policy.zone_purchases import (
+    PurchaseBounds,
+    ZoneHoldings,
+    ZonePurchases,
+    ZonePurchaseSettings,
+)
+
+from .engines import Engine
+from .plans import Crash, DayPlan, Reclaim, Slow
+from .simulation import Simulation
+
+SERVICE = 'model'
+PURCHASE_EVERY_S = 0.7  # as the product looks at its fleet
+RECLAIMABLE_SHARE = 0.8  # of the engines with which a day begins
+
+
+class Cluster:
+    """Engines by zone, ordered by the product's policy.
+
+    Args:
+        plan: The day.
+        simulation: Its clock.
+        source: Chooses engines that troubles hit.
+        changed: Called whenever the list of targets has changed.
+    """
+
+    def __init__(
+        self,
+        plan: DayPlan,
+        simulation: Simulation,
+        source: random.Random,
+        changed: Callable[[], None],
+    ) -> None:
+        self.engines_by_key: dict[str, Engine] = {}
+        self.engine_seconds = float(0)
+        self._read_before = 0
+        self._plan = plan
+        self._simulation = simulation
+        self._source = source
+        self._changed = changed
+        self._numbers = itertools.count()
+        self._closed_until_by_zone: dict[str, float] = {}
+        self._booting_by_kind: dict[tuple[str, bool], int] = {}
+        self._purchases = ZonePurchases(ZonePurchaseSettings())
+
+    def open(self) -> None:
+        """Start the engines of the morning, and ordering."""
+        engines = self._plan.engines
+        for zone in self._plan.zones:
+            stages = (
+                *itertools.repeat(relay.Stage.PREFILL, engines.prefill),
+                *itertools.repeat(relay.Stage.DECODE, engines.decode),
+            )
+            firm_count = round(len(stages) * (1 - RECLAIMABLE_SHARE))
+            for number, stage in enumerate(stages):
+                self._start(zone, stage, reclaimable=number >= firm_count)
+        self._changed()
+        self._order()
+
+    @property
+    def fresh_tokens(self) -> int:
+        """Prompt tokens that were read so far."""
+        present = sum(one.fresh_tokens for one in self.engines_by_key.values())
+        return self._read_before + present
+
+    def targets(self) -> list[relay.Target]:
+        """Return the list of targets as it stands."""
+        return [engine.target for engine in self.engines_by_key.values()]
+
+    def apply(self, trouble: Reclaim | Crash | Slow) -> None:
+        """Let a trouble begin."""
+        match trouble:
+            case Reclaim():
+                self._reclaim(trouble)
+            case Crash():
+                for engine in self._hit(trouble.engines):
+                    self._stop(engine)
+                    self._boot(engine.target, trouble.for_s)
+            case Slow():
+                self._slow(trouble)
+
+    def _reclaim(self, trouble: Reclaim) -> None:
+        now = self._simulation.now()
+        self._closed_until_by_zone[trouble.zone] = now + trouble.for_s
+        taken = [
+            engine
+            for engine in self.engines_by_key.values()
+            if engine.target.zone == trouble.zone and engine.target.reclaimable
+        ]
+        for engine in taken:
+            engine.target = dataclasses.replace(engine.target, leaving=True)
+        self._changed()
+        for engine in taken:
+            self._simulation.after(
+                trouble.notice_s,
+                functools.partial(self._stop, engine),
+            )
+
+    def _slow(self, trouble: Slow) -> None:
+        slowed = self._hit(trouble.engines)
+        _set_slowness(slowed, trouble.factor)
+        self._simulation.after(
+            trouble.for_s,
+            functools.partial(_set_slowness, slowed, 1),
+        )
+
+    def _hit(self, count: int) -> list[Engine]:
+        engines = list(self.engines_by_key.values())
+        return self._source.sample(engines, min(count, len(engines)))
+
+    def _start(
+        self,
+        zone: str,
+        stage: relay.Stage,
+        *,
+        reclaimable: bool,
+    ) -> None:
+        target = relay.Target(
+            identity=f'e{next(self._numbers)}',
+            born_ms=int(self._simulation.now() * 1000),
+            service=SERVICE,
+            address='127.0.0.1:1',
+            zone=zone,
+            slots=self._plan.engines.slots,
+            leaving=False,
+            reclaimable=reclaimable,
+            stage=stage,
+            weights_version=None,
+        )
+        engine = Engine(target, self._plan.engines, self._simulation)
+        self.engines_by_key[target.key] = engine
+
+    def _stop(self, engine: Engine) -> None:
+        if engine.is_up:
+            self.engines_by_key.pop(engine.target.key, None)
+            self._read_before += engine.fresh_tokens
+            engine.stop()
+            self._changed()
+
+    def _boot(self, like: relay.Target, delay_s: float) -> None:
+        """Start an engine of the same zone, stage and kind after a time."""
+        kind = like.zone, like.reclaimable
+        self._booting_by_kind[kind] = self._booting_by_kind.get(kind, 0) + 1
+        self._simulation.after(delay_s, functools.partial(self._come, like))
+
+    def _come(self, like: relay.Target) -> None:
+        self._booting_by_kind[like.zone, like.reclaimable] -= 1
+        if like.reclaimable and self._is_closed(like.zone):
+            return
+        assert like.stage is not None
+        self._start(like.zone, like.stage, reclaimable=like.reclaimable)
+        self._changed()
+
+    def _is_closed(self, zone: str) -> bool:
+        until = self._closed_until_by_zone.get(zone, 0)
+        return self._simulation.now() < until
+
+    def _order(self) -> None:
+        """Order what the policy wants; look again after a while."""
+        self.engine_seconds += len(self.engines_by_key) * PURCHASE_EVERY_S
+        engines = tuple(self.engines_by_key.values())
+        holdings = {zone: _holdings(engines, zone) for zone in self._plan.zones}
+        now = self._simulation.now()
+        wanted_by_zone = self._purchases.plan(
+            PurchaseBounds(1, self._plan.engines.of_zone),
+            holdings,
+            now,
+            idle=False,
+        )
+        for zone, wanted in wanted_by_zone.items():
+            held = holdings[zone]
+            missing = wanted.reclaimable - held.reclaimable
+            if missing > 0 and self._is_closed(zone):
+                self._purchases.note_unavailable(zone, now)
+                missing = 0
+            self._buy(zone, missing, reclaimable=True)
+            self._buy(zone, wanted.firm - held.firm, reclaimable=False)
+        self._simulation.after(PURCHASE_EVERY_S, self._order)
+
+    def _buy(self, zone: str, missing: int, *, reclaimable: bool) -> None:
+        missing -= self._booting_by_kind.get((zone, reclaimable), 0)
+        for _ in range(max(missing, 0)):
+            self._boot(
+                relay.Target(
+                    identity='',
+                    born_ms=0,
+                    service=SERVICE,
+                    address='',
+                    zone=zone,
+                    slots=self._plan.engines.slots,
+                    leaving=False,
+                    reclaimable=reclaimable,
+                    stage=self._missing_stage(zone),
+                    weights_version=None,
+                ),
+                self._plan.engines.boot_s,
+            )
+
+    def _missing_stage(self, zone: str) -> relay.Stage:
+        readers = sum(
+            engine.target.stage is relay.Stage.PREFILL
+            for engine in self.engines_by_key.values()
+            if engine.target.zone == zone
+        )
+        if readers < self._plan.engines.prefill:
+            return relay.Stage.PREFILL
+        return relay.Stage.DECODE
+
+
+def _holdings(engines: Iterable[Engine], zone: str) -> ZoneHoldings:
+    present = [
+        engine.target
+        for engine in engines
+        if engine.target.zone == zone and not engine.target.leaving
+    ]
+    reclaimable = sum(target.reclaimable for target in present)
+    return ZoneHoldings(len(present) - reclaimable, reclaimable)
+
+
+def _set_slowness(engines: Iterable[Engine], factor: float) -> None:
+    for engine in engines:
+        engine.slowness = factor
--- /dev/null
+++ b/packages/geranium-emulator/src/geranium_emulator/days.py
@@ -0,0 +1,179 @@
+"""Plays one day with one policy and one seed."""
+
+import functools
+import itertools
+import random
+
+import geranium_relay as relay
+
+from .clusters import SERVICE, Cluster
+from .hosts import Ask, EmulatedHost, World
+from .plans import Burst, DayPlan, RequestPlan
+from .policies import MakePolicy
+from .results import DayResult, Tallies, judge
+from .simulation import Simulation
+
+HOT_KIND = 0  # the shared part of a burst
+LEAST_SHARE = 0.5  # sizes vary evenly between this and 1.5 of the average
+
+
+class Day:
+    """A day under way.
+
+    Args:
+        plan: What happens.
+        make_policy: Makes the policy of each host.
+        settings: The settings of the product's own policy.
+        seed: The same seed gives the same load for every policy.
+    """
+
+    def __init__(
+        self,
+        plan: DayPlan,
+        make_policy: MakePolicy,
+        settings: relay.PlacingSettings,
+        seed: int,
+    ) -> None:
+        self._plan = plan
+        self._simulation = Simulation()
+        self._load_source = random.Random(f'load {seed}')
+        self._list_source = random.Random(f'list {seed}')
+        self._tallies = Tallies()
+        self._numbers = itertools.count()
+        self._cluster = Cluster(
+            plan,
+            self._simulation,
+            random.Random(f'troubles {seed}'),
+            self._tell_list,
+        )
+        world = World(
+            self._simulation,
+            self._cluster,
+            self._tallies,
+            make_policy,
+            settings,
+        )
+        self._hosts = [
+            EmulatedHost(
+                f'host-{number}',
+                plan.zones[number % len(plan.zones)],
+                world,
+                random.Random(f'host {number} {seed}'),
+            )
+            for number in range(plan.hosts.count)
+        ]
+
+    def play(self) -> DayResult:
+        """Return what callers got."""
+        plan = self._plan
+        self._cluster.open()
+        for number, host in enumerate(self._hosts):
+            host.hear_list(self._cluster.targets())
+            share = number / len(self._hosts)
+            self._simulation.at(
+                plan.hosts.near_news_every_s * share,
+                functools.partial(host.tell_near, self._hosts, plan.hosts),
+            )
+            self._simulation.at(
+                plan.hosts.far_news_every_s * share,
+                functools.partial(host.tell_far, self._hosts, plan.hosts),
+            )
+        for requests in plan.requests:
+            self._plan_load(requests)
+        for trouble in plan.troubles:
+            if not isinstance(trouble, Burst):
+                self._simulation.at(
+                    trouble.at_s,
+                    functools.partial(self._cluster.apply, trouble),
+                )
+        deadlines = [kind.deadline_s for kind in plan.requests]
+        self._simulation.run(plan.seconds + max(deadlines))
+        return judge(
+            self._tallies,
+            self._cluster.fresh_tokens,
+            self._cluster.engine_seconds,
+        )
+
+    def _plan_load(self, requests: RequestPlan) -> None:
+        self._plan_arrivals(requests, 0, self._plan.seconds, requests.per_s)
+        for trouble in self._plan.troubles:
+            if isinstance(trouble, Burst) and trouble.requests == requests.name:
+                self._plan_arrivals(
+                    requests,
+                    trouble.at_s,
+                    trouble.at_s + trouble.for_s,
+                    requests.per_s * (trouble.factor - 1),
+                    kind=HOT_KIND,
+                )
+
+    def _plan_arrivals(
+        self,
+        requests: RequestPlan,
+        since: float,
+        until: float,
+        per_s: float,
+        kind: int | None = None,
+    ) -> None:
+        source = self._load_source
+        at = since
+        while per_s > 0:
+            at += source.expovariate(per_s)
+            if at >= until:
+                return
+            drawn = source.randrange(requests.kinds) if kind is None else kind
+            ask = self._ask(requests, at, drawn)
+            host = source.choice(self._hosts)
+            self._simulation.at(at, functools.partial(host.take, ask))
+
+    def _ask(self, requests: RequestPlan, at: float, kind: int) -> Ask:
+        number = next(self._numbers)
+        scale = self._load_source.uniform(LEAST_SHARE, 2 - LEAST_SHARE)
+        own_tokens = max(round(requests.own_tokens * scale), 1)
+        parts = (
+            relay.PromptPart(f'{requests.name} {kind}', requests.shared_tokens),
+            relay.PromptPart(f'own {number}', own_tokens),
+        )
+        arrival = relay.Arrival(
+            identity=f'r{number}',
+            method='POST',
+            path='/',
+            headers=(),
+            body=b'',
+            arrived_at=at,
+            caller_deadline=at + requests.deadline_s,
+            resume_after=None,
+            prompt=relay.Prompt(
+                requests.shared_tokens + own_tokens,
+                requests.generated,
+                parts,
+            ),
+        )
+        route = _route(requests)
+        deadline = at + requests.deadline_s
+        job = relay.Job(arrival, route, SERVICE, None, deadline)
+        return Ask(requests, job, at)
+
+    def _tell_list(self) -> None:
+        targets = self._cluster.targets()
+        for host in self._hosts:
+            self._simulation.after(
+                self._list_source.uniform(0, self._plan.hosts.list_delay_s),
+                functools.partial(host.hear_list, targets),
+            )
+
+
+def _route(requests: RequestPlan) -> relay.Route:
+    return relay.Route(
+        name=requests.name,
+        host='emulated',
+        prefix='/',
+        kind=relay.RouteKind.STREAM,
+        resumable=False,
+        timeout_s=requests.deadline_s,
+        target_latency_s=requests.target_s,
+        target_gap_s=1,
+        priority=requests.rank,
+        max_attempts=1,
+        public=True,
+        shares=(),
+    )
--- /dev/null
+++ b/packages/geranium-emulator/src/geranium_emulator/experiments.py
@@ -0,0 +1,102 @@
+"""Plays a day with several policies on the same seeds."""
+
+import dataclasses
+import itertools
+import statistics
+from collections.abc import Iterable, Mapping, Sequence
+
+from geranium_policy.prompt_placement import PromptPlacementSettings
+from geranium_relay import PlacingSettings
+
+from .days import Day
+from .plans import DayPlan
+from .policies import POLICIES
+from .results import DayResult
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Variant:
+    """A policy, and settings of the product's own that differ.
+
+    Args:
+        policy: A name of ``POLICIES``.
+        settings_by_name: Fields of the settings of prompt placement.
+    """
+
+    policy: str
+    settings_by_name: Mapping[str, float] = dataclasses.field(
+        default_factory=dict,
+    )
+
+    @property
+    def name(self) -> str:
+        """The policy and what differs, as given on the command line."""
+        changed = [
+            f'{name}={reading}'
+            for name, reading in self.settings_by_name.items()
+        ]
+        return ':'.join((self.policy, *changed))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Comparison:
+    """The results of one variant, a day for each seed."""
+
+    variant: Variant
+    days: tuple[DayResult, ...]
+
+    def mean(self, field: str) -> float:
+        """Return the mean of a figure over all seeds."""
+        return statistics.mean(float(getattr(day, field)) for day in self.days)
+
+
+def compare(
+    plan: DayPlan,
+    variants: Iterable[Variant],
+    seeds: Sequence[int],
+) -> tuple[Comparison, ...]:
+    """Return each variant's days, the best variant first."""
+    comparisons = [
+        Comparison(
+            variant,
+            tuple(play(plan, variant, seed) for seed in seeds),
+        )
+        for variant in variants
+    ]
+    comparisons.sort(key=lambda one: one.mean('worth'), reverse=True)
+    return tuple(comparisons)
+
+
+def play(plan: DayPlan, variant: Variant, seed: int) -> DayResult:
+    """Play one day."""
+    settings = PlacingSettings(
+        prompts=PromptPlacementSettings(**variant.settings_by_name),
+    )
+    return Day(plan, POLICIES[variant.policy], settings, seed).play()
+
+
+def rank_agreement(
+    predicted: Sequence[float],
+    measured: Sequence[float],
+) -> float:
+    """Return the share of pairs that two measures put in the same order.
+
+    Pairs that either measure calls equal are left out; 1 without pairs.
+    """
+    both = tuple(zip(predicted, measured, strict=True))
+    agreements = [
+        _agreement(one, other) for one, other in itertools.combinations(both, 2)
+    ]
+    judged = [one for one in agreements if one]
+    if not judged:
+        return 1
+    return sum(one > 0 for one in judged) / len(judged)
+
+
+def _agreement(
+    one: tuple[float, float],
+    other: tuple[float, float],
+) -> float:
+    """Return a positive number if both measures order a pair alike."""
+    predicted_gain = one[0] - other[0]
+    return predicted_gain * (one[1] - other[1])
--- /dev/null
+++ b/packages/geranium-emulator/src/geranium_emulator/policies.py
@@ -0,0 +1,146 @@
+"""Policies that choose engines: the relay's own, and baselines."""
+
+import dataclasses
+import itertools
+import random
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
+from typing import Protocol, TypeAlias
+
+import geranium_relay as relay
+from geranium_policy.prompt_placement import NoEngine, Placement, TooBusy
+from geranium_relay.load_book import IDLE
+from geranium_relay.prompt_beliefs import home_of
+
+Decision: TypeAlias = Placement | TooBusy | NoEngine
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostView:
+    """What a host knows when it chooses.
+
+    Args:
+        fleet: The targets, as it has last heard.
+        loads: Its own load and that of its peers, as last heard.
+        placing: The relay's policy with what it has learned.
+        clock: The simulated clock.
+        source: Breaks ties.
+    """
+
+    fleet: relay.Fleet
+    loads: relay.LoadBook
+    placing: relay.Placing
+    clock: Callable[[], float]
+    source: random.Random
+
+
+class Policy(Protocol):
+    """Chooses for the jobs of one host."""
+
+    def choose(self, job: relay.Job, avoid: frozenset[str]) -> Decision:
+        """Return where a job goes, or that it is refused."""
+        ...
+
+
+MakePolicy: TypeAlias = Callable[[HostView], Policy]
+
+
+class RelayPolicy:
+    """Chooses as the product does."""
+
+    def __init__(self, view: HostView) -> None:
+        self._placing = view.placing
+
+    def choose(self, job: relay.Job, avoid: frozenset[str]) -> Decision:
+        """Return where a job goes, or that it is refused."""
+        return self._placing.place_prompt(job, PROFILE, avoid)
+
+
+class RoundRobin:
+    """Takes the generating engines in turn and never refuses."""
+
+    def __init__(self, view: HostView) -> None:
+        self._view = view
+        self._turn = itertools.count(view.source.randrange(TURNS))
+
+    def choose(self, job: relay.Job, avoid: frozenset[str]) -> Decision:
+        """Return where a job goes."""
+        engines = _generators(self._view, job, avoid)
+        if not engines:
+            return NoEngine()
+        return _whole(engines[next(self._turn) % len(engines)], job)
+
+
+class LeastLoaded:
+    """Takes the engine with the fewest requests and never refuses."""
+
+    def __init__(self, view: HostView) -> None:
+        self._view = view
+
+    def choose(self, job: relay.Job, avoid: frozenset[str]) -> Decision:
+        """Return where a job goes."""
+        view = self._view
+        engines = _generators(view, job, avoid)
+        if not engines:
+            return NoEngine()
+        loads = view.loads.all(view.clock())
+        return _whole(
+            min(
+                engines,
+                key=lambda engine: (
+                    loads.get(engine.key, IDLE).running,
+                    view.source.random(),
+                ),
+            ),
+            job,
+        )
+
+
+class PrefixHome:
+    """Takes the one engine that all hosts agree on for a shared part."""
+
+    def __init__(self, view: HostView) -> None:
+        self._view = view
+
+    def choose(self, job: relay.Job, avoid: frozenset[str]) -> Decision:
+        """Return where a job goes."""
+        engines = _generators(self._view, job, avoid)
+        prompt = job.arrival.prompt
+        if not engines or prompt is None:
+            return NoEngine()
+        home = home_of(prompt.parts, engines)
+        chosen = [engine for engine in engines if engine.key == home]
+        return _whole(chosen[0] if chosen else engines[0], job)
+
+
+SLOTS = 24
+KV_TOKENS = 500_000
+PROFILE = relay.EngineProfile(SLOTS, KV_TOKENS)
+TURNS = 1000  # hosts begin their turns at different engines
+
+POLICIES: Mapping[str, MakePolicy] = MappingProxyType(
+    {
+        'relay': RelayPolicy,
+        'round-robin': RoundRobin,
+        'least-loaded': LeastLoaded,
+        'prefix-home': PrefixHome,
+    },
+)
+
+
+def _generators(
+    view: HostView,
+    job: relay.Job,
+    avoid: frozenset[str],
+) -> list[relay.Target]:
+    return [
+        target
+        for target in view.fleet.of_service(job.service)
+        if target.stage is not relay.Stage.PREFILL and target.key not in avoid
+    ]
+
+
+def _whole(engine: relay.Target, job: relay.Job) -> Placement:
+    prompt = job.arrival.prompt
+    tokens = 0 if prompt is None else prompt.tokens
+    return Placement(None, engine.key, tokens, 0, 0)
