Keep news to other zones at each turn where all hosts are told at one rate

Cause (suspected, by reading): news to other zones were due one interval after the last, and a turn that came a little early left them out until the next, so that they came half as often.

--- a/packages/geranium-emulator/tests/test_days.py
+++ b/packages/geranium-emulator/tests/test_days.py
@@ -9,7 +9,7 @@
 from geranium_emulator.cli import main
 from geranium_emulator.experiments import Variant, play, rank_agreement
 from geranium_emulator.plans import DayPlan, EnginePlan, HostPlan, RequestPlan
-from geranium_emulator.results import Tallies, judge
+from geranium_emulator.results import WINDOW_S, Tallies, judge
 
 PLANS = pathlib.Path(__file__).parents[1] / 'plans'
 CALM = DayPlan(
@@ -69,9 +69,9 @@
 
 def test_worst_windows_are_the_worst_quarter() -> None:
     tallies = Tallies()
-    for second in range(0, 16, 2):
-        field = 'failed' if second == 4 else 'in_time'
-        tallies.count('card', second, field, 1)
+    tallies.count('card', 0, 'failed', 1)
+    for window in range(1, 8):
+        tallies.count('card', window * WINDOW_S, 'in_time', 1)
 
     result = judge(tallies, 0, 0)
 
@@ -80,7 +80,9 @@
 
 
 def test_rank_agreement_leaves_ties_out() -> None:
-    assert rank_agreement((1, 2, 3), (1, 3, 2)) == pytest.approx(2 / 3)
+    two_of_three = pytest.approx(2 / 3)
+
+    assert rank_agreement((1, 2, 3), (1, 3, 2)) == two_of_three
     assert rank_agreement((1, 1), (1, 2)) == 1
 
 
--- a/packages/geranium-relay/src/geranium_relay/peers.py
+++ b/packages/geranium-relay/src/geranium_relay/peers.py
@@ -265,9 +265,10 @@
 
     def _tell_due(self) -> None:
         """Send news to the own zone, and to the others if it is time."""
-        now = self._clock.now()
         self._tell(Audience.NEAR)
-        if now >= self._far_due_at:
+        now = self._clock.now()
+        # The next turn may come a little early or far too late.
+        if now + self._pause_s() / 2 >= self._far_due_at:
             self._far_due_at = now + self._peers.news_every_s()
             self._tell(Audience.FAR)
 
