Load the metrics library with the first scrape, not with the first record

The first such call comes at a host's start, and recording it loaded the library (0.16 s idle, more when all hosts start at once) before the host served anybody; the worst windows are those in which hosts start. Before, the first request that ended paid the same.

Change: records wait until the first scrape.

--- a/packages/geranium-relay/src/geranium_relay/telemetry.py
+++ b/packages/geranium-relay/src/geranium_relay/telemetry.py
@@ -2,20 +2,34 @@
 
 import functools
 from collections.abc import Callable, Iterable, Iterator
-from typing import Any
+from typing import Any, TypeAlias
 
 PREFIX = 'geraniumdrum_'
+MOST_WAITING = 20_000  # records, about 4 MB
+
+_COUNTERS = (
+    ('requests', 'Requests by outcome and service.'),
+    ('attempts', 'Attempts at targets by outcome.'),
+    ('refusals', 'Refused requests by reason.'),
+    ('store_calls', 'Calls to the store by method and outcome.'),
+)
+_Recorder: TypeAlias = Callable[[float, dict[str, str]], None]
+_Record: TypeAlias = tuple[str, float, dict[str, str]]
 
 
 class Telemetry:
     """The instruments that a host records into.
 
-    The metrics library is loaded with the first record, so that it does not
-    delay the start of a host. ``docs/METRICS.md`` lists the names.
+    The metrics library takes a while to load, in which a host that has just
+    started would answer nobody. It is loaded with the first scrape; records
+    wait for it, up to ``MOST_WAITING`` of them.
+    ``docs/platform/METRICS.md`` lists the names.
     """
 
     def __init__(self) -> None:
         self._reads_by_gauge: dict[str, Callable[[], float]] = {}
+        self._instruments: _Instruments | None = None
+        self._waiting: list[_Record] = []
 
     def watch(self, name: str, read: Callable[[], float]) -> None:
         """Show what a function returns at the moment of a scrape."""
@@ -24,29 +38,48 @@
     def record_end(self, outcome: str, service: str, took_s: float) -> None:
         """Record a request's outcome and its duration in seconds."""
         labels = {'outcome': outcome, 'service': service}
-        self._instruments.requests.add(1, labels)
-        self._instruments.durations.record(took_s, labels)
+        self._record('requests', 1, labels)
+        self._record('durations', took_s, labels)
 
     def record_attempt(self, outcome: str) -> None:
         """Record how an attempt at a target ended."""
-        self._instruments.attempts.add(1, {'outcome': outcome})
+        self._record('attempts', 1, {'outcome': outcome})
 
     def record_refusal(self, reason: str) -> None:
         """Record why a request was refused."""
-        self._instruments.refusals.add(1, {'reason': reason})
+        self._record('refusals', 1, {'reason': reason})
 
     def record_store_call(self, method: str, outcome: str) -> None:
         """Record a call to the store by its HTTP method and its end."""
         labels = {'method': method, 'outcome': outcome}
-        self._instruments.store_calls.add(1, labels)
+        self._record('store_calls', 1, labels)
 
     def expose(self) -> str:
         """Return all readings, a line each, as ``name{labels} value``."""
-        return ''.join(f'{line}\n' for line in _lines(self._instruments.reader))
-
-    @functools.cached_property
-    def _instruments(self) -> '_Instruments':
-        return _Instruments(self._reads_by_gauge)
+        return ''.join(f'{line}\n' for line in _lines(self._load().reader))
+
+    def _record(
+        self,
+        instrument: str,
+        amount: float,
+        labels: dict[str, str],
+    ) -> None:
+        if self._instruments is not None:
+            self._instruments.record(instrument, amount, labels)
+            return
+        self._waiting.append((instrument, amount, labels))
+        if len(self._waiting) >= MOST_WAITING:
+            self._load()
+
+    def _load(self) -> '_Instruments':
+        instruments = self._instruments
+        if instruments is None:
+            instruments = _Instruments(self._reads_by_gauge)
+            self._instruments = instruments
+            for record in self._waiting:
+                instruments.record(*record)
+            self._waiting.clear()
+        return instruments
 
 
 class _Instruments:
@@ -58,33 +91,31 @@
         self.reader = InMemoryMetricReader()
         provider = MeterProvider(metric_readers=[self.reader])
         meter = provider.get_meter('geraniumdrum')
-        self.requests = meter.create_counter(
-            'requests',
-            description='Requests by outcome and service.',
-        )
-        self.durations = meter.create_histogram(
+        durations = meter.create_histogram(
             'request_duration_seconds',
             unit='s',
             description='Time from a request to the end of its answer.',
         )
-        self.attempts = meter.create_counter(
-            'attempts',
-            description='Attempts at targets by outcome.',
-        )
-        self.refusals = meter.create_counter(
-            'refusals',
-            description='Refused requests by reason.',
-        )
-        self.store_calls = meter.create_counter(
-            'store_calls',
-            description='Calls to the store by method and outcome.',
-        )
+        self._recorders: dict[str, _Recorder] = {
+            name: meter.create_counter(name, description=description).add
+            for name, description in _COUNTERS
+        }
+        self._recorders['durations'] = durations.record
         for name, read in reads_by_gauge.items():
             meter.create_observable_gauge(
                 name,
                 callbacks=[functools.partial(_observe, Observation, read)],
             )
 
+    def record(
+        self,
+        instrument: str,
+        amount: float,
+        labels: dict[str, str],
+    ) -> None:
+        """Record an amount with an instrument."""
+        self._recorders[instrument](amount, labels)
+
 
 def _observe(
     make: Callable[[float], Any],
