Leave a zone's readers time to tell what has changed in the list

News of any host of any zone that had another, newer list made them read at once, before their own zone's readers had told the changes.

Change: a host reads only if its list still differs two news of its readers later.

--- a/packages/geranium-relay/src/geranium_relay/shared_readings.py
+++ b/packages/geranium-relay/src/geranium_relay/shared_readings.py
@@ -22,10 +22,13 @@
     Args:
         readers_per_zone: Hosts of a zone that always read.
         margin_s: Taken off what is told, for the time on the way.
+        patience_news: A host that hears of another list of targets gives
+            the readers of its zone so many news to tell what has changed.
     """
 
     readers_per_zone: int = 2
     margin_s: float = 0.02
+    patience_news: float = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,6 +70,7 @@
         self._own = own
         self._clock = clock
         self._told = StoreKnowledge()
+        self._differs_since: float | None = None
         self.catalogue_differs = asyncio.Event()
         self.targets_differ = asyncio.Event()
 
@@ -93,7 +97,7 @@
         if known.targets_digest == own.targets_digest:
             self._note_targets(told_at)
         elif told_at > own.targets_at:
-            self.targets_differ.set()
+            self._note_difference()
 
     def told_targets_at(self, news: News) -> float:
         """Return when a peer sent the call that brought its targets."""
@@ -111,6 +115,16 @@
             return -math.inf
         return self._told.targets_at
 
+    def _note_difference(self) -> None:
+        """Ask for a reading if the readers have not told the changes."""
+        now = self._clock()
+        if self._differs_since is None:
+            self._differs_since = now
+        news_s = self._peers.reader_news_every_s()
+        if now - self._differs_since >= self._settings.patience_news * news_s:
+            self._differs_since = None
+            self.targets_differ.set()
+
     def _note_catalogue(self, at: float) -> None:
         self._told = dataclasses.replace(
             self._told,
@@ -118,6 +132,7 @@
         )
 
     def _note_targets(self, at: float) -> None:
+        self._differs_since = None
         digest = self._own().targets_digest
         if self._told.targets_digest == digest:
             at = max(self._told.targets_at, at)
