--- a/packages/geranium-relay/src/geranium_relay/peers.py
+++ b/packages/geranium-relay/src/geranium_relay/peers.py
@@ -77,6 +77,7 @@
         self._clock = clock
         self._log = log
         self._peers_by_host: dict[str, _Peer] = {}
+        self._count_by_audience = dict.fromkeys(Audience, 0)
 
     def introduce(self, identity: PeerIdentity) -> None:
         """Take in a host that the store lists."""
@@ -87,6 +88,8 @@
             if known.identity.incarnation >= identity.incarnation:
                 return
         self._peers_by_host[identity.host] = _Peer(identity, self._clock.now())
+        if known is None:
+            self._count(identity)
 
     def hear(self, news: News, true_s: float) -> None:
         """Take in what a host says of itself."""
@@ -147,11 +150,8 @@
 
     def news_every_s(self, audience: Audience = Audience.FAR) -> float:
         """Return the present time between two news to an audience."""
-        told = sum(
-            audience is Audience.FAR or peer.identity.zone == self.own.zone
-            for peer in self._peers_by_host.values()
-        )
         settings = self._settings
+        told = self._count_by_audience[audience]
         share = told / settings.hosts_at_full_rate
         return settings.news_every_s * max(share, 1)
 
@@ -162,6 +162,12 @@
             self._settings.reader_news_every_s,
         )
 
+    def _count(self, identity: PeerIdentity) -> None:
+        """Count a host; news to other zones keep pace with all hosts."""
+        self._count_by_audience[Audience.FAR] += 1
+        if identity.zone == self.own.zone:
+            self._count_by_audience[Audience.NEAR] += 1
+
     def _is_heard(self, peer: _Peer) -> bool:
         if peer.heard_at is None:
             return False
@@ -255,7 +261,6 @@
         except MalformedNewsError:
             return
         self._peers.hear(news, self._time.now())
-        self._time.adjust(self._peers.time_step_s())
         self._sources.loads.take_in(
             news.sender.host,
             self._name_loads(news.load_by_target),
@@ -265,6 +270,7 @@
 
     def _tell_due(self) -> None:
         """Send news to the own zone, and to the others if it is time."""
+        self._time.adjust(self._peers.time_step_s())
         self._tell(Audience.NEAR)
         now = self._clock.now()
         # The next turn may come a little early or far too late.
