--- a/packages/geraniumctl/src/geraniumctl/explanations.py
+++ b/packages/geraniumctl/src/geraniumctl/explanations.py
@@ -13,6 +13,7 @@
 SHORT_OF_TIME_S = 0.3  # too little for most prompts, however idle the engines
 SERVER_ERROR = 500
 _EVENT = 'event'
+_SENT_EVENTS = frozenset(('dispatched', 'begun'))
 _TARGET = 'target'
 
 
@@ -38,6 +39,9 @@
 
     def __init__(self, records: Iterable[Record]) -> None:
         self._records_by_request: dict[str, list[Record]] = defaultdict(list)
+        self._started_at_by_host: dict[str, list[datetime.datetime]] = (
+            defaultdict(list)
+        )
         self._gone_at_by_target: dict[str, list[datetime.datetime]] = (
             defaultdict(list)
         )
@@ -45,6 +49,10 @@
             request = record.get('request')
             if request is not None:
                 self._records_by_request[request].append(record)
+            elif record.get(_EVENT) == 'started':
+                self._started_at_by_host[record['host']].append(
+                    _instant(record),
+                )
             elif record.get(_EVENT) == 'target_gone':
                 at = _instant(record)
                 self._gone_at_by_target[record[_TARGET]].append(at)
@@ -61,8 +69,8 @@
                 cause = _rejection(last)
             case 'ended':
                 cause = self._ending(last, records)
-            case event:
-                cause = f'no end was logged after {event!r}'
+            case _:
+                cause = self._without_end(last)
         return Explanation(
             request,
             last.get('route', '-'),
@@ -100,12 +108,20 @@
             case 'Delivered':
                 return 'the target answered so itself'
             case 'CallerLeft':
-                return 'the caller closed its connection'
+                return _leaving(end, records)
             case _:
                 reason = history or 'no answer by the deadline'
                 detail = end.get('detail') or 'deadline'
                 return f'{reason}; then: {detail}'
 
+    def _without_end(self, last: Record) -> str:
+        host, event = last['host'], last.get(_EVENT)
+        left_at = _instant(last)
+        starts = self._started_at_by_host[host]
+        if any(started_at > left_at for started_at in starts):
+            return f'{host} went down after {event!r} and started again'
+        return f'{host} logged no end after {event!r}'
+
     def _failure(self, record: Record) -> str:
         target = record[_TARGET]
         failed_at = _instant(record)
@@ -118,6 +134,18 @@
         return f'{kind} at {target}{fate}'
 
 
+def _leaving(end: Record, records: list[Record]) -> str:
+    """Say what a caller did not wait for any longer."""
+    took_s, left_s = end['took_s'], end['left_s']
+    left = f'the caller left after {took_s} s, {left_s} s before its deadline'
+    sent = [one for one in records if one[_EVENT] in _SENT_EVENTS]
+    if not sent:
+        return left
+    last = sent[-1]
+    event, target = last[_EVENT], last[_TARGET]
+    return f'{left}, its request {event} at {target}'
+
+
 def _rejection(record: Mapping[str, Any]) -> str:
     reason = record.get('reason') or 'route or key is not in the catalogue'
     version, age_s = record.get('catalogue'), record.get('catalogue_age_s')
--- a/packages/geraniumctl/tests/test_explanations.py
+++ b/packages/geraniumctl/tests/test_explanations.py
@@ -85,8 +85,23 @@
     assert short_of_time == 'engines busy: only 0.1 s left to the deadline'
 
 
+def test_caller_that_left_is_told_from_where_its_request_stood() -> None:
+    cause = cause_of(
+        line(1, 'dispatched', request='r1', target=TARGET),
+        end(3, 'CallerLeft', None, took_s=2, left_s=0.1),
+    )
+
+    assert cause == (
+        'the caller left after 2 s, 0.1 s before its deadline, '
+        'its request dispatched at t1@5'
+    )
+
+
 def test_request_without_an_end_is_said_to_have_none() -> None:
-    assert 'no end' in cause_of(line(1, 'dispatched', request='r1'))
+    dispatched = line(1, 'dispatched', request='r1')
+
+    assert 'no end' in cause_of(line(0, 'started'), dispatched)
+    assert 'went down' in cause_of(dispatched, line(3, 'started'))
 
 
 def test_command_lists_requests_that_were_not_served(
