Take a step of true time once

A host whose time of day was off at its start overshot. Change: told differences are shifted with the step; the new test fails without it.

--- a/packages/geranium-relay/src/geranium_relay/peers.py
+++ b/packages/geranium-relay/src/geranium_relay/peers.py
@@ -133,20 +133,18 @@
         heard = sum(map(self._is_heard, self._peers_by_host.values()))
         return heard + 1
 
-    def time_step_s(self) -> float:
-        """Return by how much this host's true time should be moved.
+    def take_time_step_s(self) -> float:
+        """Return by how much this host's true time is to be moved now.
 
-        Most hosts are right at any moment, so the median says.
+        Most hosts are right at any moment, so the median says. What peers
+        have told is counted from the moved time on: a step is taken once,
+        however long their next news take.
         """
-        ahead = [
-            peer.ahead_s
-            for peer in self._peers_by_host.values()
-            if self._is_heard(peer)
-        ]
-        if len(ahead) < 2:
-            return 0
-        step_s = statistics.median([*ahead, 0])
-        return step_s if abs(step_s) > self._settings.least_step_s else 0
+        step_s = self._time_step_s()
+        if step_s:
+            for peer in self._peers_by_host.values():
+                peer.ahead_s -= step_s
+        return step_s
 
     def news_every_s(self, audience: Audience = Audience.FAR) -> float:
         """Return the present time between two news to an audience."""
@@ -162,6 +160,17 @@
             self._settings.reader_news_every_s,
         )
 
+    def _time_step_s(self) -> float:
+        ahead = [
+            peer.ahead_s
+            for peer in self._peers_by_host.values()
+            if self._is_heard(peer)
+        ]
+        if len(ahead) < 2:
+            return 0
+        step_s = statistics.median([*ahead, 0])
+        return step_s if abs(step_s) > self._settings.least_step_s else 0
+
     def _count(self, identity: PeerIdentity) -> None:
         """Count a host; news to other zones keep pace with all hosts."""
         self._count_by_audience[Audience.FAR] += 1
@@ -270,7 +279,7 @@
 
     def _tell_due(self) -> None:
         """Send news to the own zone, and to the others if it is time."""
-        self._time.adjust(self._peers.time_step_s())
+        self._time.adjust(self._peers.take_time_step_s())
         self._tell(Audience.NEAR)
         now = self._clock.now()
         # The next turn may come a little early or far too late.
--- a/packages/geranium-relay/tests/test_news.py
+++ b/packages/geranium-relay/tests/test_news.py
@@ -119,7 +119,16 @@
         peers.hear(make_news(host, unix_s=1002.4), 1000)
     peers.hear(make_news('h5', unix_s=990), 1000)
 
-    assert peers.time_step_s() == pytest.approx(2.4)
+    assert peers.take_time_step_s() == pytest.approx(2.4)
+
+
+def test_step_of_true_time_is_taken_once(peers: relay.Peers) -> None:
+    """Peers' next news may come after several turns of this host."""
+    for host in ('h1', 'h3', 'h4'):
+        peers.hear(make_news(host, unix_s=1002.4), 1000)
+
+    assert peers.take_time_step_s() == pytest.approx(2.4)
+    assert peers.take_time_step_s() == 0
 
 
 def test_time_of_one_wrong_host_changes_nothing(peers: relay.Peers) -> None:
@@ -127,7 +136,7 @@
     for host in ('h3', 'h4'):
         peers.hear(make_news(host), 1000)
 
-    assert peers.time_step_s() == 0
+    assert peers.take_time_step_s() == 0
 
 
 def test_own_zone_is_told_more_often_than_all(peers: relay.Peers) -> None:
