--- a/packages/geraniumctl/src/geraniumctl/explanations.py
+++ b/packages/geraniumctl/src/geraniumctl/explanations.py
@@ -56,13 +56,14 @@
             elif record.get(_EVENT) == 'target_gone':
                 at = _instant(record)
                 self._gone_at_by_target[record[_TARGET]].append(at)
+        for lines in self._records_by_request.values():
+            lines.sort(key=_instant)
 
     def explain(self, request: str) -> Explanation | None:
         """Return why a request ended as it did, ``None`` if none names it."""
         records = self._records_by_request.get(request)
         if not records:
             return None
-        records = sorted(records, key=_instant)
         last = records[-1]
         match last.get(_EVENT):
             case 'rejected':
