Part the exchange of news from the peers; work out once what was worked out twice

What all audiences are told is put together once a turn instead of once for each, a run's patience once instead of before and after its answer's head. Whether a host reads needs a count, not a sorted list. Asking a fleet for its changes changed the fleet, and one that was never asked kept them for good: replace() drops old ones now.

--- a/packages/geranium-relay/src/geranium_relay/__init__.py
+++ b/packages/geranium-relay/src/geranium_relay/__init__.py
@@ -50,6 +50,7 @@
     UnknownKey,
     UnknownRoute,
 )
+from .peer_exchange import KeysByHash, NewsSources, OwnState, PeerExchange
 from .peer_news import (
     Audience,
     Knowledge,
@@ -59,14 +60,7 @@
     decode_news,
     encode_news,
 )
-from .peers import (
-    KeysByHash,
-    NewsSources,
-    OwnState,
-    PeerExchange,
-    Peers,
-    PeerSettings,
-)
+from .peers import Peers, PeerSettings
 from .placing import Placing, PlacingSettings
 from .ports import AnswerSink, TargetAnswer, TargetPort
 from .prompt_beliefs import PromptBeliefs, home_of
--- /dev/null
+++ b/packages/geranium-relay/src/geranium_relay/peer_exchange.py
@@ -0,0 +1,209 @@
+"""The exchange of news with the other hosts, over datagrams."""
+
+import asyncio
+import dataclasses
+import math
+from collections.abc import Callable, Mapping
+from typing import TypeAlias
+
+from .clock import BootClock, TrueTime
+from .load_book import LoadBook, TargetLoad
+from .peer_news import (
+    Audience,
+    Knowledge,
+    MalformedNewsError,
+    News,
+    Outbox,
+    decode_news,
+    encode_news,
+    target_hash,
+)
+from .peers import Peers
+from .targets import TargetChange
+
+KeysByHash: TypeAlias = Mapping[int, str]
+UsageByWindow: TypeAlias = Mapping[int, Mapping[str, int]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnState:
+    """What this host says of itself at a moment."""
+
+    ready: bool
+    leaving: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NewsSources:
+    """Where a host's news come from, and where those of peers go."""
+
+    loads: LoadBook
+    outbox: Outbox
+    state: Callable[[], OwnState]
+    usage: Callable[[], UsageByWindow]
+    known: Callable[[], Knowledge]
+    is_reader: Callable[[], bool]
+    target_changes: Callable[[], tuple[TargetChange, ...]]
+
+
+class PeerExchange(asyncio.DatagramProtocol):
+    """Sends this host's news to all others and takes in theirs.
+
+    Args:
+        peers: The other hosts.
+        sources: What there is to tell; its load book gets theirs.
+        time: True time.
+        clock: The clock of instants.
+        hear: Called with each news that was taken in, and with the keys of
+            the targets that hashes stand for.
+    """
+
+    def __init__(
+        self,
+        peers: Peers,
+        sources: NewsSources,
+        time: TrueTime,
+        clock: BootClock,
+        hear: Callable[[News, KeysByHash], None],
+    ) -> None:
+        self._peers = peers
+        self._sources = sources
+        self._time = time
+        self._clock = clock
+        self._hear = hear
+        self._transport: asyncio.DatagramTransport | None = None
+        self._keys_by_hash: KeysByHash = {}
+        self._far_due_at = -math.inf
+
+    def name_targets(self, keys: frozenset[str]) -> None:
+        """Tell which targets the hashes in news may stand for."""
+        self._keys_by_hash = {target_hash(key): key for key in keys}
+
+    async def run(self) -> None:
+        """Tell news until cancelled."""
+        host, port = _split(self._peers.own.address)
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: self,
+            local_addr=(host, port),
+        )
+        self._transport = transport
+        try:
+            while True:
+                self._tell_due()
+                await asyncio.sleep(self._pause_s())
+        finally:
+            transport.close()
+
+    def tell(self) -> None:
+        """Send this host's news to all others once."""
+        self._tell(*Audience)
+
+    def datagram_received(
+        self,
+        data: bytes,
+        addr: tuple[str | int, int],
+    ) -> None:
+        """Take in a datagram; one that is no news is left."""
+        try:
+            news = decode_news(data)
+        except MalformedNewsError:
+            return
+        self._peers.hear(news, self._time.now())
+        self._sources.loads.take_in(
+            news.sender.host,
+            self._name_loads(news.load_by_target),
+            self._clock.now(),
+        )
+        self._hear(news, self._keys_by_hash)
+
+    def _tell_due(self) -> None:
+        """Send news to the own zone, and to the others if it is time."""
+        self._time.adjust(self._peers.take_time_step_s())
+        now = self._clock.now()
+        # The next turn may come a little early or far too late.
+        if now + self._pause_s() / 2 < self._far_due_at:
+            self._tell(Audience.NEAR)
+            return
+        self._far_due_at = now + self._peers.news_every_s()
+        self._tell(*Audience)
+
+    def _tell(self, *audiences: Audience) -> None:
+        if self._transport is None:
+            return
+        common = self._news()
+        for audience in audiences:
+            addresses = self._addresses(audience)
+            if not addresses:
+                continue
+            datagram = encode_news(self._add_own(common, audience))
+            for address in addresses:
+                self._transport.sendto(datagram, address)
+
+    def _addresses(self, audience: Audience) -> list[tuple[str, int]]:
+        own_zone = self._peers.own.zone
+        return [
+            _split(peer.address)
+            for peer in self._peers.listed()
+            if (peer.zone == own_zone) is (audience is Audience.NEAR)
+        ]
+
+    def _news(self) -> News:
+        """Return what all audiences are told."""
+        now = self._clock.now()
+        sources = self._sources
+        state = sources.state()
+        return News(
+            self._peers.own,
+            state.ready,
+            state.leaving,
+            self._time.now(),
+            {
+                target_hash(key): load
+                for key, load in sources.loads.own(now).items()
+            },
+            (),
+            (),
+            sources.usage(),
+            sources.known(),
+        )
+
+    def _add_own(self, common: News, audience: Audience) -> News:
+        """Add what an audience alone is told.
+
+        Changed targets are told to the own zone: each zone has hosts that
+        read the list, and traffic between zones is priced.
+        """
+        sources = self._sources
+        now = self._clock.now()
+        dispatches, crashes = sources.outbox.take(audience, now)
+        changes: tuple[TargetChange, ...] = ()
+        if audience is Audience.NEAR and sources.is_reader():
+            changes = sources.target_changes()
+        return dataclasses.replace(
+            common,
+            dispatches=dispatches,
+            crashes=crashes,
+            target_changes=changes,
+        )
+
+    def _pause_s(self) -> float:
+        if self._sources.is_reader():
+            return self._peers.reader_news_every_s()
+        return self._peers.news_every_s(Audience.NEAR)
+
+    def _name_loads(
+        self,
+        load_by_hash: Mapping[int, TargetLoad],
+    ) -> dict[str, TargetLoad]:
+        keys_by_hash = self._keys_by_hash
+        return {
+            keys_by_hash[number]: load
+            for number, load in load_by_hash.items()
+            if number in keys_by_hash
+        }
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(':')
+    return host, int(port)
--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -5,7 +5,7 @@
 
 from geranium_policy.health import Silent, Unreachable
 
-from .attempts import Attempt, patience_with
+from .attempts import Attempt, Patience, patience_with
 from .call_errors import (
     AnswerLostError,
     NotRunError,
@@ -213,7 +213,7 @@
             self._runs -= 1
             raise
         try:
-            return await self._pass_on(answer, attempt, dispatch)
+            return await self._pass_on(answer, attempt, dispatch, patience)
         finally:
             answer.close()
 
@@ -222,6 +222,7 @@
         answer: TargetAnswer,
         attempt: Attempt,
         dispatch: Dispatch,
+        patience: Patience,
     ) -> Outcome | None:
         head = answer.head
         if head.succeeded and not head.signed:
@@ -230,12 +231,7 @@
         if self._job.route.kind is RouteKind.STREAM and head.succeeded:
             return await self._passing.pass_stream(
                 answer,
-                patience_with(
-                    self._job.route,
-                    attempt,
-                    self._settings,
-                    may_repeat=self._may_repeat(),
-                ),
+                patience,
                 lambda: self._notes.note_begun(attempt, dispatch),
             )
         body = b''.join([chunk async for chunk in answer.chunks()])
--- a/packages/geranium-relay/src/geranium_relay/shared_readings.py
+++ b/packages/geranium-relay/src/geranium_relay/shared_readings.py
@@ -77,12 +77,11 @@
     def is_reader(self) -> bool:
         """Say whether this host has to read in any case."""
         own = self._peers.own
-        rivals = sorted(
-            peer.host
+        rivals = sum(
+            peer.zone == own.zone and peer.host < own.host
             for peer in self._peers.usable()
-            if peer.zone == own.zone and peer.host < own.host
         )
-        return len(rivals) < self._settings.readers_per_zone
+        return rivals < self._settings.readers_per_zone
 
     def hear(self, news: News) -> None:
         """Take in what a peer knows."""
--- a/packages/geranium-relay/src/geranium_relay/targets.py
+++ b/packages/geranium-relay/src/geranium_relay/targets.py
@@ -7,6 +7,8 @@
 
 import xxhash
 
+CHANGES_KEPT_S = 10  # well beyond the time for which they are told
+
 
 class Stage(enum.Enum):
     """What a model engine does: read prompts, or generate as well."""
@@ -103,6 +105,11 @@
             self._targets_by_identity.pop(gone.identity)
         self._targets_by_identity.update(found_by_identity)
         changed = (*change.came, *change.gone, *change.leaving)
+        self._changed_at_by_identity = {
+            identity: at
+            for identity, at in self._changed_at_by_identity.items()
+            if at > now - CHANGES_KEPT_S
+        }
         for target in changed:
             self._changed_at_by_identity[target.identity] = now
         if changed:
@@ -110,15 +117,14 @@
         return change
 
     def changes_since(self, instant: float) -> tuple[TargetChange, ...]:
-        """Return what became of the targets that changed since then."""
-        self._changed_at_by_identity = {
-            identity: at
-            for identity, at in self._changed_at_by_identity.items()
-            if at >= instant
-        }
+        """Return what became of the targets that changed since then.
+
+        Changes are known for ``CHANGES_KEPT_S``.
+        """
         return tuple(
             TargetChange(identity, self._targets_by_identity.get(identity))
-            for identity in self._changed_at_by_identity
+            for identity, at in self._changed_at_by_identity.items()
+            if at >= instant
         )
 
     def take_in(
