Emulator: one method for both audiences, engine kinds instead of stand-in targets, memory from the plan

tell_near and tell_far were one method twice. An engine that was ordered was described by a target without identity or address.

--- a/packages/geranium-emulator/src/geranium_emulator/clusters.py
+++ b/packages/geranium-emulator/src/geranium_emulator/clusters.py
@@ -1,5 +1,6 @@
 """The engines of an emulated day, and what becomes of them."""
 
+import collections
 import dataclasses
 import functools
 import itertools
@@ -23,6 +24,15 @@
 RECLAIMABLE_SHARE = 0.8  # of the engines with which a day begins
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineKind:
+    """What engines are ordered by."""
+
+    zone: str
+    stage: relay.Stage
+    reclaimable: bool
+
+
 class Cluster:
     """Engines by zone, ordered by the product's policy.
 
@@ -49,7 +59,7 @@
         self._changed = changed
         self._numbers = itertools.count()
         self._closed_until_by_zone: dict[str, float] = {}
-        self._booting_by_kind: dict[tuple[str, bool], int] = {}
+        self._booting_by_kind = collections.Counter[tuple[str, bool]]()
         self._purchases = ZonePurchases(ZonePurchaseSettings())
 
     def open(self) -> None:
@@ -62,7 +72,7 @@
             )
             firm_count = round(len(stages) * (1 - RECLAIMABLE_SHARE))
             for number, stage in enumerate(stages):
-                self._start(zone, stage, reclaimable=number >= firm_count)
+                self._start(EngineKind(zone, stage, number >= firm_count))
         self._changed()
         self._order()
 
@@ -84,7 +94,7 @@
             case Crash():
                 for engine in self._hit(trouble.engines):
                     self._stop(engine)
-                    self._boot(engine.target, trouble.for_s)
+                    self._boot(_kind_of(engine), trouble.for_s)
             case Slow():
                 self._slow(trouble)
 
@@ -117,23 +127,17 @@
         engines = list(self.engines_by_key.values())
         return self._source.sample(engines, min(count, len(engines)))
 
-    def _start(
-        self,
-        zone: str,
-        stage: relay.Stage,
-        *,
-        reclaimable: bool,
-    ) -> None:
+    def _start(self, kind: EngineKind) -> None:
         target = relay.Target(
             identity=f'e{next(self._numbers)}',
             born_ms=int(self._simulation.now() * 1000),
             service=SERVICE,
             address='127.0.0.1:1',
-            zone=zone,
+            zone=kind.zone,
             slots=self._plan.engines.slots,
             leaving=False,
-            reclaimable=reclaimable,
-            stage=stage,
+            reclaimable=kind.reclaimable,
+            stage=kind.stage,
             weights_version=None,
         )
         engine = Engine(target, self._plan.engines, self._simulation)
@@ -146,18 +150,17 @@
             engine.stop()
             self._changed()
 
-    def _boot(self, like: relay.Target, delay_s: float) -> None:
-        """Start an engine of the same zone, stage and kind after a time."""
-        kind = like.zone, like.reclaimable
-        self._booting_by_kind[kind] = self._booting_by_kind.get(kind, 0) + 1
-        self._simulation.after(delay_s, functools.partial(self._come, like))
+    def _boot(self, kind: EngineKind, delay_s: float) -> None:
+        """Start an engine after a time."""
+        booting = kind.zone, kind.reclaimable
+        self._booting_by_kind[booting] += 1
+        self._simulation.after(delay_s, functools.partial(self._come, kind))
 
-    def _come(self, like: relay.Target) -> None:
-        self._booting_by_kind[like.zone, like.reclaimable] -= 1
-        if like.reclaimable and self._is_closed(like.zone):
+    def _come(self, kind: EngineKind) -> None:
+        self._booting_by_kind[kind.zone, kind.reclaimable] -= 1
+        if kind.reclaimable and self._is_closed(kind.zone):
             return
-        assert like.stage is not None
-        self._start(like.zone, like.stage, reclaimable=like.reclaimable)
+        self._start(kind)
         self._changed()
 
     def _is_closed(self, zone: str) -> bool:
@@ -187,23 +190,10 @@
         self._simulation.after(PURCHASE_EVERY_S, self._order)
 
     def _buy(self, zone: str, missing: int, *, reclaimable: bool) -> None:
-        missing -= self._booting_by_kind.get((zone, reclaimable), 0)
+        missing -= self._booting_by_kind[zone, reclaimable]
         for _ in range(max(missing, 0)):
-            self._boot(
-                relay.Target(
-                    identity='',
-                    born_ms=0,
-                    service=SERVICE,
-                    address='',
-                    zone=zone,
-                    slots=self._plan.engines.slots,
-                    leaving=False,
-                    reclaimable=reclaimable,
-                    stage=self._missing_stage(zone),
-                    weights_version=None,
-                ),
-                self._plan.engines.boot_s,
-            )
+            kind = EngineKind(zone, self._missing_stage(zone), reclaimable)
+            self._boot(kind, self._plan.engines.boot_s)
 
     def _missing_stage(self, zone: str) -> relay.Stage:
         readers = sum(
@@ -226,6 +216,12 @@
     return ZoneHoldings(len(present) - reclaimable, reclaimable)
 
 
+def _kind_of(engine: Engine) -> EngineKind:
+    target = engine.target
+    assert target.stage is not None
+    return EngineKind(target.zone, target.stage, target.reclaimable)
+
+
 def _set_slowness(engines: Iterable[Engine], factor: float) -> None:
     for engine in engines:
         engine.slowness = factor
--- a/packages/geranium-emulator/src/geranium_emulator/days.py
+++ b/packages/geranium-emulator/src/geranium_emulator/days.py
@@ -52,6 +52,7 @@
             self._tallies,
             make_policy,
             settings,
+            relay.EngineProfile(plan.engines.slots, plan.engines.kv_tokens),
         )
         self._hosts = [
             EmulatedHost(
@@ -70,14 +71,16 @@
         for number, host in enumerate(self._hosts):
             host.hear_list(self._cluster.targets())
             share = number / len(self._hosts)
-            self._simulation.at(
-                plan.hosts.near_news_every_s * share,
-                functools.partial(host.tell_near, self._hosts, plan.hosts),
-            )
-            self._simulation.at(
-                plan.hosts.far_news_every_s * share,
-                functools.partial(host.tell_far, self._hosts, plan.hosts),
-            )
+            for audience in relay.Audience:
+                self._simulation.at(
+                    plan.hosts.news_every_s(audience) * share,
+                    functools.partial(
+                        host.tell,
+                        audience,
+                        self._hosts,
+                        plan.hosts,
+                    ),
+                )
         for requests in plan.requests:
             self._plan_load(requests)
         for trouble in plan.troubles:
--- a/packages/geranium-emulator/src/geranium_emulator/hosts.py
+++ b/packages/geranium-emulator/src/geranium_emulator/hosts.py
@@ -56,6 +56,7 @@
     tallies: Tallies
     make_policy: MakePolicy
     settings: relay.PlacingSettings
+    profile: relay.EngineProfile
 
 
 class EmulatedHost:
@@ -82,13 +83,15 @@
             world.simulation.now,
             source,
         )
-        self._near_outbox: list[SentParts] = []
-        self._far_outbox: list[SentParts] = []
+        self._sent_by_audience: dict[relay.Audience, list[SentParts]] = {
+            audience: [] for audience in relay.Audience
+        }
         self._policy: Policy = world.make_policy(
             HostView(
                 self._fleet,
                 self.loads,
                 self.placing,
+                world.profile,
                 world.simulation.now,
                 source,
             ),
@@ -100,28 +103,26 @@
         for gone in change.gone:
             self.placing.forget(gone.key)
 
-    def tell_near(
-        self, peers: Sequence['EmulatedHost'], plan: HostPlan
+    def tell(
+        self,
+        audience: relay.Audience,
+        peers: Sequence['EmulatedHost'],
+        plan: HostPlan,
     ) -> None:
-        """Tell the peers of the own zone, again and again."""
-        sent = tuple(self._near_outbox)
-        self._near_outbox.clear()
-        near = [peer for peer in peers if peer.zone == self.zone]
-        self._tell(near, sent, plan)
-        self.simulation.after(
-            plan.near_news_every_s,
-            lambda: self.tell_near(peers, plan),
-        )
-
-    def tell_far(self, peers: Sequence['EmulatedHost'], plan: HostPlan) -> None:
-        """Tell the peers of other zones, again and again."""
-        sent = tuple(self._far_outbox)
-        self._far_outbox.clear()
-        far = [peer for peer in peers if peer.zone != self.zone]
-        self._tell(far, sent, plan)
+        """Tell an audience this host's load, again and again."""
+        sent = tuple(self._sent_by_audience[audience])
+        self._sent_by_audience[audience].clear()
+        loads = self.loads.own(self.simulation.now())
+        is_near = audience is relay.Audience.NEAR
+        for peer in peers:
+            if peer is not self and (peer.zone == self.zone) is is_near:
+                self.simulation.after(
+                    plan.news_delay_s,
+                    functools.partial(peer.hear, self.name, loads, sent),
+                )
         self.simulation.after(
-            plan.far_news_every_s,
-            lambda: self.tell_far(peers, plan),
+            plan.news_every_s(audience),
+            lambda: self.tell(audience, peers, plan),
         )
 
     def hear(
@@ -161,8 +162,8 @@
         """Believe that an engine keeps a prompt, and tell peers."""
         prompt = ask.prompt
         self.placing.note_prompt(ask.job.service, key, prompt)
-        for outbox in (self._near_outbox, self._far_outbox):
-            outbox.append((key, prompt.parts[:-1]))
+        for sent in self._sent_by_audience.values():
+            sent.append((key, prompt.parts[:-1]))
 
     def offer(
         self,
@@ -212,20 +213,6 @@
             ask.plan.worth,
         )
 
-    def _tell(
-        self,
-        peers: Sequence['EmulatedHost'],
-        sent: Sequence[SentParts],
-        plan: HostPlan,
-    ) -> None:
-        loads = self.loads.own(self.simulation.now())
-        for peer in peers:
-            if peer is not self:
-                self.simulation.after(
-                    plan.news_delay_s,
-                    functools.partial(peer.hear, self.name, loads, sent),
-                )
-
     def _send(self, ask: Ask, placement: Placement) -> None:
         ask.sends += 1
         for key in filter(None, (placement.reader, placement.generator)):
--- a/packages/geranium-emulator/src/geranium_emulator/plans.py
+++ b/packages/geranium-emulator/src/geranium_emulator/plans.py
@@ -5,6 +5,7 @@
 from typing import Annotated, Literal, TypeAlias
 
 import pydantic
+from geranium_relay import Audience
 
 
 class DocumentError(Exception):
@@ -32,6 +33,14 @@
     news_delay_s: float = 0.01
     list_delay_s: float = 0.8
 
+    def news_every_s(self, audience: Audience) -> float:
+        """Return the time between two news to an audience."""
+        match audience:
+            case Audience.NEAR:
+                return self.near_news_every_s
+            case Audience.FAR:
+                return self.far_news_every_s
+
 
 class EnginePlan(_Section):
     """The engines of a zone when the day begins, and how fast they are.
--- a/packages/geranium-emulator/src/geranium_emulator/policies.py
+++ b/packages/geranium-emulator/src/geranium_emulator/policies.py
@@ -23,6 +23,7 @@
         fleet: The targets, as it has last heard.
         loads: Its own load and that of its peers, as last heard.
         placing: The relay's policy with what it has learned.
+        profile: What all engines have in common.
         clock: The simulated clock.
         source: Breaks ties.
     """
@@ -30,6 +31,7 @@
     fleet: relay.Fleet
     loads: relay.LoadBook
     placing: relay.Placing
+    profile: relay.EngineProfile
     clock: Callable[[], float]
     source: random.Random
 
@@ -50,10 +52,11 @@
 
     def __init__(self, view: HostView) -> None:
         self._placing = view.placing
+        self._profile = view.profile
 
     def choose(self, job: relay.Job, avoid: frozenset[str]) -> Decision:
         """Return where a job goes, or that it is refused."""
-        return self._placing.place_prompt(job, PROFILE, avoid)
+        return self._placing.place_prompt(job, self._profile, avoid)
 
 
 class RoundRobin:
@@ -113,9 +116,6 @@
         return _whole(chosen[0] if chosen else engines[0], job)
 
 
-SLOTS = 24
-KV_TOKENS = 500_000
-PROFILE = relay.EngineProfile(SLOTS, KV_TOKENS)
 TURNS = 1000  # hosts begin their turns at different engines
 
 POLICIES: Mapping[str, MakePolicy] = MappingProxyType(
