--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := $(wildcard packages/*) platform
+PACKAGES := $(wildcard packages/*) platform soak
 EDITABLE := $(addprefix -e ./,$(PACKAGES))
 STAMP := $(VENV)/.installed
 
@@ -24,8 +24,8 @@
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/flake8 packages platform tests examples
-	$(BIN)/mypy packages/*/src platform/src
+	$(BIN)/flake8 packages platform soak tests examples
+	$(BIN)/mypy packages/*/src platform/src soak/src
 	$(BIN)/lint-imports
 
 format: $(STAMP)
--- a/packages/geranium-standins/src/geranium_standins/faults.py
+++ b/packages/geranium-standins/src/geranium_standins/faults.py
@@ -96,6 +96,7 @@
     DROP = 'drop'
     SILENT = 'silent'
     HOLD = 'hold'
+    HOLD_ANSWERS = 'hold_answers'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -105,7 +106,8 @@
     ``drop`` resets the connections and each new one. ``silent`` lets the
     connections that are open when it is set swallow all bytes for good,
     while new ones work. ``hold`` keeps bytes and delivers them once the mode
-    is another. ``delay_ms`` is how long bytes take in each direction.
+    is another; ``hold_answers`` does so for the bytes from the target alone.
+    ``delay_ms`` is how long bytes take in each direction.
     """
 
     __pydantic_config__ = _STRICT
--- a/packages/geranium-standins/src/geranium_standins/links.py
+++ b/packages/geranium-standins/src/geranium_standins/links.py
@@ -32,11 +32,24 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def pass_hold(self) -> None:
-        """Return once bytes are not held."""
-        while self.faults.mode is RelayMode.HOLD:
+    async def pass_hold(self, *, answers: bool) -> None:
+        """Return once bytes are not held.
+
+        Args:
+            answers: Whether they come from the target.
+        """
+        while self._holds(answers=answers):
             await self._changed.wait()
 
+    def _holds(self, *, answers: bool) -> bool:
+        match self.faults.mode:
+            case RelayMode.HOLD:
+                return True
+            case RelayMode.HOLD_ANSWERS:
+                return answers
+            case _:
+                return False
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class End:
@@ -107,7 +120,9 @@
         while not has_ended:
             parcel = await parcels.get()
             await asyncio.sleep(max(0, parcel.due_at - time.monotonic()))
-            await self._conditions.pass_hold()
+            await self._conditions.pass_hold(
+                answers=sink is self._ends[0],
+            )
             if self.is_silent:
                 continue
             has_ended = not parcel.payload
--- a/packages/geranium-standins/src/geranium_standins/relay_server.py
+++ b/packages/geranium-standins/src/geranium_standins/relay_server.py
@@ -46,6 +46,17 @@
         self._reset_links()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def change(self, faults: RelayFaults) -> None:
+        """Put fault switches in force."""
+        self._conditions.change(faults)
+        match faults.mode:
+            case RelayMode.DROP:
+                self._reset_links()
+            case RelayMode.SILENT:
+                self._silence_links()
+            case RelayMode.PASS | RelayMode.HOLD | RelayMode.HOLD_ANSWERS:
+                ...
+
     def create_app(self) -> web.Application:
         """Return the web application that controls the relay."""
         app = web.Application()
@@ -97,15 +108,7 @@
         return web.json_response(body)
 
     async def _put_faults(self, request: web.Request) -> web.Response:
-        faults = parse_body(_FAULTS, await request.read())
-        self._conditions.change(faults)
-        match faults.mode:
-            case RelayMode.DROP:
-                self._reset_links()
-            case RelayMode.SILENT:
-                self._silence_links()
-            case RelayMode.PASS | RelayMode.HOLD:
-                ...
+        self.change(parse_body(_FAULTS, await request.read()))
         return web.Response(status=HTTPStatus.NO_CONTENT)
 
     def _silence_links(self) -> None:
--- /dev/null
+++ b/soak/src/geranium_soak/bounds.py
@@ -0,0 +1,42 @@
+"""The bounds of a deployment that the promises name."""
+
+import dataclasses
+
+from geranium_standins.settings import MS_PER_S
+
+RETRY_BUDGET_RATIO = 0.2  # as on the users' first sites
+RETRY_BUDGET_SLACK = 56  # as above, requests
+RETRY_BUDGET_WINDOW_S = 10  # as above
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """The deployment's bounds that the promises name, in seconds.
+
+    The figures are those of the users' first sites, with shorter windows so
+    that a short run holds several.
+    """
+
+    revoke_s: float = 5
+    grace_s: float = 8
+    lease_s: float = 3
+    apply_s: float = 2
+    rollback_s: float = 0.25
+    leaving_s: float = 2
+    contact_s: float = 3
+    thaw_s: float = 0.3
+    window_s: float = 3
+    usage_late_s: float = 10
+
+    def settings(self) -> dict[str, object]:
+        """Return the section of a host's settings."""
+        return {
+            'revokeMs': self.revoke_s * MS_PER_S,
+            'graceS': self.grace_s,
+            'leaseMs': self.lease_s * MS_PER_S,
+            'retryBudgetRatio': RETRY_BUDGET_RATIO,
+            'budgetWindowS': RETRY_BUDGET_WINDOW_S,
+            'budgetSlack': RETRY_BUDGET_SLACK,
+            'reportWindowS': self.window_s,
+            'usageLateS': self.usage_late_s,
+        }
--- /dev/null
+++ b/soak/src/geranium_soak/checks/configuration.py
@@ -0,0 +1,97 @@
+"""Keys and versions of the catalogue."""
+
+import math
+from collections.abc import Iterator
+from http import HTTPStatus
+
+from ..bounds import Bounds
+from ..observations import STORE, Answered, Change, Ledger, Sent
+from .violation import Violation
+
+
+def withdrawn_keys_are_dead(
+    ledger: Ledger,
+    bounds: Bounds,
+) -> Iterator[Violation]:
+    """A request ran whose key had been withdrawn for long enough."""
+    withdrawn_at_by_key = {
+        key: change.at
+        for change in ledger.changes
+        for key in change.withdrawn_keys
+    }
+    for identity, sent in ledger.sent_by_id.items():
+        age_s = sent.at - withdrawn_at_by_key.get(sent.key, math.inf)
+        if age_s > bounds.revoke_s and ledger.runs(identity):
+            detail = f'{sent.key} sent {age_s:.2f} s after its withdrawal'
+            yield Violation('withdrawn key', identity, detail)
+
+
+def versions_never_go_back(
+    ledger: Ledger,
+    bounds: Bounds,
+) -> Iterator[Violation]:
+    """A process served an older version after a newer one."""
+    seen_by_process: dict[tuple[str, int], tuple[int, float]] = {}
+    for at, sent, served in _served_marks(ledger):
+        process = sent.host, sent.incarnation
+        seen, seen_at = seen_by_process.get(process, (0, at))
+        if served > seen:
+            seen_by_process[process] = served, at
+        elif served < seen and sent.at > seen_at + bounds.rollback_s:
+            detail = f'{sent.host} served {served} after {seen}'
+            yield Violation('version goes on', sent.identity, detail)
+
+
+def _served_marks(ledger: Ledger) -> list[tuple[float, Sent, int]]:
+    """Return when a process served the route of which version."""
+    served = []
+    for sent in ledger.sent_by_id.values():
+        runs = ledger.runs(sent.identity)
+        if sent.marks is not None and runs:
+            served.append((runs[0].at, sent, sent.marks))
+    return sorted(served, key=lambda one: one[0])
+
+
+def versions_are_applied(
+    ledger: Ledger,
+    bounds: Bounds,
+) -> Iterator[Violation]:
+    """A calm host did not know a version in time, or still knew an old one."""
+    for sent, end in _calm_probes(ledger, bounds):
+        current = _version_at(ledger.changes, sent.at - bounds.apply_s)
+        if _is_outdated(ledger, sent, end, current):
+            detail = f'{sent.host}: mark {sent.marks}, {end.status}'
+            yield Violation('version in time', sent.identity, detail)
+
+
+def _calm_probes(
+    ledger: Ledger,
+    bounds: Bounds,
+) -> Iterator[tuple[Sent, Answered]]:
+    """Give the probes that a calm host answered."""
+    for sent in ledger.sent_by_id.values():
+        end = ledger.end_by_id.get(sent.identity)
+        if sent.marks is None or not isinstance(end, Answered):
+            continue
+        subjects = frozenset((sent.host, STORE))
+        since = sent.at - bounds.contact_s - bounds.apply_s
+        if ledger.was_calm(subjects, since, end.at):
+            yield sent, end
+
+
+def _version_at(changes: list[Change], instant: float) -> int:
+    versions = [change.version for change in changes if change.at <= instant]
+    return max(versions, default=0)
+
+
+def _is_outdated(
+    ledger: Ledger,
+    sent: Sent,
+    end: Answered,
+    current: int,
+) -> bool:
+    marks = sent.marks or 0
+    if marks < current:
+        return bool(ledger.runs(sent.identity))
+    newest = _version_at(ledger.changes, end.at)
+    return marks == current == newest and end.status == HTTPStatus.NOT_FOUND
--- /dev/null
+++ b/soak/src/geranium_soak/checks/duties.py
@@ -0,0 +1,106 @@
+"""Duties: one holder, one figure for each window, figures that are true."""
+
+import itertools
+from collections.abc import Iterator
+
+from ..bounds import Bounds
+from ..observations import Ledger, ProviderCall
+from .violation import Violation
+
+USAGE_SHARE = 0.05  # the users' tolerance
+USAGE_LEAST = 2  # requests that a small window may be off by
+
+
+def one_holder_at_a_time(
+    ledger: Ledger,
+    bounds: Bounds,
+) -> Iterator[Violation]:
+    """Holders shared a fence, went back in fences, or took turns."""
+    calls_by_subject: dict[str, list[ProviderCall]] = {}
+    for call in ledger.provider_calls:
+        calls_by_subject.setdefault(call.subject, []).append(call)
+    for subject, calls in calls_by_subject.items():
+        counted = [
+            one for one in calls if not _just_thawed(ledger, one, bounds)
+        ]
+        for before, after in itertools.pairwise(counted):
+            wrong = _conflict(before, after)
+            if wrong is not None:
+                yield Violation('one holder', subject, wrong)
+        yield from _turns(subject, counted, bounds)
+
+
+def _just_thawed(ledger: Ledger, call: ProviderCall, bounds: Bounds) -> bool:
+    subjects = frozenset((call.holder,))
+    return not ledger.was_calm(subjects, call.at - bounds.thaw_s, call.at)
+
+
+def _conflict(before: ProviderCall, after: ProviderCall) -> str | None:
+    if after.fence < before.fence:
+        return f'fence {after.fence} after {before.fence}'
+    if after.fence == before.fence and after.holder != before.holder:
+        holders = f'{before.holder} and {after.holder}'
+        return f'fence {after.fence} of {holders}'
+    return None
+
+
+def _turns(
+    subject: str,
+    calls: list[ProviderCall],
+    bounds: Bounds,
+) -> Iterator[Violation]:
+    """Find holders A, B and A again within the term of a lease."""
+    for place, last in enumerate(calls):
+        recent = [
+            one.holder
+            for one in calls[:place]
+            if last.at - one.at < bounds.lease_s
+        ]
+        if last.holder not in recent:
+            continue
+        between = set(recent[recent.index(last.holder) :])
+        if between != {last.holder}:
+            others = sorted(between - {last.holder})
+            detail = f'{last.holder} on both sides of {others}'
+            yield Violation('one holder', subject, detail)
+
+
+def windows_are_reported_once(
+    ledger: Ledger,
+    bounds: Bounds,
+) -> Iterator[Violation]:
+    """A window was reported with two figures."""
+    counts_by_window: dict[int, dict[str, int]] = {}
+    for call in ledger.provider_calls:
+        if call.window is None:
+            continue
+        first = counts_by_window.setdefault(call.window, call.counts_by_team)
+        if first != call.counts_by_team:
+            detail = f'{first}, then {call.counts_by_team}'
+            yield Violation('window once', str(call.window), detail)
+
+
+def usage_is_counted(ledger: Ledger, bounds: Bounds) -> Iterator[Violation]:
+    """A calm window was reported with figures that are off."""
+    for call in ledger.provider_calls:
+        if call.window is None:
+            continue
+        begun_at = call.window * bounds.window_s - ledger.unix_offset_s
+        if begun_at < ledger.calm_since:
+            continue
+        truth = _begun_in(ledger, begun_at, begun_at + bounds.window_s)
+        reported = sum(call.counts_by_team.values())
+        slack = max(USAGE_SHARE * truth, USAGE_LEAST)
+        if abs(reported - truth) > slack:
+            detail = f'{reported} instead of {truth}'
+            yield Violation('usage', str(call.window), detail)
+
+
+def _begun_in(ledger: Ledger, since: float, until: float) -> int:
+    return sum(
+        any(
+            run.ran_at is not None and since <= run.ran_at < until
+            for run in ledger.runs(identity)
+        )
+        for identity in ledger.sent_by_id
+    )
--- /dev/null
+++ b/soak/src/geranium_soak/checks/outcomes.py
@@ -0,0 +1,115 @@
+"""One true outcome for each request, whatever faults are in force."""
+
+from collections.abc import Iterator
+from http import HTTPStatus
+
+from geranium_platform_standins import (
+    CALL_SERVICE,
+    PROMPT_SERVICE,
+    event_count,
+    event_of,
+)
+
+from ..bounds import Bounds
+from ..observations import Answered, Arrival, Kind, Ledger, Sent
+from .violation import Violation
+
+PROMISES_NO_RUN = frozenset(
+    (
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    ),
+)
+SINGLE = frozenset((Kind.UNSAFE, Kind.STREAM))
+STREAMS = frozenset((Kind.STREAM, Kind.RESUMABLE))
+SHOWN_BYTES = 80  # of an answer in a report
+
+
+def runs_at_most_once(ledger: Ledger, bounds: Bounds) -> Iterator[Violation]:
+    """A request that may not be repeated ran more than once."""
+    for identity, sent in ledger.sent_by_id.items():
+        runs = ledger.runs(identity)
+        if sent.kind in SINGLE and len(runs) > 1:
+            targets = [run.target for run in runs]
+            yield Violation('at most once', identity, f'ran at {targets}')
+
+
+def refusals_are_true(ledger: Ledger, bounds: Bounds) -> Iterator[Violation]:
+    """A request was answered with a promise that it did not run, and ran."""
+    for identity, end in ledger.end_by_id.items():
+        if not isinstance(end, Answered) or end.signature is not None:
+            continue
+        runs = ledger.runs(identity)
+        if end.status in PROMISES_NO_RUN and runs:
+            detail = f'{end.status}, ran at {runs[0].target}'
+            yield Violation('true refusal', identity, detail)
+
+
+def answers_are_own(ledger: Ledger, bounds: Bounds) -> Iterator[Violation]:
+    """A caller got what no target answered to its request."""
+    for identity, end in ledger.end_by_id.items():
+        if not isinstance(end, Answered):
+            continue
+        sent = ledger.sent_by_id[identity]
+        if end.signature is None:
+            wrong = end.status < HTTPStatus.MULTIPLE_CHOICES
+        else:
+            wrong = not _is_own(ledger, sent, end)
+        if wrong:
+            shown = end.body[:SHOWN_BYTES]
+            detail = f'{end.status} {end.signature} {shown!r}'
+            yield Violation('own answer', identity, detail)
+
+
+def _is_own(ledger: Ledger, sent: Sent, end: Answered) -> bool:
+    answers: dict[str, bytes] = {}
+    for arrival in ledger.arrivals_by_id.get(sent.identity, ()):
+        answers.update(arrival.answers)
+    if end.signature not in answers:
+        return False
+    if sent.kind in STREAMS:
+        return end.body == _whole_stream(sent.identity)
+    return end.body == answers[end.signature]
+
+
+def _whole_stream(identity: str) -> bytes:
+    numbers = range(1, event_count(identity) + 1)
+    return b''.join(event_of(identity, number) for number in numbers)
+
+
+def nothing_is_made_up(ledger: Ledger, bounds: Bounds) -> Iterator[Violation]:
+    """A target got what no caller sent."""
+    for identity, arrivals in ledger.arrivals_by_id.items():
+        sent = ledger.sent_by_id.get(identity)
+        for arrival in arrivals:
+            wrong = _difference(sent, arrival)
+            if wrong is not None:
+                yield Violation('as sent', identity, wrong)
+    for identity in ledger.crossed_prompts:
+        yield Violation('own prompt', identity, "went on from another's")
+
+
+def _difference(sent: Sent | None, arrival: Arrival) -> str | None:
+    if sent is None:
+        return f'nobody sent it, came to {arrival.target}'
+    if (arrival.path, arrival.body) != (sent.path, sent.body):
+        return f'path or body changed on the way to {arrival.target}'
+    if arrival.team != sent.team:
+        return f'for team {arrival.team} instead of {sent.team}'
+    if arrival.forged:
+        return f'with headers of the caller: {arrival.forged}'
+    return None
+
+
+def services_are_kept_apart(
+    ledger: Ledger,
+    bounds: Bounds,
+) -> Iterator[Violation]:
+    """A request ran at a service that its route does not lead to."""
+    for identity, sent in ledger.sent_by_id.items():
+        wanted = PROMPT_SERVICE if sent.kind in STREAMS else CALL_SERVICE
+        for run in ledger.runs(identity):
+            if run.service != wanted:
+                yield Violation('own service', identity, run.service)
--- /dev/null
+++ b/soak/src/geranium_soak/cli.py
@@ -0,0 +1,146 @@
+"""The command that plays seeded runs."""
+
+import asyncio
+import pathlib
+import shlex
+import sys
+import tempfile
+from typing import Any
+
+import click
+
+from .plans import draw_plan
+from .runs import Report, RunSettings, run_soak
+from .world import WorldSettings
+
+SKEWED_HOST = pathlib.Path(__file__).with_name('skewed_host.py')
+HOST_PROGRAM = ('-P', str(SKEWED_HOST))
+SKEWS_S = (0, 0.6, -0.4)  # hosts' clocks are close to true time, not at it
+FAULTS_S = 30
+SETTLE_S = 12  # within which the service is back, as the users' pages say
+CALM_S = 8  # two windows of usage
+
+
+class SoakCommand(click.Command):
+    """The options of a run, kept in one place."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            'geranium-soak',
+            callback=play,
+            help='Run hosts under faults and check what they promise.',
+            params=[
+                _option('--seed', 1, 'Of the first run.'),
+                _option('--runs', 1, 'How many seeds, one after the other.'),
+                _option('--seconds', FAULTS_S, 'In which faults begin.'),
+                _option('--calm', CALM_S, 'Seconds of service at the end.'),
+                _option('--hosts', 4, 'Host processes.'),
+                _option('--calls', 3, 'Application targets.'),
+                _option('--engines', 6, 'Engines.'),
+                _option('--callers', 10, 'Callers that send at once.'),
+                _option(
+                    '--program',
+                    shlex.join(HOST_PROGRAM),
+                    'What runs as a host.',
+                ),
+                _option('--folder', '', 'Keeps settings and logs.'),
+                click.Option(
+                    ['--plan-only'],
+                    is_flag=True,
+                    help='Only print the faults.',
+                ),
+            ],
+        )
+
+
+def _option(name: str, default: object, meaning: str) -> click.Option:
+    return click.Option(
+        [name],
+        default=default,
+        show_default=True,
+        help=meaning,
+    )
+
+
+def play(
+    seed: int,
+    runs: int,
+    *,
+    plan_only: bool,
+    **options: Any,
+) -> None:
+    """Play the runs; exit with 1 if one of them broke a promise."""
+    failed = 0
+    for number in range(seed, seed + runs):
+        settings = _run_settings(number, **options)
+        if plan_only:
+            _show_plan(settings)
+            continue
+        report = asyncio.run(run_soak(settings))
+        failed += bool(report.violations)
+        _show(report, settings.world.folder)
+    sys.exit(bool(failed))
+
+
+def _run_settings(
+    seed: int,
+    *,
+    seconds: int,
+    calm: int,
+    callers: int,
+    folder: str,
+    **world: Any,
+) -> RunSettings:
+    place = pathlib.Path(folder or tempfile.mkdtemp(prefix='soak-'))
+    place.mkdir(parents=True, exist_ok=True)
+    return RunSettings(
+        seed,
+        seconds,
+        SETTLE_S,
+        calm,
+        callers,
+        _world_settings(place, **world),
+    )
+
+
+def _world_settings(
+    folder: pathlib.Path,
+    *,
+    hosts: int,
+    calls: int,
+    engines: int,
+    program: str,
+) -> WorldSettings:
+    return WorldSettings(
+        hosts,
+        calls,
+        engines,
+        folder,
+        shlex.split(program),
+        SKEWS_S,
+    )
+
+
+def _show_plan(settings: RunSettings) -> None:
+    hosts = settings.world.hosts
+    for step in draw_plan(settings.seed, settings.faults_s, hosts):
+        at_s = round(step.at_s, 2)
+        click.echo(f'{at_s} s: {step.fault}')
+
+
+def _show(report: Report, folder: pathlib.Path) -> None:
+    broken = len(report.violations)
+    counts = f'{report.served} of {report.requests} requests served'
+    found = f'{report.faults} faults, {broken} promises broken'
+    click.echo(f'seed {report.seed}: {counts}, {found}')
+    for violation in report.violations:
+        where = f'{violation.promise}: {violation.subject}'
+        click.echo(f'  {where}: {violation.detail}')
+    if broken:
+        click.echo(f'  settings and logs: {folder}')
+
+
+main = SoakCommand()
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/soak/src/geranium_soak/host_process.py
@@ -0,0 +1,251 @@
+"""The hosts under test: real processes that the soak starts and ends."""
+
+import asyncio
+import collections
+import dataclasses
+import os
+import pathlib
+import signal
+import socket
+import sys
+from collections.abc import Mapping, Sequence
+
+from geranium_platform import PlatformSettings
+
+from .observations import Disruption, Ledger, now
+
+LOOPBACK = '127.0.0.1'
+RESTART_S = 0.3  # from the end of a process to the start of the next
+STOP_LIMIT_S = 15  # above the grace that hosts are given, for slow machines
+INHERITED = ('PATH', 'HOME', 'LANG')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostPlace:
+    """Where a host listens and how it is started.
+
+    Args:
+        name: Its name.
+        zone: The zone that it counts as its own.
+        front: Address for callers.
+        ready: Address of the check whether it takes callers.
+        directory: Address that callers ask where to connect.
+        peers_port: Port for other hosts.
+        metrics_port: Port of its metrics.
+        program: What the interpreter runs, before the options.
+    """
+
+    name: str
+    zone: str
+    front: str
+    ready: str
+    directory: str
+    peers_port: int
+    metrics_port: int
+    program: Sequence[str]
+
+
+def choose_place(name: str, zone: str, program: Sequence[str]) -> HostPlace:
+    """Return a place on ports that the kernel has just given out."""
+    ports = free_ports(5)
+    return HostPlace(
+        name,
+        zone,
+        f'{LOOPBACK}:{ports[0]}',
+        f'{LOOPBACK}:{ports[1]}',
+        f'{LOOPBACK}:{ports[2]}',
+        ports[3],
+        ports[4],
+        program,
+    )
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that are free at the moment."""
+    servers = [socket.create_server((LOOPBACK, 0)) for _ in range(count)]
+    ports = [server.getsockname()[1] for server in servers]
+    for server in servers:
+        server.close()
+    return ports
+
+
+class HostProcess:
+    """Keeps one host running; each process of it is an incarnation.
+
+    Args:
+        place: Where it listens.
+        folder: Gets its settings file and its log.
+        ledger: Is told when the process was not at work.
+    """
+
+    def __init__(
+        self,
+        place: HostPlace,
+        folder: pathlib.Path,
+        ledger: Ledger,
+    ) -> None:
+        self.place = place
+        self.incarnation = 0
+        self.unexpected_ends: list[int] = []
+        self.settings_path = folder / f'{place.name}.toml'
+        self._log_path = folder / f'{place.name}.log'
+        self._ledger = ledger
+        self._expected_ends = 0
+        self._begun: collections.deque[tuple[str, bool, float]] = (
+            collections.deque()
+        )
+        self._process: asyncio.subprocess.Process | None = None
+        self._keeper: asyncio.Task[None] | None = None
+
+    @property
+    def name(self) -> str:
+        """The host's name."""
+        return self.place.name
+
+    async def start(self, settings: Mapping[str, object]) -> None:
+        """Write the settings and keep a process running on them."""
+        checked = PlatformSettings.model_validate(settings)
+        self.settings_path.write_text(render_settings(checked))
+        await self._launch()
+        self._keeper = asyncio.create_task(self._keep())
+
+    def append_setting(self, line: str) -> None:
+        """Add a line to the settings file, which the host may ignore."""
+        text = self.settings_path.read_text()
+        scratch = self.settings_path.with_suffix('.new')
+        scratch.write_text(f'{line}\n{text}')
+        scratch.replace(self.settings_path)
+
+    def kill(self) -> None:
+        """Kill the process; the next one starts by itself."""
+        self._note_begin('killed', planned=False)
+        self._expected_ends += 1
+        self._signal(signal.SIGKILL)
+
+    def terminate(self) -> None:
+        """Ask the process to stop; the next one starts by itself."""
+        self._note_begin('stopped', planned=True)
+        self._expected_ends += 1
+        self._signal(signal.SIGTERM)
+
+    def reload(self) -> None:
+        """Tell the process that its settings have changed."""
+        self._signal(signal.SIGHUP)
+
+    async def pause(self, for_s: float) -> None:
+        """Stop the process where it stands for a time."""
+        begun_at = now()
+        self._signal(signal.SIGSTOP)
+        try:
+            await asyncio.sleep(for_s)
+        finally:
+            self._signal(signal.SIGCONT)
+            self._ledger.disruptions.append(
+                Disruption(
+                    'paused',
+                    frozenset((self.name,)),
+                    planned=False,
+                    begun_at=begun_at,
+                    ended_at=now(),
+                ),
+            )
+
+    async def close(self) -> int | None:
+        """Stop the host for good and return its exit code.
+
+        ``None`` means that it had to be killed.
+        """
+        if self._keeper is not None:
+            self._keeper.cancel()
+        process = self._process
+        if process is None:
+            return None
+        self._signal(signal.SIGCONT)
+        self._signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(STOP_LIMIT_S):
+                return await process.wait()
+        except TimeoutError:
+            self._signal(signal.SIGKILL)
+            await process.wait()
+            return None
+
+    async def _keep(self) -> None:
+        while True:
+            if self._process is not None:
+                code = await self._process.wait()
+                if self._expected_ends:
+                    self._expected_ends = 0
+                else:
+                    self.unexpected_ends.append(code)
+            await asyncio.sleep(RESTART_S)
+            await self._launch()
+            self._note_ends()
+
+    async def _launch(self) -> None:
+        environment = {
+            name: os.environ[name] for name in INHERITED if name in os.environ
+        }
+        with self._log_path.open('ab') as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                *self.place.program,
+                '--settings',
+                str(self.settings_path),
+                stdout=log,
+                stderr=log,
+                env=environment,
+            )
+        self.incarnation += 1
+
+    def _signal(self, number: signal.Signals) -> None:
+        if self._process is not None and self._process.returncode is None:
+            self._process.send_signal(number)
+
+    def _note_begin(self, what: str, *, planned: bool) -> None:
+        self._begun.append((what, planned, now()))
+
+    def _note_ends(self) -> None:
+        while self._begun:
+            what, planned, begun_at = self._begun.popleft()
+            self._ledger.disruptions.append(
+                Disruption(
+                    what,
+                    frozenset((self.name,)),
+                    planned,
+                    begun_at,
+                    now(),
+                ),
+            )
+
+
+def render_settings(settings: PlatformSettings) -> str:
+    """Return settings as the text of a settings file."""
+    sections = settings.model_dump(by_alias=True, exclude_none=True)
+    tables = {
+        name: section
+        for name, section in sections.items()
+        if isinstance(section, dict)
+    }
+    plain = {name: one for name, one in sections.items() if name not in tables}
+    lines = _fields(plain)
+    for name, section in tables.items():
+        lines.append(f'[{name}]')
+        lines.extend(_fields(section))
+    return '\n'.join(lines)
+
+
+def _fields(section: Mapping[str, object]) -> list[str]:
+    return [f'{name} = {_literal(one)}' for name, one in section.items()]
+
+
+def _literal(plain: object) -> str:
+    match plain:
+        case bool():
+            return str(plain).lower()
+        case str():
+            return f'"{plain}"'
+        case tuple() | list():
+            return str(list(plain))
+        case _:
+            return str(plain)
--- /dev/null
+++ b/soak/src/geranium_soak/observations.py
@@ -0,0 +1,230 @@
+"""What callers, targets and the provider saw during a run."""
+
+import collections
+import dataclasses
+import enum
+import math
+import time
+from http import HTTPStatus
+from typing import TypeAlias
+
+
+def now() -> float:
+    """Return the instant that all observations are stamped with."""
+    return time.monotonic()
+
+
+class Kind(enum.Enum):
+    """What a request's route says of repeating it."""
+
+    SAFE = 'safe'
+    UNSAFE = 'unsafe'
+    STREAM = 'streaming'
+    RESUMABLE = 'resumable'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sent:
+    """A request as a caller sent it.
+
+    Args:
+        identity: Its id, unique in a run.
+        kind: What its route says of repeating it.
+        path: Where it was sent.
+        body: What it carries.
+        key: The caller's key.
+        team: The team that the key belongs or belonged to.
+        host: The host that it was sent to.
+        incarnation: Counts the processes of that host.
+        at: When it was sent.
+        marks: The catalogue version whose route it tries, for probes.
+    """
+
+    identity: str
+    kind: Kind
+    path: str
+    body: bytes
+    key: str
+    team: str
+    host: str
+    incarnation: int
+    at: float
+    marks: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """The caller got a complete answer."""
+
+    status: int
+    signature: str | None
+    body: bytes
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cut:
+    """The connection ended before the answer was complete."""
+
+    reason: str
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unreached:
+    """No connection could be made."""
+
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Left:
+    """The caller closed its connection without an answer."""
+
+    at: float
+
+
+End: TypeAlias = Answered | Cut | Unreached | Left
+
+
+@dataclasses.dataclass(slots=True)
+class Arrival:
+    """A request at a target.
+
+    Args:
+        identity: The id that it came with.
+        target: The target's identity.
+        service: The service that the target belongs to.
+        path: The path that it came with.
+        body: The body that it came with.
+        team: The team that it came for.
+        forged: Headers that only a caller can have set.
+        at: When it came.
+        ran_at: When the target began to work on it, if it did.
+        ended_at: When the target stopped working on it.
+        answers: What the target answered by signature.
+    """
+
+    identity: str
+    target: str
+    service: str
+    path: str
+    body: bytes
+    team: str | None
+    forged: tuple[str, ...]
+    at: float
+    ran_at: float | None = None
+    ended_at: float | None = None
+    answers: dict[str, bytes] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProviderCall:
+    """A call of a duty as the provider accepted it.
+
+    Args:
+        subject: What the call is about; fences are compared within it.
+        holder: Who sent it.
+        fence: The number that it was sent with.
+        window: The window that it reports, if it does.
+        counts_by_team: The figures that it reports.
+        at: When it came.
+    """
+
+    subject: str
+    holder: str
+    fence: int
+    window: int | None
+    counts_by_team: dict[str, int]
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """A change of the catalogue that the store has acknowledged."""
+
+    version: int
+    at: float
+    withdrawn_keys: frozenset[str] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Disruption:
+    """A fault that was in force.
+
+    Args:
+        what: Its kind, for reports.
+        subjects: The hosts and targets that it hit, or ``STORE``.
+        planned: Whether it is work that may not cost a request.
+        begun_at: When it began.
+        ended_at: When it ended.
+    """
+
+    what: str
+    subjects: frozenset[str]
+    planned: bool
+    begun_at: float
+    ended_at: float
+
+    def touches(self, subject: str, since: float, until: float) -> bool:
+        """Say whether it hit a subject within a span of time."""
+        if subject not in self.subjects:
+            return False
+        return self.begun_at <= until and self.ended_at >= since
+
+
+STORE = 'store'
+
+
+def was_served(end: End) -> bool:
+    """Say whether a caller got what it asked for."""
+    return isinstance(end, Answered) and end.status == HTTPStatus.OK
+
+
+class Ledger:
+    """Collects the observations of one run."""
+
+    def __init__(self) -> None:
+        self.sent_by_id: dict[str, Sent] = {}
+        self.end_by_id: dict[str, End] = {}
+        self.arrivals_by_id: collections.defaultdict[str, list[Arrival]] = (
+            collections.defaultdict(list)
+        )
+        self.provider_calls: list[ProviderCall] = []
+        self.changes: list[Change] = []
+        self.disruptions: list[Disruption] = []
+        self.left_at_by_target: dict[str, float] = {}
+        self.crossed_prompts: list[str] = []
+        self.calm_since = math.inf
+        self.unix_offset_s = time.time() - now()
+
+    def runs(self, identity: str) -> list[Arrival]:
+        """Return the arrivals of a request that ran."""
+        return [
+            arrival
+            for arrival in self.arrivals_by_id.get(identity, ())
+            if arrival.ran_at is not None
+        ]
+
+    def was_calm(
+        self,
+        subjects: frozenset[str],
+        since: float,
+        until: float,
+        *,
+        planned_too: bool = True,
+    ) -> bool:
+        """Say whether no fault hit any of the subjects within a span.
+
+        Args:
+            subjects: Hosts, targets or ``STORE``.
+            since: The beginning of the span.
+            until: Its end.
+            planned_too: Whether planned work counts as a fault.
+        """
+        return not any(
+            disruption.touches(subject, since, until)
+            for disruption in self.disruptions
+            if planned_too or not disruption.planned
+            for subject in subjects
+        )
--- /dev/null
+++ b/soak/src/geranium_soak/plans.py
@@ -0,0 +1,163 @@
+"""Draws the faults of a run from its seed."""
+
+import dataclasses
+import random
+from collections.abc import Callable, Iterator, Mapping
+from types import MappingProxyType
+
+from . import faults
+
+SERIES_SHARE = 0.35  # of the draws come as a series, as operators' work does
+SERIES_LENGTH = (2, 4)
+SERIES_GAP_S = (0.2, 1.5)
+SHORT_SHARE = 0.6
+SHORT_S = (0.4, 2.5)  # below the bounds within which hosts must react
+LONG_S = (2.5, 6.5)  # beyond them
+MEAN_GAP_S = 1.6  # between two draws, so that faults overlap
+DELAYS_MS = (20, 300)
+HARM_SHARES = (0.1, 1)  # of a target's requests
+MOST_CHANGES = 4  # of the catalogue in a row
+SIGNALLED_SHARE = 0.5  # of the changes of settings
+REUSED_SHARE = 0.4  # of the crashed targets' addresses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Step:
+    """A fault and when it begins, in seconds from the start of the plan."""
+
+    at_s: float
+    fault: faults.Fault
+
+
+def draw_plan(seed: int, length_s: float, hosts: int) -> tuple[Step, ...]:
+    """Return the faults of a run; the same arguments give the same ones.
+
+    Args:
+        seed: Of the run.
+        length_s: Time in which faults may begin, in seconds.
+        hosts: Processes that there are.
+    """
+    source = random.Random(seed)
+    steps = sorted(
+        _draw_steps(source, length_s, hosts),
+        key=lambda step: step.at_s,
+    )
+    return tuple(steps)
+
+
+def _draw_steps(
+    source: random.Random,
+    length_s: float,
+    hosts: int,
+) -> Iterator[Step]:
+    makers, weights = zip(*_WEIGHT_BY_MAKER.items(), strict=True)
+    at_s = source.uniform(0, MEAN_GAP_S)
+    while at_s < length_s:
+        maker = source.choices(makers, weights)[0]
+        yield Step(at_s, maker(source, hosts))
+        if _chance(source, SERIES_SHARE):
+            yield from _draw_series(source, maker, at_s, hosts)
+        at_s += source.expovariate(1 / MEAN_GAP_S)
+
+
+def _draw_series(
+    source: random.Random,
+    maker: 'Maker',
+    at_s: float,
+    hosts: int,
+) -> Iterator[Step]:
+    for _ in range(source.randint(*SERIES_LENGTH) - 1):
+        at_s += source.uniform(*SERIES_GAP_S)
+        yield Step(at_s, maker(source, hosts))
+
+
+def _chance(source: random.Random, share: float) -> bool:
+    return source.random() < share
+
+
+def _span(source: random.Random) -> float:
+    bounds = SHORT_S if _chance(source, SHORT_SHARE) else LONG_S
+    return source.uniform(*bounds)
+
+
+def _kill(source: random.Random, hosts: int) -> faults.Fault:
+    return faults.KillHosts(source.choice((1, 1, 2, hosts)))
+
+
+def _pause(source: random.Random, hosts: int) -> faults.Fault:
+    return faults.PauseHost(_span(source))
+
+
+def _stop(source: random.Random, hosts: int) -> faults.Fault:
+    return faults.StopHost()
+
+
+def _reload(source: random.Random, hosts: int) -> faults.Fault:
+    return faults.ReloadHost(signalled=_chance(source, SIGNALLED_SHARE))
+
+
+def _cut_store(source: random.Random, hosts: int) -> faults.Fault:
+    fault = source.choice(tuple(faults.LinkFault))
+    return faults.CutStoreLink(fault, _span(source))
+
+
+def _cut_target(source: random.Random, hosts: int) -> faults.Fault:
+    fault = source.choice(tuple(faults.LinkFault))
+    return faults.CutTargetLink(fault, _span(source))
+
+
+def _delay_target(source: random.Random, hosts: int) -> faults.Fault:
+    return faults.DelayTargetLink(source.randint(*DELAYS_MS), _span(source))
+
+
+def _harm_store(source: random.Random, hosts: int) -> faults.Fault:
+    fault = source.choice(tuple(faults.StoreFault))
+    return faults.HarmStore(fault, _span(source))
+
+
+def _harm_target(source: random.Random, hosts: int) -> faults.Fault:
+    fault = source.choice(tuple(faults.TargetFault))
+    return faults.HarmTarget(fault, source.uniform(*HARM_SHARES), _span(source))
+
+
+def _crash_target(source: random.Random, hosts: int) -> faults.Fault:
+    reused = _chance(source, REUSED_SHARE)
+    return faults.CrashTarget(_span(source), reused=reused)
+
+
+def _replace_target(source: random.Random, hosts: int) -> faults.Fault:
+    return faults.ReplaceTarget()
+
+
+def _change(source: random.Random, hosts: int) -> faults.Fault:
+    return faults.ChangeCatalogue(
+        source.randint(1, MOST_CHANGES),
+        source.uniform(*SERIES_GAP_S),
+    )
+
+
+def _withdraw(source: random.Random, hosts: int) -> faults.Fault:
+    return faults.WithdrawKey()
+
+
+Maker = Callable[[random.Random, int], faults.Fault]
+
+# Withdrawals and changes prove little by themselves, so they come often and
+# meet the other faults.
+_WEIGHT_BY_MAKER: Mapping[Maker, int] = MappingProxyType(
+    {
+        _kill: 2,
+        _pause: 2,
+        _stop: 2,
+        _reload: 1,
+        _cut_store: 3,
+        _cut_target: 2,
+        _delay_target: 1,
+        _harm_store: 3,
+        _harm_target: 3,
+        _crash_target: 2,
+        _replace_target: 2,
+        _change: 3,
+        _withdraw: 3,
+    },
+)
--- /dev/null
+++ b/soak/src/geranium_soak/witnesses.py
@@ -0,0 +1,70 @@
+"""Note in the ledger what stand-ins see."""
+
+from geranium_platform_standins import DutyCall, Taken
+
+from .observations import Arrival, Ledger, ProviderCall, now
+
+USAGE_PATH = 'usage'
+
+
+class TargetWitness:
+    """Implements ``WorkObserver`` over a ledger."""
+
+    def __init__(self, ledger: Ledger) -> None:
+        self._ledger = ledger
+        self._arrivals: list[Arrival] = []
+
+    def note_taken(self, taken: Taken) -> int:
+        """Note that a request has come."""
+        arrival = Arrival(
+            taken.identity,
+            taken.target,
+            taken.service,
+            taken.path,
+            taken.body,
+            taken.team,
+            taken.forged,
+            now(),
+        )
+        self._arrivals.append(arrival)
+        self._ledger.arrivals_by_id[taken.identity].append(arrival)
+        return len(self._arrivals) - 1
+
+    def note_run(self, number: int) -> None:
+        """Note that the target works on it."""
+        self._arrivals[number].ran_at = now()
+
+    def note_answer(self, number: int, signature: str, body: bytes) -> None:
+        """Note what the target answers."""
+        self._arrivals[number].answers[signature] = body
+
+    def note_end(self, number: int) -> None:
+        """Note that the target works on it no longer."""
+        self._arrivals[number].ended_at = now()
+
+    def note_crossed_prompt(self, identity: str) -> None:
+        """Note that a request went on from another's prompt."""
+        self._ledger.crossed_prompts.append(identity)
+
+
+def provider_call(call: DutyCall) -> ProviderCall:
+    """Return a call to the provider as the ledger holds it."""
+    body = call.body
+    if call.path == USAGE_PATH:
+        return ProviderCall(
+            'usage',
+            call.holder,
+            call.fence,
+            body['windowId'],
+            dict(body['counts']),
+            now(),
+        )
+    service, zone = body['service'], body['zone']
+    return ProviderCall(
+        f'{service}/{zone}',
+        call.holder,
+        call.fence,
+        None,
+        {},
+        now(),
+    )
--- /dev/null
+++ b/soak/src/geranium_soak/world.py
@@ -0,0 +1,251 @@
+"""Everything around the hosts: store, provider, targets, catalogue."""
+
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+import pathlib
+import random
+from collections.abc import AsyncIterator, Sequence
+from http import HTTPStatus
+
+from aiohttp import web
+from geranium_platform_standins import (
+    CALL_SERVICE,
+    PROMPT_SERVICE,
+    CatalogueDraft,
+    DutyCall,
+    Faults,
+    StandinCloud,
+    StandinStore,
+)
+from geranium_standins.faults import RelayFaults, RelayMode
+from geranium_standins.relay_server import Relay
+
+from .bounds import Bounds
+from .faults import LinkFault, StoreFault
+from .fleet import SoakFleet
+from .host_process import LOOPBACK, HostProcess, choose_place
+from .observations import STORE, Change, Disruption, Ledger, now
+from .witnesses import TargetWitness, provider_call
+
+ZONES = ('a', 'b', 'c')
+CATALOGUE_KIND = 'config'
+SLOW_S = 0.4  # of a store's answer, beyond what a host waits for a look
+LATE_S = (1.0, 6.0)  # until a write without an answer is done
+STAGES = ('prefill', 'decode', 'decode')  # of the engines of a zone in turn
+
+
+BOUNDS = Bounds()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorldSettings:
+    """How large a world is.
+
+    Args:
+        hosts: Host processes.
+        calls: Application targets.
+        engines: Engines.
+        folder: Gets settings files and logs.
+        program: What the interpreter runs as a host.
+        skews_s: Shifts of the time of day, dealt to the hosts in turn.
+        bounds: The bounds in force.
+    """
+
+    hosts: int
+    calls: int
+    engines: int
+    folder: pathlib.Path
+    program: Sequence[str]
+    skews_s: tuple[float, ...]
+    bounds: Bounds = BOUNDS
+
+
+class World:
+    """The stand-ins and the hosts of one run.
+
+    Args:
+        settings: How large it is.
+        source: Draws what stand-ins do.
+    """
+
+    def __init__(self, settings: WorldSettings, source: random.Random) -> None:
+        self.settings = settings
+        self.ledger = Ledger()
+        self.hosts: list[HostProcess] = []
+        self.key_by_team = {f'team-{zone}': f'key-{zone}-0' for zone in ZONES}
+        self.version = 0
+        self._source = source
+        self._store = StandinStore()
+        self._provider = _WatchedProvider(self.ledger)
+        self.fleet = SoakFleet(
+            self._store,
+            TargetWitness(self.ledger),
+            self.ledger,
+            source,
+        )
+        self._store_links: dict[str, Relay] = {}
+        self._key_numbers = itertools.count(1)
+
+    @contextlib.asynccontextmanager
+    async def open(self) -> AsyncIterator[None]:
+        """Run the world for the time of the context."""
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(self._close)
+            store = await _serve(stack, self._store.application())
+            provider = await _serve(stack, self._provider.application())
+            await self._add_targets()
+            self.publish()
+            for number in range(self.settings.hosts):
+                await self._add_host(number, store, provider)
+            yield
+
+    def publish(self, *withdrawn: str) -> None:
+        """Write a new version of the catalogue."""
+        self.version += 1
+        draft = CatalogueDraft(
+            self.version,
+            {team: (key,) for team, key in self.key_by_team.items()},
+            ZONES,
+        )
+        self._store.put(CATALOGUE_KIND, 'main', draft.document())
+        change = Change(self.version, now(), frozenset(withdrawn))
+        self.ledger.changes.append(change)
+
+    def withdraw_key(self) -> None:
+        """Give a team another key and take the present one away."""
+        team = self._source.choice(sorted(self.key_by_team))
+        number = next(self._key_numbers)
+        old = self.key_by_team[team]
+        self.key_by_team[team] = f'key-{team}-{number}'
+        self.publish(old)
+
+    async def harm_store(self, fault: StoreFault, for_s: float) -> None:
+        """Let the store misbehave towards all hosts for a time."""
+        begun_at = now()
+        if fault is StoreFault.ENTRIES_LAPSED:
+            await self._lapse(for_s)
+        else:
+            self._store.faults = _store_faults(fault, self._source)
+            await asyncio.sleep(for_s)
+            self._store.faults = Faults()
+        self._note(fault.value, STORE, begun_at)
+
+    async def cut_store_link(
+        self,
+        host: HostProcess,
+        fault: LinkFault,
+        for_s: float,
+    ) -> None:
+        """Harm the link between a host and the store for a time."""
+        begun_at = now()
+        link = self._store_links[host.name]
+        link.change(RelayFaults(RelayMode(fault.value)))
+        await asyncio.sleep(for_s)
+        link.change(RelayFaults())
+        self._note(f'store link {fault.value}', host.name, begun_at)
+
+    async def _lapse(self, for_s: float) -> None:
+        """Take the store away; entries lapse and are back after a second."""
+        self._store.faults = _store_faults(StoreFault.BUSY, self._source)
+        await self.fleet.lapse(for_s)
+        self._store.faults = Faults()
+
+    def _note(self, what: str, subject: str, begun_at: float) -> None:
+        self.ledger.disruptions.append(
+            Disruption(
+                what,
+                frozenset((subject,)),
+                planned=False,
+                begun_at=begun_at,
+                ended_at=now(),
+            ),
+        )
+
+    async def _add_targets(self) -> None:
+        zones = itertools.cycle(ZONES)
+        stages = itertools.cycle(STAGES)
+        for _ in range(self.settings.calls):
+            await self.fleet.add(CALL_SERVICE, next(zones), None)
+        for _ in range(self.settings.engines):
+            await self.fleet.add(PROMPT_SERVICE, next(zones), next(stages))
+
+    async def _add_host(self, number: int, store: str, provider: str) -> None:
+        skews = self.settings.skews_s
+        program = (
+            *self.settings.program,
+            '--clock-offset',
+            str(skews[number % len(skews)]),
+        )
+        zone = ZONES[number % len(ZONES)]
+        place = choose_place(f'host-{number}', zone, program)
+        host = HostProcess(place, self.settings.folder, self.ledger)
+        address, _, port = store.rpartition(':')
+        link = Relay(address, int(port))
+        self._store_links[host.name] = link
+        self.hosts.append(host)
+        await host.start(
+            {
+                'nodeName': place.name,
+                'ip': LOOPBACK,
+                'zone': zone,
+                'internalPorts': [place.peers_port, place.peers_port],
+                'bootstrap': True,
+                'listen': {
+                    'front': place.front,
+                    'ready': place.ready,
+                    'directory': place.directory,
+                    'metricsPort': place.metrics_port,
+                },
+                'bounds': self.settings.bounds.settings(),
+                'platform': {'address': await link.start(LOOPBACK, 0)},
+                'cloud': {'address': provider},
+            },
+        )
+
+    async def _close(self) -> None:
+        await asyncio.gather(*(host.close() for host in self.hosts))
+        await self.fleet.close()
+        for link in self._store_links.values():
+            await link.stop()
+
+
+class _WatchedProvider(StandinCloud):
+    """Notes each call in the ledger as it comes."""
+
+    def __init__(self, ledger: Ledger) -> None:
+        super().__init__()
+        self._ledger = ledger
+
+    def note(self, call: DutyCall) -> None:
+        """Note a call."""
+        super().note(call)
+        self._ledger.provider_calls.append(provider_call(call))
+
+
+def _store_faults(fault: StoreFault, source: random.Random) -> Faults:
+    match fault:
+        case StoreFault.BUSY:
+            return Faults(status=HTTPStatus.SERVICE_UNAVAILABLE)
+        case StoreFault.LIMITED:
+            return Faults(status=HTTPStatus.TOO_MANY_REQUESTS)
+        case StoreFault.SLOW:
+            return Faults(delay_s=SLOW_S)
+        case StoreFault.ANSWERS_LOST:
+            late = Faults(done_after_s=source.uniform(*LATE_S))
+            return source.choice((Faults(loses_answers=True), late))
+        case _:
+            return Faults(history_gone=True)
+
+
+async def _serve(
+    stack: contextlib.AsyncExitStack,
+    application: web.Application,
+) -> str:
+    runner = web.AppRunner(application, shutdown_timeout=0)
+    await runner.setup()
+    stack.push_async_callback(runner.cleanup)
+    await web.TCPSite(runner, LOOPBACK, 0).start()
+    host, port = runner.addresses[0][:2]
+    return f'{host}:{port}'
--- /dev/null
+++ b/soak/tests/mutated_host.py
@@ -0,0 +1,95 @@
+"""Runs a host in which one mechanism is switched off.
+
+    python -P mutated_host.py --mutant NAME --clock-offset 0 --settings FILE
+
+The soak has to find each of them; `geranium-soak --program` takes this file.
+"""
+
+import pathlib
+import runpy
+import sys
+
+import geranium_relay as relay
+from geranium_coordination import Lease
+from geranium_relay.runs import Run
+
+SKEWED_HOST = (
+    pathlib.Path(__file__).parents[1] / 'src/geranium_soak/skewed_host.py'
+)
+
+
+def admit_stale_keys() -> None:
+    """Keys are admitted however old the catalogue is."""
+    relay.CatalogueView.is_fresh = lambda view: view.catalogue is not None
+
+
+def outlive_leases() -> None:
+    """A lease that was held once counts as held for good."""
+    Lease.is_held = lambda lease, now=None: True
+
+
+def resend_unsafe_requests() -> None:
+    """A request whose answer was lost is sent again, whatever its kind."""
+    Run._may_repeat = lambda run: run._runs < 2
+
+
+def take_back_versions() -> None:
+    """Every second confirmation puts the former catalogue in force again."""
+    accept = relay.CatalogueView.accept
+    confirm = relay.CatalogueView.confirm
+
+    def accept_and_keep(view, catalogue, sent_at):
+        former = view.catalogue, view.table
+        accepted = accept(view, catalogue, sent_at)
+        if accepted and former[0] is not None:
+            view.formers = former, (view.catalogue, view.table)
+        return accepted
+
+    def confirm_and_swap(view, sent_at):
+        confirm(view, sent_at)
+        formers = getattr(view, 'formers', None)
+        if formers is not None:
+            former, present = formers
+            view.catalogue = former[0]
+            view.table = former[1]
+            view.formers = present, former
+
+    relay.CatalogueView.formers = None
+    relay.CatalogueView.__slots__ = ()
+    relay.CatalogueView.accept = accept_and_keep
+    relay.CatalogueView.confirm = confirm_and_swap
+
+
+def report_windows_twice() -> None:
+    """Windows are not sealed, and each is reported again a little later."""
+    report = relay.UsageReporting._report
+    reported = set()
+
+    async def seal(reporting, window):
+        return await reporting._collect(window)
+
+    async def report_again(reporting, window, lease):
+        done = await report(reporting, window, lease)
+        if window in reported:
+            return done
+        reported.add(window)
+        return False
+
+    relay.UsageReporting._seal = seal
+    relay.UsageReporting._report = report_again
+
+
+MUTANTS = {
+    'stale-key': admit_stale_keys,
+    'outlived-lease': outlive_leases,
+    'unsafe-resend': resend_unsafe_requests,
+    'old-version': take_back_versions,
+    'window-twice': report_windows_twice,
+}
+
+
+if __name__ == '__main__':
+    place = sys.argv.index('--mutant')
+    sys.argv.pop(place)
+    MUTANTS[sys.argv.pop(place)]()
+    runpy.run_path(str(SKEWED_HOST), run_name='__main__')
--- /dev/null
+++ b/soak/tests/test_checks.py
@@ -0,0 +1,314 @@
+"""Each check finds the breach that it is for, and lets the rest pass."""
+
+import dataclasses
+
+import pytest
+from geranium_platform_standins import event_count, event_of
+from geranium_soak import Bounds, Ledger, find_violations
+from geranium_soak.observations import (
+    STORE,
+    Answered,
+    Arrival,
+    Change,
+    Cut,
+    Disruption,
+    Kind,
+    Left,
+    ProviderCall,
+    Sent,
+)
+
+BOUNDS = Bounds()
+SENT = Sent('1', Kind.UNSAFE, '/unsafe/1', b'b', 'key', 'team', 'h', 1, 100)
+ARRIVAL = Arrival(
+    '1',
+    'i-1',
+    'app',
+    '/unsafe/1',
+    b'b',
+    'team',
+    (),
+    100.1,
+    ran_at=100.1,
+    ended_at=100.2,
+    answers={'s': b'answer'},
+)
+ANSWERED = Answered(200, 's', b'answer', 100.2)
+REPORT = ProviderCall('usage', 'h', 1, 7, {'team': 3}, 100)
+
+
+@pytest.fixture
+def ledger() -> Ledger:
+    """Give a ledger of one request that went well."""
+    ledger = Ledger()
+    note(ledger, SENT, [ARRIVAL], ANSWERED)
+    return ledger
+
+
+def note(ledger, sent, arrivals, end) -> None:
+    ledger.sent_by_id[sent.identity] = sent
+    ledger.arrivals_by_id[sent.identity].extend(arrivals)
+    ledger.end_by_id[sent.identity] = end
+
+
+def change_arrival(ledger, **changes) -> None:
+    ledger.arrivals_by_id['1'] = [dataclasses.replace(ARRIVAL, **changes)]
+
+
+def change_sent(ledger, **changes) -> None:
+    ledger.sent_by_id['1'] = dataclasses.replace(SENT, **changes)
+
+
+def broken(ledger) -> set[str]:
+    """Return the promises broken, but for the service after the faults."""
+    found = find_violations(ledger, BOUNDS)
+    return {one.promise for one in found} - {'recovery'}
+
+
+def disturb(ledger, subject, begun_at, *, planned=False) -> None:
+    ledger.disruptions.append(
+        Disruption('x', frozenset((subject,)), planned, begun_at, 101),
+    )
+
+
+def test_a_good_run_breaks_nothing(ledger) -> None:
+    assert not broken(ledger)
+
+
+def test_second_run(ledger) -> None:
+    ledger.arrivals_by_id['1'].append(ARRIVAL)
+    assert broken(ledger) == {'at most once'}
+
+    change_sent(ledger, kind=Kind.SAFE)
+    assert not broken(ledger)
+
+
+def test_refusal_of_what_ran(ledger) -> None:
+    ledger.end_by_id['1'] = Answered(503, None, b'', 100.2)
+    assert broken(ledger) == {'true refusal'}
+
+    change_arrival(ledger, ran_at=None)
+    assert not broken(ledger)
+
+
+@pytest.mark.parametrize(
+    'end',
+    [
+        Answered(200, 's', b'other', 100.2),
+        Answered(200, 'other', b'answer', 100.2),
+        Answered(200, None, b'answer', 100.2),
+    ],
+)
+def test_answer_that_is_not_the_targets(ledger, end) -> None:
+    ledger.end_by_id['1'] = end
+
+    assert broken(ledger) == {'own answer'}
+
+
+@pytest.mark.parametrize(
+    ('missing', 'expected'),
+    [(0, set()), (1, {'own answer'})],
+)
+def test_stream_that_ends_early(ledger, missing, expected) -> None:
+    count = event_count('2') - missing
+    events = [event_of('2', one + 1) for one in range(count)]
+    body = b''.join(events)
+    sent = dataclasses.replace(SENT, identity='2', kind=Kind.STREAM)
+    arrival = dataclasses.replace(ARRIVAL, identity='2', service='llm')
+    note(ledger, sent, [arrival], Answered(200, 's', body, 100.2))
+
+    assert broken(ledger) == expected
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [{'path': '/x'}, {'body': b'x'}, {'team': 'x'}, {'forged': ('Kv-Hold',)}],
+)
+def test_request_that_is_not_the_callers(ledger, changes) -> None:
+    change_arrival(ledger, **changes)
+
+    assert broken(ledger) == {'as sent'}
+
+
+def test_request_that_nobody_sent(ledger) -> None:
+    ledger.arrivals_by_id['9'].append(ARRIVAL)
+
+    assert broken(ledger) == {'as sent'}
+
+
+def test_prompt_of_another_request(ledger) -> None:
+    ledger.crossed_prompts.append('1')
+
+    assert broken(ledger) == {'own prompt'}
+
+
+def test_run_at_another_service(ledger) -> None:
+    change_arrival(ledger, service='llm')
+
+    assert broken(ledger) == {'own service'}
+
+
+@pytest.mark.parametrize(
+    ('withdrawn_at', 'expected'),
+    [(94.9, {'withdrawn key'}), (95.1, set())],
+)
+def test_withdrawn_key(ledger, withdrawn_at, expected) -> None:
+    ledger.changes.append(Change(2, withdrawn_at, frozenset(('key',))))
+
+    assert broken(ledger) == expected
+
+
+@pytest.mark.parametrize(
+    ('incarnation', 'expected'),
+    [(1, {'version goes on'}), (2, set())],
+)
+def test_older_version_after_a_newer_one(
+    ledger,
+    incarnation,
+    expected,
+) -> None:
+    disturb(ledger, 'h', 90)
+    change_sent(ledger, kind=Kind.SAFE, marks=3)
+    older = dataclasses.replace(
+        SENT,
+        identity='2',
+        kind=Kind.SAFE,
+        marks=2,
+        incarnation=incarnation,
+        at=100.5,
+    )
+    run = dataclasses.replace(ARRIVAL, identity='2', at=100.6)
+    note(ledger, older, [run], ANSWERED)
+
+    assert broken(ledger) == expected
+
+
+@pytest.mark.parametrize(
+    ('subject', 'expected'),
+    [('other', {'version in time'}), ('h', set()), (STORE, set())],
+)
+def test_old_version_long_after_its_end(ledger, subject, expected) -> None:
+    ledger.changes.extend((Change(2, 50), Change(3, 97)))
+    change_sent(ledger, kind=Kind.SAFE, marks=2)
+    disturb(ledger, subject, 98)
+
+    assert broken(ledger) == expected
+
+
+def test_new_version_that_is_not_known_in_time(ledger) -> None:
+    ledger.changes.append(Change(2, 97))
+    change_sent(ledger, kind=Kind.SAFE, marks=2)
+    change_arrival(ledger, ran_at=None)
+    ledger.end_by_id['1'] = Answered(404, None, b'', 100.2)
+
+    assert broken(ledger) == {'version in time'}
+
+
+@pytest.mark.parametrize(
+    'following',
+    [
+        {'fence': 0},
+        {'holder': 'other'},
+    ],
+)
+def test_two_holders(ledger, following) -> None:
+    ledger.provider_calls.append(REPORT)
+    ledger.provider_calls.append(dataclasses.replace(REPORT, **following))
+
+    assert broken(ledger) == {'one holder'}
+
+
+@pytest.mark.parametrize(
+    ('last_at', 'expected'),
+    [(102, {'one holder'}), (103.5, set())],
+)
+def test_holders_that_take_turns(ledger, last_at, expected) -> None:
+    ledger.provider_calls.extend(
+        (
+            ProviderCall('usage', 'a', 1, None, {}, 100),
+            ProviderCall('usage', 'b', 2, None, {}, 101),
+            ProviderCall('usage', 'a', 3, None, {}, last_at),
+        ),
+    )
+
+    assert broken(ledger) == expected
+
+
+def test_window_with_two_figures(ledger) -> None:
+    ledger.provider_calls.append(REPORT)
+    ledger.provider_calls.append(REPORT)
+    assert not broken(ledger)
+
+    ledger.provider_calls.append(
+        dataclasses.replace(REPORT, counts_by_team={'team': 4}),
+    )
+    assert broken(ledger) == {'window once'}
+
+
+@pytest.mark.parametrize(
+    ('reported', 'expected'),
+    [(1, set()), (9, {'usage'})],
+)
+def test_usage_that_is_off(ledger, reported, expected) -> None:
+    ledger.calm_since = 0
+    ledger.unix_offset_s = 0
+    window = int(ARRIVAL.ran_at // BOUNDS.window_s)
+    ledger.provider_calls.append(
+        dataclasses.replace(
+            REPORT,
+            window=window,
+            counts_by_team={'team': reported},
+        ),
+    )
+
+    assert broken(ledger) == expected
+
+
+@pytest.mark.parametrize(
+    ('left_at', 'expected'),
+    [(98, {'leaving target'}), (98.2, set())],
+)
+def test_target_that_leaves(ledger, left_at, expected) -> None:
+    ledger.left_at_by_target['i-1'] = left_at
+
+    assert broken(ledger) == expected
+
+
+@pytest.mark.parametrize(
+    ('planned', 'expected'),
+    [(True, {'planned work'}), (False, set())],
+)
+def test_cut_beside_work(ledger, planned, expected) -> None:
+    ledger.end_by_id['1'] = Cut('reset', 100.2)
+    disturb(ledger, 'h', 99, planned=planned)
+
+    assert broken(ledger) == expected
+
+
+def test_work_for_callers_that_left(ledger) -> None:
+    for number in range(20, 28):
+        identity = str(number)
+        note(
+            ledger,
+            dataclasses.replace(SENT, identity=identity),
+            [dataclasses.replace(ARRIVAL, identity=identity, ended_at=102)],
+            Left(100.3),
+        )
+
+    assert broken(ledger) == {'caller left'}
+
+
+@pytest.mark.parametrize(('served', 'kept'), [(9, True), (8, False)])
+def test_service_after_the_faults(served, kept) -> None:
+    ledger = Ledger()
+    ledger.calm_since = 0
+    for number in range(10):
+        end = ANSWERED if number < served else Cut('reset', 100.2)
+        identity = str(number)
+        run = dataclasses.replace(ARRIVAL, identity=identity, ran_at=None)
+        sent = dataclasses.replace(SENT, identity=identity)
+        note(ledger, sent, [run], end)
+
+    found = {one.promise for one in find_violations(ledger, BOUNDS)}
+
+    assert ('recovery' not in found) is kept
--- /dev/null
+++ b/soak/tests/test_runs.py
@@ -0,0 +1,35 @@
+"""A short seeded run over real host processes.
+
+Only promises that hold whatever a busy machine does are judged here; those
+with a bound in seconds are judged by longer runs of `geranium-soak`.
+"""
+
+from geranium_soak import RunSettings, WorldSettings, run_soak
+from geranium_soak.checks import HARD
+from geranium_soak.cli import HOST_PROGRAM
+
+
+async def test_promises_hold_under_faults(tmp_path) -> None:
+    world = WorldSettings(
+        hosts=3,
+        calls=2,
+        engines=3,
+        folder=tmp_path,
+        program=HOST_PROGRAM,
+        skews_s=(0, 0.5),
+    )
+    settings = RunSettings(
+        seed=4,
+        faults_s=8,
+        settle_s=3,
+        calm_s=3,
+        callers=4,
+        world=world,
+        checks=HARD,
+    )
+
+    report = await run_soak(settings)
+
+    assert not report.violations
+    assert report.faults
+    assert report.served
