Rank requests whose callers had missed their objective after those in time

Some 150 requests come back in the first 0.3 s of all hosts, about a second's reading of the whole fleet. They are late already, and those that come for the first time wait behind them. Besides, all hosts take the same engine while they have not heard of each other: ties of cost go to the first in the list.

Ruled out: refusals while the catalogue is not there yet (5 of them), shared parts read again (1,476 of 9,103 thousand tokens).

Change: the time that callers of a route usually give is learned; one with less time left has waited. A request past its objective gets a rank after all others and may wait for half of the time that its caller gives. Choices of about the same cost are taken at random.

--- a/packages/geranium-emulator/src/geranium_emulator/hosts.py
+++ b/packages/geranium-emulator/src/geranium_emulator/hosts.py
@@ -240,7 +240,7 @@
         self._key = placement.generator
         self._dispatch = relay.Dispatch(
             placement.generator,
-            ask.job.priority,
+            ask.job.rank,
             0 if is_read else placement.fresh_tokens,
             host.simulation.now(),
             placement.first_s,
@@ -298,7 +298,7 @@
         self._reader = reader
         self._dispatch = relay.Dispatch(
             reader,
-            ask.job.priority,
+            ask.job.rank,
             placement.fresh_tokens,
             host.simulation.now(),
             placement.first_s,
--- a/packages/geranium-policy/src/geranium_policy/prompt_placement.py
+++ b/packages/geranium-policy/src/geranium_policy/prompt_placement.py
@@ -8,7 +8,7 @@
 """
 
 import dataclasses
-import functools
+import random
 from collections.abc import Iterable, Iterator
 from typing import TypeAlias
 
@@ -32,7 +32,14 @@
             objective for the engine.
         rank_step: Less of it for each rank that others are more urgent.
         least_share: What is left of it for the least urgent.
+        late_share: A request that is late may wait so large a part of the
+            time that its caller still gives.
         full_share: An engine with so many of its slots in use is full.
+        spread_s: Choices whose costs differ by less are taken at random:
+            hosts that have heard the same would otherwise all choose alike
+            until they hear of each other.
+        partner_spread: The same for engines that only generate, as a share
+            of their slots.
     """
 
     engine_time_weight: float = 1
@@ -44,7 +51,10 @@
     wait_share: float = 1
     rank_step: float = 0.15
     least_share: float = 0.4
+    late_share: float = 0.5
     full_share: float = 1
+    spread_s: float = 0.03
+    partner_spread: float = 0.03
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,12 +93,14 @@
         rank: 0 for the most urgent.
         target_latency_s: When the first token is due, from now.
         left_s: Time until nobody waits any more.
+        is_late: Whether it has missed its objective already.
     """
 
     tokens: int
     rank: int
     target_latency_s: float
     left_s: float
+    is_late: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -130,10 +142,20 @@
 
 
 class PromptPlacer:
-    """Compares engines by the expected time and the price of using them."""
+    """Compares engines by the expected time and the price of using them.
 
-    def __init__(self, settings: PromptPlacementSettings) -> None:
+    Args:
+        settings: How they are compared.
+        source: Chooses between engines that are about equal.
+    """
+
+    def __init__(
+        self,
+        settings: PromptPlacementSettings,
+        source: random.Random,
+    ) -> None:
         self._settings = settings
+        self._source = source
 
     def choose(
         self,
@@ -153,7 +175,9 @@
         ]
         if not in_time:
             return TooBusy(min(option[1].wait_s for option in options))
-        return min(in_time, key=_by_cost)[1]
+        least = min(cost for cost, _ in in_time) + self._settings.spread_s
+        near = [option for cost, option in in_time if cost <= least]
+        return self._source.choice(near)
 
     def choose_partner(
         self,
@@ -165,12 +189,18 @@
         return None if partner is None else partner.name
 
     def _is_in_time(self, demand: PromptDemand, option: Placement) -> bool:
+        return (
+            option.wait_s <= self._longest_wait_s(demand)
+            and option.first_s < demand.left_s
+        )
+
+    def _longest_wait_s(self, demand: PromptDemand) -> float:
+        """Return how long a request may wait for an engine."""
         settings = self._settings
+        if demand.is_late:
+            return settings.late_share * demand.left_s
         share = settings.wait_share - settings.rank_step * demand.rank
-        share = max(share, settings.least_share)
-        if option.wait_s > share * demand.target_latency_s:
-            return False
-        return option.first_s < demand.left_s
+        return max(share, settings.least_share) * demand.target_latency_s
 
     def _options(
         self,
@@ -203,11 +233,14 @@
         generators: Iterable[EngineState],
         rates: EngineRates,
     ) -> EngineState | None:
-        return min(
-            generators,
-            key=functools.partial(self._partner_cost, rates),
-            default=None,
-        )
+        costs = [
+            (self._partner_cost(rates, engine), engine) for engine in generators
+        ]
+        if not costs:
+            return None
+        least = min(cost for cost, _ in costs) + self._settings.partner_spread
+        near = [engine for cost, engine in costs if cost <= least]
+        return self._source.choice(near)
 
     def _has_room(self, engine: EngineState) -> bool:
         return engine.running < engine.slots * self._settings.full_share
@@ -271,7 +304,3 @@
         if engine.is_home:
             cost -= settings.home_s
         return cost
-
-
-def _by_cost(option: tuple[float, Placement]) -> float:
-    return option[0]
--- a/packages/geranium-policy/tests/test_prompt_placement.py
+++ b/packages/geranium-policy/tests/test_prompt_placement.py
@@ -1,6 +1,7 @@
 """Prompts are placed by what engines keep, how busy they are and where."""
 
 import dataclasses
+import random
 
 from geranium_policy.engine_rates import EngineRates
 from geranium_policy.prompt_placement import (
@@ -30,7 +31,7 @@
 
 
 def choose(*engines: EngineState, demand: PromptDemand = DEMAND) -> object:
-    placer = PromptPlacer(PromptPlacementSettings())
+    placer = PromptPlacer(PromptPlacementSettings(), random.Random(1))
     return placer.choose(demand, engines, RATES)
 
 
--- a/packages/geranium-relay/src/geranium_relay/messages.py
+++ b/packages/geranium-relay/src/geranium_relay/messages.py
@@ -1,12 +1,15 @@
 """What passes between callers, the relay and targets, free of any wire."""
 
 import dataclasses
+import math
 from http import HTTPStatus
 from typing import TypeAlias
 
 from .catalogue import Route, Team
 from .targets import Target
 
+LATE_RANKS = 3  # above the priorities that operators use, 0 to 2
+
 Headers: TypeAlias = tuple[tuple[str, str], ...]
 
 
@@ -61,20 +64,41 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Job:
-    """An admitted request: what it is, where it goes, until when."""
+    """An admitted request: what it is, where it goes, until when.
+
+    Args:
+        arrival: The request as it came.
+        route: Its route.
+        service: The service that runs it.
+        team: Whose it is, if the route asks for a key.
+        deadline: Until when it is run.
+        due_at: When its first token would be in time, counted from when its
+            caller first asked; ``inf`` where that is not known.
+    """
 
     arrival: Arrival
     route: Route
     service: str
     team: Team | None
     deadline: float
+    due_at: float = math.inf
 
     @property
-    def priority(self) -> int:
-        """Its rank: the team's where there is one, else the route's."""
+    def is_late(self) -> bool:
+        """Whether it had missed its latency objective when it came."""
+        return self.arrival.arrived_at > self.due_at
+
+    @property
+    def rank(self) -> int:
+        """Its rank among others, 0 for the most urgent.
+
+        The team's priority goes before the route's, and requests that are
+        late come after all that can still be in time.
+        """
+        priority = self.route.priority
         if self.team is not None and self.team.priority is not None:
-            return self.team.priority
-        return self.route.priority
+            priority = self.team.priority
+        return priority + LATE_RANKS if self.is_late else priority
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/geranium-relay/src/geranium_relay/placing.py
+++ b/packages/geranium-relay/src/geranium_relay/placing.py
@@ -80,7 +80,7 @@
         self._loads = loads
         self._rates = settings.rates
         self._clock = clock
-        self._placer = PromptPlacer(settings.prompts)
+        self._placer = PromptPlacer(settings.prompts, source)
         self._chooser = TargetChooser(settings.targets, source)
         self._health = HealthTracker(settings.health, source)
         self._corrections = Corrections(settings.corrections)
@@ -100,9 +100,10 @@
         engines = tuple(self._states(job, prompt, profile, avoid))
         demand = PromptDemand(
             tokens=prompt.tokens,
-            rank=job.priority,
+            rank=job.rank,
             target_latency_s=job.route.target_latency_s,
             left_s=job.deadline - now,
+            is_late=job.is_late,
         )
         return self._placer.choose(demand, engines, self._rates)
 
@@ -234,7 +235,7 @@
                 reads_only=target.stage is Stage.PREFILL,
                 slots=target.slots,
                 running=load.running,
-                queued_tokens=load.ahead_of(job.priority),
+                queued_tokens=load.ahead_of(job.rank),
                 cached_tokens=beliefs.cached_tokens(key, prompt.parts),
                 is_home=key in homes,
                 correction=self._corrections.of(key, now),
--- a/packages/geranium-relay/src/geranium_relay/prompt_reading.py
+++ b/packages/geranium-relay/src/geranium_relay/prompt_reading.py
@@ -31,7 +31,7 @@
             return None
         dispatch = Dispatch(
             reader.key,
-            job.priority,
+            job.rank,
             attempt.placement.fresh_tokens,
             self._context.clock(),
             attempt.placement.first_s,
--- a/packages/geranium-relay/src/geranium_relay/relay.py
+++ b/packages/geranium-relay/src/geranium_relay/relay.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 
+from geranium_policy.caller_waits import CallerWaits, CallerWaitSettings
 from geranium_policy.suspects import Verdict
 
 from .catalogue import Route, Team
@@ -46,6 +48,7 @@
         self._view = view
         self._context = context
         self._source = source
+        self._waits = CallerWaits(CallerWaitSettings())
 
     async def serve(
         self,
@@ -160,8 +163,17 @@
             service,
             team,
             min(arrival.caller_deadline, own_deadline),
+            self._due_at(arrival, route),
         )
 
+    def _due_at(self, arrival: Arrival, route: Route) -> float:
+        """Return when the first token of a prompt would be in time."""
+        if arrival.prompt is None:
+            return math.inf
+        left_s = arrival.caller_deadline - arrival.arrived_at
+        waited_s = self._waits.observe(route.name, left_s, route.timeout_s)
+        return arrival.arrived_at - waited_s + route.target_latency_s
+
     def _pick_service(self, route: Route) -> str | None:
         """Return a service of the route by weight, if it has any."""
         shares = [share for share in route.shares if share.weight > 0]
--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -153,7 +153,7 @@
             attempt = await self._move(attempt, kept)
         dispatch = Dispatch(
             attempt.target.key,
-            self._job.priority,
+            self._job.rank,
             0 if kept else attempt.placement.fresh_tokens,
             self._context.clock(),
             attempt.placement.first_s,
