--- a/packages/geranium-emulator/src/geranium_emulator/days.py
+++ b/packages/geranium-emulator/src/geranium_emulator/days.py
@@ -53,7 +53,6 @@
             make_policy,
             settings,
             relay.EngineProfile(plan.engines.slots, plan.engines.kv_tokens),
-            plan.hosts.count,
         )
         self._hosts = [
             EmulatedHost(
--- a/packages/geranium-emulator/src/geranium_emulator/hosts.py
+++ b/packages/geranium-emulator/src/geranium_emulator/hosts.py
@@ -7,12 +7,7 @@
 from typing import TypeAlias
 
 import geranium_relay as relay
-from geranium_policy.prompt_placement import (
-    HoldBack,
-    NoEngine,
-    Placement,
-    TooBusy,
-)
+from geranium_policy.prompt_placement import NoEngine, Placement, TooBusy
 
 from .clusters import Cluster
 from .engines import Work
@@ -62,7 +57,6 @@
     make_policy: MakePolicy
     settings: relay.PlacingSettings
     profile: relay.EngineProfile
-    hosts: int
 
 
 class EmulatedHost:
@@ -82,7 +76,7 @@
         self.loads = relay.LoadBook(PEER_NEWS_S)
         self._fleet = relay.Fleet(0, float('inf'))
         self.placing = relay.Placing(
-            relay.HostStanding(zone, lambda: world.hosts),
+            zone,
             self._fleet,
             self.loads,
             world.settings,
@@ -159,8 +153,6 @@
         match decision:
             case Placement():
                 self._send(ask, decision)
-            case HoldBack(for_s=for_s):
-                self.simulation.after(for_s, functools.partial(self.take, ask))
             case TooBusy(free_in_s=free_in_s):
                 self.refuse(ask, max(free_in_s, RETURN_S))
             case NoEngine():
--- a/packages/geranium-emulator/src/geranium_emulator/policies.py
+++ b/packages/geranium-emulator/src/geranium_emulator/policies.py
@@ -8,16 +8,11 @@
 from typing import Protocol, TypeAlias
 
 import geranium_relay as relay
-from geranium_policy.prompt_placement import (
-    HoldBack,
-    NoEngine,
-    Placement,
-    TooBusy,
-)
+from geranium_policy.prompt_placement import NoEngine, Placement, TooBusy
 from geranium_relay.load_book import IDLE
 from geranium_relay.prompt_beliefs import home_of
 
-Decision: TypeAlias = Placement | TooBusy | NoEngine | HoldBack
+Decision: TypeAlias = Placement | TooBusy | NoEngine
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/geranium-policy/src/geranium_policy/prompt_placement.py
+++ b/packages/geranium-policy/src/geranium_policy/prompt_placement.py
@@ -32,12 +32,8 @@
             objective for the engine.
         rank_step: Less of it for each rank that others are more urgent.
         least_share: What is left of it for the least urgent.
-        idle_s: A late request is given to an engine that gets to it within
-            so long, and held back while there is none.
-        hold_look_s: About the time until a request that is held back is
-            looked at again.
-        hold_margin_s: A late request is no longer held back when less than
-            this would be left after its first token.
+        late_share: A request that is late may wait so large a part of the
+            time that its caller still gives.
         full_share: An engine with so many of its slots in use is full.
         spread_s: Choices whose costs differ by less are taken at random:
             hosts that have heard the same would otherwise all choose alike
@@ -55,9 +51,7 @@
     wait_share: float = 1
     rank_step: float = 0.15
     least_share: float = 0.4
-    idle_s: float = 0.02
-    hold_look_s: float = 0.05
-    hold_margin_s: float = 0.4
+    late_share: float = 0.5
     full_share: float = 1
     spread_s: float = 0.03
     partner_spread: float = 0.03
@@ -100,8 +94,6 @@
         target_latency_s: When the first token is due, from now.
         left_s: Time until nobody waits any more.
         is_late: Whether it has missed its objective already.
-        is_paced: Whether the host has handed out as much late work as it may
-            for now.
     """
 
     tokens: int
@@ -109,7 +101,6 @@
     target_latency_s: float
     left_s: float
     is_late: bool = False
-    is_paced: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -147,15 +138,7 @@
     """There is no engine that can generate."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class HoldBack:
-    """A late request would delay others now; look again after ``for_s``."""
-
-    for_s: float
-    least_wait_s: float
-
-
-PlacementDecision: TypeAlias = Placement | TooBusy | NoEngine | HoldBack
+PlacementDecision: TypeAlias = Placement | TooBusy | NoEngine
 
 
 class PromptPlacer:
@@ -192,16 +175,6 @@
         ]
         if not in_time:
             return TooBusy(min(option[1].wait_s for option in options))
-        if demand.is_late:
-            idle = [
-                option
-                for option in in_time
-                if option[1].wait_s <= self._settings.idle_s
-                and not demand.is_paced
-            ]
-            if not idle and self._may_hold(demand, in_time):
-                return self._hold(in_time)
-            in_time = idle or in_time
         least = min(cost for cost, _ in in_time) + self._settings.spread_s
         near = [option for cost, option in in_time if cost <= least]
         return self._source.choice(near)
@@ -221,28 +194,11 @@
             and option.first_s < demand.left_s
         )
 
-    def _may_hold(
-        self,
-        demand: PromptDemand,
-        options: list[tuple[float, Placement]],
-    ) -> bool:
-        """Say whether a late request can be held back a little longer."""
-        first_s = min(option[1].first_s for option in options)
-        return demand.left_s - first_s > self._settings.hold_margin_s
-
-    def _hold(self, options: list[tuple[float, Placement]]) -> HoldBack:
-        # Hosts that look at different instants don't all find the same gap.
-        look_s = self._settings.hold_look_s
-        return HoldBack(
-            look_s + self._source.uniform(-look_s, look_s) / 2,
-            min(option[1].wait_s for option in options),
-        )
-
     def _longest_wait_s(self, demand: PromptDemand) -> float:
         """Return how long a request may wait for an engine."""
         settings = self._settings
         if demand.is_late:
-            return demand.left_s
+            return settings.late_share * demand.left_s
         share = settings.wait_share - settings.rank_step * demand.rank
         return max(share, settings.least_share) * demand.target_latency_s
 
--- a/packages/geranium-relay/src/geranium_relay/__init__.py
+++ b/packages/geranium-relay/src/geranium_relay/__init__.py
@@ -28,7 +28,6 @@
 from .decision_log import DecisionLog, LogSettings, PipeWriter
 from .event_cutter import EventCutter
 from .host_registry import Directory, HostRegistry, RegistrySettings
-from .kept_prompts import FormerPromptSettings, KeptPrompts
 from .load_book import Dispatch, LoadBook, TargetLoad
 from .messages import (
     AnswerHead,
@@ -62,7 +61,7 @@
     encode_news,
 )
 from .peers import Peers, PeerSettings
-from .placing import HostStanding, Placing, PlacingSettings
+from .placing import Placing, PlacingSettings
 from .ports import AnswerSink, TargetAnswer, TargetPort
 from .prompt_beliefs import PromptBeliefs, home_of
 from .purchasing import (
@@ -119,13 +118,10 @@
     'Fleet',
     'FleetChange',
     'FleetView',
-    'FormerPromptSettings',
     'FreshnessSettings',
     'Headers',
     'HostRegistry',
-    'HostStanding',
     'Job',
-    'KeptPrompts',
     'KeysByHash',
     'Knowledge',
     'Limits',
--- a/packages/geranium-relay/src/geranium_relay/catalogue.py
+++ b/packages/geranium-relay/src/geranium_relay/catalogue.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import enum
-import math
 from collections.abc import Iterable, Mapping
 
 
@@ -42,8 +41,6 @@
         max_attempts: Targets that may run one request.
         public: Whether requests need no key.
         shares: The services, at least one.
-        first_patience_s: How long callers wait for the first sign of an
-            answer.
     """
 
     name: str
@@ -58,7 +55,6 @@
     max_attempts: int
     public: bool
     shares: tuple[Share, ...]
-    first_patience_s: float = math.inf
 
     @property
     def repeatable(self) -> bool:
--- a/packages/geranium-relay/src/geranium_relay/messages.py
+++ b/packages/geranium-relay/src/geranium_relay/messages.py
@@ -83,12 +83,6 @@
     deadline: float
     due_at: float = math.inf
 
-    @property
-    def first_by(self) -> float:
-        """Until when its caller waits for the first sign of an answer."""
-        patience_s = self.route.first_patience_s
-        return min(self.deadline, self.arrival.arrived_at + patience_s)
-
     @property
     def is_late(self) -> bool:
         """Whether it had missed its latency objective when it came."""
--- a/packages/geranium-relay/src/geranium_relay/placing.py
+++ b/packages/geranium-relay/src/geranium_relay/placing.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import random
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterator
 
 from geranium_policy.engine_rates import (
     Corrections,
@@ -10,10 +10,8 @@
     EngineRates,
 )
 from geranium_policy.health import HealthSettings, HealthTracker, Observation
-from geranium_policy.late_pace import LatePace, LatePaceSettings
 from geranium_policy.prompt_placement import (
     EngineState,
-    HoldBack,
     NoEngine,
     Placement,
     PlacementDecision,
@@ -29,10 +27,9 @@
 )
 
 from .catalogue import EngineProfile
-from .kept_prompts import FormerPromptSettings, KeptPrompts
 from .load_book import IDLE, Dispatch, LoadBook
 from .messages import Job, Prompt, PromptPart
-from .prompt_beliefs import home_of
+from .prompt_beliefs import PromptBeliefs, home_of
 from .targets import Fleet, Stage, Target
 
 
@@ -52,35 +49,16 @@
     health: HealthSettings = dataclasses.field(
         default_factory=HealthSettings,
     )
-    late_pace: LatePaceSettings = dataclasses.field(
-        default_factory=LatePaceSettings,
-    )
-    former_prompts: FormerPromptSettings = dataclasses.field(
-        default_factory=FormerPromptSettings,
-    )
     rates: EngineRates = dataclasses.field(
         default_factory=EngineRates,
     )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class HostStanding:
-    """A host's place among the others.
-
-    Args:
-        zone: Its zone.
-        hosts: Returns how many hosts share the targets.
-    """
-
-    zone: str
-    hosts: Callable[[], int]
-
-
 class Placing:
     """Chooses targets for jobs and learns from how they went.
 
     Args:
-        standing: This host's place among the others.
+        zone: The zone of this host.
         fleet: The targets.
         loads: What is under way at them.
         settings: Settings of the policies.
@@ -90,25 +68,23 @@
 
     def __init__(
         self,
-        standing: HostStanding,
+        zone: str,
         fleet: Fleet,
         loads: LoadBook,
         settings: PlacingSettings,
         clock: Callable[[], float],
         source: random.Random,
     ) -> None:
-        self._zone = standing.zone
+        self._zone = zone
         self._fleet = fleet
         self._loads = loads
         self._rates = settings.rates
         self._clock = clock
-        self._hosts = standing.hosts
-        self._late_pace = LatePace(settings.late_pace, clock())
         self._placer = PromptPlacer(settings.prompts, source)
         self._chooser = TargetChooser(settings.targets, source)
         self._health = HealthTracker(settings.health, source)
         self._corrections = Corrections(settings.corrections)
-        self._kept = KeptPrompts(settings.former_prompts)
+        self._beliefs_by_service: dict[str, PromptBeliefs] = {}
 
     def place_prompt(
         self,
@@ -126,19 +102,10 @@
             tokens=prompt.tokens,
             rank=job.rank,
             target_latency_s=job.route.target_latency_s,
-            left_s=job.first_by - now,
+            left_s=job.deadline - now,
             is_late=job.is_late,
-            is_paced=not self._late_pace.is_open(now),
         )
-        decision = self._placer.choose(demand, engines, self._rates)
-        if job.is_late and isinstance(decision, Placement):
-            self._late_pace.note(
-                decision.fresh_tokens,
-                self._fleet_tokens_per_s(engines),
-                self._hosts(),
-                now,
-            )
-        return decision
+        return self._placer.choose(demand, engines, self._rates)
 
     def place_read_prompt(
         self,
@@ -205,28 +172,33 @@
 
     def note_prompt(self, service: str, target: str, prompt: Prompt) -> None:
         """Believe that a target keeps a prompt from now on."""
-        self._kept.note(service, target, prompt.parts, self._clock())
+        beliefs = self._beliefs_by_service.get(service)
+        if beliefs is not None:
+            beliefs.note(target, prompt.parts)
 
     def note_parts(self, target: str, parts: tuple[PromptPart, ...]) -> None:
         """Believe that a target keeps parts that a peer sent there."""
         found = self.target(target)
-        if found is not None:
-            self._kept.note(found.service, target, parts, self._clock())
+        if found is None:
+            return
+        beliefs = self._beliefs_by_service.get(found.service)
+        if beliefs is not None:
+            beliefs.note(target, parts)
 
     def forget(self, target: str) -> None:
         """Drop what is known of a target that is gone."""
         self._corrections.forget(target)
         self._health.forget(target)
-        self._kept.forget(target)
+        for beliefs in self._beliefs_by_service.values():
+            beliefs.forget(target)
 
-    def _fleet_tokens_per_s(self, engines: Iterable[EngineState]) -> float:
-        rates = self._rates
-        return sum(
-            rates.reading_tokens_per_s
-            if engine.reads_only
-            else rates.generating_tokens_per_s
-            for engine in engines
-        )
+    def beliefs(self, service: str, profile: EngineProfile) -> PromptBeliefs:
+        """Return the beliefs on a service's engines."""
+        beliefs = self._beliefs_by_service.get(service)
+        if beliefs is None:
+            beliefs = PromptBeliefs(profile.kv_tokens)
+            self._beliefs_by_service[service] = beliefs
+        return beliefs
 
     def _usable(
         self,
@@ -252,17 +224,11 @@
     ) -> Iterator[EngineState]:
         now = self._clock()
         loads = self._loads.all(now)
-        self._kept.prepare(job.service, profile)
+        beliefs = self.beliefs(job.service, profile)
         targets_by_key = self._usable(job.service, avoid)
         homes = self._homes(prompt, tuple(targets_by_key.values()))
         for key, target in targets_by_key.items():
             load = loads.get(key, IDLE)
-            kept = self._kept.tokens(
-                target,
-                prompt.parts,
-                now,
-                is_home=key in homes,
-            )
             yield EngineState(
                 name=key,
                 same_zone=target.zone == self._zone,
@@ -270,7 +236,7 @@
                 slots=target.slots,
                 running=load.running,
                 queued_tokens=load.ahead_of(job.rank),
-                cached_tokens=kept,
+                cached_tokens=beliefs.cached_tokens(key, prompt.parts),
                 is_home=key in homes,
                 correction=self._corrections.of(key, now),
             )
@@ -286,12 +252,4 @@
         return frozenset(home for home in homes if home is not None)
 
 
-__all__ = [
-    'HoldBack',
-    'HostStanding',
-    'NoEngine',
-    'Placement',
-    'Placing',
-    'PlacingSettings',
-    'TooBusy',
-]
+__all__ = ['NoEngine', 'Placement', 'Placing', 'PlacingSettings', 'TooBusy']
--- a/packages/geranium-relay/src/geranium_relay/run_notes.py
+++ b/packages/geranium-relay/src/geranium_relay/run_notes.py
@@ -7,7 +7,6 @@
 from .attempts import Attempt
 from .load_book import Dispatch
 from .messages import Job
-from .placing import HoldBack
 from .run_context import RunContext
 
 
@@ -18,7 +17,6 @@
         self._job = job
         self._context = context
         self._counted = False
-        self._held = False
 
     def note_dispatch(self, attempt: Attempt, send: int) -> None:
         """Note that a request goes to a target."""
@@ -43,19 +41,6 @@
             self._context.placing.note_prompt(self._job.service, key, prompt)
             self._context.outbox.note_dispatch(key, prompt.parts)
 
-    def note_held(self, decision: HoldBack) -> None:
-        """Note, once, that a late request is held back for others."""
-        if self._held:
-            return
-        self._held = True
-        self._context.log.note(
-            'held_back',
-            request=self._job.arrival.identity,
-            rank=self._job.rank,
-            least_wait_s=round(decision.least_wait_s, 4),
-            first_by_s=round(self._job.first_by - self._context.clock(), 3),
-        )
-
     def note_busy(self, avoid: Collection[str], free_in_s: float) -> None:
         """Note that no engine gets to the request in time."""
         self._context.log.note(
--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -1,6 +1,5 @@
 """Runs one admitted request to its outcome."""
 
-import asyncio
 import dataclasses
 from http import HTTPStatus
 
@@ -19,7 +18,7 @@
 from .messages import AnswerHead, CacheHandle, Job, TargetCall
 from .outcomes import CutOff, Failed, Outcome, Refused, TimedOut
 from .passing import Passing
-from .placing import HoldBack, NoEngine, Placement, TooBusy
+from .placing import NoEngine, Placement, TooBusy
 from .ports import AnswerSink, TargetAnswer
 from .prompt_reading import PromptReading
 from .run_context import RunContext
@@ -74,12 +73,8 @@
         """Try targets until there is an outcome."""
         while True:
             found = self._find()
-            match found:
-                case HoldBack(for_s=for_s):
-                    await asyncio.sleep(for_s)
-                    continue
-                case Refused():
-                    return await self._give_up(found)
+            if isinstance(found, Refused):
+                return await self._give_up(found)
             outcome = await self._try(found)
             if outcome is not None:
                 return outcome
@@ -92,7 +87,7 @@
             return TimedOut()
         return Refused('deadline', self._settings.retry_after_s)
 
-    def _find(self) -> Attempt | Refused | HoldBack:
+    def _find(self) -> Attempt | Refused:
         """Return the next attempt, or why there is none."""
         now = self._context.clock()
         if self._job.deadline - now < self._settings.reserve_s:
@@ -101,9 +96,6 @@
         match decision:
             case Placement():
                 return self._attempt(decision, now)
-            case HoldBack():
-                self._notes.note_held(decision)
-                return decision
             case TooBusy(free_in_s=free_in_s):
                 self._notes.note_busy(self._avoid, free_in_s)
                 wait_s = max(free_in_s, self._settings.retry_after_s)
@@ -111,7 +103,7 @@
             case NoEngine():
                 return Refused('no target', self._settings.retry_after_s)
 
-    def _decide(self) -> Placement | TooBusy | NoEngine | HoldBack:
+    def _decide(self) -> Placement | TooBusy | NoEngine:
         placing = self._context.placing
         avoid = frozenset(self._avoid)
         if self._service.engine is None:
