Replace firm engines of a zone by a share of its places

Change: a third of a zone's places in one step, which is the same two of six on the first sites. A test replays a zone of thirty.

Also: a soak that is asked to stop ends its host processes first; the mutant that reports windows twice does so early enough to differ.

--- a/packages/geranium-policy/src/geranium_policy/zone_purchases.py
+++ b/packages/geranium-policy/src/geranium_policy/zone_purchases.py
@@ -23,14 +23,14 @@
             a zone for so long.
         probe_places: Places of a zone that are left free meanwhile, so that
             an order shows whether reclaimable targets are to be had again.
-        replaced_at_once: Firm targets that are replaced in one step while
-            there is load.
+        replaced_share: Part of a zone's places whose firm targets are
+            replaced in one step while there is load.
     """
 
     firm_floor: int = 1
     unavailable_s: float = 3
     probe_places: int = 1
-    replaced_at_once: int = 2
+    replaced_share: float = 1 / 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -124,5 +124,6 @@
         if idle:
             firm = floor
         elif holdings.firm + holdings.reclaimable >= bounds.most:
-            firm = max(firm - settings.replaced_at_once, floor)
+            step = max(round(bounds.most * settings.replaced_share), 1)
+            firm = max(firm - step, floor)
         return ZoneOrder(firm, max(bounds.most - firm, 0))
--- a/packages/geranium-policy/tests/test_zone_purchases.py
+++ b/packages/geranium-policy/tests/test_zone_purchases.py
@@ -49,6 +49,22 @@
     assert plan(purchases, ZoneHoldings(3, 3)) == ZoneOrder(1, 5)
 
 
+def test_large_zone_is_replaced_in_as_many_steps_as_a_small_one(
+    purchases: ZonePurchases,
+) -> None:
+    """Thirty firm targets stand in for reclaimable ones that are back."""
+    bounds = PurchaseBounds(least=1, most=30)
+    holdings = ZoneHoldings(29, 1)
+    steps = 0
+    while holdings.firm > 1:
+        order = purchases.plan(bounds, {'a': holdings}, 0, idle=False)['a']
+        holdings = ZoneHoldings(order.firm, order.reclaimable)
+        steps += 1
+
+    assert steps == 3
+    assert holdings == ZoneHoldings(1, 29)
+
+
 def test_reclaimed_zone_is_filled_with_others_under_load(
     purchases: ZonePurchases,
 ) -> None:
--- a/soak/src/geranium_soak/cli.py
+++ b/soak/src/geranium_soak/cli.py
@@ -3,6 +3,7 @@
 import asyncio
 import pathlib
 import shlex
+import signal
 import sys
 import tempfile
 from typing import Any
@@ -76,12 +77,20 @@
         if plan_only:
             _show_plan(settings)
             continue
-        report = asyncio.run(run_soak(settings))
+        report = asyncio.run(_play_one(settings))
         failed += bool(report.violations)
         _show(report, settings.world.folder)
     sys.exit(bool(failed))
 
 
+async def _play_one(settings: RunSettings) -> Report:
+    """Play a run; a request to stop ends its processes first."""
+    loop = asyncio.get_running_loop()
+    run = asyncio.create_task(run_soak(settings))
+    loop.add_signal_handler(signal.SIGTERM, run.cancel)
+    return await run
+
+
 def _run_settings(
     seed: int,
     *,
--- a/soak/tests/mutated_host.py
+++ b/soak/tests/mutated_host.py
@@ -5,6 +5,7 @@
 The soak has to find each of them; `geranium-soak --program` takes this file.
 """
 
+import dataclasses
 import pathlib
 import runpy
 import sys
@@ -13,6 +14,7 @@
 from geranium_coordination import Lease
 from geranium_relay.runs import Run
 
+EARLY_S = 0.02  # after hosts begin to write their counts
 SKEWED_HOST = (
     pathlib.Path(__file__).parents[1] / 'src/geranium_soak/skewed_host.py'
 )
@@ -61,10 +63,16 @@
 
 
 def report_windows_twice() -> None:
-    """Windows are not sealed, and each is reported again a little later."""
+    """Windows are reported unsealed, early, and again a little later."""
     report = relay.UsageReporting._report
+    prepare = relay.UsageReporting.__init__
     reported = set()
 
+    def prepare_early(reporting, settings, *others):
+        early_s = settings.write_after_s + EARLY_S
+        settings = dataclasses.replace(settings, seal_after_s=early_s)
+        prepare(reporting, settings, *others)
+
     async def seal(reporting, window):
         return await reporting._collect(window)
 
@@ -75,6 +83,7 @@
         reported.add(window)
         return False
 
+    relay.UsageReporting.__init__ = prepare_early
     relay.UsageReporting._seal = seal
     relay.UsageReporting._report = report_again
 
