--- a/soak/src/geranium_soak/checks/calm.py
+++ b/soak/src/geranium_soak/checks/calm.py
@@ -34,13 +34,14 @@
             subjects = frozenset((sent.host, STORE))
             since = arrival.at - bounds.contact_s
             if late_s > 0 and ledger.was_calm(subjects, since, arrival.at):
-                detail = f'{arrival.target}, {late_s:.2f} s too late'
+                target = arrival.taken.target
+                detail = f'{target}, {late_s:.2f} s too late'
                 yield Violation('leaving target', identity, detail)
 
 
 def _lateness_s(ledger: Ledger, arrival: Arrival, bounds: Bounds) -> float:
     """Return how long after the last moment a request came to a target."""
-    left_at = ledger.left_at_by_target.get(arrival.target, math.inf)
+    left_at = ledger.left_at_by_target.get(arrival.taken.target, math.inf)
     return arrival.at - left_at - bounds.leaving_s
 
 
@@ -106,7 +107,7 @@
 def _behind(arrival: Arrival, end: Left) -> _LeftBehind:
     ended_at = math.inf if arrival.ended_at is None else arrival.ended_at
     came_after_s = arrival.at - end.at
-    return _LeftBehind(arrival.identity, came_after_s, ended_at - end.at)
+    return _LeftBehind(arrival.taken.identity, came_after_s, ended_at - end.at)
 
 
 def _is_calm(ledger: Ledger, sent: Sent, end: Left, bounds: Bounds) -> bool:
--- a/soak/src/geranium_soak/checks/outcomes.py
+++ b/soak/src/geranium_soak/checks/outcomes.py
@@ -6,12 +6,13 @@
 from geranium_platform_standins import (
     CALL_SERVICE,
     PROMPT_SERVICE,
+    Taken,
     event_count,
     event_of,
 )
 
 from ..bounds import Bounds
-from ..observations import Answered, Arrival, Kind, Ledger, Sent
+from ..observations import Answered, Kind, Ledger, Sent
 from .violation import Violation
 
 PROMISES_NO_RUN = frozenset(
@@ -32,7 +33,7 @@
     for identity, sent in ledger.sent_by_id.items():
         runs = ledger.runs(identity)
         if sent.kind in SINGLE and len(runs) > 1:
-            targets = [run.target for run in runs]
+            targets = [run.taken.target for run in runs]
             yield Violation('at most once', identity, f'ran at {targets}')
 
 
@@ -43,7 +44,8 @@
             continue
         runs = ledger.runs(identity)
         if end.status in PROMISES_NO_RUN and runs:
-            detail = f'{end.status}, ran at {runs[0].target}'
+            target = runs[0].taken.target
+            detail = f'{end.status}, ran at {target}'
             yield Violation('true refusal', identity, detail)
 
 
@@ -84,22 +86,22 @@
     for identity, arrivals in ledger.arrivals_by_id.items():
         sent = ledger.sent_by_id.get(identity)
         for arrival in arrivals:
-            wrong = _difference(sent, arrival)
+            wrong = _difference(sent, arrival.taken)
             if wrong is not None:
                 yield Violation('as sent', identity, wrong)
     for identity in ledger.crossed_prompts:
         yield Violation('own prompt', identity, "went on from another's")
 
 
-def _difference(sent: Sent | None, arrival: Arrival) -> str | None:
+def _difference(sent: Sent | None, taken: Taken) -> str | None:
     if sent is None:
-        return f'nobody sent it, came to {arrival.target}'
-    if (arrival.path, arrival.body) != (sent.path, sent.body):
-        return f'path or body changed on the way to {arrival.target}'
-    if arrival.team != sent.team:
-        return f'for team {arrival.team} instead of {sent.team}'
-    if arrival.forged:
-        return f'with headers of the caller: {arrival.forged}'
+        return f'nobody sent it, came to {taken.target}'
+    if (taken.path, taken.body) != (sent.path, sent.body):
+        return f'path or body changed on the way to {taken.target}'
+    if taken.team != sent.team:
+        return f'for team {taken.team} instead of {sent.team}'
+    if taken.forged:
+        return f'with headers of the caller: {taken.forged}'
     return None
 
 
@@ -111,5 +113,5 @@
     for identity, sent in ledger.sent_by_id.items():
         wanted = PROMPT_SERVICE if sent.kind in STREAMS else CALL_SERVICE
         for run in ledger.runs(identity):
-            if run.service != wanted:
-                yield Violation('own service', identity, run.service)
+            if run.taken.service != wanted:
+                yield Violation('own service', identity, run.taken.service)
--- a/soak/src/geranium_soak/fleet.py
+++ b/soak/src/geranium_soak/fleet.py
@@ -7,18 +7,19 @@
 
 from aiohttp import web
 from geranium_platform_standins import (
+    LOOPBACK,
     PROMPT_SERVICE,
     StandinStore,
     WorkFaults,
     WorkingTarget,
     WorkObserver,
+    free_ports,
 )
 from geranium_standins.faults import RelayFaults, RelayMode
 from geranium_standins.relay_server import Relay
 from geranium_standins.settings import MS_PER_S
 
 from .faults import LinkFault, TargetFault
-from .host_process import LOOPBACK, free_ports
 from .observations import Disruption, Ledger, now
 from .seats import Seat, SeatEntries
 
--- a/soak/src/geranium_soak/host_process.py
+++ b/soak/src/geranium_soak/host_process.py
@@ -6,15 +6,18 @@
 import os
 import pathlib
 import signal
-import socket
 import sys
 from collections.abc import Mapping, Sequence
 
 from geranium_platform import PlatformSettings
+from geranium_platform_standins import (
+    LOOPBACK,
+    free_ports,
+    render_settings,
+)
 
 from .observations import Disruption, Ledger, now
 
-LOOPBACK = '127.0.0.1'
 RESTART_S = 0.3  # from the end of a process to the start of the next
 STOP_LIMIT_S = 15  # above the grace that hosts are given, for slow machines
 INHERITED = ('PATH', 'HOME', 'LANG')
@@ -60,15 +63,6 @@
     )
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that are free at the moment."""
-    servers = [socket.create_server((LOOPBACK, 0)) for _ in range(count)]
-    ports = [server.getsockname()[1] for server in servers]
-    for server in servers:
-        server.close()
-    return ports
-
-
 class HostProcess:
     """Keeps one host running; each process of it is an incarnation.
 
@@ -217,35 +211,3 @@
                     now(),
                 ),
             )
-
-
-def render_settings(settings: PlatformSettings) -> str:
-    """Return settings as the text of a settings file."""
-    sections = settings.model_dump(by_alias=True, exclude_none=True)
-    tables = {
-        name: section
-        for name, section in sections.items()
-        if isinstance(section, dict)
-    }
-    plain = {name: one for name, one in sections.items() if name not in tables}
-    lines = _fields(plain)
-    for name, section in tables.items():
-        lines.append(f'[{name}]')
-        lines.extend(_fields(section))
-    return '\n'.join(lines)
-
-
-def _fields(section: Mapping[str, object]) -> list[str]:
-    return [f'{name} = {_literal(one)}' for name, one in section.items()]
-
-
-def _literal(plain: object) -> str:
-    match plain:
-        case bool():
-            return str(plain).lower()
-        case str():
-            return f'"{plain}"'
-        case tuple() | list():
-            return str(list(plain))
-        case _:
-            return str(plain)
--- a/soak/src/geranium_soak/observations.py
+++ b/soak/src/geranium_soak/observations.py
@@ -8,6 +8,8 @@
 from http import HTTPStatus
 from typing import TypeAlias
 
+from geranium_platform_standins import Taken
+
 
 def now() -> float:
     """Return the instant that all observations are stamped with."""
@@ -92,26 +94,14 @@
     """A request at a target.
 
     Args:
-        identity: The id that it came with.
-        target: The target's identity.
-        service: The service that the target belongs to.
-        path: The path that it came with.
-        body: The body that it came with.
-        team: The team that it came for.
-        forged: Headers that only a caller can have set.
+        taken: The request as the target got it.
         at: When it came.
         ran_at: When the target began to work on it, if it did.
         ended_at: When the target stopped working on it.
         answers: What the target answered by signature.
     """
 
-    identity: str
-    target: str
-    service: str
-    path: str
-    body: bytes
-    team: str | None
-    forged: tuple[str, ...]
+    taken: Taken
     at: float
     ran_at: float | None = None
     ended_at: float | None = None
--- a/soak/src/geranium_soak/witnesses.py
+++ b/soak/src/geranium_soak/witnesses.py
@@ -16,16 +16,7 @@
 
     def note_taken(self, taken: Taken) -> int:
         """Note that a request has come."""
-        arrival = Arrival(
-            taken.identity,
-            taken.target,
-            taken.service,
-            taken.path,
-            taken.body,
-            taken.team,
-            taken.forged,
-            now(),
-        )
+        arrival = Arrival(taken, now())
         self._arrivals.append(arrival)
         self._ledger.arrivals_by_id[taken.identity].append(arrival)
         return len(self._arrivals) - 1
--- a/soak/src/geranium_soak/world.py
+++ b/soak/src/geranium_soak/world.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 from geranium_platform_standins import (
     CALL_SERVICE,
+    LOOPBACK,
     PROMPT_SERVICE,
     CatalogueDraft,
     DutyCall,
@@ -25,7 +26,7 @@
 from .bounds import Bounds
 from .faults import LinkFault, StoreFault
 from .fleet import SoakFleet
-from .host_process import LOOPBACK, HostProcess, choose_place
+from .host_process import HostProcess, choose_place
 from .observations import STORE, Change, Disruption, Ledger, now
 from .witnesses import TargetWitness, provider_call
 
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 import pytest
-from geranium_platform_standins import event_count, event_of
+from geranium_platform_standins import Taken, event_count, event_of
 from geranium_soak import Bounds, Ledger, find_violations
 from geranium_soak.observations import (
     STORE,
@@ -20,14 +20,9 @@
 
 BOUNDS = Bounds()
 SENT = Sent('1', Kind.UNSAFE, '/unsafe/1', b'b', 'key', 'team', 'h', 1, 100)
+TAKEN = Taken('1', 'i-1', 'app', '/unsafe/1', b'b', 'team', ())
 ARRIVAL = Arrival(
-    '1',
-    'i-1',
-    'app',
-    '/unsafe/1',
-    b'b',
-    'team',
-    (),
+    TAKEN,
     100.1,
     ran_at=100.1,
     ended_at=100.2,
@@ -55,6 +50,15 @@
     ledger.arrivals_by_id['1'] = [dataclasses.replace(ARRIVAL, **changes)]
 
 
+def change_taken(ledger, **changes) -> None:
+    change_arrival(ledger, taken=dataclasses.replace(TAKEN, **changes))
+
+
+def arrival_of(identity, **changes) -> Arrival:
+    taken = dataclasses.replace(TAKEN, identity=identity)
+    return dataclasses.replace(ARRIVAL, taken=taken, **changes)
+
+
 def change_sent(ledger, **changes) -> None:
     ledger.sent_by_id['1'] = dataclasses.replace(SENT, **changes)
 
@@ -114,7 +118,8 @@
     events = [event_of('2', one + 1) for one in range(count)]
     body = b''.join(events)
     sent = dataclasses.replace(SENT, identity='2', kind=Kind.STREAM)
-    arrival = dataclasses.replace(ARRIVAL, identity='2', service='llm')
+    taken = dataclasses.replace(TAKEN, identity='2', service='llm')
+    arrival = dataclasses.replace(ARRIVAL, taken=taken)
     note(ledger, sent, [arrival], Answered(200, 's', body, 100.2))
 
     assert broken(ledger) == expected
@@ -125,7 +130,7 @@
     [{'path': '/x'}, {'body': b'x'}, {'team': 'x'}, {'forged': ('Kv-Hold',)}],
 )
 def test_request_that_is_not_the_callers(ledger, changes) -> None:
-    change_arrival(ledger, **changes)
+    change_taken(ledger, **changes)
 
     assert broken(ledger) == {'as sent'}
 
@@ -143,7 +148,7 @@
 
 
 def test_run_at_another_service(ledger) -> None:
-    change_arrival(ledger, service='llm')
+    change_taken(ledger, service='llm')
 
     assert broken(ledger) == {'own service'}
 
@@ -177,7 +182,7 @@
         incarnation=incarnation,
         at=100.5,
     )
-    run = dataclasses.replace(ARRIVAL, identity='2', at=100.6)
+    run = arrival_of('2', at=100.6)
     note(ledger, older, [run], ANSWERED)
 
     assert broken(ledger) == expected
@@ -291,7 +296,7 @@
         note(
             ledger,
             dataclasses.replace(SENT, identity=identity),
-            [dataclasses.replace(ARRIVAL, identity=identity, ended_at=102)],
+            [arrival_of(identity, ended_at=102)],
             Left(100.3),
         )
 
@@ -305,7 +310,7 @@
     for number in range(10):
         end = ANSWERED if number < served else Cut('reset', 100.2)
         identity = str(number)
-        run = dataclasses.replace(ARRIVAL, identity=identity, ran_at=None)
+        run = arrival_of(identity, ran_at=None)
         sent = dataclasses.replace(SENT, identity=identity)
         note(ledger, sent, [run], end)
 
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -3,9 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
-import json
 import pathlib
-import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from typing import Any
 
@@ -18,11 +16,12 @@
     StandinCloud,
     StandinStore,
     StandinTarget,
+    free_ports,
+    render_settings,
 )
 
 from .waits import wait_for
 
-HOST = '127.0.0.1'
 Serve = Callable[[web.Application], Awaitable[str]]
 
 ROUTE: dict[str, Any] = {
@@ -131,7 +130,7 @@
     standin.put('config', 'main', CONFIGURATION)
     standin.put('servers', 't1', describe(await serve(target.application())))
     path = tmp_path / 'local.toml'
-    write_settings(path, settings)
+    path.write_text(render_settings(settings))
     host = Host(SettingsFile(path, settings))
     running = asyncio.create_task(host.run())
     caller = ClientSession()
@@ -193,38 +192,6 @@
     )
 
 
-def write_settings(path: pathlib.Path, settings: PlatformSettings) -> None:
-    """Write settings as a file; JSON values of one line are TOML values."""
-    sections = settings.model_dump(by_alias=True, exclude_none=True)
-    plain = {
-        name: one for name, one in sections.items() if not isinstance(one, dict)
-    }
-    lines = _fields(plain)
-    for name, section in sections.items():
-        if isinstance(section, dict):
-            lines.append(f'[{name}]')
-            lines.extend(_fields(section))
-    path.write_text('\n'.join(lines))
-
-
-def _fields(section: Mapping[str, Any]) -> list[str]:
-    return [f'{name} = {json.dumps(one)}' for name, one in section.items()]
-
-
-def free_ports(count: int) -> list[int]:
-    """Return ports that the kernel has just given out."""
-    with contextlib.ExitStack() as stack:
-        return [
-            _port_of(stack.enter_context(socket.create_server((HOST, 0))))
-            for _ in range(count)
-        ]
-
-
-def _port_of(server: socket.socket) -> int:
-    port: int = server.getsockname()[1]
-    return port
-
-
 async def answers(caller: ClientSession, url: str) -> bool:
     """Say whether a URL answers 200."""
     try:
--- a/tests/adapter/test_reloading.py
+++ b/tests/adapter/test_reloading.py
@@ -4,9 +4,10 @@
 
 from geranium_platform import PlatformSettings
 from geranium_platform.reloading import SettingsFile, SettingsWatch
+from geranium_platform_standins import render_settings
 from geranium_relay import DecisionLog, LogSettings
 
-from .conftest import make_settings, write_settings
+from .conftest import make_settings
 from .waits import wait_for
 
 
@@ -16,7 +17,7 @@
     def __init__(self, path) -> None:
         self.path = path
         self.settings = make_settings(platform={'address': '127.0.0.1:1'})
-        write_settings(path, self.settings)
+        path.write_text(render_settings(self.settings))
         self.applied = []
         self._lines = []
         self.watch = SettingsWatch(
@@ -29,7 +30,7 @@
         changed = self.settings.model_copy(
             update={'bounds': self.settings.bounds.model_copy(update=bounds)},
         )
-        write_settings(self.path, changed)
+        self.path.write_text(render_settings(changed))
         return changed
 
     def only_event(self) -> dict[str, object]:
@@ -68,10 +69,8 @@
 
 async def test_host_applies_a_bound_without_a_signal(world) -> None:
     bounds = world.settings.bounds.model_copy(update={'revoke_ms': 0})
-    write_settings(
-        world.path,
-        world.settings.model_copy(update={'bounds': bounds}),
-    )
+    changed = world.settings.model_copy(update={'bounds': bounds})
+    world.path.write_text(render_settings(changed))
 
     async def is_unready() -> bool:
         return not world.host.is_ready()
