Compare the time that callers give in milliseconds

The time left is a difference of two instants, so that callers that give the same may differ in the last digits, and a route's usual patience would not be learned. Late requests now rank from 5, half of the ranks that engines know, so that priorities up to 4 stay before them; priorities on the sites are 0 to 2, where nothing changes.

Soak: a host that is stopped while it starts may end with the signal, which is judged only at the end of whole runs.

--- a/packages/geranium-policy/src/geranium_policy/caller_waits.py
+++ b/packages/geranium-policy/src/geranium_policy/caller_waits.py
@@ -10,6 +10,8 @@
 import collections
 import dataclasses
 
+MILLISECOND_DIGITS = 3  # after the point, in seconds
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerWaitSettings:
@@ -45,7 +47,8 @@
         if recent is None:
             recent = collections.deque(maxlen=self._settings.remembered)
             self._recent_by_route[route] = recent
-        recent.append(left_s)
+        # Times left are differences of instants; callers give milliseconds.
+        recent.append(round(left_s, MILLISECOND_DIGITS))
         return max(self._usual(recent, longest_s) - left_s, 0)
 
     def _usual(
--- a/packages/geranium-policy/tests/test_caller_waits.py
+++ b/packages/geranium-policy/tests/test_caller_waits.py
@@ -39,6 +39,13 @@
     assert waits.observe(ROUTE, 1.5, LONGEST_S) == 0
 
 
+def test_times_left_are_compared_in_milliseconds(waits) -> None:
+    for number in range(32):
+        see(waits, (number / 7 + 1.5) - number / 7)
+
+    assert waits.observe(ROUTE, 0.5, LONGEST_S) == 1
+
+
 def test_single_caller_that_gives_more_time_says_nothing(waits) -> None:
     see(waits, 1.5, times=20)
     see(waits, 4)
--- a/packages/geranium-relay/src/geranium_relay/messages.py
+++ b/packages/geranium-relay/src/geranium_relay/messages.py
@@ -8,7 +8,7 @@
 from .catalogue import Route, Team
 from .targets import Target
 
-LATE_RANKS = 3  # above the priorities that operators use, 0 to 2
+LATE_RANKS = 5  # half of the ten ranks that engines tell apart
 
 Headers: TypeAlias = tuple[tuple[str, str], ...]
 
--- a/soak/src/geranium_soak/runs.py
+++ b/soak/src/geranium_soak/runs.py
@@ -81,7 +81,8 @@
         )
         await asyncio.sleep(WARM_UP_S)
         checks = HARD
-        if await _play(world, Injector(world, source), steps):
+        is_whole = await _play(world, Injector(world, source), steps)
+        if is_whole:
             checks = settings.checks
             await asyncio.sleep(settings.settle_s)
             world.ledger.calm_since = now()
@@ -89,7 +90,9 @@
         await _cancel(traffic)
         codes = await asyncio.gather(*(host.close() for host in world.hosts))
     violations = find_violations(world.ledger, settings.world.bounds, checks)
-    violations.extend(_bad_ends(world.hosts, codes))
+    if is_whole:
+        # A host that is only starting may end at once when it is stopped.
+        violations.extend(_bad_ends(world.hosts, codes))
     return _report(settings, world, len(steps), violations)
 
 
