--- a/soak/src/geranium_soak/observations.py
+++ b/soak/src/geranium_soak/observations.py
@@ -10,6 +10,8 @@
 
 from geranium_platform_standins import Taken
 
+STORE = 'store'  # the subject of faults that hit all hosts' store
+
 
 def now() -> float:
     """Return the instant that all observations are stamped with."""
@@ -163,16 +165,21 @@
         return self.begun_at <= until and self.ended_at >= since
 
 
-STORE = 'store'
-
-
 def was_served(end: End) -> bool:
     """Say whether a caller got what it asked for."""
     return isinstance(end, Answered) and end.status == HTTPStatus.OK
 
 
 class Ledger:
-    """Collects the observations of one run."""
+    """Collects the observations of one run.
+
+    ``changes`` and ``provider_calls`` stand in the order in which they were
+    acknowledged. ``disruptions`` holds those that are over.
+    ``left_at_by_target`` says when a target announced that it leaves,
+    ``crossed_prompts`` the requests that went on from another's prompt.
+    ``calm_since`` is the instant from which the service has to be whole,
+    ``unix_offset_s`` what is added to an instant for Unix time.
+    """
 
     def __init__(self) -> None:
         self.sent_by_id: dict[str, Sent] = {}
