--- a/soak/src/geranium_soak/plans.py
+++ b/soak/src/geranium_soak/plans.py
@@ -13,6 +13,8 @@
 SHORT_SHARE = 0.6
 SHORT_S = (0.4, 2.5)  # below the bounds within which hosts must react
 LONG_S = (2.5, 9.0)  # beyond them, the one for withdrawn keys included
+WITHDRAWAL_SHARE = 0.5  # of the faults between hosts and the store
+WITHDRAWAL_AFTER_S = 0.3  # so that nobody has heard of it before
 MEAN_GAP_S = 1.6  # between two draws, so that faults overlap
 DELAYS_MS = (20, 300)
 HARM_SHARES = (0.1, 1)  # of a target's requests
@@ -54,12 +56,26 @@
     at_s = source.uniform(0, MEAN_GAP_S)
     while at_s < length_s:
         maker = source.choices(makers, weights)[0]
-        yield Step(at_s, maker(source, hosts))
+        fault = maker(source, hosts)
+        yield Step(at_s, fault)
+        yield from _draw_withdrawal(source, fault, at_s)
         if _chance(source, SERIES_SHARE):
             yield from _draw_series(source, maker, at_s, hosts)
         at_s += source.expovariate(1 / MEAN_GAP_S)
 
 
+def _draw_withdrawal(
+    source: random.Random,
+    fault: faults.Fault,
+    at_s: float,
+) -> Iterator[Step]:
+    """Let an operator withdraw a key just after the store was lost."""
+    if not isinstance(fault, faults.CutStoreLink | faults.HarmStore):
+        return
+    if _chance(source, WITHDRAWAL_SHARE):
+        yield Step(at_s + WITHDRAWAL_AFTER_S, faults.WithdrawKey())
+
+
 def _draw_series(
     source: random.Random,
     maker: 'Maker',
