--- a/soak/src/geranium_soak/traffic.py
+++ b/soak/src/geranium_soak/traffic.py
@@ -34,6 +34,7 @@
 LEAVES_AFTER_S = (0.02, 0.3)
 FORGES_SHARE = 0.1  # of the requests carry headers that callers may not set
 FORGOTTEN_KEY_SHARE = 0.1  # of the requests come with a key taken away
+FORGOTTEN_KEYS = 3  # the last ones, which hosts may still believe in
 RESOLVE_EVERY = 10  # requests between two questions to the directory
 PROBE_EVERY_S = 0.3
 KINDS = tuple(Kind)
@@ -50,7 +51,6 @@
         self._world = world
         self._seed = seed
         self._numbers = itertools.count()
-        self._old_keys: list[tuple[str, str]] = []
 
     async def run(self, callers: int) -> None:
         """Send until cancelled."""
@@ -143,13 +143,10 @@
         )
 
     def _choose_key(self, source: random.Random) -> tuple[str, str]:
-        known = sorted(self._world.key_by_team.items())
-        self._old_keys.extend(
-            pair for pair in known if pair not in self._old_keys
-        )
-        if source.random() < FORGOTTEN_KEY_SHARE:
-            return source.choice(self._old_keys)
-        return source.choice(known)
+        withdrawn = self._world.withdrawn[-FORGOTTEN_KEYS:]
+        if withdrawn and source.random() < FORGOTTEN_KEY_SHARE:
+            return source.choice(withdrawn)
+        return source.choice(sorted(self._world.key_by_team.items()))
 
     async def _send(
         self,
--- a/soak/src/geranium_soak/world.py
+++ b/soak/src/geranium_soak/world.py
@@ -76,6 +76,7 @@
         self.ledger = Ledger()
         self.hosts: list[HostProcess] = []
         self.key_by_team = {f'team-{zone}': f'key-{zone}-0' for zone in ZONES}
+        self.withdrawn: list[tuple[str, str]] = []
         self.version = 0
         self._source = source
         self._store = StandinStore()
@@ -119,6 +120,7 @@
         team = self._source.choice(sorted(self.key_by_team))
         number = next(self._key_numbers)
         old = self.key_by_team[team]
+        self.withdrawn.append((team, old))
         self.key_by_team[team] = f'key-{team}-{number}'
         self.publish(old)
 
