Soak: don't judge usage of the window in which callers are stopped

Traced: the run's callers were stopped 1.8 s into that window (traffic ended 04:38:43.8, the window 04:38:45), and 17 requests that targets had begun had no answer yet, so that no host counted them. No host is at fault; windows count from the start to the end of the calm phase.

--- a/soak/src/geranium_soak/checks/duties.py
+++ b/soak/src/geranium_soak/checks/duties.py
@@ -86,9 +86,10 @@
         if call.window is None:
             continue
         begun_at = call.window * bounds.window_s - ledger.unix_offset_s
-        if begun_at < ledger.calm_since:
+        ended_at = begun_at + bounds.window_s
+        if begun_at < ledger.calm_since or ended_at > ledger.calm_until:
             continue
-        truth = _begun_in(ledger, begun_at, begun_at + bounds.window_s)
+        truth = _begun_in(ledger, begun_at, ended_at)
         reported = sum(call.counts_by_team.values())
         slack = max(USAGE_SHARE * truth, USAGE_LEAST)
         if abs(reported - truth) > slack:
--- a/soak/src/geranium_soak/observations.py
+++ b/soak/src/geranium_soak/observations.py
@@ -177,8 +177,8 @@
     acknowledged. ``disruptions`` holds those that are over.
     ``left_at_by_target`` says when a target announced that it leaves,
     ``crossed_prompts`` the requests that went on from another's prompt.
-    ``calm_since`` is the instant from which the service has to be whole,
-    ``unix_offset_s`` what is added to an instant for Unix time.
+    From ``calm_since`` to ``calm_until`` the service has to be whole;
+    ``unix_offset_s`` is added to an instant for Unix time.
     """
 
     def __init__(self) -> None:
@@ -193,6 +193,7 @@
         self.left_at_by_target: dict[str, float] = {}
         self.crossed_prompts: list[str] = []
         self.calm_since = math.inf
+        self.calm_until = math.inf
         self.unix_offset_s = time.time() - now()
 
     def runs(self, identity: str) -> list[Arrival]:
--- a/soak/src/geranium_soak/runs.py
+++ b/soak/src/geranium_soak/runs.py
@@ -87,6 +87,7 @@
             await asyncio.sleep(settings.settle_s)
             world.ledger.calm_since = now()
             await asyncio.sleep(settings.calm_s)
+            world.ledger.calm_until = now()
         await _cancel(traffic)
         codes = await asyncio.gather(*(host.close() for host in world.hosts))
     violations = find_violations(world.ledger, settings.world.bounds, checks)
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -269,6 +269,23 @@
     assert broken(ledger) == expected
 
 
+def test_usage_of_a_window_in_which_callers_stopped(ledger) -> None:
+    """Requests that were running then were not counted by their hosts."""
+    ledger.calm_since = 0
+    ledger.unix_offset_s = 0
+    window = int(ARRIVAL.ran_at // BOUNDS.window_s)
+    report = dataclasses.replace(
+        REPORT,
+        window=window,
+        counts_by_team={'team': 9},
+    )
+    ledger.provider_calls.append(report)
+    assert broken(ledger) == {'usage'}
+
+    ledger.calm_until = ARRIVAL.ran_at
+    assert not broken(ledger)
+
+
 @pytest.mark.parametrize(
     ('left_at', 'expected'),
     [(98, {'leaving target'}), (98.2, set())],
