--- a/soak/src/geranium_soak/checks/calm.py
+++ b/soak/src/geranium_soak/checks/calm.py
@@ -125,7 +125,7 @@
     ends = [
         ledger.end_by_id[identity]
         for identity, sent in ledger.sent_by_id.items()
-        if sent.at > ledger.calm_since
+        if sent.at > ledger.calm.since
         and sent.marks is None
         and identity in ledger.end_by_id
         and not _is_expected_failure(ledger, sent)
--- a/soak/src/geranium_soak/checks/duties.py
+++ b/soak/src/geranium_soak/checks/duties.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 
 from ..bounds import Bounds
-from ..observations import Ledger, ProviderCall
+from ..observations import Ledger, ProviderCall, Span
 from .violation import Violation
 
 USAGE_SHARE = 0.05  # the users' tolerance
@@ -86,10 +86,10 @@
         if call.window is None:
             continue
         begun_at = call.window * bounds.window_s - ledger.unix_offset_s
-        ended_at = begun_at + bounds.window_s
-        if begun_at < ledger.calm_since or ended_at > ledger.calm_until:
+        window = Span(begun_at, begun_at + bounds.window_s)
+        if not ledger.calm.holds(window):
             continue
-        truth = _begun_in(ledger, begun_at, ended_at)
+        truth = _begun_in(ledger, window)
         reported = sum(call.counts_by_team.values())
         slack = max(USAGE_SHARE * truth, USAGE_LEAST)
         if abs(reported - truth) > slack:
@@ -97,10 +97,10 @@
             yield Violation('usage', str(call.window), detail)
 
 
-def _begun_in(ledger: Ledger, since: float, until: float) -> int:
+def _begun_in(ledger: Ledger, window: Span) -> int:
     return sum(
         any(
-            run.ran_at is not None and since <= run.ran_at < until
+            run.ran_at is not None and window.since <= run.ran_at < window.until
             for run in ledger.runs(identity)
         )
         for identity in ledger.sent_by_id
--- a/soak/src/geranium_soak/observations.py
+++ b/soak/src/geranium_soak/observations.py
@@ -13,6 +13,18 @@
 STORE = 'store'  # the subject of faults that hit all hosts' store
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Span:
+    """The time between two instants."""
+
+    since: float
+    until: float
+
+    def holds(self, other: 'Span') -> bool:
+        """Say whether another span lies within this one."""
+        return self.since <= other.since and other.until <= self.until
+
+
 def now() -> float:
     """Return the instant that all observations are stamped with."""
     return time.monotonic()
@@ -177,8 +189,8 @@
     acknowledged. ``disruptions`` holds those that are over.
     ``left_at_by_target`` says when a target announced that it leaves,
     ``crossed_prompts`` the requests that went on from another's prompt.
-    From ``calm_since`` to ``calm_until`` the service has to be whole;
-    ``unix_offset_s`` is added to an instant for Unix time.
+    In ``calm`` the service has to be whole; ``unix_offset_s`` is added to an
+    instant for Unix time.
     """
 
     def __init__(self) -> None:
@@ -192,8 +204,7 @@
         self.disruptions: list[Disruption] = []
         self.left_at_by_target: dict[str, float] = {}
         self.crossed_prompts: list[str] = []
-        self.calm_since = math.inf
-        self.calm_until = math.inf
+        self.calm = Span(math.inf, math.inf)
         self.unix_offset_s = time.time() - now()
 
     def runs(self, identity: str) -> list[Arrival]:
--- a/soak/src/geranium_soak/runs.py
+++ b/soak/src/geranium_soak/runs.py
@@ -13,7 +13,7 @@
 from .checks import AT_THE_END, HARD, Check, Violation, find_violations
 from .host_process import HostProcess
 from .injector import Injector
-from .observations import now, was_served
+from .observations import Span, now, was_served
 from .plans import Step, draw_plan
 from .traffic import Traffic
 from .world import World, WorldSettings
@@ -85,9 +85,7 @@
         if is_whole:
             checks = settings.checks
             await asyncio.sleep(settings.settle_s)
-            world.ledger.calm_since = now()
-            await asyncio.sleep(settings.calm_s)
-            world.ledger.calm_until = now()
+            await _stay_calm(world, settings.calm_s)
         await _cancel(traffic)
         codes = await asyncio.gather(*(host.close() for host in world.hosts))
     violations = find_violations(world.ledger, settings.world.bounds, checks)
@@ -113,6 +111,12 @@
     return True
 
 
+async def _stay_calm(world: World, for_s: float) -> None:
+    since = now()
+    await asyncio.sleep(for_s)
+    world.ledger.calm = Span(since, now())
+
+
 async def _cancel(task: asyncio.Task[None]) -> None:
     task.cancel()
     with contextlib.suppress(asyncio.CancelledError):
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -1,6 +1,7 @@
 """Each check finds the breach that it is for, and lets the rest pass."""
 
 import dataclasses
+import math
 
 import pytest
 from geranium_platform_standins import Taken, event_count, event_of
@@ -16,6 +17,7 @@
     Left,
     ProviderCall,
     Sent,
+    Span,
 )
 
 BOUNDS = Bounds()
@@ -255,7 +257,7 @@
     [(1, set()), (9, {'usage'})],
 )
 def test_usage_that_is_off(ledger, reported, expected) -> None:
-    ledger.calm_since = 0
+    ledger.calm = Span(0, math.inf)
     ledger.unix_offset_s = 0
     window = int(ARRIVAL.ran_at // BOUNDS.window_s)
     ledger.provider_calls.append(
@@ -271,7 +273,7 @@
 
 def test_usage_of_a_window_in_which_callers_stopped(ledger) -> None:
     """Requests that were running then were not counted by their hosts."""
-    ledger.calm_since = 0
+    ledger.calm = Span(0, math.inf)
     ledger.unix_offset_s = 0
     window = int(ARRIVAL.ran_at // BOUNDS.window_s)
     report = dataclasses.replace(
@@ -282,7 +284,7 @@
     ledger.provider_calls.append(report)
     assert broken(ledger) == {'usage'}
 
-    ledger.calm_until = ARRIVAL.ran_at
+    ledger.calm = Span(0, ARRIVAL.ran_at)
     assert not broken(ledger)
 
 
@@ -323,7 +325,7 @@
 @pytest.mark.parametrize(('served', 'kept'), [(9, True), (8, False)])
 def test_service_after_the_faults(served, kept) -> None:
     ledger = Ledger()
-    ledger.calm_since = 0
+    ledger.calm = Span(0, math.inf)
     for number in range(10):
         end = ANSWERED if number < served else Cut('reset', 100.2)
         identity = str(number)
