--- a/soak/src/geranium_soak/cli.py
+++ b/soak/src/geranium_soak/cli.py
@@ -1,6 +1,7 @@
 """The command that plays seeded runs."""
 
 import asyncio
+import logging
 import pathlib
 import shlex
 import signal
@@ -71,6 +72,8 @@
     **options: Any,
 ) -> None:
     """Play the runs; exit with 1 if one of them broke a promise."""
+    # Faults reset connections to the stand-ins, which is no error of theirs.
+    logging.getLogger('aiohttp.server').setLevel(logging.CRITICAL)
     failed = 0
     for number in range(seed, seed + runs):
         settings = _run_settings(number, **options)
--- a/soak/src/geranium_soak/fleet.py
+++ b/soak/src/geranium_soak/fleet.py
@@ -21,6 +21,7 @@
 
 from .faults import LinkFault, TargetFault
 from .observations import Disruption, Ledger, now
+from .overlays import Overlay
 from .seats import Seat, SeatEntries
 
 LAPSE_S = 1.5  # after its end an entry stays for so long
@@ -51,6 +52,7 @@
         self._source = source
         self._numbers = itertools.count(1)
         self._prompts_by_handle: dict[str, str] = {}
+        self._link_harm_by_seat: dict[str, Overlay[RelayFaults]] = {}
 
     async def add(self, service: str, zone: str, stage: str | None) -> Seat:
         """Start a target at an address of its own."""
@@ -59,6 +61,10 @@
         address = await relay.start(LOOPBACK, 0)
         seat = Seat(zone, stage, service, relay, address, port)
         self.seats.append(seat)
+        self._link_harm_by_seat[seat.name] = Overlay(
+            relay.change,
+            RelayFaults(),
+        )
         await self._open(seat)
         return seat
 
@@ -173,9 +179,7 @@
         for_s: float,
     ) -> None:
         begun_at = now()
-        seat.relay.change(faults)
-        await asyncio.sleep(for_s)
-        seat.relay.change(RelayFaults())
+        await self._link_harm_by_seat[seat.name].hold(faults, for_s)
         self._note(faults.mode.value, seat, begun_at)
 
     def _note(self, what: str, seat: Seat, begun_at: float) -> None:
--- a/soak/src/geranium_soak/world.py
+++ b/soak/src/geranium_soak/world.py
@@ -28,6 +28,7 @@
 from .fleet import SoakFleet
 from .host_process import HostProcess, choose_place
 from .observations import STORE, Change, Disruption, Ledger, now
+from .overlays import Overlay
 from .witnesses import TargetWitness, provider_call
 
 ZONES = ('a', 'b', 'c')
@@ -87,7 +88,9 @@
             self.ledger,
             source,
         )
-        self._store_links: dict[str, Relay] = {}
+        self._store_harm = Overlay(self._apply_to_store, Faults())
+        self._link_harm_by_host: dict[str, Overlay[RelayFaults]] = {}
+        self._links: list[Relay] = []
         self._key_numbers = itertools.count(1)
 
     @contextlib.asynccontextmanager
@@ -127,12 +130,15 @@
     async def harm_store(self, fault: StoreFault, for_s: float) -> None:
         """Let the store misbehave towards all hosts for a time."""
         begun_at = now()
+        harming = self._store_harm.hold(
+            _store_faults(fault, self._source),
+            for_s,
+        )
         if fault is StoreFault.ENTRIES_LAPSED:
-            await self._lapse(for_s)
+            # Targets that live and reach the store are back with it.
+            await asyncio.gather(harming, self.fleet.lapse(for_s))
         else:
-            self._store.faults = _store_faults(fault, self._source)
-            await asyncio.sleep(for_s)
-            self._store.faults = Faults()
+            await harming
         self._note(fault.value, STORE, begun_at)
 
     async def cut_store_link(
@@ -143,17 +149,12 @@
     ) -> None:
         """Harm the link between a host and the store for a time."""
         begun_at = now()
-        link = self._store_links[host.name]
-        link.change(RelayFaults(RelayMode(fault.value)))
-        await asyncio.sleep(for_s)
-        link.change(RelayFaults())
+        switches = RelayFaults(RelayMode(fault.value))
+        await self._link_harm_by_host[host.name].hold(switches, for_s)
         self._note(f'store link {fault.value}', host.name, begun_at)
 
-    async def _lapse(self, for_s: float) -> None:
-        """Take the store away; entries lapse and are back after a second."""
-        self._store.faults = _store_faults(StoreFault.BUSY, self._source)
-        await self.fleet.lapse(for_s)
-        self._store.faults = Faults()
+    def _apply_to_store(self, faults: Faults) -> None:
+        self._store.faults = faults
 
     def _note(self, what: str, subject: str, begun_at: float) -> None:
         self.ledger.disruptions.append(
@@ -186,7 +187,11 @@
         host = HostProcess(place, self.settings.folder, self.ledger)
         address, _, port = store.rpartition(':')
         link = Relay(address, int(port))
-        self._store_links[host.name] = link
+        self._links.append(link)
+        self._link_harm_by_host[host.name] = Overlay(
+            link.change,
+            RelayFaults(),
+        )
         self.hosts.append(host)
         await host.start(
             {
@@ -210,7 +215,7 @@
     async def _close(self) -> None:
         await asyncio.gather(*(host.close() for host in self.hosts))
         await self.fleet.close()
-        for link in self._store_links.values():
+        for link in self._links:
             await link.stop()
 
 
@@ -229,7 +234,7 @@
 
 def _store_faults(fault: StoreFault, source: random.Random) -> Faults:
     match fault:
-        case StoreFault.BUSY:
+        case StoreFault.BUSY | StoreFault.ENTRIES_LAPSED:
             return Faults(status=HTTPStatus.SERVICE_UNAVAILABLE)
         case StoreFault.LIMITED:
             return Faults(status=HTTPStatus.TOO_MANY_REQUESTS)
