--- a/soak/src/geranium_soak/host_process.py
+++ b/soak/src/geranium_soak/host_process.py
@@ -20,6 +20,8 @@
 
 RESTART_S = 0.3  # from the end of a process to the start of the next
 STOP_LIMIT_S = 15  # above the grace that hosts are given, for slow machines
+FIRST_START = 'bootstrap = true'
+LATER_START = 'bootstrap = false'
 INHERITED = ('PATH', 'HOME', 'LANG')
 
 
@@ -106,9 +108,7 @@
     def append_setting(self, line: str) -> None:
         """Add a line to the settings file, which the host may ignore."""
         text = self.settings_path.read_text()
-        scratch = self.settings_path.with_suffix('.new')
-        scratch.write_text(f'{line}\n{text}')
-        scratch.replace(self.settings_path)
+        self._replace_settings(f'{line}\n{text}')
 
     def kill(self) -> None:
         """Kill the process; the next one starts by itself."""
@@ -173,6 +173,9 @@
                 else:
                     self.unexpected_ends.append(code)
             await asyncio.sleep(RESTART_S)
+            # Only the first process of a host starts with the whole system.
+            text = self.settings_path.read_text()
+            self._replace_settings(text.replace(FIRST_START, LATER_START))
             await self._launch()
             self._note_ends()
 
@@ -192,6 +195,11 @@
             )
         self.incarnation += 1
 
+    def _replace_settings(self, text: str) -> None:
+        scratch = self.settings_path.with_suffix('.new')
+        scratch.write_text(text)
+        scratch.replace(self.settings_path)
+
     def _signal(self, number: signal.Signals) -> None:
         if self._process is not None and self._process.returncode is None:
             self._process.send_signal(number)
