--- a/soak/src/geranium_soak/fleet.py
+++ b/soak/src/geranium_soak/fleet.py
@@ -24,6 +24,7 @@
 from .overlays import Overlay
 from .seats import Seat, SeatEntries
 
+TARGETS_ADDRESS = '127.0.2.1'
 LAPSE_S = 1.5  # after its end an entry stays for so long
 LINGER_S = 3.5  # a target that leaves serves on for so long
 
@@ -56,8 +57,10 @@
 
     async def add(self, service: str, zone: str, stage: str | None) -> Seat:
         """Start a target at an address of its own."""
-        port = free_ports(1)[0]
-        relay = Relay(LOOPBACK, port)
+        # Connections leave from another address and can't take the port
+        # while no target listens there.
+        port = free_ports(1, TARGETS_ADDRESS)[0]
+        relay = Relay(TARGETS_ADDRESS, port)
         address = await relay.start(LOOPBACK, 0)
         seat = Seat(zone, stage, service, relay, address, port)
         self.seats.append(seat)
@@ -214,5 +217,6 @@
         handler_cancellation=True,
     )
     await runner.setup()
-    await web.TCPSite(runner, LOOPBACK, port, reuse_address=True).start()
+    site = web.TCPSite(runner, TARGETS_ADDRESS, port, reuse_address=True)
+    await site.start()
     return runner
--- a/soak/src/geranium_soak/host_process.py
+++ b/soak/src/geranium_soak/host_process.py
@@ -11,13 +11,13 @@
 
 from geranium_platform import PlatformSettings
 from geranium_platform_standins import (
-    LOOPBACK,
     free_ports,
     render_settings,
 )
 
 from .observations import Disruption, Ledger, now
 
+HOSTS_NETWORK = '127.0.1'  # of the loopback, up to 254 hosts
 RESTART_S = 0.3  # from the end of a process to the start of the next
 STOP_LIMIT_S = 15  # above the grace that hosts are given, for slow machines
 FIRST_START = 'bootstrap = true'
@@ -32,6 +32,7 @@
     Args:
         name: Its name.
         zone: The zone that it counts as its own.
+        address: Its IP address.
         front: Address for callers.
         ready: Address of the check whether it takes callers.
         directory: Address that callers ask where to connect.
@@ -42,6 +43,7 @@
 
     name: str
     zone: str
+    address: str
     front: str
     ready: str
     directory: str
@@ -50,15 +52,26 @@
     program: Sequence[str]
 
 
-def choose_place(name: str, zone: str, program: Sequence[str]) -> HostPlace:
-    """Return a place on ports that the kernel has just given out."""
-    ports = free_ports(5)
+def choose_place(
+    number: int,
+    zone: str,
+    program: Sequence[str],
+) -> HostPlace:
+    """Return a place with an address of its own for a host.
+
+    No connection leaves from that address, so that nothing takes its ports
+    while the host is down.
+    """
+    last_byte = number + 1
+    address = f'{HOSTS_NETWORK}.{last_byte}'
+    ports = free_ports(5, address)
     return HostPlace(
-        name,
+        f'host-{number}',
         zone,
-        f'{LOOPBACK}:{ports[0]}',
-        f'{LOOPBACK}:{ports[1]}',
-        f'{LOOPBACK}:{ports[2]}',
+        address,
+        f'{address}:{ports[0]}',
+        f'{address}:{ports[1]}',
+        f'{address}:{ports[2]}',
         ports[3],
         ports[4],
         program,
--- a/soak/src/geranium_soak/world.py
+++ b/soak/src/geranium_soak/world.py
@@ -183,7 +183,7 @@
             str(skews[number % len(skews)]),
         )
         zone = ZONES[number % len(ZONES)]
-        place = choose_place(f'host-{number}', zone, program)
+        place = choose_place(number, zone, program)
         host = HostProcess(place, self.settings.folder, self.ledger)
         address, _, port = store.rpartition(':')
         link = Relay(address, int(port))
@@ -196,7 +196,7 @@
         await host.start(
             {
                 'nodeName': place.name,
-                'ip': LOOPBACK,
+                'ip': place.address,
                 'zone': zone,
                 'internalPorts': [place.peers_port, place.peers_port],
                 'bootstrap': True,
