Don't wait for an engine that has crashed to become idle

Traced by the state dump of host-2: a suspect was to run apart on engine-3, which had just crashed under it on host-1; its last report, 97 s old, said that one sequence runs, and the request waited for that to end until its deadline.

Change: an engine that has not reported for 3 s is neither chosen to run a suspect apart nor waited for; the caller is told at once that it did not run and when to come back. The new test stands still without the change (30 s limit) and passes with it; test_suspects.py passes.

--- a/packages/geraniumd/src/geraniumd/callers/suspects.py
+++ b/packages/geraniumd/src/geraniumd/callers/suspects.py
@@ -27,6 +27,7 @@
     retry_after_s=5,
 )
 _POLL_S = 0.1
+REPORT_LIMIT_S = 3  # engines report several times a second while they live
 
 
 class SuspectGuard:
@@ -83,7 +84,7 @@
         """Hold an idle engine for the body of the ``async with``.
 
         Gives ``None`` if there is none beside the excluded ones, or it does
-        not get idle by the call's deadline.
+        not get idle by the call's deadline, or stops reporting.
         """
         service = call.service.name
         turn = self._turns_by_service.setdefault(service, asyncio.Lock())
@@ -108,18 +109,29 @@
         links_by_name = {
             link.name: link
             for link in self._fleet.engines(service)
-            if link.view.accepting and link.name not in excluded
+            if link.view.accepting
+            and link.name not in excluded
+            and self._reports(link)
         }
         chosen = isolation_target(service, links_by_name)
         return None if chosen is None else links_by_name[chosen]
 
     async def _wait_idle(self, link: EngineLink, deadline: float) -> bool:
         while link.view.sequences():
+            # What an engine that crashed reported last stands for good.
+            if not self._reports(link):
+                return False
             if self._clock.now() + _POLL_S >= deadline:
                 return False
             await asyncio.sleep(_POLL_S)
         return True
 
+    def _reports(self, link: EngineLink) -> bool:
+        load = link.view.load
+        if load is None:
+            return True
+        return self._clock.now() - load.sampled_at <= REPORT_LIMIT_S
+
     async def _has_crashed(self, link: EngineLink, instance: str) -> bool:
         try:
             report = await self._engines.load(link.target, self._clock.now())
--- /dev/null
+++ b/packages/geraniumd/tests/test_suspect_guard.py
@@ -0,0 +1,58 @@
+"""A suspect doesn't wait for an engine that has crashed meanwhile."""
+
+import asyncio
+import math
+from types import SimpleNamespace
+
+import pytest
+from geraniumd.callers.suspects import SuspectGuard
+
+CALL = SimpleNamespace(
+    service=SimpleNamespace(name='llm'),
+    arrival=SimpleNamespace(deadline=math.inf),
+)
+
+
+class SteppingClock:
+    """Is a second later each time it is read."""
+
+    def __init__(self) -> None:
+        self.instant = 0
+
+    def now(self) -> float:
+        self.instant += 1
+        return self.instant
+
+
+def make_guard(*links) -> SuspectGuard:
+    context = SimpleNamespace(
+        suspects=None,
+        fleet=SimpleNamespace(engines=lambda _service: links),
+        gossip=SimpleNamespace(wake=list),
+        clock=SteppingClock(),
+    )
+    return SuspectGuard(context, None)
+
+
+def make_link(name: str, sampled_at: float) -> SimpleNamespace:
+    view = SimpleNamespace(
+        accepting=True,
+        load=SimpleNamespace(sampled_at=sampled_at),
+        sequences=lambda: 1,
+    )
+    return SimpleNamespace(name=name, view=view, reservations=0)
+
+
+@pytest.mark.parametrize('sampled_at', [0, -100])
+async def test_engine_whose_last_report_has_a_sequence_for_good(
+    sampled_at,
+) -> None:
+    """The report was taken while the suspect itself was still running."""
+    link = make_link('engine-3', sampled_at)
+    guard = make_guard(link)
+
+    async with asyncio.timeout(30):
+        async with guard.reserve(CALL, ()) as reserved:
+            assert reserved is None
+
+    assert link.reservations == 0
