Soak: note faults through one method of the ledger

Three modules put the same record together, and a check worked out anew whether a fault was in force in a span.

--- a/soak/src/geranium_soak/checks/calm.py
+++ b/soak/src/geranium_soak/checks/calm.py
@@ -115,8 +115,7 @@
     since = sent.at - bounds.contact_s
     until = end.at + LEFT_SLACK_S
     return not any(
-        disruption.begun_at <= until and disruption.ended_at >= since
-        for disruption in ledger.disruptions
+        disruption.overlaps(since, until) for disruption in ledger.disruptions
     )
 
 
--- a/soak/src/geranium_soak/fleet.py
+++ b/soak/src/geranium_soak/fleet.py
@@ -20,7 +20,7 @@
 from geranium_standins.settings import MS_PER_S
 
 from .faults import LinkFault, TargetFault
-from .observations import Disruption, Ledger, now
+from .observations import Ledger, now
 from .overlays import Overlay
 from .seats import Seat, SeatEntries
 
@@ -186,15 +186,7 @@
         self._note(faults.mode.value, seat, begun_at)
 
     def _note(self, what: str, seat: Seat, begun_at: float) -> None:
-        self._ledger.disruptions.append(
-            Disruption(
-                f'target {what}',
-                frozenset((seat.name,)),
-                planned=False,
-                begun_at=begun_at,
-                ended_at=now(),
-            ),
-        )
+        self._ledger.note_disruption(f'target {what}', seat.name, begun_at)
 
 
 def work_faults(fault: TargetFault, share: float) -> WorkFaults:
--- a/soak/src/geranium_soak/host_process.py
+++ b/soak/src/geranium_soak/host_process.py
@@ -15,7 +15,7 @@
     render_settings,
 )
 
-from .observations import Disruption, Ledger, now
+from .observations import Ledger, now
 
 HOSTS_NETWORK = '127.0.1'  # of the loopback, up to 254 hosts
 RESTART_S = 0.3  # from the end of a process to the start of the next
@@ -147,15 +147,7 @@
             await asyncio.sleep(for_s)
         finally:
             self._signal(signal.SIGCONT)
-            self._ledger.disruptions.append(
-                Disruption(
-                    'paused',
-                    frozenset((self.name,)),
-                    planned=False,
-                    begun_at=begun_at,
-                    ended_at=now(),
-                ),
-            )
+            self._ledger.note_disruption('paused', self.name, begun_at)
 
     async def close(self) -> int | None:
         """Stop the host for good and return its exit code.
@@ -223,12 +215,9 @@
     def _note_ends(self) -> None:
         while self._begun:
             what, planned, begun_at = self._begun.popleft()
-            self._ledger.disruptions.append(
-                Disruption(
-                    what,
-                    frozenset((self.name,)),
-                    planned,
-                    begun_at,
-                    now(),
-                ),
+            self._ledger.note_disruption(
+                what,
+                self.name,
+                begun_at,
+                planned=planned,
             )
--- a/soak/src/geranium_soak/observations.py
+++ b/soak/src/geranium_soak/observations.py
@@ -172,8 +172,10 @@
 
     def touches(self, subject: str, since: float, until: float) -> bool:
         """Say whether it hit a subject within a span of time."""
-        if subject not in self.subjects:
-            return False
+        return subject in self.subjects and self.overlaps(since, until)
+
+    def overlaps(self, since: float, until: float) -> bool:
+        """Say whether it was in force at some time of a span."""
         return self.begun_at <= until and self.ended_at >= since
 
 
@@ -207,6 +209,19 @@
         self.calm = Span(math.inf, math.inf)
         self.unix_offset_s = time.time() - now()
 
+    def note_disruption(
+        self,
+        what: str,
+        subject: str,
+        begun_at: float,
+        *,
+        planned: bool = False,
+    ) -> None:
+        """Note a fault that has ended now."""
+        self.disruptions.append(
+            Disruption(what, frozenset((subject,)), planned, begun_at, now()),
+        )
+
     def runs(self, identity: str) -> list[Arrival]:
         """Return the arrivals of a request that ran."""
         return [
--- a/soak/src/geranium_soak/world.py
+++ b/soak/src/geranium_soak/world.py
@@ -27,7 +27,7 @@
 from .faults import LinkFault, StoreFault
 from .fleet import SoakFleet
 from .host_process import HostProcess, choose_place
-from .observations import STORE, Change, Disruption, Ledger, now
+from .observations import STORE, Change, Ledger, now
 from .overlays import Overlay
 from .witnesses import TargetWitness, provider_call
 
@@ -139,7 +139,7 @@
             await asyncio.gather(harming, self.fleet.lapse(for_s))
         else:
             await harming
-        self._note(fault.value, STORE, begun_at)
+        self.ledger.note_disruption(fault.value, STORE, begun_at)
 
     async def cut_store_link(
         self,
@@ -151,22 +151,13 @@
         begun_at = now()
         switches = RelayFaults(RelayMode(fault.value))
         await self._link_harm_by_host[host.name].hold(switches, for_s)
-        self._note(f'store link {fault.value}', host.name, begun_at)
+        self.ledger.note_disruption(
+            f'store link {fault.value}', host.name, begun_at
+        )
 
     def _apply_to_store(self, faults: Faults) -> None:
         self._store.faults = faults
 
-    def _note(self, what: str, subject: str, begun_at: float) -> None:
-        self.ledger.disruptions.append(
-            Disruption(
-                what,
-                frozenset((subject,)),
-                planned=False,
-                begun_at=begun_at,
-                ended_at=now(),
-            ),
-        )
-
     async def _add_targets(self) -> None:
         zones = itertools.cycle(ZONES)
         stages = itertools.cycle(STAGES)
