Decision log: streams that end without framing or inside an event

An engine may send a stream without a length or chunks, which ends with its connection. Nothing in the logs said so: `ended` reads `Delivered` for a whole answer and for one that was broken off, and `attempt_failed` knows resets alone.

`stream_ended` names the target, whether the body was framed and whether it ended inside an event, for streams whose framing doesn't explain their end. No line is written for other streams.

--- a/packages/geranium-relay/src/geranium_relay/event_framer.py
+++ b/packages/geranium-relay/src/geranium_relay/event_framer.py
@@ -4,6 +4,27 @@
 
 _END = re.compile(rb'\r?\n\r?\n')
 _IDENTITY = re.compile(rb'^id:[ ]?([^\r\n]*)', re.MULTILINE)
+_EVENT_ENDS = (b'\n\n', b'\n\r\n')
+_LONGEST_END_BYTES = 3
+
+
+class StreamTail:
+    """Tells whether a byte stream ends with a complete event."""
+
+    def __init__(self) -> None:
+        self._last_bytes = b''
+
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the received bytes end inside an event.
+
+        Also true if nothing has been received.
+        """
+        return not self._last_bytes.endswith(_EVENT_ENDS)
+
+    def feed(self, chunk: bytes) -> None:
+        """Add received bytes."""
+        self._last_bytes = (self._last_bytes + chunk)[-_LONGEST_END_BYTES:]
 
 
 class EventFramer:
--- a/packages/geranium-relay/src/geranium_relay/ports.py
+++ b/packages/geranium-relay/src/geranium_relay/ports.py
@@ -8,9 +8,14 @@
 
 
 class TargetResponse(Protocol):
-    """A response whose head has arrived."""
+    """A response whose head has arrived.
+
+    ``framed`` says that the body has a length or chunks. Otherwise it ends
+    with the connection, also if the target broke it off.
+    """
 
     head: ResponseHead
+    framed: bool
 
     def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives.
--- a/packages/geranium-relay/src/geranium_relay/request_recorder.py
+++ b/packages/geranium-relay/src/geranium_relay/request_recorder.py
@@ -93,6 +93,20 @@
             started=started,
         )
 
+    def record_stream_end(
+        self, attempt: Attempt, *, framed: bool, inside_event: bool
+    ) -> None:
+        """Record an end that the framing of the stream doesn't explain."""
+        if framed and not inside_event:
+            return
+        self._context.log.record(
+            'stream_ended',
+            request=self._job.arrival.identity,
+            target=attempt.target.key,
+            framed=framed,
+            inside_event=inside_event,
+        )
+
     def count(self) -> None:
         """Count the request for usage, at most once."""
         if self._counted or self._job.team is None:
--- a/packages/geranium-relay/src/geranium_relay/response_forwarder.py
+++ b/packages/geranium-relay/src/geranium_relay/response_forwarder.py
@@ -5,7 +5,7 @@
 
 from .attempts import ResponseTimeouts
 from .call_errors import TargetSilentError
-from .event_framer import EventFramer
+from .event_framer import EventFramer, StreamTail
 from .messages import ResponseHead
 from .outcomes import CutOff, Delivered, Outcome
 from .ports import ResponseSink, TargetResponse
@@ -32,6 +32,7 @@
         self._resumable = resumable
         self._resume_after = resume_after
         self._events = EventFramer()
+        self._tail = StreamTail()
         self.started = False
 
     @property
@@ -39,6 +40,11 @@
         """Id of the last event that the caller has received."""
         return self._events.last_event_id or self._resume_after
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the last stream has ended inside an event."""
+        return self._tail.is_inside_event
+
     def can_resume(self) -> bool:
         """Return whether another target can continue the stream."""
         return not self.started or self._events.last_event_id is not None
@@ -72,11 +78,13 @@
             RelayError: If the stream is cut or exceeds a timeout.
         """
         begun = False
+        self._tail = StreamTail()
         chunks = _TimedChunks(response, timeouts)
         async for chunk in chunks:
             if not begun:
                 begun = True
                 record_first_chunk()
+            self._tail.feed(chunk)
             events = self._events.feed(chunk) if self._resumable else chunk
             if events:
                 chunks.restart_timeout()
--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -228,10 +228,8 @@
             raise AnswerLostError('success without signature')
         self._recorder.count()
         if self._job.route.kind is RouteKind.STREAM and head.succeeded:
-            return await self._forwarder.forward_stream(
-                response,
-                timeouts,
-                lambda: self._recorder.record_begun(attempt, dispatch),
+            return await self._forward_stream(
+                response, attempt, dispatch, timeouts
             )
         body = b''.join([chunk async for chunk in response.chunks()])
         self._recorder.record_begun(attempt, dispatch)
@@ -242,6 +240,26 @@
                 return None
         return await self._forwarder.forward_whole(head, body)
 
+    async def _forward_stream(
+        self,
+        response: TargetResponse,
+        attempt: Attempt,
+        dispatch: Dispatch,
+        timeouts: ResponseTimeouts,
+    ) -> Outcome:
+        try:
+            return await self._forwarder.forward_stream(
+                response,
+                timeouts,
+                lambda: self._recorder.record_begun(attempt, dispatch),
+            )
+        finally:
+            self._recorder.record_stream_end(
+                attempt,
+                framed=response.framed,
+                inside_event=self._forwarder.is_inside_event,
+            )
+
     async def _handle_failure(
         self,
         attempt: Attempt,
--- a/packages/geranium-relay/tests/world.py
+++ b/packages/geranium-relay/tests/world.py
@@ -23,6 +23,7 @@
         error: Exception | None = None,
     ) -> None:
         self.head = head
+        self.framed = True
         self.closed = False
         self._chunks = chunks
         self._error = error
