--- a/packages/geranium-relay/tests/test_runs.py
+++ b/packages/geranium-relay/tests/test_runs.py
@@ -21,6 +21,7 @@
     trickling,
 )
 
+CUT_EVENT = EVENTS[1][:-1]
 QUICK = relay.RunSettings(stream_silence_s=0.2, max_silent_gaps=0)
 
 
@@ -283,3 +284,28 @@
     call = world.targets.calls[0]
     assert call.target.key != world.targets.chosen
     assert call.fetch_from is not None
+
+
+async def test_stream_ended_inside_an_event_continues_elsewhere() -> None:
+    """A stream without framing ends with its connection, also if cut."""
+    world = World(
+        answer(EVENTS[0], CUT_EVENT),
+        answer(*EVENTS[1:]),
+        engines=True,
+    )
+    prompt = relay.Prompt(10, 3, (relay.PromptPart('p', 10),))
+
+    outcome, sink = await world.serve('resumable', prompt=prompt)
+
+    assert outcome == relay.Delivered(200)
+    assert sink.data == b''.join(EVENTS)
+    assert world.targets.calls[1].resume_after == '1'
+
+
+async def test_stream_that_ends_inside_an_event_ends_cut() -> None:
+    world = World(answer(EVENTS[0], CUT_EVENT))
+
+    outcome, sink = await world.serve('stream')
+
+    assert isinstance(outcome, relay.CutOff)
+    assert not sink.finished
--- /dev/null
+++ b/tests/adapter/test_broken_streams.py
@@ -0,0 +1,81 @@
+"""A target breaks off a stream that has neither a length nor chunks."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import aiohttp
+import pytest
+
+from .conftest import target_entry
+from .waits import wait_for
+
+EVENTS = (b'id: 1\ndata: a\n\n', b'id: 2\ndata: b\n\n')
+
+
+class UnframedTarget:
+    """Answers each request with a body that ends with its connection."""
+
+    def __init__(self) -> None:
+        self.body = b''
+        self.runs = 0
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer the request of a connection and close it."""
+        await reader.readuntil(b'\r\n\r\n')
+        self.runs += 1
+        writer.write(b'HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n\r\n')
+        writer.write(self.body)
+        await writer.drain()
+        writer.close()
+
+
+@pytest.fixture
+async def unframed(world) -> AsyncIterator[UnframedTarget]:
+    """Replace the target of the world by one without framing."""
+    target = UnframedTarget()
+    server = await asyncio.start_server(target.serve, '127.0.0.1', 0)
+    host, port = server.sockets[0].getsockname()[:2]
+    world.store.put('servers', 't2', target_entry(f'{host}:{port}'))
+    world.store.remove('servers', 't1')
+
+    async def is_known() -> bool:
+        fleet = world.host.state.fleet
+        return list(fleet.targets_by_identity) == ['t2']
+
+    await wait_for(is_known)
+    yield target
+    server.close()
+
+
+async def test_stream_that_closes_inside_an_event_is_not_framed_as_complete(
+    world, unframed
+) -> None:
+    unframed.body = EVENTS[0] + EVENTS[1][:-3]
+
+    async with world.caller.post(
+        world.url('/streaming/x'), headers=world.headers()
+    ) as response:
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await response.read()
+
+
+async def test_stream_that_closes_before_its_first_event_fails(
+    world, unframed
+) -> None:
+    async with world.caller.post(
+        world.url('/streaming/x'), headers=world.headers()
+    ) as response:
+        assert response.status == 502
+
+
+async def test_stream_that_closes_after_an_event_is_complete(
+    world, unframed
+) -> None:
+    unframed.body = b''.join(EVENTS)
+
+    async with world.caller.post(
+        world.url('/streaming/x'), headers=world.headers()
+    ) as response:
+        assert await response.read() == unframed.body
