Streams: one that ends inside an event has been broken off

An engine sent a stream with neither a length nor chunks and closed its connection inside an event.

Cause: the end of the connection was taken for the end of the body. The class of fault: an end of input taken for completeness, without asking whether what was read is complete.

A stream that ends inside an event now counts as cut, whatever its framing, and so does one without framing that has no event at all: it is resumed at another target where the route allows, else the caller's connection is closed.

--- a/packages/geranium-relay/src/geranium_relay/event_framer.py
+++ b/packages/geranium-relay/src/geranium_relay/event_framer.py
@@ -48,12 +48,6 @@
         self._record_event_id(whole)
         return whole
 
-    def take_rest(self) -> bytes:
-        """Return and clear the bytes after the last complete event."""
-        rest = self._rest
-        self.drop_rest()
-        return rest
-
     def drop_rest(self) -> None:
         """Discard an incomplete event."""
         self._rest = b''
--- a/packages/geranium-relay/src/geranium_relay/response_forwarder.py
+++ b/packages/geranium-relay/src/geranium_relay/response_forwarder.py
@@ -4,7 +4,7 @@
 from collections.abc import AsyncIterator, Callable
 
 from .attempts import ResponseTimeouts
-from .call_errors import TargetSilentError
+from .call_errors import AnswerLostError, TargetSilentError
 from .event_framer import EventFramer, StreamTail
 from .messages import ResponseHead
 from .outcomes import CutOff, Delivered, Outcome
@@ -72,7 +72,8 @@
         """Forward a stream as it arrives.
 
         A stream that may be resumed must go on with complete events in time:
-        bytes that complete none are no progress.
+        bytes that complete none are no progress. A stream that ends inside an
+        event has been cut, and so has one without framing and any event.
 
         Raises:
             RelayError: If the stream is cut or exceeds a timeout.
@@ -89,12 +90,18 @@
             if events:
                 chunks.restart_timeout()
             await self._write(response.head, events)
+        if self._is_broken_off(response, begun=begun):
+            raise AnswerLostError('stream ended inside an event', broken=True)
         if not self.started:
             await self._start(response.head)
-        await self._write(response.head, self._events.take_rest())
         await self._sink.finish()
         return Delivered(response.head.status)
 
+    def _is_broken_off(self, response: TargetResponse, *, begun: bool) -> bool:
+        if begun:
+            return self._tail.is_inside_event
+        return not response.framed
+
     async def _write(self, head: ResponseHead, data: bytes) -> None:
         if not data:
             return
