Target bodies: a reset of an unframed one is a lost answer, in the daemon too

Looked at and sound: streams of the daemon's engines end with their last event; store and report documents are JSON, a part of which does not parse.

`resends` becomes `http_connections`: both things that the client library hides.

--- a/packages/geranium-relay/src/geranium_relay/__init__.py
+++ b/packages/geranium-relay/src/geranium_relay/__init__.py
@@ -29,6 +29,7 @@
 from .duty_tasks import DutyTasks
 from .event_framer import EventFramer
 from .host_registry import Directory, HostRegistry, RegistrySettings
+from .http_connections import ConnectionLostError, ResponseEnd, send_once
 from .load_tracker import Dispatch, LoadTracker, TargetLoad
 from .messages import (
     CacheHandle,
@@ -76,7 +77,6 @@
     TargetOrder,
 )
 from .relay import Relay, RelaySettings
-from .resends import ConnectionLostError, send_once
 from .run_context import RetryShares, RunContext
 from .run_settings import RunSettings
 from .shared_reads import (
@@ -170,6 +170,7 @@
     'Relay',
     'RelayError',
     'RelaySettings',
+    'ResponseEnd',
     'ResponseHead',
     'ResponseSink',
     'RetryShares',
--- a/packages/geranium-relay/src/geranium_relay/store_http_client.py
+++ b/packages/geranium-relay/src/geranium_relay/store_http_client.py
@@ -14,7 +14,7 @@
 import aiohttp
 from geranium_coordination import AnswerLostError, UnavailableError
 
-from .resends import send_once
+from .http_connections import send_once
 
 CallObserver = Callable[[str, str], None]
 _NO_RESPONSE_ERRORS = (TimeoutError, aiohttp.ClientError, ConnectionError)
--- a/packages/geraniumd/src/geraniumd/backends/transport.py
+++ b/packages/geraniumd/src/geraniumd/backends/transport.py
@@ -4,7 +4,11 @@
 from http import HTTPStatus
 
 import aiohttp
-from geranium_relay.resends import ConnectionLostError, send_once
+from geranium_relay.http_connections import (
+    ConnectionLostError,
+    ResponseEnd,
+    send_once,
+)
 
 from ..process import (
     TargetFailedError,
@@ -114,10 +118,14 @@
     Raises:
         TargetLostError: If it ends early or exceeds the time limit.
     """
+    end = ResponseEnd(response)
     try:
-        return await response.read()
+        body = await response.read()
     except (TimeoutError, aiohttp.ClientError) as error:
         raise TargetLostError(repr(error)) from error
+    if end.was_reset():
+        raise TargetLostError('the connection was reset inside the body')
+    return body
 
 
 async def raise_for_status(response: aiohttp.ClientResponse) -> None:
