--- a/packages/geranium-relay/src/geranium_relay/run_context.py
+++ b/packages/geranium-relay/src/geranium_relay/run_context.py
@@ -9,7 +9,7 @@
 from .catalogue import Team
 from .decision_log import DecisionLog
 from .load_tracker import LoadTracker
-from .messages import IncomingRequest
+from .messages import IncomingRequest, PromptPart
 from .peer_updates import Outbox
 from .ports import TargetPort
 from .target_selector import TargetSelector
@@ -76,6 +76,11 @@
     clock: Callable[[], float]
 
 
+def shared_parts(arrival: IncomingRequest) -> tuple[PromptPart, ...]:
+    """Return the parts of a prompt that other requests may have too."""
+    return () if arrival.prompt is None else arrival.prompt.parts[:-1]
+
+
 def fingerprint_of(arrival: IncomingRequest, team: Team | None) -> int:
     """Return the fingerprint of a request's team, path and body."""
     name = team.name if team else ''
--- a/packages/geranium-relay/src/geranium_relay/suspicion.py
+++ b/packages/geranium-relay/src/geranium_relay/suspicion.py
@@ -1,7 +1,7 @@
 """Records requests that are suspected of crashing a target."""
 
 from .messages import Job
-from .run_context import RunContext, fingerprint_of
+from .run_context import RunContext, fingerprint_of, shared_parts
 from .targets import Target
 
 
@@ -23,4 +23,5 @@
         request=job.arrival.identity,
         target=target.key,
         fingerprint=fingerprint,
+        parts=[part.identity for part in shared_parts(job.arrival)],
     )
