Crashes: attribute them to the part that the requests had in common

Cause: a crash was remembered by a hash of team, path and body. These requests have bodies of their own, so each was new: 59 `request_suspected` with 47 hashes, and not one refusal. The class of fault: a breaker keyed by what the harmful calls don't share.

Ruled out: crashes that aren't noticed (each of the 54 requests that lost its answer is suspected in the logs) and notices that come late (the crashes go on for tens of seconds).

`CrashCauses` keeps crashes by the shared parts of prompts too. A part under which three targets have crashed since any request with it was completed is a cause. Causes are found one after the other, each of crashes that no earlier one explains, so that parts beside the harmful one aren't blamed; parts that can't be told apart are a cause only together; a part known to be sound needs three separate moments, as many targets may end at once. A completed request clears its parts, also at peers. A request is checked before each send, and between prefill and generation. Evidence expires after 300 s.

--- a/packages/geranium-emulator/src/geranium_emulator/days.py
+++ b/packages/geranium-emulator/src/geranium_emulator/days.py
@@ -5,6 +5,7 @@
 import random
 
 import geranium_relay as relay
+from geranium_policy.crash_causes import RequestFingerprints
 
 from .clusters import SERVICE, Cluster
 from .hosts import EmulatedHost, EmulatedRequest, EmulationContext
@@ -158,7 +159,14 @@
         )
         route = _route(requests)
         deadline = at + requests.deadline_s
-        job = relay.Job(arrival, route, SERVICE, None, deadline)
+        job = relay.Job(
+            arrival,
+            route,
+            SERVICE,
+            None,
+            deadline,
+            RequestFingerprints(0),
+        )
         return EmulatedRequest(requests, job, at)
 
     def _send_target_list(self) -> None:
--- /dev/null
+++ b/packages/geranium-policy/src/geranium_policy/crash_causes.py
@@ -0,0 +1,215 @@
+"""Attribution of target crashes to what the requests under them had in common.
+
+A part of a prompt may crash each target that runs a request with it. Such
+requests have nothing else in common, so rejecting each after its own crashes
+does not stop them. Other requests were running on the targets too, and share
+further parts with the harmful ones; they must be served.
+"""
+
+import collections
+import dataclasses
+import math
+from collections.abc import Collection, Iterable, Mapping, Sequence, Set
+from typing import TypeAlias
+
+from .suspects import CrashNotice, SuspectRegister, Verdict
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashCauseSettings:
+    """When crashes are attributed to a cause.
+
+    Args:
+        min_crashes: Crashes that a cause must explain.
+        moment_s: Crashes of a sound part that are this close together count
+            as one: many targets may end at once for reasons of their own.
+        evidence_s: Time after which a crash is no evidence any more, so that
+            a wrong conclusion does not last.
+        max_sound_parts: Maximum number of parts known to be sound. The least
+            recently completed are dropped first.
+    """
+
+    min_crashes: int = 3
+    moment_s: float = 0.25
+    evidence_s: float = 300
+    max_sound_parts: int = 8192
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestFingerprints:
+    """Hashes that identify a request and the parts it may share with others."""
+
+    request: int
+    parts: tuple[int, ...] = ()
+
+    @property
+    def every(self) -> tuple[int, ...]:
+        """The hash of the request, then those of its parts."""
+        return self.request, *self.parts
+
+
+_CrashedAtById: TypeAlias = Mapping[str, float]
+
+
+class CrashCauses:
+    """Finds the parts that crash targets, and rejects requests with them.
+
+    A completed request clears its parts of the crashes known so far. Parts
+    that can't be told apart, as all crashes happened under both, are a cause
+    only together.
+
+    Args:
+        settings: When crashes are attributed.
+        register: The crashes known to this host.
+    """
+
+    def __init__(
+        self, settings: CrashCauseSettings, register: SuspectRegister
+    ) -> None:
+        self._settings = settings
+        self._register = register
+        self._sound_parts = collections.OrderedDict[int, None]()
+        self._causes: tuple[frozenset[int], ...] = ()
+        self._revision = register.revision
+        self._expires_at = math.inf
+
+    def rejects(self, fingerprints: RequestFingerprints, now: float) -> bool:
+        """Return whether a request would crash the target that runs it."""
+        verdict = self._register.verdict(fingerprints.request, now)
+        if verdict is Verdict.REJECT:
+            return True
+        known = frozenset(fingerprints.every)
+        return any(cause <= known for cause in self._current_causes(now))
+
+    def record_crash(
+        self, fingerprints: RequestFingerprints, crash_id: str, now: float
+    ) -> tuple[CrashNotice, ...]:
+        """Record that a target crashed under a request.
+
+        Returns:
+            Notices to send to peers immediately.
+        """
+        return self._register.record_crash(fingerprints.every, crash_id, now)
+
+    def record_completion(
+        self, fingerprints: RequestFingerprints, now: float
+    ) -> tuple[CrashNotice, ...]:
+        """Record that a request was completed.
+
+        Returns:
+            Notices to send to peers immediately.
+        """
+        for part in fingerprints.parts:
+            self._sound_parts[part] = None
+            self._sound_parts.move_to_end(part)
+        while len(self._sound_parts) > self._settings.max_sound_parts:
+            self._sound_parts.popitem(last=False)
+        return tuple(
+            notice
+            for fingerprint in fingerprints.every
+            for notice in self._register.clear(fingerprint, now)
+        )
+
+    def _current_causes(self, now: float) -> tuple[frozenset[int], ...]:
+        revision = self._register.revision
+        if revision != self._revision or now >= self._expires_at:
+            self._revision = revision
+            self._causes = tuple(self._find_causes(now))
+        return self._causes
+
+    def _find_causes(self, now: float) -> Iterable[frozenset[int]]:
+        """Yield causes, each of crashes that no earlier one explains.
+
+        Parts that are not known to be sound come first: they explain the
+        crashes of sound parts that were in the same requests.
+        """
+        crashes_by_fingerprint = self._evidence(now)
+        explained: set[str] = set()
+        sound = [
+            fingerprint
+            for fingerprint in crashes_by_fingerprint
+            if fingerprint in self._sound_parts
+        ]
+        unproven = crashes_by_fingerprint.keys() - set(sound)
+        for suspects in (unproven, sound):
+            while cause := self._find_cause(
+                suspects, crashes_by_fingerprint, explained
+            ):
+                explained.update(crashes_by_fingerprint[next(iter(cause))])
+                yield cause
+
+    def _evidence(self, now: float) -> dict[int, dict[str, float]]:
+        """Return the recent crashes of what enough of them happened under."""
+        oldest = now - self._settings.evidence_s
+        self._expires_at = math.inf
+        crashes_by_fingerprint: dict[int, dict[str, float]] = {}
+        for crash in self._register.active_crashes(now):
+            if crash.crashed_at > oldest:
+                crashes = crashes_by_fingerprint.setdefault(
+                    crash.fingerprint, {}
+                )
+                crashes[crash.crash_id] = crash.crashed_at
+                self._expires_at = min(
+                    self._expires_at,
+                    crash.crashed_at + self._settings.evidence_s,
+                )
+        return {
+            fingerprint: crashes
+            for fingerprint, crashes in crashes_by_fingerprint.items()
+            if len(crashes) >= self._settings.min_crashes
+        }
+
+    def _find_cause(
+        self,
+        suspects: Collection[int],
+        crashes_by_fingerprint: Mapping[int, _CrashedAtById],
+        explained: Set[str],
+    ) -> frozenset[int]:
+        """Return the suspects with the most crashes; empty if none has enough.
+
+        It is empty too if several have as many, not all in common: the next
+        crash will tell.
+        """
+        unexplained_by_suspect = {
+            suspect: frozenset(crashes_by_fingerprint[suspect]) - explained
+            for suspect in suspects
+        }
+        weight_by_suspect = {
+            suspect: self._weigh(
+                suspect,
+                [crashes_by_fingerprint[suspect][one] for one in crashes],
+            )
+            for suspect, crashes in unexplained_by_suspect.items()
+        }
+        most = max(weight_by_suspect.values(), default=0)
+        if most < self._settings.min_crashes:
+            return frozenset()
+        heaviest = [
+            suspect
+            for suspect, weight in weight_by_suspect.items()
+            if weight == most
+        ]
+        crashes = unexplained_by_suspect[heaviest[0]]
+        alike = {
+            suspect
+            for suspect in heaviest
+            if unexplained_by_suspect[suspect] == crashes
+        }
+        if any(
+            unexplained_by_suspect[suspect] & crashes
+            for suspect in heaviest
+            if suspect not in alike
+        ):
+            return frozenset()
+        return frozenset(alike)
+
+    def _weigh(self, suspect: int, crashed_at: Sequence[float]) -> int:
+        if suspect not in self._sound_parts:
+            return len(crashed_at)
+        moments = 0
+        moment_ends_at = -math.inf
+        for instant in sorted(crashed_at):
+            if instant > moment_ends_at:
+                moments += 1
+                moment_ends_at = instant + self._settings.moment_s
+        return moments
--- a/packages/geranium-policy/src/geranium_policy/suspects.py
+++ b/packages/geranium-policy/src/geranium_policy/suspects.py
@@ -9,7 +9,7 @@
 import collections
 import dataclasses
 import enum
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Iterator
 from typing import TypeAlias
 
 import xxhash
@@ -85,9 +85,13 @@
 
 
 class SuspectRegister:
-    """Records which requests were running when targets crashed."""
+    """Records which requests were running when targets crashed.
+
+    ``revision`` rises with each change.
+    """
 
     def __init__(self, settings: SuspectSettings) -> None:
+        self.revision = 0
         self._settings = settings
         self._crashes_by_key = _CrashesByKey()
         self._keys_by_fingerprint: dict[int, set[_Key]] = {}
@@ -159,6 +163,13 @@
             return Verdict.REJECT
         return Verdict.RUN_ISOLATED if crashes else Verdict.RUN
 
+    def active_crashes(self, now: float) -> Iterator[Crash]:
+        """Yield the crashes that count and are not cleared."""
+        oldest = now - self._settings.retention_s
+        for crash in self._crashes_by_key.values():
+            if crash.crashed_at > oldest and not crash.cleared:
+                yield crash
+
     def _active_crashes(self, fingerprint: int, now: float) -> list[Crash]:
         oldest = now - self._settings.retention_s
         crashes = [
@@ -192,6 +203,9 @@
                 min(known.crashed_at, crash.crashed_at),
                 known.cleared or crash.cleared,
             )
+        if crash == known:
+            return
+        self.revision += 1
         self._crashes_by_key[key] = crash
         keys = self._keys_by_fingerprint.setdefault(crash.fingerprint, set())
         keys.add(key)
--- a/packages/geranium-relay/src/geranium_relay/messages.py
+++ b/packages/geranium-relay/src/geranium_relay/messages.py
@@ -5,6 +5,8 @@
 from http import HTTPStatus
 from typing import TypeAlias
 
+from geranium_policy.crash_causes import RequestFingerprints
+
 from .catalogue import Route, Team
 from .targets import Target
 
@@ -98,6 +100,7 @@
         service: The service that runs it.
         team: The team of its key, if the route requires a key.
         deadline: When its run ends.
+        fingerprints: Identify it and its shared parts when targets crash.
         due_at: When its first token is due, counted from the caller's first
             attempt; ``inf`` if unknown.
     """
@@ -107,6 +110,7 @@
     service: str
     team: Team | None
     deadline: float
+    fingerprints: RequestFingerprints
     due_at: float = math.inf
 
     @property
--- a/packages/geranium-relay/src/geranium_relay/peer_updates.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_updates.py
@@ -28,6 +28,7 @@
 
 MAX_DISPATCHES = 160  # keeps a datagram below 64 kB
 CRASH_REPEAT_S = 2.0  # crashes are repeated since datagrams may be lost
+MAX_CRASHES = 300  # keeps a datagram below 64 kB
 _HASH_CACHE_SIZE = 4096  # keys
 
 KeysByHash: TypeAlias = Mapping[int, str]
@@ -122,7 +123,9 @@
             audience: collections.deque[DispatchNotice](maxlen=MAX_DISPATCHES)
             for audience in Audience
         }
-        self._crashes: list[tuple[float, CrashNotice]] = []
+        self._crashes = collections.deque[tuple[float, CrashNotice]](
+            maxlen=MAX_CRASHES
+        )
 
     def record_dispatch(self, key: str, parts: Sequence[PromptPart]) -> None:
         """Queue a prompt that was sent to a target.
@@ -160,7 +163,8 @@
         dispatches = self._dispatches_by_audience[audience]
         dispatched = tuple(dispatches)
         dispatches.clear()
-        self._crashes = [known for known in self._crashes if known[0] > now]
+        while self._crashes and self._crashes[0][0] <= now:
+            self._crashes.popleft()
         return dispatched, tuple(notice for _, notice in self._crashes)
 
 
--- a/packages/geranium-relay/src/geranium_relay/relay.py
+++ b/packages/geranium-relay/src/geranium_relay/relay.py
@@ -6,14 +6,13 @@
 import random
 
 from geranium_policy.caller_waits import CallerWaitEstimator, CallerWaitSettings
-from geranium_policy.suspects import Verdict
 
 from .catalogue import Route, Team
 from .catalogue_view import CatalogueView
 from .messages import IncomingRequest, Job
 from .outcomes import Outcome, Refused, UnknownKey, UnknownRoute
 from .ports import ResponseSink
-from .run_context import RunContext, fingerprint_of
+from .run_context import RunContext, fingerprints_of
 from .run_settings import RunSettings
 from .runs import Run
 
@@ -26,12 +25,10 @@
         run: Limits of one request.
         unready_retry_s: Retry delay for callers of a host without a fresh
             catalogue. Another host may have one already.
-        suspect_retry_s: Retry delay for a request that crashed targets.
     """
 
     run: RunSettings
     unready_retry_s: float = 0.5
-    suspect_retry_s: float = 30
 
 
 class Relay:
@@ -149,12 +146,6 @@
         route: Route,
         team: Team | None,
     ) -> Job | Refused:
-        verdict = self._context.suspects.verdict(
-            fingerprint_of(arrival, team),
-            self._context.clock(),
-        )
-        if verdict is Verdict.REJECT:
-            return Refused('crashed targets', self._settings.suspect_retry_s)
         service = self._pick_service(route)
         if service is None:
             return Refused('no service', self._settings.unready_retry_s)
@@ -165,6 +156,7 @@
             service,
             team,
             min(arrival.caller_deadline, own_deadline),
+            fingerprints_of(arrival, team, service),
             self._due_at(arrival, route),
         )
 
--- a/packages/geranium-relay/src/geranium_relay/run_context.py
+++ b/packages/geranium-relay/src/geranium_relay/run_context.py
@@ -3,8 +3,9 @@
 import dataclasses
 from collections.abc import Callable
 
+from geranium_policy.crash_causes import CrashCauses, RequestFingerprints
 from geranium_policy.retry_share import RetryShare, RetryShareSettings
-from geranium_policy.suspects import SuspectRegister, request_fingerprint
+from geranium_policy.suspects import request_fingerprint
 
 from .catalogue import Team
 from .decision_log import DecisionLog
@@ -68,7 +69,7 @@
     selector: TargetSelector
     loads: LoadTracker
     retries: RetryShares
-    suspects: SuspectRegister
+    crash_causes: CrashCauses
     outbox: Outbox
     usage: UsageCounter
     log: DecisionLog
@@ -81,7 +82,19 @@
     return () if arrival.prompt is None else arrival.prompt.parts[:-1]
 
 
-def fingerprint_of(arrival: IncomingRequest, team: Team | None) -> int:
-    """Return the fingerprint of a request's team, path and body."""
+def fingerprints_of(
+    arrival: IncomingRequest, team: Team | None, service: str
+) -> RequestFingerprints:
+    """Return the fingerprints of a request and of its shared parts.
+
+    The first covers its team, path and body. A part is identified for its
+    service: another model may be sound with it.
+    """
     name = team.name if team else ''
-    return request_fingerprint(f'{name} {arrival.path}', arrival.body)
+    return RequestFingerprints(
+        request_fingerprint(f'{name} {arrival.path}', arrival.body),
+        tuple(
+            request_fingerprint(f'part {service}', part.identity.encode())
+            for part in shared_parts(arrival)
+        ),
+    )
--- a/packages/geranium-relay/src/geranium_relay/run_settings.py
+++ b/packages/geranium-relay/src/geranium_relay/run_settings.py
@@ -26,6 +26,8 @@
         prefill_timeout_factor: Timeout of a prefill as a multiple of its
             expected time, on top of ``stream_silence_s``.
         retry_after_s: Minimum delay before refused callers may retry.
+        crash_retry_s: Delay before a caller may retry a request that would
+            crash its target.
         min_time_left_s: A request with less time to its deadline is not sent.
     """
 
@@ -38,4 +40,5 @@
     first_token_timeout_factor: float = 3
     prefill_timeout_factor: float = 3
     retry_after_s: float = 0.25
+    crash_retry_s: float = 30
     min_time_left_s: float = 0.02
--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -25,7 +25,7 @@
 from .run_settings import RunSettings
 from .send_limit import SendLimit
 from .sending import open_response
-from .suspicion import suspect_request
+from .suspicion import clear_request, crash_refusal, suspect_request
 from .target_selector import NoEngine, Placement, TooBusy
 
 
@@ -92,6 +92,9 @@
         now = self._context.clock()
         if self._job.deadline - now < self._settings.min_time_left_s:
             return Refused('no time left', self._settings.retry_after_s)
+        refusal = crash_refusal(self._context, self._job, self._settings)
+        if refusal is not None:
+            return refusal
         decision = self._select()
         match decision:
             case Placement():
@@ -151,6 +154,11 @@
 
     async def _send(self, attempt: Attempt) -> Outcome | None:
         cache_handle = await self._prefill.read(self._job, attempt)
+        refusal = crash_refusal(self._context, self._job, self._settings)
+        if refusal is not None:
+            if cache_handle is not None:
+                await self._context.targets.drop_prompt(cache_handle)
+            return await self._final_outcome(refusal)
         if not self._context.selector.accepts_requests(attempt.target):
             attempt = await self._reselect_target(attempt, cache_handle)
         dispatch = Dispatch(
@@ -248,7 +256,7 @@
         timeouts: ResponseTimeouts,
     ) -> Outcome:
         try:
-            return await self._forwarder.forward_stream(
+            outcome = await self._forwarder.forward_stream(
                 response,
                 timeouts,
                 lambda: self._recorder.record_begun(attempt, dispatch),
@@ -259,6 +267,10 @@
                 framed=response.framed,
                 inside_event=self._forwarder.is_inside_event,
             )
+        if response.framed and not self._forwarder.is_inside_event:
+            # The end of a stream without framing may be that of its target.
+            clear_request(self._context, self._job)
+        return outcome
 
     async def _handle_failure(
         self,
--- a/packages/geranium-relay/tests/test_harmful_parts.py
+++ b/packages/geranium-relay/tests/test_harmful_parts.py
@@ -12,19 +12,21 @@
 REQUESTS = 20
 
 
-def run_prompt(call: relay.TargetCall) -> FakeAnswer:
-    """Crash under the harmful part, answer all other requests."""
-    prompt = call.job.arrival.prompt
-    if any(part.identity == HARMFUL for part in prompt.parts):
-        return cut()(call)
-    return answer(*EVENTS)(call)
-
-
 def make_world() -> World:
-    world = World(
-        *itertools.repeat(run_prompt, 3 * REQUESTS), engines=True, targets=30
-    )
+    """Return a world whose targets crash under the harmful part."""
+    world = World(engines=True, targets=30)
     world.targets.reachable = False
+
+    def run_prompt(call: relay.TargetCall) -> FakeAnswer:
+        parts = call.job.arrival.prompt.parts
+        if all(part.identity != HARMFUL for part in parts):
+            return answer(*EVENTS)(call)
+        left = dict(world.fleet.targets_by_identity)
+        left.pop(call.target.identity)
+        world.fleet.replace(list(left.values()), world.clock.now())
+        return cut()(call)
+
+    world.targets.add_scripts(*itertools.repeat(run_prompt, 3 * REQUESTS))
     return world
 
 
--- a/packages/geranium-relay/tests/test_ranks.py
+++ b/packages/geranium-relay/tests/test_ranks.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 import geranium_relay as relay
+from geranium_policy.crash_causes import RequestFingerprints
 from geranium_policy.stale_loads import StaleLoadSettings
 from geranium_relay.engine_loads import EngineLoads
 
@@ -25,7 +26,9 @@
         resume_after=None,
         prompt=PROMPT,
     )
-    return relay.Job(arrival, ROUTE, 'service', team, 102, due_at)
+    return relay.Job(
+        arrival, ROUTE, 'service', team, 102, RequestFingerprints(0), due_at
+    )
 
 
 def test_late_request_comes_after_the_least_urgent_of_those_in_time() -> None:
--- a/packages/geranium-relay/tests/world.py
+++ b/packages/geranium-relay/tests/world.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator, Callable, Sequence
 
 import geranium_relay as relay
+from geranium_policy.crash_causes import CrashCauses, CrashCauseSettings
 from geranium_policy.prompt_placement import Placement
 from geranium_policy.retry_share import RetryShareSettings
 from geranium_policy.suspects import SuspectRegister, SuspectSettings
@@ -302,7 +303,7 @@
             self.selector,
             loads,
             relay.RetryShares(RetryShareSettings(0.2, 56, 10), lambda: 1),
-            self.suspects,
+            CrashCauses(CrashCauseSettings(), self.suspects),
             relay.Outbox(),
             self.usage,
             log,
