Daemon: prompts that begin alike stop after three engines too

The guard uses `CrashCauses`; the parts are how the prompt begins, by 1, 2, 4 and so on blocks. A call that has not run is answered 503 "not run", with a time to come back.

--- a/packages/geraniumd/src/geraniumd/callers/completions.py
+++ b/packages/geraniumd/src/geraniumd/callers/completions.py
@@ -152,7 +152,9 @@
             case Verdict.RUN_ISOLATED:
                 return await self._attempt_isolated(run)
             case Verdict.REJECT:
-                return CRASHES_ENGINES
+                return self._guard.rejection(
+                    run.job.call, was_sent=run.attempts.was_sent
+                )
 
     async def _attempt_isolated(self, run: _Run) -> Outcome:
         """Make one attempt on an engine reserved for this call."""
@@ -186,6 +188,7 @@
                 return attempts.final_outcome('No engine available')
             failure = await self._attempt(run, selection)
             if failure is None:
+                self._guard.clear(run.job.call)
                 return Completed()
             if isinstance(failure, ServerError):
                 return _engine_failure(failure, attempts.detail)
--- a/packages/geraniumd/src/geraniumd/callers/suspects.py
+++ b/packages/geraniumd/src/geraniumd/callers/suspects.py
@@ -1,7 +1,8 @@
 """Limits the damage of requests that crash engines.
 
 A request that was running on an engine when it crashed is a suspect. Suspects
-run alone on an engine, so that a crash affects no other request.
+run alone on an engine, so that a crash affects no other request. Requests whose
+prompts begin alike may crash engines too, one after the other; they don't run.
 """
 
 import asyncio
@@ -9,8 +10,13 @@
 from contextlib import asynccontextmanager
 from http import HTTPStatus
 
-from geranium_model import NotRun, RanAndFailed
-from geranium_policy import SuspectRegister, Verdict, request_fingerprint
+from geranium_model import NotRun, Outcome, RanAndFailed
+from geranium_policy import Verdict, prefix_hashes, request_fingerprint
+from geranium_policy.crash_causes import (
+    CrashCauses,
+    CrashCauseSettings,
+    RequestFingerprints,
+)
 from geranium_policy.suspects import isolation_target
 
 from ..backends import EngineClient
@@ -18,6 +24,7 @@
 from ..state import Context, EngineEntry
 from .calls import CompletionCall
 
+HARMFUL_PROMPT_RETRY_S = 30
 CRASHES_ENGINES = RanAndFailed(
     'Crashes its engines',
     'The request crashed each engine that ran it; it is not run again.',
@@ -30,6 +37,12 @@
     'apart from other work, and no engine was free for that.',
     retry_after_s=5,
 )
+HARMFUL_PROMPT = NotRun(
+    HTTPStatus.SERVICE_UNAVAILABLE,
+    'Harmful prompt',
+    'Engines crashed under requests whose prompts begin like this one.',
+    retry_after_s=HARMFUL_PROMPT_RETRY_S,
+)
 _POLL_S = 0.1
 REPORT_TIMEOUT_S = 3  # live engines report several times a second
 
@@ -42,7 +55,8 @@
     """
 
     def __init__(self, context: Context, engines: EngineClient) -> None:
-        self._register: SuspectRegister = context.suspects
+        self._register = context.suspects
+        self._causes = CrashCauses(CrashCauseSettings(), context.suspects)
         self._fleet = context.fleet
         self._gossip = context.gossip
         self._clock = context.clock
@@ -52,7 +66,19 @@
 
     def verdict(self, call: CompletionCall) -> Verdict:
         """Return whether a call may run, run isolated or is rejected."""
-        return self._register.verdict(_fingerprint(call), self._clock.now())
+        fingerprints = _fingerprints(call)
+        now = self._clock.now()
+        if self._causes.rejects(fingerprints, now):
+            return Verdict.REJECT
+        return self._register.verdict(fingerprints.request, now)
+
+    def rejection(self, call: CompletionCall, *, was_sent: bool) -> Outcome:
+        """Return the outcome of a rejected call."""
+        fingerprint = _fingerprints(call).request
+        verdict = self._register.verdict(fingerprint, self._clock.now())
+        if was_sent or verdict is Verdict.REJECT:
+            return CRASHES_ENGINES
+        return HARMFUL_PROMPT
 
     async def record_lost_connection(
         self, call: CompletionCall, entry: EngineEntry
@@ -62,8 +88,8 @@
         if not await self._has_crashed(entry, instance):
             return
         crash_id = f'{entry.name}/{instance}'
-        self._register.record_crash(
-            (_fingerprint(call),),
+        self._causes.record_crash(
+            _fingerprints(call),
             crash_id,
             self._clock.now(),
         )
@@ -77,9 +103,10 @@
         )
 
     def clear(self, call: CompletionCall) -> None:
-        """Clear a call's suspicion after it completed in isolation."""
-        self._register.clear(_fingerprint(call), self._clock.now())
-        self._gossip.notify_peers()
+        """Clear a completed call, and how its prompt begins, of crashes."""
+        now = self._clock.now()
+        if self._causes.record_completion(_fingerprints(call), now):
+            self._gossip.notify_peers()
 
     @asynccontextmanager
     async def reserve(
@@ -146,5 +173,19 @@
         return report.instance != instance
 
 
-def _fingerprint(call: CompletionCall) -> int:
-    return request_fingerprint(call.team, call.body)
+def _fingerprints(call: CompletionCall) -> RequestFingerprints:
+    """Return the fingerprints of a call and of how its prompt begins.
+
+    The hashes cover 1, 2, 4 and so on blocks of the prompt, which bounds
+    their number.
+    """
+    hashes = prefix_hashes(call.prompt_text)
+    lengths = (1 << power for power in range(len(hashes).bit_length()))
+    service = call.service.name
+    return RequestFingerprints(
+        request_fingerprint(call.team, call.body),
+        tuple(
+            request_fingerprint(f'prefix {service}', b'%d' % hashes[length - 1])
+            for length in lengths
+        ),
+    )
--- a/packages/geraniumd/tests/test_suspect_guard.py
+++ b/packages/geraniumd/tests/test_suspect_guard.py
@@ -9,6 +9,7 @@
 from types import SimpleNamespace
 
 import pytest
+from geranium_policy.suspects import SuspectRegister, SuspectSettings
 from geraniumd.callers.suspects import SuspectGuard
 
 CALL = SimpleNamespace(
@@ -30,7 +31,7 @@
 
 def make_guard(*entries) -> SuspectGuard:
     context = SimpleNamespace(
-        suspects=None,
+        suspects=SuspectRegister(SuspectSettings()),
         fleet=SimpleNamespace(engines=lambda _service: entries),
         gossip=SimpleNamespace(notify_peers=list),
         clock=SteppingClock(),
