Target responses: bytes without end are given up at a bound

A response that isn't a stream was collected until the request's deadline, whatever its size, and an event without end was collected until the pause ran out, with all of it searched again at each read: one such server could use up a host's memory.

--- a/packages/geranium-relay/src/geranium_relay/event_framer.py
+++ b/packages/geranium-relay/src/geranium_relay/event_framer.py
@@ -6,12 +6,17 @@
 _IDENTITY = re.compile(rb'^id:[ ]?([^\r\n]*)', re.MULTILINE)
 _EVENT_ENDS = (b'\n\n', b'\n\r\n')
 _LONGEST_END_BYTES = 3
+MAX_EVENT_BYTES = 262144  # an event contains a few tokens
 
 
 class StreamTail:
-    """Tells whether a byte stream ends with a complete event."""
+    """Tells whether a byte stream ends with a complete event.
+
+    ``event_bytes`` is the size of an event that is not complete yet.
+    """
 
     def __init__(self) -> None:
+        self.event_bytes = 0
         self._last_bytes = b''
 
     @property
@@ -24,7 +29,13 @@
 
     def feed(self, chunk: bytes) -> None:
         """Add received bytes."""
-        self._last_bytes = (self._last_bytes + chunk)[-_LONGEST_END_BYTES:]
+        data = self._last_bytes + chunk
+        end = _last_end(data)
+        if end is None:
+            self.event_bytes += len(chunk)
+        else:
+            self.event_bytes = len(data) - end
+        self._last_bytes = data[-_LONGEST_END_BYTES:]
 
 
 class EventFramer:
@@ -55,3 +66,11 @@
     def _record_event_id(self, whole: bytes) -> None:
         for found in _IDENTITY.finditer(whole):
             self.last_event_id = found.group(1).decode('ascii', 'replace')
+
+
+def _last_end(data: bytes) -> int | None:
+    """Return the position after the last complete event, if there is one."""
+    ends = [
+        data.rfind(mark) + len(mark) for mark in _EVENT_ENDS if mark in data
+    ]
+    return max(ends, default=None)
--- a/packages/geranium-relay/src/geranium_relay/ports.py
+++ b/packages/geranium-relay/src/geranium_relay/ports.py
@@ -25,6 +25,14 @@
         """
         ...
 
+    async def read(self, max_bytes: int) -> bytes:
+        """Return the complete body.
+
+        Raises:
+            AnswerLostError: If the body is cut or larger than the limit.
+        """
+        ...
+
     def close(self) -> None:
         """Close the connection, which stops the request on the target."""
         ...
--- a/packages/geranium-relay/src/geranium_relay/response_forwarder.py
+++ b/packages/geranium-relay/src/geranium_relay/response_forwarder.py
@@ -5,7 +5,7 @@
 
 from .attempts import ResponseTimeouts
 from .call_errors import AnswerLostError, TargetSilentError
-from .event_framer import EventFramer, StreamTail
+from .event_framer import MAX_EVENT_BYTES, EventFramer, StreamTail
 from .messages import ResponseHead
 from .outcomes import CutOff, Delivered, Outcome
 from .ports import ResponseSink, TargetResponse
@@ -85,7 +85,7 @@
             if not begun:
                 begun = True
                 record_first_chunk()
-            self._tail.feed(chunk)
+            self._check_event_size(chunk)
             events = self._events.feed(chunk) if self._resumable else chunk
             if events:
                 chunks.restart_timeout()
@@ -97,6 +97,11 @@
         await self._sink.finish()
         return Delivered(response.head.status)
 
+    def _check_event_size(self, chunk: bytes) -> None:
+        self._tail.feed(chunk)
+        if self._tail.event_bytes > MAX_EVENT_BYTES:
+            raise AnswerLostError('event without end')
+
     def _is_broken_off(self, response: TargetResponse, *, begun: bool) -> bool:
         if begun:
             return self._tail.is_inside_event
--- a/packages/geranium-relay/src/geranium_relay/run_settings.py
+++ b/packages/geranium-relay/src/geranium_relay/run_settings.py
@@ -28,6 +28,7 @@
         retry_after_s: Minimum delay before refused callers may retry.
         crash_retry_s: Delay before a caller may retry a request that would
             crash its target.
+        max_body_bytes: Maximum size of a response that is not a stream.
         min_time_left_s: A request with less time to its deadline is not sent.
     """
 
@@ -41,4 +42,5 @@
     prefill_timeout_factor: float = 3
     retry_after_s: float = 0.25
     crash_retry_s: float = 30
+    max_body_bytes: int = 16777216
     min_time_left_s: float = 0.02
--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -239,7 +239,7 @@
             return await self._forward_stream(
                 response, attempt, dispatch, timeouts
             )
-        body = b''.join([chunk async for chunk in response.chunks()])
+        body = await response.read(self._settings.max_body_bytes)
         self._recorder.record_begun(attempt, dispatch)
         if head.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
             self._failure = head, body
--- a/packages/geranium-relay/tests/test_runs.py
+++ b/packages/geranium-relay/tests/test_runs.py
@@ -12,6 +12,8 @@
 
 from .world import (
     EVENTS,
+    OK_HEAD,
+    FakeAnswer,
     World,
     answer,
     cut,
@@ -22,6 +24,8 @@
 )
 
 CUT_EVENT = EVENTS[1][:-1]
+BLOCK = bytes(65536)
+MOST_BYTES = 1048576
 QUICK = relay.RunSettings(stream_silence_s=0.2, max_silent_gaps=0)
 
 
@@ -309,3 +313,17 @@
 
     assert isinstance(outcome, relay.CutOff)
     assert not sink.finished
+
+
+@pytest.mark.parametrize('route', ['stream', 'resumable'])
+async def test_event_without_end_is_given_up(route: str) -> None:
+    """A server in trouble sends bytes until its caller closes."""
+    endless = itertools.chain(EVENTS[:1], itertools.repeat(BLOCK))
+    world = World(lambda _: FakeAnswer(OK_HEAD, endless), targets=1)
+
+    outcome, sink = await world.serve(route)
+
+    assert isinstance(outcome, relay.CutOff)
+    assert not sink.finished
+    assert world.targets.answers[0].closed
+    assert len(sink.data) < MOST_BYTES
--- a/packages/geranium-relay/tests/world.py
+++ b/packages/geranium-relay/tests/world.py
@@ -35,6 +35,9 @@
         if self._error is not None:
             raise self._error
 
+    async def read(self, max_bytes: int) -> bytes:
+        return b''.join([chunk async for chunk in self.chunks()])
+
     def close(self) -> None:
         self.closed = True
 
--- a/packages/geraniumd/src/geraniumd/backends/transport.py
+++ b/packages/geraniumd/src/geraniumd/backends/transport.py
@@ -20,6 +20,7 @@
 
 _DETAIL_BYTES = 512
 _READ_BYTES = 65536
+MAX_BODY_BYTES = 16777216
 _NOT_RUN = '"not-run"'
 
 
@@ -116,16 +117,21 @@
     """Return the complete body of a response.
 
     Raises:
-        TargetLostError: If it ends early or exceeds the time limit.
+        TargetLostError: If it ends early, exceeds the time limit or is larger
+            than ``MAX_BODY_BYTES``.
     """
     end = ResponseEnd(response)
+    body = bytearray()
     try:
-        body = await response.read()
+        async for chunk in response.content.iter_any():
+            body += chunk
+            if len(body) > MAX_BODY_BYTES:
+                raise TargetLostError('body without end')
     except (TimeoutError, aiohttp.ClientError) as error:
         raise TargetLostError(repr(error)) from error
     if end.was_reset():
         raise TargetLostError('the connection was reset inside the body')
-    return body
+    return bytes(body)
 
 
 async def raise_for_status(response: aiohttp.ClientResponse) -> None:
--- a/packages/geraniumd/src/geraniumd/callers/events.py
+++ b/packages/geraniumd/src/geraniumd/callers/events.py
@@ -5,6 +5,7 @@
 _EVENT_END = b'\n\n'
 _COMMENT = b':'
 _DONE = b'data: [DONE]'
+MAX_EVENT_BYTES = 262144  # an event contains a few tokens
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,6 +37,15 @@
         self.has_gap = False
         self.last_payload = b''
 
+    @property
+    def defect(self) -> str | None:
+        """Why the stream can't be read on, ``None`` if it can."""
+        if self.has_gap:
+            return 'the stream skipped an offset'
+        if len(self._rest) > MAX_EVENT_BYTES:
+            return 'event without end'
+        return None
+
     def feed(self, chunk: bytes) -> Batch:
         """Add a chunk and return the events that it completes."""
         *events, rest = (self._rest + chunk).split(_EVENT_END)
--- a/packages/geraniumd/src/geraniumd/callers/streams.py
+++ b/packages/geraniumd/src/geraniumd/callers/streams.py
@@ -44,7 +44,8 @@
         """Yield batches until the ``[DONE]`` event.
 
         Raises:
-            TargetLostError: If the stream ends or skips an offset before it.
+            TargetLostError: If the stream ends, skips an offset or sends an
+                event without end before it.
             TargetSilentError: If no data arrives within the silence timeout.
         """
         while True:
@@ -53,8 +54,9 @@
                 yield batch
             if batch.done:
                 return
-            if self._buffer.has_gap:
-                raise TargetLostError('the stream skipped an offset')
+            defect = self._buffer.defect
+            if defect is not None:
+                raise TargetLostError(defect)
 
     async def _read(self) -> bytes:
         try:
--- a/packages/geraniumd/tests/test_broken_bodies.py
+++ b/packages/geraniumd/tests/test_broken_bodies.py
@@ -1,18 +1,22 @@
-"""A target's body without framing is cut by a reset of its connection."""
+"""A target's body without framing is cut by a reset, or never ends."""
 
 import asyncio
 
 import pytest
 from geranium_standins.connections import reset
 from geraniumd.backends import TargetTransport, read_body
+from geraniumd.callers.events import MAX_EVENT_BYTES, EventBuffer
 from geraniumd.process import TargetLostError, TargetSettings
 
 BODY = b'half'
+BLOCK = bytes(65536)
 ANSWER = b'HTTP/1.1 200 OK\r\n\r\n%b' % BODY
 
 
-async def read_answer(*, is_reset: bool) -> bytes:
-    """Return the body of a target that ends it with its connection."""
+async def read_answer(
+    *, is_reset: bool = False, is_endless: bool = False
+) -> bytes:
+    """Return the body of a target that ends it with its connection, if ever."""
     head_arrived = asyncio.Event()
 
     async def serve(
@@ -21,6 +25,9 @@
         await reader.readuntil(b'\r\n\r\n')
         writer.write(ANSWER)
         await head_arrived.wait()
+        while is_endless and not writer.is_closing():
+            writer.write(BLOCK)
+            await writer.drain()
         if is_reset:
             reset(writer.transport)
         else:
@@ -44,4 +51,20 @@
 
 
 async def test_body_that_ends_with_its_connection_is_complete() -> None:
-    assert await read_answer(is_reset=False) == BODY
+    assert await read_answer() == BODY
+
+
+async def test_body_without_end_is_given_up() -> None:
+    async with asyncio.timeout(30):
+        with pytest.raises(TargetLostError):
+            await read_answer(is_endless=True)
+
+
+def test_event_without_end_is_noticed() -> None:
+    buffer = EventBuffer('r1')
+
+    buffer.feed(b'id: r1:0\n')
+    assert buffer.defect is None
+
+    buffer.feed(bytes(MAX_EVENT_BYTES))
+    assert buffer.defect == 'event without end'
