Crashes: hosts that missed the notices learn the causes all the same

A crash is sent to peers for 2 s. Found by reading; only a process that starts was sent the crashes again.

Who hears a crash that it knows to be cleared says so.

--- a/packages/geranium-policy/src/geranium_policy/crash_causes.py
+++ b/packages/geranium-policy/src/geranium_policy/crash_causes.py
@@ -8,6 +8,7 @@
 
 import collections
 import dataclasses
+import itertools
 import math
 from collections.abc import Collection, Iterable, Mapping, Sequence, Set
 from typing import TypeAlias
@@ -110,6 +111,18 @@
             for notice in self._register.clear(fingerprint, now)
         )
 
+    def proofs(self, now: float) -> tuple[CrashNotice, ...]:
+        """Return the latest crashes of each cause, to be sent continuously.
+
+        A host that was cut off or has just started learns the causes from
+        them.
+        """
+        most = self._settings.min_crashes
+        notices: list[CrashNotice] = []
+        for fingerprint in itertools.chain(*self._current_causes(now)):
+            notices += self._register.latest_notices(fingerprint, now, most)
+        return tuple(notices)
+
     def _current_causes(self, now: float) -> tuple[frozenset[int], ...]:
         revision = self._register.revision
         if revision != self._revision or now >= self._expires_at:
--- a/packages/geranium-policy/src/geranium_policy/suspects.py
+++ b/packages/geranium-policy/src/geranium_policy/suspects.py
@@ -130,9 +130,7 @@
         """Merge notices from a peer; return those that were new."""
         new_notices = []
         for notice in notices:
-            known = self._crashes_by_key.get(
-                (notice.fingerprint, notice.crash_id)
-            )
+            known = self._find(notice)
             if known is None or notice.cleared > known.cleared:
                 new_notices.append(notice)
             self._merge(
@@ -145,6 +143,18 @@
             )
         return tuple(new_notices)
 
+    def corrections(
+        self, notices: Iterable[CrashNotice], now: float
+    ) -> tuple[CrashNotice, ...]:
+        """Return the crashes that a peer has sent and are cleared here."""
+        return tuple(
+            _to_notice(crash, now)
+            for notice in notices
+            if not notice.cleared
+            and (crash := self._find(notice)) is not None
+            and crash.cleared
+        )
+
     def notices(self, now: float) -> tuple[CrashNotice, ...]:
         """Return notices of all current crashes, for a new peer."""
         oldest = now - self._settings.retention_s
@@ -154,6 +164,14 @@
             if crash.crashed_at > oldest
         )
 
+    def latest_notices(
+        self, fingerprint: int, now: float, most: int
+    ) -> tuple[CrashNotice, ...]:
+        """Return notices of the latest crashes of one fingerprint."""
+        crashes = self._active_crashes(fingerprint, now)
+        crashes.sort(key=lambda crash: crash.crashed_at)
+        return tuple(_to_notice(crash, now) for crash in crashes[-most:])
+
     def verdict(self, fingerprint: int, now: float) -> Verdict:
         """Return how a request may run."""
         if fingerprint not in self._keys_by_fingerprint:
@@ -182,6 +200,9 @@
             if crash.crashed_at > oldest and not crash.cleared
         ]
 
+    def _find(self, notice: CrashNotice) -> Crash | None:
+        return self._crashes_by_key.get((notice.fingerprint, notice.crash_id))
+
     def _merge_all(
         self,
         crashes: Iterable[Crash],
--- a/packages/geranium-relay/src/geranium_relay/update_composer.py
+++ b/packages/geranium-relay/src/geranium_relay/update_composer.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable, Mapping
 from typing import TypeAlias
 
+from geranium_policy.suspects import CrashNotice
+
 from .clock import BootClock, ClusterClock
 from .load_tracker import LoadTracker, TargetLoad
 from .peer_updates import (
@@ -43,6 +45,7 @@
     is_reader: Callable[[], bool]
     target_changes: Callable[[], tuple[TargetChange, ...]]
     departures: Callable[[], tuple[str, ...]]
+    crash_proofs: Callable[[], tuple[CrashNotice, ...]]
     sealed_through: Callable[[], int]
 
 
@@ -89,7 +92,7 @@
             unix_s=self._time.now(),
             load_by_target=_by_hash(sources.loads.local_loads(now)),
             dispatches=dispatches,
-            crashes=crashes,
+            crashes=(*crashes, *sources.crash_proofs()),
             usage_by_window=sources.usage(),
             known=sources.known(),
             target_changes=changes,
--- a/packages/geranium-relay/tests/fleet.py
+++ b/packages/geranium-relay/tests/fleet.py
@@ -8,6 +8,7 @@
 from typing import TypeAlias
 
 import geranium_relay as relay
+from geranium_policy.suspects import CrashNotice
 
 ZONES = 'abc'
 DATAGRAM_DELAY_S = 0.002
@@ -46,6 +47,7 @@
         self.heard: list[relay.PeerUpdate] = []
         self.is_up = True
         self.status = relay.HostStatus(ready=True, leaving=False)
+        self.crash_proofs: tuple[CrashNotice, ...] = ()
         self.usage: dict[int, dict[str, int]] = {}
         log = relay.DecisionLog(relay.LogSettings(), str, clock.now)
         self.peers = relay.Peers(relay.PeerSettings(), own, clock, log)
@@ -62,6 +64,7 @@
                 self._is_reader,
                 tuple,
                 tuple,
+                lambda: self.crash_proofs,
                 int,
             ),
             relay.ClusterClock(clock),
