--- a/packages/geranium-policy/src/geranium_policy/crash_causes.py
+++ b/packages/geranium-policy/src/geranium_policy/crash_causes.py
@@ -120,7 +120,8 @@
         most = self._settings.min_crashes
         notices: list[CrashNotice] = []
         for fingerprint in itertools.chain(*self._current_causes(now)):
-            notices += self._register.latest_notices(fingerprint, now, most)
+            latest = self._register.latest_notices(fingerprint, now, most)
+            notices.extend(latest)
         return tuple(notices)
 
     def _current_causes(self, now: float) -> tuple[frozenset[int], ...]:
