--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -23,6 +23,9 @@
 from .waits import wait_for
 
 Serve = Callable[[web.Application], Awaitable[str]]
+ServeConnection = Callable[
+    [asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
+]
 
 ROUTE: dict[str, Any] = {
     'host': 'example',
@@ -206,3 +209,22 @@
 async def knows_targets(host: Host) -> bool:
     """Return whether a host knows at least one target."""
     return bool(host.state.fleet.targets_by_identity)
+
+
+@contextlib.asynccontextmanager
+async def only_target(
+    world: World, serve_connection: ServeConnection
+) -> AsyncIterator[None]:
+    """Replace the target of a world by one that speaks on bare connections."""
+    server = await asyncio.start_server(serve_connection, '127.0.0.1', 0)
+    host, port = server.sockets[0].getsockname()[:2]
+    world.store.put('servers', 't2', target_entry(f'{host}:{port}'))
+    world.store.remove('servers', 't1')
+
+    async def is_known() -> bool:
+        fleet = world.host.state.fleet
+        return list(fleet.targets_by_identity) == ['t2']
+
+    await wait_for(is_known)
+    yield
+    server.close()
--- a/tests/adapter/test_broken_streams.py
+++ b/tests/adapter/test_broken_streams.py
@@ -6,8 +6,7 @@
 import aiohttp
 import pytest
 
-from .conftest import target_entry
-from .waits import wait_for
+from .conftest import only_target
 
 HEAD = b'HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n\r\n'
 HEADER_LINE = b'X-Line: x\r\n'
@@ -45,18 +44,8 @@
 async def unframed(world) -> AsyncIterator[UnframedTarget]:
     """Replace the target of the world by one without framing."""
     target = UnframedTarget()
-    server = await asyncio.start_server(target.serve, '127.0.0.1', 0)
-    host, port = server.sockets[0].getsockname()[:2]
-    world.store.put('servers', 't2', target_entry(f'{host}:{port}'))
-    world.store.remove('servers', 't1')
-
-    async def is_known() -> bool:
-        fleet = world.host.state.fleet
-        return list(fleet.targets_by_identity) == ['t2']
-
-    await wait_for(is_known)
-    yield target
-    server.close()
+    async with only_target(world, target.serve):
+        yield target
 
 
 async def test_stream_that_closes_inside_an_event_is_not_framed_as_complete(
--- a/tests/adapter/test_late_copies.py
+++ b/tests/adapter/test_late_copies.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from .conftest import target_entry
-from .waits import ticks, wait_for
+from .conftest import only_target
+from .waits import ticks
 
 
 class RepeatingTarget:
@@ -56,18 +56,8 @@
 async def repeating(world) -> AsyncIterator[RepeatingTarget]:
     """Replace the target of the world by one that repeats an answer."""
     target = RepeatingTarget()
-    server = await asyncio.start_server(target.serve, '127.0.0.1', 0)
-    host, port = server.sockets[0].getsockname()[:2]
-    world.store.put('servers', 't2', target_entry(f'{host}:{port}'))
-    world.store.remove('servers', 't1')
-
-    async def is_known() -> bool:
-        fleet = world.host.state.fleet
-        return list(fleet.targets_by_identity) == ['t2']
-
-    await wait_for(is_known)
-    yield target
-    server.close()
+    async with only_target(world, target.serve):
+        yield target
 
 
 async def test_no_caller_gets_the_copy(world, repeating) -> None:
