--- a/soak/tests/mutated_host.py
+++ b/soak/tests/mutated_host.py
@@ -12,6 +12,7 @@
 
 import geranium_relay as relay
 from geranium_coordination import Lease
+from geranium_relay.response_forwarder import ResponseForwarder
 from geranium_relay.runs import Run
 from geranium_relay.sealed_windows import NotSealed, SealedWindows
 
@@ -99,6 +100,11 @@
     relay.TargetNotices.pause_end = lambda notices, key: None
 
 
+def trust_stream_ends() -> None:
+    """Take the end of a stream for complete wherever it lies."""
+    ResponseForwarder._is_broken_off = lambda *_, **_begun: False
+
+
 def forget_seals() -> None:
     """Seal windows again whose seals a restored store has lost."""
     SealedWindows.state = lambda sealed, window: NotSealed()
@@ -114,6 +120,7 @@
     'ignored-departure': ignore_departures,
     'ignored-pause': ignore_pauses,
     'forgotten-seal': forget_seals,
+    'trusted-end': trust_stream_ends,
 }
 
 
