--- a/packages/geranium-policy/tests/test_crash_causes.py
+++ b/packages/geranium-policy/tests/test_crash_causes.py
@@ -146,3 +146,17 @@
 
     assert fleet.rejects(99, HARMFUL)
     assert not fleet.rejects(100, HARMFUL)
+
+
+def test_sound_request_beside_two_harmful_ones_is_served(fleet):
+    """It ran on two targets as they crashed under others."""
+    sound = fleet.request(FIRST)
+    for now in range(3):
+        crash_id = f'crash-{now}'
+        harmful = fleet.request(HARMFUL)
+        fleet.causes.record_crash(harmful, crash_id, now)
+        if now:
+            fleet.causes.record_crash(sound, crash_id, now)
+
+    assert fleet.rejects(3, HARMFUL)
+    assert not fleet.causes.rejects(sound, 3)
