Known red: an event with a malformed offset ends the daemon's request

Found by reading the parser for bytes without end: its offset is parsed unchecked, so a ValueError ends the request as `unknown`.

--- a/packages/geraniumd/tests/test_broken_bodies.py
+++ b/packages/geraniumd/tests/test_broken_bodies.py
@@ -68,3 +68,12 @@
 
     buffer.feed(bytes(MAX_EVENT_BYTES))
     assert buffer.defect == 'event without end'
+
+
+def test_event_with_a_malformed_offset_is_dropped() -> None:
+    buffer = EventBuffer('r1')
+
+    batch = buffer.feed(b'id: r1:x\ndata: a\n\n')
+
+    assert not batch.data
+    assert buffer.dropped_count == 1
