Decision log: the request rates that targets name

A target in need names in its responses how many requests a second it takes from all hosts.

A response without the header lifts the limit only if its request was sent after the limit was named.

--- a/packages/geranium-emulator/src/geranium_emulator/hosts.py
+++ b/packages/geranium-emulator/src/geranium_emulator/hosts.py
@@ -80,17 +80,17 @@
         self.simulation = context.simulation
         self.loads = relay.LoadTracker(MAX_PEER_LOAD_AGE_S)
         self._fleet = relay.Fleet(0, float('inf'))
+        log = relay.DecisionLog(
+            relay.LogSettings(), _drop_line, context.simulation.now
+        )
         self.selector = relay.TargetSelector(
             relay.SelectorContext(
                 zone,
                 lambda: context.news_age_s,
                 relay.TargetNotices(
                     context.simulation.now,
-                    relay.DecisionLog(
-                        relay.LogSettings(),
-                        _drop_line,
-                        context.simulation.now,
-                    ),
+                    log,
+                    relay.TargetRateLimits(context.simulation.now, log),
                 ),
             ),
             self._fleet,
--- a/packages/geranium-relay/src/geranium_relay/__init__.py
+++ b/packages/geranium-relay/src/geranium_relay/__init__.py
@@ -90,7 +90,12 @@
     StoreResponse,
     StoreSettings,
 )
-from .target_notices import TargetNotice, TargetNotices
+from .target_notices import (
+    RateLimitNotice,
+    TargetNotice,
+    TargetNotices,
+    TargetRateLimits,
+)
 from .target_selector import (
     SelectorContext,
     TargetSelector,
@@ -165,6 +170,7 @@
     'PurchaseInputs',
     'PurchasePort',
     'PurchaseTerms',
+    'RateLimitNotice',
     'Refused',
     'RegistrySettings',
     'Relay',
@@ -197,6 +203,7 @@
     'TargetNotices',
     'TargetOrder',
     'TargetPort',
+    'TargetRateLimits',
     'TargetResponse',
     'TargetSelector',
     'TargetSelectorSettings',
--- a/packages/geranium-relay/src/geranium_relay/target_notices.py
+++ b/packages/geranium-relay/src/geranium_relay/target_notices.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterable
 
 from .decision_log import DecisionLog
+from .target_rate_limits import RateLimitNotice, TargetRateLimits
 from .targets import FleetChange, Target
 
 KEPT_DEPARTURES = 4096  # starts of targets, the oldest are dropped
@@ -27,10 +28,12 @@
         leaving: Whether the target is about to stop.
         paused_until: Until when it accepts no requests from this host;
             ``None`` if it did not ask for a pause.
+        rate_limit: What it says of its request rate, if anything.
     """
 
     leaving: bool = False
     paused_until: float | None = None
+    rate_limit: RateLimitNotice | None = None
 
 
 class TargetNotices:
@@ -42,6 +45,7 @@
     Args:
         clock: Returns the current time in seconds.
         log: Receives a record of each new notice.
+        rate_limits: Receives the rates that targets name.
 
     ``on_departure`` is called after a target announced that it leaves.
     """
@@ -50,7 +54,9 @@
         self,
         clock: Callable[[], float],
         log: DecisionLog,
+        rate_limits: TargetRateLimits,
     ) -> None:
+        self.rate_limits = rate_limits
         self.on_departure: Callable[[], None] | None = None
         self._clock = clock
         self._log = log
@@ -64,6 +70,8 @@
         """Apply the notice in a response of a target."""
         if notice.paused_until is not None:
             self._pause(target.key, notice.paused_until)
+        if notice.rate_limit is not None:
+            self.rate_limits.record(target.key, notice.rate_limit)
         if notice.leaving and self._add_departure(target.key, peer=None):
             if self.on_departure is not None:
                 self.on_departure()
@@ -81,6 +89,7 @@
         now = self._clock()
         for gone in change.gone:
             self._gone_at_by_key[gone.key] = now
+            self.rate_limits.remove_target(gone.key)
         self._gone_at_by_key = {
             key: gone_at
             for key, gone_at in self._gone_at_by_key.items()
@@ -152,3 +161,11 @@
         if len(self._told_at_by_key) > KEPT_DEPARTURES:
             self._told_at_by_key.popitem(last=False)
         return True
+
+
+__all__ = [
+    'RateLimitNotice',
+    'TargetNotice',
+    'TargetNotices',
+    'TargetRateLimits',
+]
--- a/packages/geranium-relay/tests/test_restored_store.py
+++ b/packages/geranium-relay/tests/test_restored_store.py
@@ -198,7 +198,8 @@
     def notices(self) -> relay.TargetNotices:
         clock = Clock()
         log = relay.DecisionLog(relay.LogSettings(), print, clock.now)
-        return relay.TargetNotices(clock.now, log)
+        limits = relay.TargetRateLimits(clock.now, log)
+        return relay.TargetNotices(clock.now, log, limits)
 
     def test_leaving_target_is_not_ready_again(self, notices) -> None:
         leaving = dataclasses.replace(TARGET, leaving=True)
--- a/packages/geranium-relay/tests/world.py
+++ b/packages/geranium-relay/tests/world.py
@@ -292,7 +292,9 @@
         source = random.Random(1)
         log = relay.DecisionLog(relay.LogSettings(), self.lines.append, now)
         self.fleet = fleet
-        self._notices = relay.TargetNotices(now, log)
+        self._notices = relay.TargetNotices(
+            now, log, relay.TargetRateLimits(now, log)
+        )
         self.selector = relay.TargetSelector(
             relay.SelectorContext('a', int, self._notices),
             fleet,
--- /dev/null
+++ b/tests/adapter/test_target_limits.py
@@ -0,0 +1,66 @@
+"""Targets that name how many requests a second they take from all hosts."""
+
+import pytest
+from aiohttp import web
+from geranium_platform_standins import StandinTarget
+
+from .waits import wait_for
+
+LATER_REQUESTS = 8
+
+
+async def post(world):
+    headers = world.headers()
+    async with world.caller.post(world.url('/safe/x'), headers=headers) as got:
+        await got.read()
+        return got
+
+
+class NamedLimit:
+    """Responds with a limit that a test may change; ``None`` is none."""
+
+    def __init__(self, text: str | None) -> None:
+        self.text = text
+
+    async def respond(self, _request: web.Request) -> web.Response:
+        headers = {'Response-Signature': 's'}
+        if self.text is not None:
+            headers['Server-Limit'] = self.text
+        return web.Response(text='whole', headers=headers)
+
+
+@pytest.fixture
+def limit() -> NamedLimit:
+    return NamedLimit(None)
+
+
+@pytest.fixture
+def target(limit: NamedLimit) -> StandinTarget:
+    return StandinTarget(limit.respond)
+
+
+@pytest.mark.parametrize('text', ['', 'soon', '-1', 'nan', 'inf'])
+async def test_unreadable_limit_does_not_hold_requests_back(
+    world, limit: NamedLimit, text: str
+) -> None:
+    limit.text = text
+    for _ in range(LATER_REQUESTS):
+        assert (await post(world)).status == 200
+
+
+async def test_target_that_names_no_limit_any_more_is_used_as_before(
+    world, limit: NamedLimit
+) -> None:
+    limit.text = '20'
+    assert (await post(world)).status == 200
+    limits = world.host.state.notices.rate_limits
+    assert limits.limited_count == 1
+    limit.text = None
+
+    async def is_lifted() -> bool:
+        await post(world)
+        return limits.limited_count == 0
+
+    await wait_for(is_lifted)
+    for _ in range(LATER_REQUESTS):
+        assert (await post(world)).status == 200
