Target rate limits: hosts together keep to the rate that a target names

Cause: no host read the header in which targets name the requests a second that they take from all hosts, and nothing divided such a rate among hosts.

A limit is kept by the start of its target, told to peers with the cluster time of the response that named it, and divided among as many hosts as get a request a second or more each, selected by hash. A host sends a target no request without a permit; prefills and freed prompts count. The limit ends with a response, to a request sent after the limit was learned, that names none; peers learn that too.

Weighed: each host keeping to the limit alone (nine times as much), the limit divided by all hosts (at 195 hosts each would get a request in three minutes, and first requests alone exceed what a window allows).

--- a/packages/geranium-emulator/src/geranium_emulator/hosts.py
+++ b/packages/geranium-emulator/src/geranium_emulator/hosts.py
@@ -90,7 +90,13 @@
                 relay.TargetNotices(
                     context.simulation.now,
                     log,
-                    relay.TargetRateLimits(context.simulation.now, log),
+                    relay.TargetRateLimits(
+                        name,
+                        frozenset,
+                        context.simulation.now,
+                        context.simulation.now,
+                        log,
+                    ),
                 ),
             ),
             self._fleet,
--- a/packages/geranium-relay/src/geranium_relay/__init__.py
+++ b/packages/geranium-relay/src/geranium_relay/__init__.py
@@ -91,6 +91,7 @@
     StoreSettings,
 )
 from .target_notices import (
+    AdvertisedRateLimit,
     RateLimitNotice,
     TargetNotice,
     TargetNotices,
@@ -115,6 +116,7 @@
 )
 
 __all__ = [
+    'AdvertisedRateLimit',
     'AdvertisedStoreState',
     'AnswerLostError',
     'Audience',
--- a/packages/geranium-relay/src/geranium_relay/peer_updates.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_updates.py
@@ -15,6 +15,11 @@
 
 from .load_tracker import RANKS, TargetLoad
 from .messages import PeerIdentity, PromptPart
+from .rate_limit_updates import (
+    AdvertisedRateLimit,
+    decode_rate_limits,
+    encode_rate_limits,
+)
 from .target_updates import decode_changes, encode_changes
 from .targets import TargetChange
 from .zone_reports import (
@@ -83,6 +88,7 @@
         target_changes: Recently changed targets of its list.
         departures: Hashes of the keys of targets that have recently
             announced that they leave.
+        rate_limits: Limits of targets that it knows.
         sealed_through: The last window of usage known to be sealed.
         report: What an aggregator passes on; ``None`` from other hosts.
     """
@@ -98,6 +104,7 @@
     known: AdvertisedStoreState
     target_changes: tuple[TargetChange, ...] = ()
     departures: tuple[int, ...] = ()
+    rate_limits: tuple[AdvertisedRateLimit, ...] = ()
     sealed_through: int = 0
     report: ZoneReport | None = None
 
@@ -215,6 +222,7 @@
         ],
         targets=encode_changes(update.target_changes),
         departures=update.departures,
+        rateLimits=encode_rate_limits(update.rate_limits),
         storeEra=update.known.era,
         sealedThrough=update.sealed_through,
     )
@@ -276,6 +284,7 @@
         ),
         target_changes=tuple(decode_changes(message.targets)),
         departures=tuple(message.departures),
+        rate_limits=tuple(decode_rate_limits(message.rateLimits)),
         sealed_through=message.sealedThrough,
         report=decode_report(message.report),
     )
--- a/packages/geranium-relay/src/geranium_relay/peers.capnp
+++ b/packages/geranium-relay/src/geranium_relay/peers.capnp
@@ -23,6 +23,7 @@
   storeEra @19 :UInt64;
   sealedThrough @20 :UInt64;
   capacity @21 :UInt32;
+  rateLimits @22 :RateLimitTable;
 }
 
 # Tables are parallel lists, which are decoded faster than lists of structs.
@@ -89,6 +90,12 @@
   tokens @3 :List(UInt32);
 }
 
+struct RateLimitTable {
+  targets @0 :List(UInt64);
+  perS @1 :List(UInt32);
+  observedMs @2 :List(UInt64);
+}
+
 struct Crash {
   fingerprint @0 :UInt64;
   crash @1 :Text;
--- a/packages/geranium-relay/src/geranium_relay/request_recorder.py
+++ b/packages/geranium-relay/src/geranium_relay/request_recorder.py
@@ -21,7 +21,8 @@
     def record_dispatch(self, attempt: Attempt, send: int) -> None:
         """Record that the request is sent to a target."""
         placement = attempt.placement
-        self._context.selector.record_dispatch(attempt.target)
+        selector = self._context.selector
+        selector.record_dispatch(attempt.target, attempt.reader)
         self._context.log.record(
             'dispatched',
             request=self._job.arrival.identity,
@@ -38,7 +39,7 @@
         if prompt is None:
             return
         for key in filter(None, (placement.reader, placement.generator)):
-            self._context.selector.record_prompt(self._job.service, key, prompt)
+            selector.record_prompt(self._job.service, key, prompt)
             self._context.outbox.record_dispatch(key, prompt.parts)
 
     def record_busy(self, avoid: Collection[str], free_in_s: float) -> None:
--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -192,6 +192,7 @@
             if cache_handle is not None:
                 await self._context.targets.drop_prompt(cache_handle)
             raise NotSentError('target is leaving and no other is available')
+        self._context.selector.record_dispatch(selected)
         return dataclasses.replace(attempt, target=selected)
 
     async def _call(
--- a/packages/geranium-relay/src/geranium_relay/target_notices.py
+++ b/packages/geranium-relay/src/geranium_relay/target_notices.py
@@ -11,7 +11,11 @@
 from collections.abc import Callable, Iterable
 
 from .decision_log import DecisionLog
-from .target_rate_limits import RateLimitNotice, TargetRateLimits
+from .target_rate_limits import (
+    AdvertisedRateLimit,
+    RateLimitNotice,
+    TargetRateLimits,
+)
 from .targets import FleetChange, Target
 
 KEPT_DEPARTURES = 4096  # starts of targets, the oldest are dropped
@@ -164,6 +168,7 @@
 
 
 __all__ = [
+    'AdvertisedRateLimit',
     'RateLimitNotice',
     'TargetNotice',
     'TargetNotices',
--- a/packages/geranium-relay/src/geranium_relay/target_selector.py
+++ b/packages/geranium-relay/src/geranium_relay/target_selector.py
@@ -106,6 +106,7 @@
         self._fleet = fleet
         self._loads = loads
         self._notices = context.notices
+        self._rate_limits = context.notices.rate_limits
         self._rates = settings.rates
         self._clock = clock
         self._prompt_placer = PromptPlacer(settings.prompts, source)
@@ -188,8 +189,15 @@
             return False
         return self._notices.accepts_requests(target.key)
 
-    def record_dispatch(self, target: Target) -> None:
-        """Start a probe if the target is unhealthy."""
+    def record_dispatch(
+        self, target: Target, reader: Target | None = None
+    ) -> None:
+        """Count a request against the limits of its target and its reader.
+
+        If the target is unhealthy, the request probes it.
+        """
+        for limited in filter(None, (target, reader)):
+            self._rate_limits.take(limited.key)
         self._health.start_probe(target.key, self._clock())
 
     def observe_latency(self, target: Target, dispatch: Dispatch) -> None:
@@ -243,9 +251,13 @@
     def _pause_ends(
         self, service: str, avoid: frozenset[str]
     ) -> Iterator[float]:
-        """Yield when the pauses of a service's targets end."""
+        """Yield when targets that hold requests back accept them again."""
         for target in self._fleet.of_service(service):
             end = self._notices.pause_end(target.key)
+            if end is None and not self._rate_limits.accepts_request(
+                target.key
+            ):
+                end = self._rate_limits.permit_at(target.key)
             if end is not None and target.key not in avoid:
                 yield end
 
@@ -258,6 +270,7 @@
             target.key: target
             for target in self._fleet.of_service(service)
             if self._notices.accepts_requests(target.key)
+            and self._rate_limits.accepts_request(target.key)
         }
         now = self._clock()
         names = [key for key in targets_by_key if key not in avoid]
--- a/packages/geranium-relay/src/geranium_relay/update_composer.py
+++ b/packages/geranium-relay/src/geranium_relay/update_composer.py
@@ -17,6 +17,7 @@
     name_hash,
 )
 from .peers import Peers
+from .rate_limit_updates import AdvertisedRateLimit
 from .targets import TargetChange
 from .zone_reports import ZoneReport
 
@@ -45,6 +46,7 @@
     is_reader: Callable[[], bool]
     target_changes: Callable[[], tuple[TargetChange, ...]]
     departures: Callable[[], tuple[str, ...]]
+    rate_limits: Callable[[], tuple[AdvertisedRateLimit, ...]]
     crash_proofs: Callable[[], tuple[CrashNotice, ...]]
     sealed_through: Callable[[], int]
 
@@ -97,6 +99,7 @@
             known=sources.known(),
             target_changes=changes,
             departures=tuple(map(name_hash, sources.departures())),
+            rate_limits=sources.rate_limits(),
             sealed_through=sources.sealed_through(),
         )
 
--- a/packages/geranium-relay/tests/fleet.py
+++ b/packages/geranium-relay/tests/fleet.py
@@ -38,6 +38,8 @@
 class Node:
     """A host of a fleet."""
 
+    rate_limits: tuple[relay.AdvertisedRateLimit, ...] = ()
+
     def __init__(self, name: str, zone: str, fleet: 'Fleet') -> None:
         clock = fleet.clock
         own = relay.PeerIdentity(
@@ -64,6 +66,7 @@
                 self._is_reader,
                 tuple,
                 tuple,
+                lambda: self.rate_limits,
                 lambda: self.crash_proofs,
                 int,
             ),
--- a/packages/geranium-relay/tests/test_peer_updates.py
+++ b/packages/geranium-relay/tests/test_peer_updates.py
@@ -77,6 +77,10 @@
             relay.TargetChange('t1', make_target('t1')),
             relay.TargetChange('t2', None),
         ),
+        rate_limits=(
+            relay.AdvertisedRateLimit(2**62, 0.25, 1796396400123),
+            relay.AdvertisedRateLimit(3, None, 5),
+        ),
     )
 
     assert relay.decode_peer_update(relay.encode_peer_update(update)) == update
--- a/packages/geranium-relay/tests/world.py
+++ b/packages/geranium-relay/tests/world.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import random
+import time
 from collections.abc import AsyncIterator, Callable, Sequence
 
 import geranium_relay as relay
@@ -293,7 +294,9 @@
         log = relay.DecisionLog(relay.LogSettings(), self.lines.append, now)
         self.fleet = fleet
         self._notices = relay.TargetNotices(
-            now, log, relay.TargetRateLimits(now, log)
+            now,
+            log,
+            relay.TargetRateLimits('h1', lambda: {'h1'}, now, time.time, log),
         )
         self.selector = relay.TargetSelector(
             relay.SelectorContext('a', int, self._notices),
