Decision log: the software version of a target, and the attempt that began a stream

Targets have their software version from their entries, also when peers pass them on; no decision uses it yet.

--- a/packages/geranium-relay/src/geranium_relay/messages.py
+++ b/packages/geranium-relay/src/geranium_relay/messages.py
@@ -76,6 +76,8 @@
         caller_deadline: Instant until which the caller waits.
         resume_after: Id of the last event that the caller has received, if
             it resumes a stream.
+        began_as: The id of the attempt that brought the caller the first event
+            of the stream that it resumes.
         prompt: ``None`` if the request has none.
     """
 
@@ -88,6 +90,7 @@
     caller_deadline: float
     resume_after: str | None
     prompt: Prompt | None
+    began_as: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/geranium-relay/src/geranium_relay/peers.capnp
+++ b/packages/geranium-relay/src/geranium_relay/peers.capnp
@@ -65,6 +65,7 @@
   reclaimable @8 :Bool;
   stage @9 :Text;
   weightsVersion @10 :Int64;
+  softwareVersion @11 :Text;
 }
 
 struct Usage {
--- a/packages/geranium-relay/src/geranium_relay/request_recorder.py
+++ b/packages/geranium-relay/src/geranium_relay/request_recorder.py
@@ -30,10 +30,12 @@
             rank=self._job.rank,
             late=self._job.is_late,
             target=attempt.target.key,
+            version=attempt.target.software_version,
             reader=placement.reader,
             fresh_tokens=placement.fresh_tokens,
             wait_s=round(placement.wait_s, 4),
             first_s=round(placement.first_s, 4),
+            began_as=self._job.arrival.began_as,
         )
         prompt = self._job.arrival.prompt
         if prompt is None:
--- a/packages/geranium-relay/src/geranium_relay/target_updates.py
+++ b/packages/geranium-relay/src/geranium_relay/target_updates.py
@@ -40,6 +40,7 @@
         'reclaimable': target.reclaimable,
         'stage': target.stage.value if target.stage else '',
         'weightsVersion': _NO_VERSION if version is None else version,
+        'softwareVersion': target.software_version,
     }
 
 
@@ -56,4 +57,5 @@
         reclaimable=change.reclaimable,
         stage=Stage(change.stage) if change.stage else None,
         weights_version=None if version == _NO_VERSION else version,
+        software_version=change.softwareVersion,
     )
--- a/packages/geranium-relay/src/geranium_relay/targets.py
+++ b/packages/geranium-relay/src/geranium_relay/targets.py
@@ -33,6 +33,8 @@
         reclaimable: Whether the provider may reclaim it at short notice.
         stage: ``None`` for an application target.
         weights_version: Version of its model's weights.
+        software_version: Version of its software. Streams of two versions
+            don't fit together.
     """
 
     identity: str
@@ -45,6 +47,7 @@
     reclaimable: bool
     stage: Stage | None
     weights_version: int | None
+    software_version: str = ''
 
     @property
     def key(self) -> str:
