Streams: go on only at the software version that began them

Cause: a host that resumed a stream, and a host at which a caller took one up, selected any target of the service; nothing in hosts knew the software version of a target, nor read which attempt had brought the stream's first event.

A request keeps the version of the target that gave its caller the first event and is sent to no other. Hosts tell each other in their updates at which version the streams began, by the hash of the attempt's id, so that a caller may take its stream up at any host, also after the first was killed. A host that doesn't know the origin waits half a second for the next updates, then refuses the request as not run, unless all targets of the last half minute have had one version.

Ruled out: asking the host that began the stream (it is down in the case that matters); a version by hash of the attempt's id (the shares of the versions change meanwhile).

New: peers, updates that arrive meanwhile, one version, hosts that just started.

--- a/packages/geranium-relay/src/geranium_relay/__init__.py
+++ b/packages/geranium-relay/src/geranium_relay/__init__.py
@@ -77,7 +77,13 @@
     TargetOrder,
 )
 from .relay import Relay, RelaySettings
-from .run_context import RetryShares, RunContext
+from .run_context import (
+    RetryShares,
+    RunContext,
+    StreamOrigin,
+    StreamOrigins,
+    StreamOriginSettings,
+)
 from .run_settings import RunSettings
 from .shared_reads import (
     SharedReads,
@@ -197,6 +203,9 @@
     'StoreResponse',
     'StoreSettings',
     'StoreState',
+    'StreamOrigin',
+    'StreamOriginSettings',
+    'StreamOrigins',
     'Target',
     'TargetCall',
     'TargetChange',
--- a/packages/geranium-relay/src/geranium_relay/peer_exchange.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_exchange.py
@@ -109,7 +109,7 @@
             return
         self._peers.handle_update(update, self._time.now())
         self._load_recorder.record(update, self._clock.now())
-        self._forward_dispatches(update)
+        self._forward_notices(update)
         self._on_update(update, self._load_recorder.keys_by_hash)
 
     def _send_by_topology(self, topology: Topology) -> None:
@@ -146,7 +146,7 @@
     def _send_to_aggregators(self, member: ZoneMember) -> None:
         update = self._composer.direct(Audience.NEAR)
         self._send(update, (member.primary,))
-        self._send(dataclasses.replace(update, dispatches=()), member.others)
+        self._send(_without_notices(update), member.others)
 
     def _send_reports(self, aggregator: ZoneAggregator) -> None:
         own_zone = self._peers.own.zone
@@ -156,10 +156,7 @@
         self._send(self._composer.zone_report(), near)
         update = self._composer.remote_report()
         self._send(update, aggregator.remote_primaries)
-        self._send(
-            dataclasses.replace(update, dispatches=()),
-            aggregator.remote_others,
-        )
+        self._send(_without_notices(update), aggregator.remote_others)
 
     def _send(
         self, update: PeerUpdate, recipients: Sequence[PeerIdentity]
@@ -182,16 +179,25 @@
                     return intervals.reader_s()
                 return intervals.direct_s(Audience.NEAR)
 
-    def _forward_dispatches(self, update: PeerUpdate) -> None:
-        """Queue a peer's dispatches for the hosts that rely on this one."""
+    def _forward_notices(self, update: PeerUpdate) -> None:
+        """Queue what a peer sends once for the hosts that rely on this one."""
+        audiences = self._dependents(update)
+        sources = self._sources
+        sources.outbox.forward_dispatches(update.dispatches, audiences)
+        sources.origins.forward(update.origins, audiences)
+
+    def _dependents(self, update: PeerUpdate) -> tuple[Audience, ...]:
+        """Return which hosts get the contents of an update only from here."""
         if not isinstance(self._topology, ZoneAggregator):
-            return
+            return ()
         if update.sender.zone != self._peers.own.zone:
-            self._sources.outbox.forward_dispatches(
-                update.dispatches, (Audience.NEAR,)
-            )
-        elif update.report is None:
-            self._sources.outbox.forward_dispatches(update.dispatches)
+            return (Audience.NEAR,)
+        return tuple(Audience) if update.report is None else ()
+
+
+def _without_notices(update: PeerUpdate) -> PeerUpdate:
+    """Return an update for hosts that don't pass on what is sent once."""
+    return dataclasses.replace(update, dispatches=(), origins=())
 
 
 def _split_address(address: str) -> tuple[str, int]:
--- a/packages/geranium-relay/src/geranium_relay/peer_updates.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_updates.py
@@ -20,6 +20,11 @@
     decode_rate_limits,
     encode_rate_limits,
 )
+from .stream_origin_updates import (
+    StreamOrigin,
+    decode_origins,
+    encode_origins,
+)
 from .target_updates import decode_changes, encode_changes
 from .targets import TargetChange
 from .zone_reports import (
@@ -89,6 +94,7 @@
         departures: Hashes of the keys of targets that have recently
             announced that they leave.
         rate_limits: Limits of targets that it knows.
+        origins: Streams that it has begun since the last update.
         sealed_through: The last window of usage known to be sealed.
         report: What an aggregator passes on; ``None`` from other hosts.
     """
@@ -105,6 +111,7 @@
     target_changes: tuple[TargetChange, ...] = ()
     departures: tuple[int, ...] = ()
     rate_limits: tuple[AdvertisedRateLimit, ...] = ()
+    origins: tuple[StreamOrigin, ...] = ()
     sealed_through: int = 0
     report: ZoneReport | None = None
 
@@ -223,6 +230,7 @@
         targets=encode_changes(update.target_changes),
         departures=update.departures,
         rateLimits=encode_rate_limits(update.rate_limits),
+        origins=encode_origins(update.origins),
         storeEra=update.known.era,
         sealedThrough=update.sealed_through,
     )
@@ -285,6 +293,7 @@
         target_changes=tuple(decode_changes(message.targets)),
         departures=tuple(message.departures),
         rate_limits=tuple(decode_rate_limits(message.rateLimits)),
+        origins=tuple(decode_origins(message.origins)),
         sealed_through=message.sealedThrough,
         report=decode_report(message.report),
     )
--- a/packages/geranium-relay/src/geranium_relay/peers.capnp
+++ b/packages/geranium-relay/src/geranium_relay/peers.capnp
@@ -24,6 +24,7 @@
   sealedThrough @20 :UInt64;
   capacity @21 :UInt32;
   rateLimits @22 :RateLimitTable;
+  origins @23 :OriginTable;
 }
 
 # Tables are parallel lists, which are decoded faster than lists of structs.
@@ -97,6 +98,12 @@
   observedMs @2 :List(UInt64);
 }
 
+struct OriginTable {
+  versions @0 :List(Text);
+  streams @1 :List(UInt64);
+  places @2 :List(UInt16);
+}
+
 struct Crash {
   fingerprint @0 :UInt64;
   crash @1 :Text;
--- a/packages/geranium-relay/src/geranium_relay/response_forwarder.py
+++ b/packages/geranium-relay/src/geranium_relay/response_forwarder.py
@@ -68,6 +68,7 @@
         response: TargetResponse,
         timeouts: ResponseTimeouts,
         record_first_chunk: Callable[[], None],
+        record_first_event: Callable[[], None],
     ) -> Outcome:
         """Forward a stream as it arrives.
 
@@ -85,10 +86,11 @@
             if not begun:
                 begun = True
                 record_first_chunk()
-            self._check_event_size(chunk)
-            events = self._events.feed(chunk) if self._resumable else chunk
+            events = self._complete_events(chunk)
             if events:
                 chunks.restart_timeout()
+            if events and not self.started:
+                record_first_event()
             await self._write(response.head, events)
         if self._is_broken_off(response, begun=begun):
             raise AnswerLostError('stream ended inside an event', broken=True)
@@ -97,10 +99,12 @@
         await self._sink.finish()
         return Delivered(response.head.status)
 
-    def _check_event_size(self, chunk: bytes) -> None:
+    def _complete_events(self, chunk: bytes) -> bytes:
+        """Return the bytes that may be forwarded after a chunk."""
         self._tail.feed(chunk)
         if self._tail.event_bytes > MAX_EVENT_BYTES:
             raise AnswerLostError('event without end')
+        return self._events.feed(chunk) if self._resumable else chunk
 
     def _is_broken_off(self, response: TargetResponse, *, begun: bool) -> bool:
         if begun:
--- a/packages/geranium-relay/src/geranium_relay/run_context.py
+++ b/packages/geranium-relay/src/geranium_relay/run_context.py
@@ -13,6 +13,8 @@
 from .messages import IncomingRequest, PromptPart
 from .peer_updates import Outbox
 from .ports import TargetPort
+from .stream_origin_updates import StreamOrigin
+from .stream_origins import StreamOrigins, StreamOriginSettings
 from .target_selector import TargetSelector
 from .telemetry import Telemetry
 from .usage import UsageCounter
@@ -71,6 +73,7 @@
     retries: RetryShares
     crash_causes: CrashCauses
     outbox: Outbox
+    origins: StreamOrigins
     usage: UsageCounter
     log: DecisionLog
     telemetry: Telemetry
@@ -98,3 +101,14 @@
             for part in shared_parts(arrival)
         ),
     )
+
+
+__all__ = [
+    'RetryShares',
+    'RunContext',
+    'StreamOrigin',
+    'StreamOriginSettings',
+    'StreamOrigins',
+    'fingerprints_of',
+    'shared_parts',
+]
--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -25,6 +25,7 @@
 from .run_settings import RunSettings
 from .send_limit import SendLimit
 from .sending import open_response
+from .stream_origins import StreamVersion
 from .suspicion import clear_request, crash_refusal, suspect_request
 from .target_selector import NoEngine, Placement, TooBusy
 
@@ -59,6 +60,7 @@
             resume_after=job.arrival.resume_after,
         )
         self._recorder = RequestRecorder(job, context)
+        self._version = StreamVersion(job, context.origins)
         self._avoid: set[str] = set()
         self._send_limit = SendLimit(
             job.service,
@@ -71,6 +73,11 @@
 
     async def serve(self) -> Outcome:
         """Try targets until the request has an outcome."""
+        if not await self._version.resolve():
+            return Refused(
+                'stream began at an unknown version',
+                self._settings.retry_after_s,
+            )
         while True:
             attempt = self._next_attempt()
             if isinstance(attempt, Refused):
@@ -108,7 +115,7 @@
 
     def _select(self) -> Placement | TooBusy | NoEngine:
         selector = self._context.selector
-        avoid = frozenset(self._avoid)
+        avoid = self._version.excluded() | self._avoid
         if self._service.engine is None:
             return selector.select_target(self._job, avoid)
         return selector.select_engines(self._job, self._service.engine, avoid)
@@ -186,7 +193,7 @@
             selected = self._context.selector.select_generator(
                 self._job,
                 self._service.engine,
-                frozenset(self._avoid | {attempt.target.key}),
+                self._version.excluded() | self._avoid | {attempt.target.key},
             )
         if selected is None:
             if cache_handle is not None:
@@ -261,6 +268,7 @@
                 response,
                 timeouts,
                 lambda: self._recorder.record_begun(attempt, dispatch),
+                lambda: self._version.record_first_event(attempt.target),
             )
         finally:
             self._recorder.record_stream_end(
--- /dev/null
+++ b/packages/geranium-relay/src/geranium_relay/stream_origins.py
@@ -0,0 +1,211 @@
+"""Remembers at which software version streams began.
+
+Targets of several software versions may serve side by side, for instance
+during a release, and a stream may go on only at the version that began it. A
+caller whose stream breaks off may take it up at any host, also when the host
+that began it is gone. Hosts therefore tell each other where streams began.
+"""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+from collections.abc import Callable, Iterable
+
+from .catalogue import RouteKind
+from .messages import Job
+from .peer_updates import Audience, name_hash
+from .stream_origin_updates import MAX_ORIGINS, StreamOrigin
+from .targets import Fleet, Stage, Target
+
+MAX_KEPT_ORIGINS = 50_000  # bounds the memory; the oldest are dropped
+MAX_PENDING_ORIGINS = 4096  # not yet sent to an audience
+MS_IN_S = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamOriginSettings:
+    """How long origins matter.
+
+    Args:
+        lifetime_s: Time after which no caller takes up a stream any more.
+        max_wait_s: Maximum wait for a peer's update with an origin.
+    """
+
+    lifetime_s: float = 30
+    max_wait_s: float = 0.5
+
+
+class StreamOrigins:
+    """Keeps the versions at which streams began, by the id of their attempt.
+
+    Args:
+        fleet: The targets.
+        settings: How long origins matter.
+        clock: Returns the current time in seconds.
+        unix_time: Returns the cluster's Unix time in seconds.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        settings: StreamOriginSettings,
+        clock: Callable[[], float],
+        unix_time: Callable[[], float],
+    ) -> None:
+        self._fleet = fleet
+        self._settings = settings
+        self._clock = clock
+        self._unix_time = unix_time
+        self._origins_by_stream: collections.OrderedDict[
+            int, tuple[str, float]
+        ] = collections.OrderedDict()
+        self._pending_by_audience = {
+            audience: collections.deque[StreamOrigin](
+                maxlen=MAX_PENDING_ORIGINS
+            )
+            for audience in Audience
+        }
+        self._waiters_by_stream: dict[int, asyncio.Event] = {}
+
+    def record(self, identity: str, version: str) -> None:
+        """Record the version at which an attempt began a stream."""
+        origin = StreamOrigin(name_hash(identity), version)
+        self.record_peer_origins((origin,))
+        self.forward((origin,))
+
+    def record_peer_origins(self, origins: Iterable[StreamOrigin]) -> None:
+        """Record the origins in a peer's update."""
+        now = self._clock()
+        for origin in origins:
+            self._origins_by_stream[origin.stream] = origin.version, now
+            self._origins_by_stream.move_to_end(origin.stream)
+            waiter = self._waiters_by_stream.get(origin.stream)
+            if waiter is not None:
+                waiter.set()
+        self._prune(now)
+
+    def forward(
+        self,
+        origins: Iterable[StreamOrigin],
+        audiences: Iterable[Audience] = Audience,
+    ) -> None:
+        """Queue origins of this host, or of a peer for other peers."""
+        known = tuple(origins)
+        for audience in audiences:
+            self._pending_by_audience[audience].extend(known)
+
+    def take(self, audience: Audience) -> tuple[StreamOrigin, ...]:
+        """Return the origins to send to an audience now, the latest first."""
+        pending = self._pending_by_audience[audience]
+        count = min(len(pending), MAX_ORIGINS)
+        return tuple(pending.pop() for _ in range(count))
+
+    async def find(self, identity: str | None, service: str) -> str | None:
+        """Return the version at which a stream of a service began.
+
+        If it is not known, waits for the next updates of peers. ``None`` if
+        none of them says it.
+        """
+        version = self._known(identity, service)
+        if version is not None or identity is None:
+            return version
+        stream = name_hash(identity)
+        waiter = self._waiters_by_stream.setdefault(stream, asyncio.Event())
+        try:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self._settings.max_wait_s):
+                    await waiter.wait()
+        finally:
+            self._waiters_by_stream.pop(stream, None)
+        return self._known(identity, service)
+
+    def other_versions(self, service: str, version: str) -> frozenset[str]:
+        """Return the keys of targets at which a stream can't go on.
+
+        Engines that only prefill write no events.
+        """
+        return frozenset(
+            target.key
+            for target in self._fleet.of_service(service)
+            if target.software_version != version
+            and target.stage is not Stage.PREFILL
+        )
+
+    def _known(self, identity: str | None, service: str) -> str | None:
+        if identity is not None:
+            origin = self._origins_by_stream.get(name_hash(identity))
+            if origin is not None:
+                return origin[0]
+        return self._only_version(service)
+
+    def _only_version(self, service: str) -> str | None:
+        """Return the version of all targets, if there was no other lately."""
+        lifetime_s = self._settings.lifetime_s
+        now = self._clock()
+        versions = self._fleet.versions_since(service, now - lifetime_s)
+        if len(versions) != 1:
+            return None
+        known_s = now - self._fleet.first_read_at
+        if known_s < lifetime_s:
+            # Targets may have replaced others before this host started.
+            oldest_ms = (self._unix_time() - known_s - lifetime_s) * MS_IN_S
+            youngest_ms = max(
+                target.born_ms for target in self._fleet.of_service(service)
+            )
+            if youngest_ms > oldest_ms:
+                return None
+        return next(iter(versions))
+
+    def _prune(self, now: float) -> None:
+        origins = self._origins_by_stream
+        oldest = now - self._settings.lifetime_s
+        while origins:
+            _, recorded_at = next(iter(origins.values()))
+            if recorded_at > oldest and len(origins) <= MAX_KEPT_ORIGINS:
+                return
+            origins.popitem(last=False)
+
+
+class StreamVersion:
+    """The software version at which the stream of a request may go on.
+
+    Args:
+        job: The request.
+        origins: Where streams began.
+    """
+
+    def __init__(self, job: Job, origins: StreamOrigins) -> None:
+        self._job = job
+        self._origins = origins
+        self._version: str | None = None
+
+    async def resolve(self) -> bool:
+        """Look up where a stream that the caller takes up began.
+
+        Returns:
+            Whether it is known where the stream may go on, or begin.
+        """
+        arrival = self._job.arrival
+        if self._job.route.kind is not RouteKind.STREAM:
+            return True
+        if arrival.resume_after is None:
+            return True
+        self._version = await self._origins.find(
+            arrival.began_as, self._job.service
+        )
+        return self._version is not None
+
+    def record_first_event(self, target: Target) -> None:
+        """Record that the caller gets the first event from a target."""
+        self._version = target.software_version
+        arrival = self._job.arrival
+        self._origins.record(
+            arrival.began_as or arrival.identity, self._version
+        )
+
+    def excluded(self) -> frozenset[str]:
+        """Return the keys of targets at which the stream can't go on."""
+        if self._version is None:
+            return frozenset()
+        return self._origins.other_versions(self._job.service, self._version)
--- a/packages/geranium-relay/src/geranium_relay/targets.py
+++ b/packages/geranium-relay/src/geranium_relay/targets.py
@@ -84,9 +84,11 @@
         self.return_grace_s = return_grace_s
         self._outage_s = outage_s
         self._read_at: float | None = None
+        self.first_read_at = math.inf
         self._removals_blocked_until = -math.inf
         self._targets_by_identity: dict[str, Target] = {}
         self._changed_at_by_identity: dict[str, float] = {}
+        self._gone_at_by_version: dict[tuple[str, str], float] = {}
         self.digest = 0
 
     @property
@@ -110,10 +112,12 @@
     def replace(self, found: Iterable[Target], now: float) -> FleetChange:
         """Replace the list by a complete read made at ``now``."""
         self._record_outage(now)
+        self.first_read_at = min(self.first_read_at, now)
         found_by_identity = {target.identity: target for target in found}
         change = self._compare(found_by_identity, now)
         for gone in change.gone:
             self._targets_by_identity.pop(gone.identity)
+        self._record_versions(change, now)
         self._targets_by_identity.update(found_by_identity)
         changed = (*change.came, *change.gone, *change.leaving)
         self._changed_at_by_identity = {
@@ -179,6 +183,29 @@
             if target.service == service and not target.leaving
         )
 
+    def versions_since(self, service: str, instant: float) -> frozenset[str]:
+        """Return the software versions of a service's targets since a time."""
+        versions = {
+            target.software_version
+            for target in self._targets_by_identity.values()
+            if target.service == service
+        }
+        versions.update(
+            version
+            for (named, version), gone_at in self._gone_at_by_version.items()
+            if named == service and gone_at >= instant
+        )
+        return frozenset(versions)
+
+    def _record_versions(self, change: FleetChange, now: float) -> None:
+        """Record when targets of a version were last replaced or removed."""
+        replaced = (
+            self._targets_by_identity.get(came.identity) for came in change.came
+        )
+        for target in (*change.gone, *filter(None, replaced)):
+            version = target.service, target.software_version
+            self._gone_at_by_version[version] = now
+
     def _record_outage(self, now: float) -> None:
         last = self._read_at
         self._read_at = now
--- a/packages/geranium-relay/src/geranium_relay/update_composer.py
+++ b/packages/geranium-relay/src/geranium_relay/update_composer.py
@@ -18,6 +18,7 @@
 )
 from .peers import Peers
 from .rate_limit_updates import AdvertisedRateLimit
+from .stream_origins import StreamOrigins
 from .targets import TargetChange
 from .zone_reports import ZoneReport
 
@@ -40,6 +41,7 @@
 
     loads: LoadTracker
     outbox: Outbox
+    origins: StreamOrigins
     state: Callable[[], HostStatus]
     usage: Callable[[], UsageByWindow]
     known: Callable[[], AdvertisedStoreState]
@@ -100,6 +102,7 @@
             target_changes=changes,
             departures=tuple(map(name_hash, sources.departures())),
             rate_limits=sources.rate_limits(),
+            origins=sources.origins.take(audience),
             sealed_through=sources.sealed_through(),
         )
 
--- a/packages/geranium-relay/tests/fleet.py
+++ b/packages/geranium-relay/tests/fleet.py
@@ -60,6 +60,12 @@
             relay.PeerUpdateSources(
                 self.loads,
                 self.outbox,
+                relay.StreamOrigins(
+                    relay.Fleet(0, 0),
+                    relay.StreamOriginSettings(),
+                    clock.now,
+                    clock.now,
+                ),
                 lambda: self.status,
                 lambda: self.usage,
                 lambda: STORE_STATE,
--- a/packages/geranium-relay/tests/test_peer_updates.py
+++ b/packages/geranium-relay/tests/test_peer_updates.py
@@ -74,13 +74,17 @@
         crashes=(CrashNotice(2**63, 't@1', 0.5, cleared=False),),
         usage_by_window={353: {'team': 12}},
         target_changes=(
-            relay.TargetChange('t1', make_target('t1')),
+            relay.TargetChange('t1', make_target('t1', software_version='v2')),
             relay.TargetChange('t2', None),
         ),
         rate_limits=(
             relay.AdvertisedRateLimit(2**62, 0.25, 1796396400123),
             relay.AdvertisedRateLimit(3, None, 5),
         ),
+        origins=(
+            relay.StreamOrigin(2**61, 'v2'),
+            relay.StreamOrigin(5, 'v1'),
+        ),
     )
 
     assert relay.decode_peer_update(relay.encode_peer_update(update)) == update
--- a/packages/geranium-relay/tests/test_stream_versions.py
+++ b/packages/geranium-relay/tests/test_stream_versions.py
@@ -1,12 +1,16 @@
 """Streams that go on while two software versions serve side by side."""
 
+import asyncio
 import dataclasses
 
 import geranium_relay as relay
+from geranium_relay.peer_updates import name_hash
 
+from .test_peer_updates import Clock, make_target
 from .world import EVENTS, World, answer, cut
 
 STREAMS = 12
+LIFETIME_S = relay.StreamOriginSettings().lifetime_s
 RESUMED = answer(*EVENTS[1:])
 VERSIONS = ('v1', 'v2', 'v1', 'v2', 'v1', 'v2')
 
@@ -63,7 +67,8 @@
     None
 ):
     world = make_world('v1', 'v2')
-    world.targets.add_scripts(cut(EVENTS[0][:4]), answer(*EVENTS))
+    partial = EVENTS[0][:-1]
+    world.targets.add_scripts(cut(partial), answer(*EVENTS))
 
     outcome, sink = await world.serve('resumable')
 
@@ -97,3 +102,89 @@
 
     assert isinstance(outcome, relay.Refused)
     assert not world.targets.calls
+
+
+def make_origins(fleet: relay.Fleet, clock: Clock) -> relay.StreamOrigins:
+    settings = relay.StreamOriginSettings(max_wait_s=0)
+    return relay.StreamOrigins(fleet, settings, clock.now, clock.now)
+
+
+def make_targets(*versions: str, born_ms: int = 1) -> list[relay.Target]:
+    return [
+        make_target(
+            f't-{version}',
+            born_ms=born_ms,
+            software_version=version,
+            stage=None,
+        )
+        for version in versions
+    ]
+
+
+async def test_second_host_learns_where_a_stream_began() -> None:
+    """The host that began the stream is killed, its caller goes elsewhere."""
+    clock = Clock()
+    fleet = relay.Fleet(0, LIFETIME_S)
+    fleet.replace(make_targets('v1', 'v2'), clock.now())
+    first, second = make_origins(fleet, clock), make_origins(fleet, clock)
+    first.record('attempt', 'v1')
+
+    for audience in relay.Audience:
+        second.record_peer_origins(first.take(audience))
+
+    assert await second.find('attempt', 's') == 'v1'
+    assert await second.find('other', 's') is None
+
+
+async def test_update_that_arrives_meanwhile_says_where_a_stream_began() -> (
+    None
+):
+    world = make_world('v1', 'v2')
+    world.targets.add_scripts(RESUMED)
+    taken_up = asyncio.create_task(
+        world.serve('resumable', resume_after='1', began_as='first')
+    )
+    await asyncio.sleep(0)
+
+    origin = relay.StreamOrigin(name_hash('first'), 'v2')
+    world.origins.record_peer_origins((origin,))
+
+    outcome, _ = await taken_up
+    assert outcome == relay.Delivered(200)
+    assert versions_of_calls(world) == ['v2']
+
+
+async def test_stream_of_unknown_origin_goes_on_where_one_version_was() -> None:
+    clock = Clock()
+    fleet = relay.Fleet(0, LIFETIME_S)
+    fleet.replace(make_targets('v1'), clock.now())
+
+    assert await make_origins(fleet, clock).find('attempt', 's') == 'v1'
+
+
+async def test_version_that_is_just_gone_may_have_begun_a_stream() -> None:
+    clock = Clock()
+    fleet = relay.Fleet(0, LIFETIME_S)
+    origins = make_origins(fleet, clock)
+    fleet.replace(make_targets('v1'), clock.now())
+    clock.instant += LIFETIME_S
+    fleet.replace(make_targets('v2'), clock.now())
+
+    assert await origins.find('attempt', 's') is None
+
+    clock.instant += LIFETIME_S + 1
+    assert await origins.find('attempt', 's') == 'v2'
+
+
+async def test_host_that_just_started_does_not_guess_after_a_release() -> None:
+    """Targets that started lately may have replaced those of a version."""
+    clock = Clock()
+    born_ms = int((clock.now() - 1) * 1000)
+    fleet = relay.Fleet(0, LIFETIME_S)
+    fleet.replace(make_targets('v2', born_ms=born_ms), clock.now())
+    origins = make_origins(fleet, clock)
+
+    assert await origins.find('attempt', 's') is None
+
+    clock.instant += LIFETIME_S
+    assert await origins.find('attempt', 's') == 'v2'
--- a/packages/geranium-relay/tests/world.py
+++ b/packages/geranium-relay/tests/world.py
@@ -198,6 +198,10 @@
         self.view.accept(self._catalogue(engines), self.clock.now())
         self.relay = self._make_relay(engines)
 
+    @property
+    def origins(self) -> relay.StreamOrigins:
+        return self._origins
+
     @property
     def notices(self) -> relay.TargetNotices:
         return self._notices
@@ -293,6 +297,9 @@
         source = random.Random(1)
         log = relay.DecisionLog(relay.LogSettings(), self.lines.append, now)
         self.fleet = fleet
+        self._origins = relay.StreamOrigins(
+            fleet, relay.StreamOriginSettings(), now, time.time
+        )
         self._notices = relay.TargetNotices(
             now,
             log,
@@ -313,6 +320,7 @@
             relay.RetryShares(RetryShareSettings(0.2, 56, 10), lambda: 1),
             CrashCauses(CrashCauseSettings(), self.suspects),
             relay.Outbox(),
+            self._origins,
             self.usage,
             log,
             relay.Telemetry(),
