Crash causes: a sound request that ran beside harmful ones is served again

They count no more as soon as the cause is known. A request that crashes targets without the part collects crashes that the part does not explain, and is refused as before.

The daemon's guard takes the same verdict.

--- a/packages/geranium-policy/src/geranium_policy/crash_causes.py
+++ b/packages/geranium-policy/src/geranium_policy/crash_causes.py
@@ -52,6 +52,14 @@
 _CrashedAtById: TypeAlias = Mapping[str, float]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Cause:
+    """What crashes targets, and the ids of the crashes that it explains."""
+
+    fingerprints: frozenset[int]
+    crash_ids: frozenset[str]
+
+
 class CrashCauses:
     """Finds the parts that crash targets, and rejects requests with them.
 
@@ -70,17 +78,27 @@
         self._settings = settings
         self._register = register
         self._sound_parts = collections.OrderedDict[int, None]()
-        self._causes: tuple[frozenset[int], ...] = ()
+        self._causes: tuple[_Cause, ...] = ()
         self._revision = register.revision
         self._expires_at = math.inf
 
     def rejects(self, fingerprints: RequestFingerprints, now: float) -> bool:
         """Return whether a request would crash the target that runs it."""
-        verdict = self._register.verdict(fingerprints.request, now)
-        if verdict is Verdict.REJECT:
-            return True
+        return self.verdict(fingerprints, now) is Verdict.REJECT
+
+    def verdict(self, fingerprints: RequestFingerprints, now: float) -> Verdict:
+        """Return how a request may run.
+
+        A request that only ran on targets as they crashed under others is no
+        suspect: their cause explains those crashes.
+        """
         known = frozenset(fingerprints.every)
-        return any(cause <= known for cause in self._current_causes(now))
+        explained: set[str] = set()
+        for cause in self._current_causes(now):
+            if cause.fingerprints <= known:
+                return Verdict.REJECT
+            explained |= cause.crash_ids
+        return self._register.verdict(fingerprints.request, now, explained)
 
     def record_crash(
         self, fingerprints: RequestFingerprints, crash_id: str, now: float
@@ -119,19 +137,20 @@
         """
         most = self._settings.min_crashes
         notices: list[CrashNotice] = []
-        for fingerprint in itertools.chain(*self._current_causes(now)):
+        causes = [cause.fingerprints for cause in self._current_causes(now)]
+        for fingerprint in itertools.chain.from_iterable(causes):
             latest = self._register.latest_notices(fingerprint, now, most)
             notices.extend(latest)
         return tuple(notices)
 
-    def _current_causes(self, now: float) -> tuple[frozenset[int], ...]:
+    def _current_causes(self, now: float) -> tuple[_Cause, ...]:
         revision = self._register.revision
         if revision != self._revision or now >= self._expires_at:
             self._revision = revision
             self._causes = tuple(self._find_causes(now))
         return self._causes
 
-    def _find_causes(self, now: float) -> Iterable[frozenset[int]]:
+    def _find_causes(self, now: float) -> Iterable[_Cause]:
         """Yield causes, each of crashes that no earlier one explains.
 
         Parts that are not known to be sound come first: they explain the
@@ -149,8 +168,9 @@
             while cause := self._find_cause(
                 suspects, crashes_by_fingerprint, explained
             ):
-                explained.update(crashes_by_fingerprint[next(iter(cause))])
-                yield cause
+                crash_ids = frozenset(crashes_by_fingerprint[next(iter(cause))])
+                explained.update(crash_ids)
+                yield _Cause(cause, crash_ids)
 
     def _evidence(self, now: float) -> dict[int, dict[str, float]]:
         """Return the recent crashes of what enough of them happened under."""
--- a/packages/geranium-policy/src/geranium_policy/suspects.py
+++ b/packages/geranium-policy/src/geranium_policy/suspects.py
@@ -172,11 +172,22 @@
         crashes.sort(key=lambda crash: crash.crashed_at)
         return tuple(_to_notice(crash, now) for crash in crashes[-most:])
 
-    def verdict(self, fingerprint: int, now: float) -> Verdict:
-        """Return how a request may run."""
+    def verdict(
+        self,
+        fingerprint: int,
+        now: float,
+        explained: Collection[str] = (),
+    ) -> Verdict:
+        """Return how a request may run.
+
+        Crashes that something else explains, given by their ids, don't count.
+        """
         if fingerprint not in self._keys_by_fingerprint:
             return Verdict.RUN
-        crashes = len(self._active_crashes(fingerprint, now))
+        crashes = sum(
+            crash.crash_id not in explained
+            for crash in self._active_crashes(fingerprint, now)
+        )
         if crashes >= self._settings.max_crashes:
             return Verdict.REJECT
         return Verdict.RUN_ISOLATED if crashes else Verdict.RUN
--- a/packages/geranium-policy/tests/test_crash_causes.py
+++ b/packages/geranium-policy/tests/test_crash_causes.py
@@ -8,7 +8,11 @@
     CrashCauseSettings,
     RequestFingerprints,
 )
-from geranium_policy.suspects import SuspectRegister, SuspectSettings
+from geranium_policy.suspects import (
+    SuspectRegister,
+    SuspectSettings,
+    Verdict,
+)
 
 FIRST, HARMFUL, OTHER = 1, 2, 3
 SETTINGS = CrashCauseSettings(min_crashes=3, moment_s=0.25, evidence_s=100)
@@ -160,3 +164,28 @@
 
     assert fleet.rejects(3, HARMFUL)
     assert not fleet.causes.rejects(sound, 3)
+
+
+def test_sound_request_is_no_suspect_once_the_cause_is_known(fleet):
+    sound = fleet.request(FIRST)
+    for now in range(3):
+        harmful = fleet.request(HARMFUL)
+        fleet.causes.record_crash(harmful, f'crash-{now}', now)
+    fleet.causes.record_crash(sound, 'crash-2', 2)
+
+    assert fleet.causes.verdict(sound, 3) is Verdict.RUN
+
+
+def test_request_that_crashes_targets_of_its_own_is_rejected_all_the_same(
+    fleet,
+):
+    own = fleet.request(FIRST)
+    for now in range(3):
+        crash_id = f'crash-{now}'
+        fleet.causes.record_crash(fleet.request(HARMFUL), crash_id, now)
+        fleet.causes.record_crash(own, crash_id, now)
+    fleet.causes.record_crash(fleet.request(HARMFUL), 'crash-3', 3)
+    for now in (4, 5):
+        fleet.causes.record_crash(own, f'own-{now}', now)
+
+    assert fleet.causes.rejects(own, 6)
--- a/packages/geraniumd/src/geraniumd/callers/suspects.py
+++ b/packages/geraniumd/src/geraniumd/callers/suspects.py
@@ -66,11 +66,7 @@
 
     def verdict(self, call: CompletionCall) -> Verdict:
         """Return whether a call may run, run isolated or is rejected."""
-        fingerprints = _fingerprints(call)
-        now = self._clock.now()
-        if self._causes.rejects(fingerprints, now):
-            return Verdict.REJECT
-        return self._register.verdict(fingerprints.request, now)
+        return self._causes.verdict(_fingerprints(call), self._clock.now())
 
     def rejection(self, call: CompletionCall, *, was_sent: bool) -> Outcome:
         """Return the outcome of a rejected call."""
