Target rate limits: a permit lapses while a request waits for its prefill

Requests take their permits when their targets are selected. A request that has waited for half a second needs another permit, or goes to another engine.

Where none accepts the prefilled prompt, the target is no longer recorded as unreachable.

--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -166,7 +166,9 @@
             if cache_handle is not None:
                 await self._context.targets.drop_prompt(cache_handle)
             return await self._final_outcome(refusal)
-        if not self._context.selector.accepts_requests(attempt.target):
+        if not self._context.selector.accepts_requests(
+            attempt.target, attempt.started_at
+        ):
             attempt = await self._reselect_target(attempt, cache_handle)
         dispatch = Dispatch(
             attempt.target.key,
@@ -183,10 +185,10 @@
         attempt: Attempt,
         cache_handle: CacheHandle | None,
     ) -> Attempt:
-        """Replace a target that began to leave during the prefill.
+        """Replace a target that stopped accepting requests in the prefill.
 
         Raises:
-            NotSentError: If no other target is available.
+            NotRunError: If no other target is available.
         """
         selected = None
         if self._service.engine is not None:
@@ -198,7 +200,7 @@
         if selected is None:
             if cache_handle is not None:
                 await self._context.targets.drop_prompt(cache_handle)
-            raise NotSentError('target is leaving and no other is available')
+            raise NotRunError('no target accepts the prefilled prompt')
         self._context.selector.record_dispatch(selected)
         return dataclasses.replace(attempt, target=selected)
 
--- a/packages/geranium-relay/src/geranium_relay/target_selector.py
+++ b/packages/geranium-relay/src/geranium_relay/target_selector.py
@@ -36,6 +36,8 @@
 from .target_notices import TargetNotices
 from .targets import Fleet, Stage, Target
 
+PERMIT_LIFETIME_S = 0.5  # of a request that is selected and not sent yet
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetSelectorSettings:
@@ -182,12 +184,20 @@
             return None
         return target
 
-    def accepts_requests(self, target: Target) -> bool:
-        """Return whether a previously selected target is still usable."""
+    def accepts_requests(self, target: Target, selected_at: float) -> bool:
+        """Return whether a target that was selected earlier is still usable.
+
+        If it is limited, requests that waited long would arrive together with
+        later ones: their permits have lapsed, and another one is needed.
+        """
         known = self.target(target.key)
         if known is None or known.leaving:
             return False
-        return self._notices.accepts_requests(target.key)
+        if not self._notices.accepts_requests(target.key):
+            return False
+        if self._clock() - selected_at <= PERMIT_LIFETIME_S:
+            return True
+        return self._rate_limits.take(target.key)
 
     def record_dispatch(
         self, target: Target, reader: Target | None = None
--- a/packages/geranium-relay/tests/test_target_rate_limits.py
+++ b/packages/geranium-relay/tests/test_target_rate_limits.py
@@ -5,6 +5,7 @@
 
 import geranium_relay as relay
 import pytest
+from geranium_relay import target_selector
 
 from .world import EVENTS, World, answer
 
@@ -161,3 +162,20 @@
     await world.serve('resumable', prompt=PROMPT)
 
     assert taken == ['t1@1', 't0@1']
+
+
+async def test_request_that_waited_for_its_prefill_needs_another_permit(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Prefills that were stalled end together, and so do the waits."""
+    world = World(answer(*EVENTS), engines=True)
+    world.place_isolated()
+    limits = world.notices.rate_limits
+    limits.record(world.targets.chosen, relay.RateLimitNotice(LIMIT_PER_S, 0))
+    monkeypatch.setattr(target_selector, 'PERMIT_LIFETIME_S', -1)
+
+    outcome, _ = await world.serve('resumable', prompt=PROMPT)
+
+    assert outcome == relay.Delivered(200)
+    (call,) = world.targets.calls
+    assert call.target.key != world.targets.chosen
