--- a/packages/geranium-relay/src/geranium_relay/target_rate_limits.py
+++ b/packages/geranium-relay/src/geranium_relay/target_rate_limits.py
@@ -145,6 +145,9 @@
 
     def accepts_request(self, key: str) -> bool:
         """Return whether this host may send a target a request now."""
+        known = self._limits_by_key.get(key)
+        if known is None or known.per_s is None:
+            return True
         permit_at = self.permit_at(key)
         return permit_at is not None and permit_at <= self._clock()
 
