Streams: a service without targets has no version to guess

A caller that takes a stream up while the list has no target of the service, but had one of a single version in the last half minute, got a ValueError and no answer. Found by reading; test_stream_whose_targets_are_just_gone_keeps_its_version failed before.

--- a/packages/geranium-relay/src/geranium_relay/stream_origins.py
+++ b/packages/geranium-relay/src/geranium_relay/stream_origins.py
@@ -151,7 +151,8 @@
             # Targets may have replaced others before this host started.
             oldest_ms = (self._unix_time() - known_s - lifetime_s) * MS_IN_S
             youngest_ms = max(
-                target.born_ms for target in self._fleet.of_service(service)
+                (target.born_ms for target in self._fleet.of_service(service)),
+                default=0,
             )
             if youngest_ms > oldest_ms:
                 return None
--- a/packages/geranium-relay/tests/test_stream_versions.py
+++ b/packages/geranium-relay/tests/test_stream_versions.py
@@ -188,3 +188,22 @@
 
     clock.instant += LIFETIME_S
     assert await origins.find('attempt', 's') == 'v2'
+
+
+async def test_stream_of_a_service_without_targets_is_of_unknown_version() -> (
+    None
+):
+    clock = Clock()
+    fleet = relay.Fleet(0, LIFETIME_S)
+    fleet.replace((), clock.now())
+
+    assert await make_origins(fleet, clock).find('attempt', 's') is None
+
+
+async def test_stream_whose_targets_are_just_gone_keeps_its_version() -> None:
+    clock = Clock()
+    fleet = relay.Fleet(0, LIFETIME_S)
+    fleet.replace(make_targets('v1'), clock.now())
+    fleet.replace((), clock.now())
+
+    assert await make_origins(fleet, clock).find('attempt', 's') == 'v1'
