Daemon: an event with an unreadable offset is dropped

Such an event is dropped and counted like one of another request; the next offset then shows a gap, and the stream is resumed elsewhere. Offsets of more than 18 digits are unreadable too: int() refuses some of them.

--- a/packages/geraniumd/src/geraniumd/callers/events.py
+++ b/packages/geraniumd/src/geraniumd/callers/events.py
@@ -5,6 +5,7 @@
 _EVENT_END = b'\n\n'
 _COMMENT = b':'
 _DONE = b'data: [DONE]'
+_MAX_OFFSET_DIGITS = 18  # fits 64 bits
 MAX_EVENT_BYTES = 262144  # an event contains a few tokens
 
 
@@ -25,8 +26,8 @@
     """Splits a byte stream into events and drops those not expected.
 
     An event is accepted if it has the request's id and the next offset. Events
-    of other requests and events at earlier offsets are dropped and counted. A
-    skipped offset sets ``has_gap``, and no later event is accepted.
+    of other requests, without an offset and at earlier offsets are dropped and
+    counted. A skipped offset sets ``has_gap``, and no later event is accepted.
     """
 
     def __init__(self, execution_id: str, next_offset: int = 0) -> None:
@@ -68,8 +69,8 @@
             self.dropped_count += 1
             return False
         header, _, payload = event.partition(b'\n')
-        offset = int(header[len(self._prefix) :])
-        if offset < self.next_offset:
+        offset = _parse_offset(header[len(self._prefix) :])
+        if offset is None or offset < self.next_offset:
             self.dropped_count += 1
             return False
         if offset > self.next_offset:
@@ -85,3 +86,10 @@
         if events:
             joined = _EVENT_END.join(events) + _EVENT_END
         return Batch(joined, self.next_offset, done)
+
+
+def _parse_offset(digits: bytes) -> int | None:
+    """Return the offset in an event's id, ``None`` if it is not a number."""
+    if len(digits) > _MAX_OFFSET_DIGITS or not digits.isdigit():
+        return None
+    return int(digits)
--- a/packages/geraniumd/tests/test_broken_bodies.py
+++ b/packages/geraniumd/tests/test_broken_bodies.py
@@ -77,3 +77,14 @@
 
     assert not batch.data
     assert buffer.dropped_count == 1
+
+
+@pytest.mark.parametrize('offset', [b'', b'-1', b' 0', b'9' * 5000])
+def test_event_with_an_unreadable_offset_is_dropped(offset: bytes) -> None:
+    buffer = EventBuffer('r1')
+
+    batch = buffer.feed(b'id: r1:' + offset + b'\ndata: a\n\n')
+
+    assert not batch.data
+    assert buffer.dropped_count == 1
+    assert not buffer.has_gap
