Daemon: a stream is resumed only at an engine with its model's version

Engines say their model's version in their load reports, and docs/INTERFACES.md promises the same text only at the same version; the daemon did not read it.

Failed before: test_stream_is_resumed_only_at_its_models_version ('music hall thanks dear band evening and with', where the versions say 'music hall thanks dear band card we song' and 'invite booked flowers friends before evening and with').

--- a/packages/geraniumd/src/geraniumd/backends/engine_interface.py
+++ b/packages/geraniumd/src/geraniumd/backends/engine_interface.py
@@ -29,6 +29,7 @@
 class _LoadReport(pydantic.BaseModel):
     engine: str
     instance: str = ''
+    version: str = ''
     role: Role
     state: str
     running: int
@@ -41,9 +42,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadReport:
-    """An engine's load and the instance id of its process."""
+    """An engine's load, the instance id of its process and its model's version."""
 
     instance: str
+    version: str
     load: EngineLoad
 
 
@@ -93,7 +95,7 @@
             prefill_tokens_waiting=report.prefill_tokens_waiting,
             sampled_at=now - report.sampled_ms_ago / MS_PER_S,
         )
-        return LoadReport(report.instance, load)
+        return LoadReport(report.instance, report.version, load)
 
     async def cache_events(
         self,
--- a/packages/geraniumd/src/geraniumd/callers/attempts.py
+++ b/packages/geraniumd/src/geraniumd/callers/attempts.py
@@ -36,7 +36,9 @@
 
     ``was_sent`` is true once a target may have run the request: from then on
     the outcome must not be ``NotRun``. ``silent`` holds the targets that timed
-    out once. ``deadline`` is an instant of the monotonic clock in seconds.
+    out once. ``version`` is that of the model that began the stream, ``None``
+    before its first event. ``deadline`` is an instant of the monotonic clock in
+    seconds.
     """
 
     record: RequestRecord
@@ -45,6 +47,7 @@
     silent: set[str] = dataclasses.field(default_factory=set)
     was_sent: bool = False
     detail: str = ''
+    version: str | None = None
 
     def failed(
         self,
--- a/packages/geraniumd/src/geraniumd/callers/completions.py
+++ b/packages/geraniumd/src/geraniumd/callers/completions.py
@@ -183,6 +183,7 @@
             selection = self._selector.select_engine(
                 run.profile,
                 attempts.excluded,
+                attempts.version,
             )
             if selection is None:
                 return attempts.final_outcome('No engine available')
@@ -258,6 +259,7 @@
                 run.attempts.was_sent = True
                 async for batch in stream.batches():
                     self._record_first_token(run, selection, sent_at)
+                    run.attempts.version = selection.entry.version
                     await run.job.sink.write(batch)
         except TargetRefusedError:
             raise
--- a/packages/geraniumd/src/geraniumd/callers/selection.py
+++ b/packages/geraniumd/src/geraniumd/callers/selection.py
@@ -48,12 +48,18 @@
         self,
         profile: RequestProfile,
         excluded: Collection[str],
+        version: str | None = None,
     ) -> Selection | None:
         """Select an engine for a request, ``None`` if there is none.
 
-        Excluded engines are selected only if no other is usable.
+        Excluded engines are selected only if no other is usable. A stream that
+        has begun goes on only at an engine with its model's version.
         """
-        engines = self._fleet.engines(profile.service)
+        engines = [
+            entry
+            for entry in self._fleet.engines(profile.service)
+            if version in {None, entry.version}
+        ]
         shared = [entry for entry in engines if not entry.is_reserved]
         entries = self._usable(shared or engines, excluded)
         entries_by_name = {entry.name: entry for entry in entries}
--- a/packages/geraniumd/src/geraniumd/state/fleet.py
+++ b/packages/geraniumd/src/geraniumd/state/fleet.py
@@ -41,7 +41,8 @@
 
     ``view`` is the engine's state as used for routing. ``instance`` is the
     process id from the engine's last report and distinguishes successive
-    crashes. ``reservations`` counts this daemon's suspects that run or wait to
+    crashes, ``version`` is that of its model in the same report.
+    ``reservations`` counts this daemon's suspects that run or wait to
     run alone on it. ``reserved_by_peers`` is true if a peer has reserved it.
     """
 
@@ -50,6 +51,7 @@
     running: int = 0
     last_error: str = ''
     instance: str = ''
+    version: str = ''
     cache_seq: int = 0
     reservations: int = 0
     reserved_by_peers: bool = False
--- a/packages/geraniumd/src/geraniumd/upkeep/probes.py
+++ b/packages/geraniumd/src/geraniumd/upkeep/probes.py
@@ -62,6 +62,7 @@
             entry.instance = report.instance
             entry.cache_seq = 0
             entry.view.prefixes.apply(CacheCleared(), self._clock.now())
+        entry.version = report.version
         entry.view.apply_load(report.load)
 
     async def _read_events(self, entry: EngineEntry) -> None:
--- a/packages/geraniumd/tests/test_broken_bodies.py
+++ b/packages/geraniumd/tests/test_broken_bodies.py
@@ -83,7 +83,8 @@
 def test_event_with_an_unreadable_offset_is_dropped(offset: bytes) -> None:
     buffer = EventBuffer('r1')
 
-    batch = buffer.feed(b'id: r1:' + offset + b'\ndata: a\n\n')
+    event = b''.join((b'id: r1:', offset, b'\ndata: a\n\n'))
+    batch = buffer.feed(event)
 
     assert not batch.data
     assert buffer.dropped_count == 1
