Daemon: no KV cache is handed over between versions of a model

Found beside the resumed streams: a prompt that was prefilled by an engine with one version of the model was handed to an engine with another, which went on from a cache that makes no sense to it. The decoding engine prefills the prompt itself then.

Failed before: test_cache_of_another_model_version_is_not_handed_over.

--- a/packages/geraniumd/src/geraniumd/callers/completions.py
+++ b/packages/geraniumd/src/geraniumd/callers/completions.py
@@ -238,6 +238,8 @@
         source = selection.choice.prefill_engine
         if source is None or run.buffer.next_offset:
             return False
+        if not self._handoff.is_possible(source, selection.entry):
+            return False
         run.attempts.was_sent = True
         run.job.record.add_step(f'prompt read by {source.name}')
         return await self._handoff.transfer(
--- a/packages/geraniumd/src/geraniumd/callers/handoff.py
+++ b/packages/geraniumd/src/geraniumd/callers/handoff.py
@@ -37,6 +37,16 @@
         self._clock = clock
         self._log = get_logger()
 
+    def is_possible(self, source: Engine, destination: EngineEntry) -> bool:
+        """Return whether both engines have the same version of their model.
+
+        A KV cache of another version makes no sense to the destination.
+        """
+        entry = self._fleet.entries_by_name.get(source.name)
+        if not isinstance(entry, EngineEntry):
+            return False
+        return entry.version == destination.version
+
     async def transfer(
         self,
         call: CompletionCall,
--- a/packages/geraniumd/tests/test_handoff.py
+++ b/packages/geraniumd/tests/test_handoff.py
@@ -3,6 +3,7 @@
 import pytest
 import pytest_asyncio
 from geranium_standins.deployment import Deployment, DeploymentSettings
+from geranium_standins.managed_process import wait_until
 
 pytestmark = pytest.mark.asyncio(loop_scope='module')
 
@@ -21,15 +22,23 @@
         yield running
 
 
-async def chat(deployment, secret):
+async def reports_version(deployment, engine, version):
+    """Return whether an engine with a version has reported to a daemon."""
+    url = deployment.engines_by_name[engine].url
+    async with deployment.http.get(f'{url}/load') as response:
+        report = await response.json()
+    return (report['version'], report['state']) == (version, 'live')
+
+
+async def chat(deployment, secret, identity='kv-1'):
     async with deployment.http.post(
         deployment.caller_url('host-1', '/v1/chat/completions'),
         json={
             'model': 'llm',
             'max_tokens': 8,
-            'messages': [{'role': 'user', 'content': PROMPT}],
+            'messages': [{'role': 'user', 'content': f'{identity} {PROMPT}'}],
         },
-        headers={'Authorization': f'Bearer {secret}', 'Request-Id': 'kv-1'},
+        headers={'Authorization': f'Bearer {secret}', 'Request-Id': identity},
     ) as response:
         return response.status, await response.json()
 
@@ -48,6 +57,23 @@
     assert 'kv_not_handed_over' not in {line['event'] for line in log}
 
 
+async def test_cache_of_another_model_version_is_not_handed_over(
+    deployment,
+):
+    load = 'load model model version 2 on engine engine-1'
+    await deployment.operator.execute(load)
+    await wait_until(lambda: reports_version(deployment, 'engine-1', '2'))
+    secret = await deployment.operator.create_key('versions')
+
+    status, _ = await chat(deployment, secret, 'kv-2')
+
+    assert status == 200
+    explained = await deployment.operator.execute('explain request kv-2')
+    steps = [row[-1] for row in explained['rows']]
+    assert 'prompt read by engine-1' not in steps
+    assert 'sent to engine-2' in steps
+
+
 async def test_without_the_prefill_engine_the_decode_engine_prefills(
     deployment,
 ):
