--- a/soak/src/geranium_soak/checks/__init__.py
+++ b/soak/src/geranium_soak/checks/__init__.py
@@ -27,6 +27,7 @@
     calm.leaving_targets_get_no_requests,
     notices.departed_targets_get_no_requests,
     notices.paused_targets_get_no_requests,
+    notices.limited_targets_get_no_more,
     calm.planned_work_cuts_no_requests,
     calm.work_ends_when_caller_leaves,
     calm.service_recovers,
--- a/soak/src/geranium_soak/checks/notices.py
+++ b/soak/src/geranium_soak/checks/notices.py
@@ -12,6 +12,9 @@
 
 PAUSE_NOTICE_S = 0.5  # from a refusal until its pause counts
 MAX_REQUESTS_IN_PAUSE = 2
+LIMIT_WINDOW_S = 4
+LIMIT_TOLERANCE = 1.5  # of what a limit allows in a window
+LIMIT_SLACK = 5  # requests
 
 _Pair: TypeAlias = tuple[str, int, str]  # host, incarnation, target
 
@@ -29,6 +32,11 @@
         sent = self.sent
         return sent.host, sent.incarnation, self.request.taken.target
 
+    @property
+    def limit_per_s(self) -> float:
+        """The limit that the target named then, 0 if none."""
+        return self.request.taken.limit_per_s or 0
+
 
 def departed_targets_get_no_requests(
     ledger: Ledger, bounds: Bounds
@@ -68,6 +76,55 @@
                 yield Violation('paused target', target, detail)
 
 
+def limited_targets_get_no_more(
+    ledger: Ledger, bounds: Bounds
+) -> Iterator[Violation]:
+    """Check that hosts together keep to the limits that targets name.
+
+    The bound counts from ``reconnect_s`` after a target first named a limit,
+    for hosts that have had no fault for as long. A limit that changes meanwhile
+    is taken at its highest.
+    """
+    sends_by_target: collections.defaultdict[str, list[_Send]] = (
+        collections.defaultdict(list)
+    )
+    for send in _sends(ledger):
+        if send.limit_per_s:
+            sends_by_target[send.request.taken.target].append(send)
+    for target, sends in sends_by_target.items():
+        limit_per_s = max(limited.limit_per_s for limited in sends)
+        allowed = LIMIT_TOLERANCE * LIMIT_WINDOW_S * limit_per_s + LIMIT_SLACK
+        arrived = _arrivals_from_calm_hosts(ledger, bounds, sends)
+        if _most_in_a_window(arrived) > allowed:
+            detail = f'more than {allowed:.1f} requests in a window'
+            yield Violation('named limit', target, detail)
+
+
+def _arrivals_from_calm_hosts(
+    ledger: Ledger, bounds: Bounds, sends: list[_Send]
+) -> list[float]:
+    """Return when requests of hosts arrived that must know of a limit."""
+    named_at = min(send.request.at for send in sends)
+    return [
+        send.request.at
+        for send in sends
+        if send.request.at > named_at + bounds.reconnect_s
+        and ledger.was_calm(
+            frozenset((send.sent.host,)),
+            send.request.at - bounds.reconnect_s,
+            send.request.at,
+        )
+    ]
+
+
+def _most_in_a_window(arrived: list[float]) -> int:
+    counts = (
+        sum(since <= at < since + LIMIT_WINDOW_S for at in arrived)
+        for since in arrived
+    )
+    return max(counts, default=0)
+
+
 def _sends(ledger: Ledger) -> Iterator[_Send]:
     for identity, sent in ledger.sent_by_id.items():
         for request in ledger.target_requests_by_id.get(identity, ()):
--- a/soak/src/geranium_soak/faults.py
+++ b/soak/src/geranium_soak/faults.py
@@ -162,7 +162,17 @@
     """Replace a team's key."""
 
 
-RareFault: TypeAlias = RestoreStore | AnnounceDeparture | AskForPause
+@dataclasses.dataclass(frozen=True, slots=True)
+class NameLimit:
+    """Let a target name a limit for the requests of all hosts together."""
+
+    per_s: float
+    for_s: float
+
+
+RareFault: TypeAlias = (
+    RestoreStore | AnnounceDeparture | AskForPause | NameLimit
+)
 Fault: TypeAlias = (
     KillHosts
     | PauseHost
--- a/soak/src/geranium_soak/injector.py
+++ b/soak/src/geranium_soak/injector.py
@@ -6,6 +6,7 @@
 from geranium_platform_standins import SimulatedTargetFaults
 
 from . import faults
+from .endpoints import TargetEndpoint
 from .environment import Environment
 from .fleet import simulated_target_faults
 from .observations import now
@@ -96,14 +97,28 @@
                     injected.value,
                     for_s,
                 )
-            case faults.AskForPause(pause_s=pause_s, share=share, for_s=for_s):
-                refusals = SimulatedTargetFaults(
-                    share, refuses=True, pause_s=pause_s
-                )
-                await fleet.inject_fault(endpoint, refusals, 'paused', for_s)
+            case faults.AskForPause() | faults.NameLimit():
+                await self._inject_notice(fault, endpoint)
             case faults.AnnounceDeparture(listed_s=listed_s):
                 await fleet.announce_departure(endpoint, listed_s)
             case faults.CrashTarget(down_s=down_s, reused=reused):
                 await fleet.crash(endpoint, down_s, reused=reused)
             case faults.ReplaceTarget():
                 await fleet.replace(endpoint)
+
+    async def _inject_notice(
+        self,
+        fault: faults.AskForPause | faults.NameLimit,
+        endpoint: TargetEndpoint,
+    ) -> None:
+        fleet = self._environment.fleet
+        match fault:
+            case faults.AskForPause(pause_s=pause_s, share=share):
+                notices = SimulatedTargetFaults(
+                    share, refuses=True, pause_s=pause_s
+                )
+                what = 'paused'
+            case faults.NameLimit(per_s=per_s):
+                notices = SimulatedTargetFaults(limit_per_s=per_s)
+                what = 'limited'
+        await fleet.inject_fault(endpoint, notices, what, fault.for_s)
--- a/soak/src/geranium_soak/plans.py
+++ b/soak/src/geranium_soak/plans.py
@@ -7,7 +7,7 @@
 from types import MappingProxyType
 
 from . import faults
-from .rare_faults import RARE_WEIGHT_BY_MAKER
+from .rare_faults import LIMIT_WEIGHT_BY_MAKER, RARE_WEIGHT_BY_MAKER
 
 SERIES_SHARE = 0.35  # of the draws are repeated, like rolling operator work
 SERIES_LENGTH = (2, 4)
@@ -23,6 +23,7 @@
 MAX_CHANGES = 4  # successive changes of the catalogue per draw
 SIGNALLED_SHARE = 0.5  # of the changes of settings
 RARE_FACTOR = 2  # these faults are drawn in the first part of a plan
+LIMIT_FACTOR = 4  # likewise; a few limits leave targets for the callers
 ADDRESS_REUSE_SHARE = 0.4  # of the crashed targets
 
 
@@ -51,6 +52,12 @@
             hosts,
             RARE_WEIGHT_BY_MAKER,
         ),
+        _draw_steps(
+            random.Random(f'{seed} limits'),
+            length_s / LIMIT_FACTOR,
+            hosts,
+            LIMIT_WEIGHT_BY_MAKER,
+        ),
     )
     return tuple(sorted(steps, key=lambda step: step.at_s))
 
--- a/soak/src/geranium_soak/rare_faults.py
+++ b/soak/src/geranium_soak/rare_faults.py
@@ -12,6 +12,8 @@
 PAUSE_S = (2.5, 9.0)
 REFUSED_SHARES = (0.1, 1)
 REFUSING_S = (0.4, 5.0)
+LIMITS_PER_S = (0.5, 4.0)
+LIMITED_S = (6.0, 14.0)  # hosts have some seconds to learn of a limit
 
 
 def _draw_restore(source: random.Random, hosts: int) -> faults.Fault:
@@ -32,6 +34,12 @@
     )
 
 
+def _draw_limit(source: random.Random, hosts: int) -> faults.Fault:
+    return faults.NameLimit(
+        source.uniform(*LIMITS_PER_S), source.uniform(*LIMITED_S)
+    )
+
+
 RARE_WEIGHT_BY_MAKER: Mapping[
     Callable[[random.Random, int], faults.Fault], int
 ] = MappingProxyType(
@@ -41,3 +49,7 @@
         _draw_pause_request: 1,
     },
 )
+# Drawn apart from the others, so that these keep their plans too.
+LIMIT_WEIGHT_BY_MAKER: Mapping[
+    Callable[[random.Random, int], faults.Fault], int
+] = MappingProxyType({_draw_limit: 1})
--- a/soak/tests/mutated_host.py
+++ b/soak/tests/mutated_host.py
@@ -116,6 +116,11 @@
     relay.StreamOrigins.other_versions = lambda *_: frozenset()
 
 
+def ignore_limits() -> None:
+    """Send requests to targets whatever limits they name."""
+    relay.TargetRateLimits.accepts_request = lambda limits, key: True
+
+
 MUTANTS = {
     'stale-key': accept_stale_keys,
     'outlived-lease': hold_leases_forever,
@@ -127,6 +132,7 @@
     'forgotten-seal': forget_seals,
     'trusted-end': trust_stream_ends,
     'any-version': resume_at_any_version,
+    'ignored-limit': ignore_limits,
 }
 
 
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -438,3 +438,28 @@
     record_stream(ledger, (version, '2'), began_as='1')
 
     assert violated(ledger) == expected
+
+
+@pytest.mark.parametrize(
+    ('requests', 'expected'), [(11, set()), (12, {'named limit'})]
+)
+def test_requests_beyond_a_named_limit(ledger, requests, expected) -> None:
+    change_taken(ledger, limit_per_s=1)
+    for number in range(requests):
+        identity = f'later-{number}'
+        at = 104 + number / 10
+        sent = dataclasses.replace(SENT, identity=identity, at=at)
+        taken = dataclasses.replace(TAKEN, identity=identity, limit_per_s=1)
+        later = dataclasses.replace(TARGET_REQUEST, taken=taken, at=at)
+        record(ledger, sent, [later], RESPONSE)
+
+    assert violated(ledger) == expected
+
+
+def test_host_with_a_fault_may_not_know_of_a_limit(ledger) -> None:
+    test_requests_beyond_a_named_limit(ledger, 11, set())
+    disruption = Disruption('paused', frozenset(('h',)), False, 101, 102)
+    ledger.disruptions.append(disruption)
+    record_later(ledger, 104)
+
+    assert 'named limit' not in violated(ledger)
