Target rate limits: all hosts know the same figure

Updates carry a limit in thousandths, cut off instead of rounded, so a host that learned a limit from a response and its peers knew two figures of it. Each update and each response changed it once more: a log line each time, and the share computed again. Limits are rounded on arrival as they are in updates.

Failed before: test_all_hosts_know_the_same_limit, for 1.005, 1.23456 and 1/3.

--- a/packages/geranium-relay/src/geranium_relay/rate_limit_updates.py
+++ b/packages/geranium-relay/src/geranium_relay/rate_limit_updates.py
@@ -52,7 +52,12 @@
         yield AdvertisedRateLimit(target, per_s, observed_ms)
 
 
+def rounded_rate(per_s: float) -> float:
+    """Return a limit as an update with it is decoded."""
+    return _encode_rate(per_s) / _PER_S
+
+
 def _encode_rate(per_s: float | None) -> int:
     if per_s is None:
         return _NO_LIMIT
-    return min(int(per_s * _PER_S), _NO_LIMIT - 1)
+    return min(round(per_s * _PER_S), _NO_LIMIT - 1)
--- a/packages/geranium-relay/src/geranium_relay/target_rate_limits.py
+++ b/packages/geranium-relay/src/geranium_relay/target_rate_limits.py
@@ -17,7 +17,7 @@
 
 from .decision_log import DecisionLog
 from .peer_updates import name_hash
-from .rate_limit_updates import AdvertisedRateLimit
+from .rate_limit_updates import AdvertisedRateLimit, rounded_rate
 
 MS_IN_S = 1000
 MAX_ADVERTISED_LIMITS = 256  # keeps a datagram below 64 kB
@@ -97,15 +97,19 @@
         """Apply what a response says of its target's limit.
 
         A response without a limit lifts it if its request was sent after the
-        limit was learned: responses may overtake each other.
+        limit was learned: responses may overtake each other. Limits are rounded
+        as in updates, so that all hosts know the same.
         """
-        if notice.per_s is None:
+        per_s = notice.per_s
+        if per_s is None:
             known = self._limits_by_key.get(key)
             if known is None or known.per_s is None:
                 return
             if notice.sent_at <= known.learned_at:
                 return
-        self._apply(key, notice.per_s, self._now_ms(), peer=None)
+        else:
+            per_s = rounded_rate(per_s)
+        self._apply(key, per_s, self._now_ms(), peer=None)
 
     def record_peer_limit(
         self, key: str, limit: AdvertisedRateLimit, peer: str
--- a/packages/geranium-relay/tests/test_target_rate_limits.py
+++ b/packages/geranium-relay/tests/test_target_rate_limits.py
@@ -7,6 +7,7 @@
 import pytest
 from geranium_relay import target_selector
 
+from .test_peer_updates import make_update
 from .world import EVENTS, World, answer
 
 KEY = 't0@1'
@@ -140,6 +141,18 @@
     assert passed_on == fleet.limits_by_host['host-0'].advertised()
 
 
+@pytest.mark.parametrize('per_s', [1.005, 1.4, 1.23456, 1 / 3, 4e9])
+def test_all_hosts_know_the_same_limit(per_s: float) -> None:
+    fleet = Fleet(1)
+    fleet.record('host-0', per_s)
+    advertised = fleet.limits_by_host['host-0'].advertised()
+
+    update = make_update(rate_limits=advertised)
+    received = relay.decode_peer_update(relay.encode_peer_update(update))
+
+    assert received.rate_limits == advertised
+
+
 def test_restarted_target_is_not_limited() -> None:
     fleet = Fleet(1)
     fleet.record('host-0', LIMIT_PER_S)
