--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -38,16 +38,12 @@
   shift
   "$@" >"$work/$name.out" 2>"$work/$name.err" &
   pids+=($!)
+  echo $! >"$work/$name.pid"
 }
 
 # field NAME FIELD: waits for the JSON line of a process and prints a field.
 field() {
-  for _ in $(seq 200); do
-    if [ -s "$work/$1.out" ]; then break; fi
-    sleep 0.05
-  done
-  python -c 'import json, sys; print(json.load(open(sys.argv[1]))[sys.argv[2]])' \
-    "$work/$1.out" "$2"
+  python "$here/processes.py" "$work" line "$1" "$2"
 }
 
 fetch() {
@@ -95,12 +91,8 @@
 python "$here/demo_configuration.py" "$here/utility/configuration.json" \
   "$work" >"$work/configuration.json"
 export GERANIUM_ADDRESS=$operator GERANIUM_TOKEN=$GERANIUM_OPERATOR_TOKEN
-for _ in $(seq 100); do
-  if fetch "http://$operator/operator/v1/health/ready" >/dev/null 2>&1; then
-    break
-  fi
-  sleep 0.1
-done
+python "$here/processes.py" "$work" ready khomas-a \
+  "http://$operator/operator/v1/health/ready"
 geraniumctl load "$work/configuration.json"
 
 say 'Creating a key for the team registry'
