--- a/packages/geranium-relay/src/geranium_relay/targets.py
+++ b/packages/geranium-relay/src/geranium_relay/targets.py
@@ -77,7 +77,8 @@
 
     During a store outage, entries of live targets may expire. After an
     outage, missing targets are therefore removed only once the list has been
-    readable for ``return_grace_s``.
+    readable for ``return_grace_s``. ``first_read_at`` is when the list was first
+    read, ``inf`` before.
     """
 
     def __init__(self, return_grace_s: float, outage_s: float) -> None:
