Target rate limits: hosts near a target share its limit, and check that it still holds

Found by reading: a low limit went to one host of any zone, which prefers the targets of its own zone; so limits were hardly used, and, as only responses show that a limit has ended, hosts went on keeping to limits that had ended.

Hosts of the target's zone get its shares first. A host with a permit sends a limited target the next request when nobody has had a response of it for a second, unless the target can't take the request in time.

With the check taken out, test_limited_target_that_others_are_preferred_to_is_checked fails; test_hosts_near_the_target_get_its_shares_first needs the zones. The rule's bound is as before: test_hosts_together_keep_to_the_rate_and_use_it.

--- a/packages/geranium-emulator/src/geranium_emulator/hosts.py
+++ b/packages/geranium-emulator/src/geranium_emulator/hosts.py
@@ -92,7 +92,7 @@
                     log,
                     relay.TargetRateLimits(
                         name,
-                        frozenset,
+                        lambda _key: {},
                         context.simulation.now,
                         context.simulation.now,
                         log,
--- a/packages/geranium-policy/src/geranium_policy/rate_shares.py
+++ b/packages/geranium-policy/src/geranium_policy/rate_shares.py
@@ -10,7 +10,7 @@
 
 import dataclasses
 import heapq
-from collections.abc import Iterable
+from collections.abc import Mapping
 
 import xxhash
 
@@ -37,7 +37,7 @@
     rate_per_s: float,
     subject: str,
     own: str,
-    hosts: Iterable[str],
+    near_by_host: Mapping[str, bool],
     settings: RateShareSettings,
 ) -> float:
     """Return this host's share of a rate, 0 if others have it all.
@@ -46,15 +46,19 @@
         rate_per_s: The rate of all hosts together.
         subject: What the rate applies to.
         own: Name of this host.
-        hosts: Names of the hosts that share the rate.
+        near_by_host: The hosts that share the rate, and whether they are near the
+            subject. Near hosts come first: others would seldom use their shares.
         settings: How the rate is divided.
     """
     rate_per_s = max(rate_per_s, settings.min_rate_per_s)
     count = max(int(rate_per_s / settings.min_share_per_s), 1)
     chosen = heapq.nsmallest(
         count,
-        set(hosts),
-        key=lambda host: xxhash.xxh3_64_intdigest(f'{subject}/{host}'.encode()),
+        near_by_host,
+        key=lambda host: (
+            not near_by_host[host],
+            xxhash.xxh3_64_intdigest(f'{subject}/{host}'.encode()),
+        ),
     )
     return rate_per_s / len(chosen) if own in chosen else 0
 
--- a/packages/geranium-policy/tests/test_rate_shares.py
+++ b/packages/geranium-policy/tests/test_rate_shares.py
@@ -21,9 +21,14 @@
     return [f'host-{number}' for number in range(count)]
 
 
+def near(hosts: list[str]) -> dict[str, bool]:
+    return dict.fromkeys(hosts, True)
+
+
 def shares(rate_per_s: float, hosts: list[str]) -> list[float]:
     return [
-        share_per_s(rate_per_s, 'target', own, hosts, SETTINGS) for own in hosts
+        share_per_s(rate_per_s, 'target', own, near(hosts), SETTINGS)
+        for own in hosts
     ]
 
 
@@ -80,7 +85,7 @@
         next(
             own
             for own in hosts
-            if share_per_s(1, f'target-{number}', own, hosts, SETTINGS)
+            if share_per_s(1, f'target-{number}', own, near(hosts), SETTINGS)
         )
         for number in range(20)
     }
@@ -91,7 +96,9 @@
 def test_share_of_a_host_that_is_gone_passes_to_another() -> None:
     hosts = names(9)
     first = next(
-        own for own in hosts if share_per_s(1, 'target', own, hosts, SETTINGS)
+        own
+        for own in hosts
+        if share_per_s(1, 'target', own, near(hosts), SETTINGS)
     )
     hosts.remove(first)
 
@@ -119,3 +126,23 @@
 
 def test_rate_of_nothing_still_shows_when_a_target_recovers() -> None:
     assert sum(shares(0, names(9))) == SETTINGS.min_rate_per_s
+
+
+@pytest.mark.parametrize(
+    ('rate_per_s', 'near_count', 'far_count'),
+    [(1, 1, 0), (2.5, 2, 0), (5, 3, 2)],
+)
+def test_hosts_near_the_target_get_its_shares_first(
+    rate_per_s: float, near_count: int, far_count: int
+) -> None:
+    near_hosts = dict.fromkeys(names(3), True)
+    hosts = {**dict.fromkeys(names(9), False), **near_hosts}
+
+    chosen = [
+        is_near
+        for own, is_near in hosts.items()
+        if share_per_s(rate_per_s, 'target', own, hosts, SETTINGS)
+    ]
+
+    assert chosen.count(True) == near_count
+    assert chosen.count(False) == far_count
--- a/packages/geranium-relay/src/geranium_relay/target_rate_limits.py
+++ b/packages/geranium-relay/src/geranium_relay/target_rate_limits.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 import math
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Mapping
 
 from geranium_policy.rate_shares import (
     RatePermits,
@@ -22,6 +22,7 @@
 MS_IN_S = 1000
 MAX_ADVERTISED_LIMITS = 256  # keeps a datagram below 64 kB
 LIFT_REPEAT_S = 5.0  # sent to peers again since datagrams may be lost
+CHECK_INTERVAL_S = 1.0  # without a response that names a limit or none
 SHARE_INTERVAL_S = 0.2  # shares follow changes of the fleet within it
 
 
@@ -64,7 +65,8 @@
 
     Args:
         own: Name of this host.
-        hosts: Returns the names of the hosts that serve callers now.
+        hosts: Returns the hosts that serve callers now, and whether they are in
+            the zone of a target, given by its key.
         clock: Returns the current time in seconds.
         unix_time: Returns the cluster's Unix time in seconds.
         log: Receives a record of each change.
@@ -73,7 +75,7 @@
     def __init__(
         self,
         own: str,
-        hosts: Callable[[], Collection[str]],
+        hosts: Callable[[str], Mapping[str, bool]],
         clock: Callable[[], float],
         unix_time: Callable[[], float],
         log: DecisionLog,
@@ -155,6 +157,18 @@
         permit_at = self.permit_at(key)
         return permit_at is not None and permit_at <= self._clock()
 
+    def is_due(self, key: str) -> bool:
+        """Return whether nobody has seen lately if a limit still holds.
+
+        Only if this host may send the target a request.
+        """
+        known = self._limits_by_key.get(key)
+        if known is None or known.per_s is None:
+            return False
+        if self._clock() - known.learned_at < CHECK_INTERVAL_S:
+            return False
+        return self.accepts_request(key)
+
     def take(self, key: str) -> bool:
         """Count a request to a target; return whether the limit allows it."""
         known = self._limits_by_key.get(key)
@@ -198,7 +212,7 @@
         known.share_until = now + SHARE_INTERVAL_S
         known.permits.set_rate(
             share_per_s(
-                known.per_s, key, self._own, self._hosts(), self._settings
+                known.per_s, key, self._own, self._hosts(key), self._settings
             ),
             now,
         )
--- a/packages/geranium-relay/src/geranium_relay/target_selector.py
+++ b/packages/geranium-relay/src/geranium_relay/target_selector.py
@@ -30,12 +30,14 @@
 
 from .catalogue import EngineProfile
 from .engine_loads import EngineLoads
+from .limit_probes import targets_beside_due
 from .load_tracker import IDLE, Dispatch, LoadTracker
 from .messages import Job, Prompt, PromptPart
 from .prefix_cache_index import PrefixCacheIndex, home_engine
 from .target_notices import TargetNotices
 from .targets import Fleet, Stage, Target
 
+_NOTHING: frozenset[str] = frozenset()
 PERMIT_LIFETIME_S = 0.5  # of a request that is selected and not sent yet
 
 
@@ -128,7 +130,6 @@
         prompt = job.arrival.prompt
         if prompt is None:
             return self.select_target(job, avoid)
-        engines = tuple(self._engine_states(job, prompt, profile, avoid))
         demand = PromptDemand(
             tokens=prompt.tokens,
             rank=job.rank,
@@ -136,8 +137,20 @@
             left_s=job.deadline - now,
             is_late=job.is_late,
         )
-        decision = self._prompt_placer.choose(demand, engines, self._rates)
-        return _with_pauses(decision, self._pause_ends(job.service, avoid), now)
+        # If the limited target to check can't take the request in time, nothing
+        # is left out.
+        targets = self._fleet.of_service(job.service)
+        beside_due = targets_beside_due(targets, self._rate_limits, avoid)
+        for left_out in dict.fromkeys((beside_due, _NOTHING)):
+            decision = self._prompt_placer.choose(
+                demand,
+                self._engine_states(job, prompt, profile, avoid | left_out),
+                self._rates,
+            )
+            if isinstance(decision, Placement):
+                return decision
+        ends = _pause_ends(targets, self._notices, avoid)
+        return _with_pauses(decision, ends, now)
 
     def select_generator(
         self,
@@ -159,7 +172,7 @@
         """Select the application target for a job, if one is usable."""
         now = self._clock()
         loads = self._loads.total_loads(now)
-        targets_by_key = self._usable_targets(job.service, avoid)
+        targets_by_key = self._application_targets(job, avoid)
         states = [
             TargetState(
                 name=key,
@@ -172,8 +185,10 @@
         ]
         name = self._target_chooser.choose(states)
         if name is None:
-            ends = self._pause_ends(job.service, avoid)
-            return _with_pauses(NoEngine(), ends, now)
+            targets = self._fleet.of_service(job.service)
+            return _with_pauses(
+                NoEngine(), _pause_ends(targets, self._notices, avoid), now
+            )
         return Placement(None, name, 0, 0, 0)
 
     def target(self, key: str) -> Target | None:
@@ -258,18 +273,13 @@
             self._caches_by_service[service] = prefix_caches
         return prefix_caches
 
-    def _pause_ends(
-        self, service: str, avoid: frozenset[str]
-    ) -> Iterator[float]:
-        """Yield when targets that hold requests back accept them again."""
-        for target in self._fleet.of_service(service):
-            end = self._notices.pause_end(target.key)
-            if end is None and not self._rate_limits.accepts_request(
-                target.key
-            ):
-                end = self._rate_limits.permit_at(target.key)
-            if end is not None and target.key not in avoid:
-                yield end
+    def _application_targets(
+        self, job: Job, avoid: frozenset[str]
+    ) -> dict[str, Target]:
+        targets = self._fleet.of_service(job.service)
+        beside_due = targets_beside_due(targets, self._rate_limits, avoid)
+        checked = self._usable_targets(job.service, avoid | beside_due)
+        return checked or self._usable_targets(job.service, avoid)
 
     def _usable_targets(
         self,
@@ -330,6 +340,19 @@
     return frozenset(home for home in homes if home is not None)
 
 
+def _pause_ends(
+    targets: Iterable[Target], notices: TargetNotices, avoid: frozenset[str]
+) -> Iterator[float]:
+    """Yield when targets that hold requests back accept them again."""
+    limits = notices.rate_limits
+    for target in targets:
+        end = notices.pause_end(target.key)
+        if end is None and not limits.accepts_request(target.key):
+            end = limits.permit_at(target.key)
+        if end is not None and target.key not in avoid:
+            yield end
+
+
 def _with_pauses(
     decision: PlacementDecision,
     pause_ends: Iterable[float],
--- a/packages/geranium-relay/tests/test_restored_store.py
+++ b/packages/geranium-relay/tests/test_restored_store.py
@@ -198,7 +198,9 @@
     def notices(self) -> relay.TargetNotices:
         clock = Clock()
         log = relay.DecisionLog(relay.LogSettings(), print, clock.now)
-        limits = relay.TargetRateLimits('h1', set, clock.now, clock.now, log)
+        limits = relay.TargetRateLimits(
+            'h1', lambda _key: {}, clock.now, clock.now, log
+        )
         return relay.TargetNotices(clock.now, log, limits)
 
     def test_leaving_target_is_not_ready_again(self, notices) -> None:
--- a/packages/geranium-relay/tests/test_target_rate_limits.py
+++ b/packages/geranium-relay/tests/test_target_rate_limits.py
@@ -71,7 +71,9 @@
     def _make_limits(self, host: str) -> relay.TargetRateLimits:
         now = self.clock.now
         log = relay.DecisionLog(relay.LogSettings(), str, now)
-        return relay.TargetRateLimits(host, lambda: self.names, now, now, log)
+        return relay.TargetRateLimits(
+            host, lambda _key: dict.fromkeys(self.names, True), now, now, log
+        )
 
 
 @pytest.mark.parametrize('hosts', [1, 9, 60])
@@ -192,3 +194,36 @@
     assert outcome == relay.Delivered(200)
     call = world.targets.calls[0]
     assert call.target.key != world.targets.chosen
+
+
+@pytest.mark.parametrize('engines', [True, False])
+async def test_limited_target_that_others_are_preferred_to_is_checked(
+    monkeypatch: pytest.MonkeyPatch, engines: bool
+) -> None:
+    """Its limit may have ended, and only a response would tell."""
+    route = 'resumable' if engines else 'safe'
+    world = World(answer(*EVENTS), answer(*EVENTS), engines=engines)
+    limits = world.notices.rate_limits
+    limits.record(KEY, relay.RateLimitNotice(LIMIT_PER_S, 0))
+    monkeypatch.setattr(limits, 'is_due', lambda key: key == KEY)
+    monkeypatch.setattr(limits, 'accepts_request', lambda key: True)
+    busy = relay.Dispatch(KEY, 0, 500, world.clock.now(), 0.1)
+
+    with world.loads.counted(busy):
+        await world.serve(route, prompt=PROMPT if engines else None)
+
+    assert [call.target.key for call in world.targets.calls] == [KEY]
+
+
+def test_limit_is_checked_once_nobody_has_seen_it_for_a_while() -> None:
+    fleet = Fleet(1)
+    limits = fleet.limits_by_host['host-0']
+    fleet.record('host-0', LIMIT_PER_S)
+    assert not limits.accepts_request(KEY)
+    assert not limits.is_due(KEY)
+
+    fleet.clock.now_s += 1.1
+    assert limits.is_due(KEY)
+
+    fleet.record('host-0', None)
+    assert not limits.is_due(KEY)
--- a/packages/geranium-relay/tests/world.py
+++ b/packages/geranium-relay/tests/world.py
@@ -303,7 +303,9 @@
         self._notices = relay.TargetNotices(
             now,
             log,
-            relay.TargetRateLimits('h1', lambda: {'h1'}, now, time.time, log),
+            relay.TargetRateLimits(
+                'h1', lambda _key: {'h1': True}, now, time.time, log
+            ),
         )
         self.selector = relay.TargetSelector(
             relay.SelectorContext('a', int, self._notices),
