Target rate limits: one check of whether a limit is in force

The same look-up and test stood in five methods, and the module had a second MS_IN_S beside that of zone_reports. No change of behaviour; make lint and make test (1491 passed).

--- a/packages/geranium-relay/src/geranium_relay/target_rate_limits.py
+++ b/packages/geranium-relay/src/geranium_relay/target_rate_limits.py
@@ -18,8 +18,8 @@
 from .decision_log import DecisionLog
 from .peer_updates import name_hash
 from .rate_limit_updates import AdvertisedRateLimit, rounded_rate
+from .zone_reports import MS_IN_S
 
-MS_IN_S = 1000
 MAX_ADVERTISED_LIMITS = 256  # keeps a datagram below 64 kB
 LIFT_REPEAT_S = 5.0  # sent to peers again since datagrams may be lost
 CHECK_INTERVAL_S = 1.0  # without a response that names a limit or none
@@ -104,10 +104,8 @@
         """
         per_s = notice.per_s
         if per_s is None:
-            known = self._limits_by_key.get(key)
-            if known is None or known.per_s is None:
-                return
-            if notice.sent_at <= known.learned_at:
+            known = self._in_force(key)
+            if known is None or notice.sent_at <= known.learned_at:
                 return
         else:
             per_s = rounded_rate(per_s)
@@ -143,16 +141,15 @@
         have the whole limit.
         """
         now = self._clock()
-        known = self._limits_by_key.get(key)
-        if known is None or known.per_s is None:
+        known = self._in_force(key)
+        if known is None:
             return now
         self._update_share(key, known, now)
         return known.permits.next_at(now)
 
     def accepts_request(self, key: str) -> bool:
         """Return whether this host may send a target a request now."""
-        known = self._limits_by_key.get(key)
-        if known is None or known.per_s is None:
+        if self._in_force(key) is None:
             return True
         permit_at = self.permit_at(key)
         return permit_at is not None and permit_at <= self._clock()
@@ -162,8 +159,8 @@
 
         Only if this host may send the target a request.
         """
-        known = self._limits_by_key.get(key)
-        if known is None or known.per_s is None:
+        known = self._in_force(key)
+        if known is None:
             return False
         if self._clock() - known.learned_at < CHECK_INTERVAL_S:
             return False
@@ -171,8 +168,8 @@
 
     def take(self, key: str) -> bool:
         """Count a request to a target; return whether the limit allows it."""
-        known = self._limits_by_key.get(key)
-        if known is None or known.per_s is None:
+        known = self._in_force(key)
+        if known is None:
             return True
         now = self._clock()
         self._update_share(key, known, now)
@@ -182,6 +179,11 @@
         """Remove the limit of a target that no longer exists."""
         self._limits_by_key.pop(key, None)
 
+    def _in_force(self, key: str) -> _Limit | None:
+        """Return the limit of a target unless it has none or it was lifted."""
+        known = self._limits_by_key.get(key)
+        return None if known is None or known.per_s is None else known
+
     def _apply(
         self, key: str, per_s: float | None, observed_ms: int, peer: str | None
     ) -> None:
