--- a/packages/geranium-relay/src/geranium_relay/stream_origins.py
+++ b/packages/geranium-relay/src/geranium_relay/stream_origins.py
@@ -17,10 +17,10 @@
 from .peer_updates import Audience, name_hash
 from .stream_origin_updates import MAX_ORIGINS, StreamOrigin
 from .targets import Fleet, Stage, Target
+from .zone_reports import MS_IN_S
 
 MAX_KEPT_ORIGINS = 50_000  # bounds the memory; the oldest are dropped
 MAX_PENDING_ORIGINS = 4096  # not yet sent to an audience
-MS_IN_S = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
