--- a/packages/geraniumd/tests/test_handoff.py
+++ b/packages/geraniumd/tests/test_handoff.py
@@ -5,6 +5,8 @@
 from geranium_standins.deployment import Deployment, DeploymentSettings
 from geranium_standins.managed_process import wait_until
 
+from .world import has_version
+
 pytestmark = pytest.mark.asyncio(loop_scope='module')
 
 PROMPT = 'Guests of the wedding in Windhoek, by table and by name. ' * 60
@@ -22,14 +24,6 @@
         yield running
 
 
-async def reports_version(deployment, engine, version):
-    """Return whether an engine with a version has reported to a daemon."""
-    url = deployment.engines_by_name[engine].url
-    async with deployment.http.get(f'{url}/load') as response:
-        report = await response.json()
-    return (report['version'], report['state']) == (version, 'live')
-
-
 async def chat(deployment, secret, identity='kv-1'):
     async with deployment.http.post(
         deployment.caller_url('host-1', '/v1/chat/completions'),
@@ -62,7 +56,7 @@
 ):
     load = 'load model model version 2 on engine engine-1'
     await deployment.operator.execute(load)
-    await wait_until(lambda: reports_version(deployment, 'engine-1', '2'))
+    await wait_until(lambda: has_version(deployment, 'engine-1', '2'))
     secret = await deployment.operator.create_key('versions')
 
     status, _ = await chat(deployment, secret, 'kv-2')
--- a/packages/geraniumd/tests/test_stream_versions.py
+++ b/packages/geraniumd/tests/test_stream_versions.py
@@ -7,6 +7,8 @@
 from geranium_standins.deployment import Deployment, DeploymentSettings
 from geranium_standins.managed_process import wait_until
 
+from .world import has_version
+
 pytestmark = pytest.mark.asyncio(loop_scope='module')
 
 CUT_AFTER_TOKENS = 5
@@ -25,13 +27,6 @@
         yield running
 
 
-async def has_version(deployment, engine: str, version: str) -> bool:
-    url = deployment.engines_by_name[engine].url
-    async with deployment.http.get(f'{url}/load') as response:
-        report = await response.json()
-    return (report['version'], report['state']) == (version, 'live')
-
-
 async def chat(
     deployment, url: str, number: int, headers: dict[str, str]
 ) -> str:
--- a/packages/geraniumd/tests/world.py
+++ b/packages/geraniumd/tests/world.py
@@ -266,3 +266,13 @@
             processes_by_name[name] = ManagedProcess(name, deployment.folder)
             replaced.append((number, processes_by_name[name]))
     return replaced
+
+
+async def has_version(
+    deployment: Deployment, engine: str, version: str
+) -> bool:
+    """Return whether an engine serves with a version of its model."""
+    url = deployment.engines_by_name[engine].url
+    async with deployment.http.get(f'{url}/load') as response:
+        report = await response.json()
+    return (report['version'], report['state']) == (version, 'live')
