--- /dev/null
+++ b/packages/geranium-standins/src/geranium_standins/host_links.py
@@ -0,0 +1,115 @@
+"""Links between one host and its targets, which can be cut as a whole.
+
+A host reaches a target at a loopback address of its own, where a relay
+listens. :func:`redirect_connections` leads the host's connections there.
+"""
+
+import asyncio
+import contextlib
+import enum
+import socket
+from collections.abc import Callable
+from typing import TypeAlias
+
+from .faults import RelayFaults, RelayMode
+from .relay_server import Relay
+
+Address: TypeAlias = tuple[str, int]
+_QUEUE_FILLERS = 4  # fill the queue of a listener that accepts nothing
+
+
+class CutMode(enum.Enum):
+    """How a host is cut from its targets.
+
+    New connections are refused or hang; open ones live on, are reset or
+    carry no bytes until the cut ends.
+    """
+
+    REFUSED = 'refused'
+    RESET = 'reset'
+    HANGING = 'hanging'
+
+
+class HostLinks:
+    """The links of one host; new targets can be added at any time.
+
+    Args:
+        local_ip: Loopback address of this host's relays.
+    """
+
+    def __init__(self, local_ip: str) -> None:
+        self._local_ip = local_ip
+        self._relays_by_port: dict[int, Relay] = {}
+        self._cut: CutMode | None = None
+        self._full_queues = contextlib.ExitStack()
+
+    async def add(self, target: Address) -> None:
+        """Add the link to a target; the relay listens on the same port."""
+        port = target[1]
+        if port not in self._relays_by_port:
+            self._relays_by_port[port] = Relay(*target)
+            if self._cut is None:
+                await self._relays_by_port[port].start(self._local_ip, port)
+
+    async def cut(self, mode: CutMode) -> None:
+        """Cut all links until :meth:`heal`."""
+        self._cut = mode
+        faults_by_mode = {
+            CutMode.REFUSED: RelayFaults(),
+            CutMode.RESET: RelayFaults(RelayMode.DROP),
+            CutMode.HANGING: RelayFaults(RelayMode.HOLD),
+        }
+        for port, relay in self._relays_by_port.items():
+            relay.stop_listening()
+            relay.set_faults(faults_by_mode[mode])
+            if mode is CutMode.HANGING:
+                self._fill_queue(port)
+
+    async def heal(self) -> None:
+        """End the cut."""
+        self._cut = None
+        self._full_queues.close()
+        for port, relay in self._relays_by_port.items():
+            relay.set_faults(RelayFaults())
+            await relay.start(self._local_ip, port)
+
+    async def close(self) -> None:
+        """Stop all relays."""
+        self._full_queues.close()
+        for relay in self._relays_by_port.values():
+            await relay.stop()
+
+    def _fill_queue(self, port: int) -> None:
+        """Listen so that connections hang: the queue for them is full."""
+        listener = self._full_queues.enter_context(socket.socket())
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((self._local_ip, port))
+        listener.listen(0)
+        for _ in range(_QUEUE_FILLERS):
+            filler = self._full_queues.enter_context(socket.socket())
+            filler.setblocking(False)
+            filler.connect_ex((self._local_ip, port))
+
+
+def redirect_connections(
+    loop: asyncio.AbstractEventLoop,
+    targets_ip: str,
+    local_ip: Callable[[], str | None],
+) -> None:
+    """Lead the connections of a loop to targets to the relays of its host.
+
+    Args:
+        loop: The event loop of one host, or of several.
+        targets_ip: Loopback address of all targets.
+        local_ip: Returns the address of the relays of the host that connects
+            now; ``None`` to connect without a relay.
+    """
+    connect = loop.sock_connect
+
+    async def connect_by_link(sock: socket.socket, address: Address) -> None:
+        own_ip = local_ip()
+        if address[0] == targets_ip and own_ip is not None:
+            address = (own_ip, address[1])
+        await connect(sock, address)
+
+    loop.sock_connect = connect_by_link  # type: ignore[method-assign,assignment]
--- a/packages/geranium-standins/src/geranium_standins/relay_server.py
+++ b/packages/geranium-standins/src/geranium_standins/relay_server.py
@@ -39,10 +39,14 @@
         bound_port = self._server.sockets[0].getsockname()[1]
         return f'{host}:{bound_port}'
 
-    async def stop(self) -> None:
-        """Stop listening and reset all connections."""
+    def stop_listening(self) -> None:
+        """Refuse new connections until the next start; open ones live on."""
         if self._server is not None:
             self._server.close()
+
+    async def stop(self) -> None:
+        """Stop listening and reset all connections."""
+        self.stop_listening()
         self._reset_connections()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
--- /dev/null
+++ b/tests/adapter/host_pair.py
@@ -0,0 +1,214 @@
+"""Hosts with targets in common, whose links to them can be cut by host."""
+
+import asyncio
+import contextlib
+import contextvars
+import dataclasses
+import pathlib
+from collections.abc import AsyncIterator, Iterator
+from typing import Any
+
+from aiohttp import ClientSession, web
+from geranium_platform import PlatformSettings
+from geranium_platform.host import Host
+from geranium_platform.reloading import SettingsFile
+from geranium_platform_standins import (
+    StandinStore,
+    free_ports,
+    render_settings,
+)
+from geranium_platform_standins.targets import Handler, StandinTarget
+from geranium_standins.host_links import (
+    CutMode,
+    HostLinks,
+    redirect_connections,
+)
+
+from .conftest import (
+    CONFIGURATION,
+    make_settings,
+    responds_ok,
+    target_entry,
+)
+from .waits import wait_for
+
+TARGETS_IP = '127.0.2.2'
+RELAYS_IP = '127.0.3.{number}'
+TARGET_COUNT = 3
+EVENTS = (b'id: 1\ndata: a\n\n', b'id: 2\ndata: b\n\n')
+_relays_ip: contextvars.ContextVar[str | None] = contextvars.ContextVar(
+    'relays_ip', default=None
+)
+
+
+@dataclasses.dataclass(slots=True)
+class LinkedHost:
+    """A running host and its links to the targets."""
+
+    host: Host
+    settings: PlatformSettings
+    links: HostLinks
+
+
+@dataclasses.dataclass(slots=True)
+class Pair:
+    """Hosts that share targets and a store."""
+
+    store: StandinStore
+    targets: list[StandinTarget]
+    hosts: list[LinkedHost]
+    caller: ClientSession
+
+    async def cut(self, number: int, mode: CutMode) -> None:
+        """Cut a host from all targets."""
+        await self.hosts[number].links.cut(mode)
+
+    async def request(
+        self,
+        number: int,
+        kind: str,
+        identity: str,
+        **headers: str,
+    ) -> tuple[int, bytes]:
+        """Send a request to a host; return the status and the body."""
+        front = self.hosts[number].settings.listen.front
+        named = {
+            'Host': 'example',
+            'Authorization': 'Bearer key',
+            'Request-Id': identity,
+            'Deadline-Ms': '4000',
+            **{name.replace('_', '-'): text for name, text in headers.items()},
+        }
+        async with self.caller.post(
+            f'http://{front}/{kind}/x', headers=named, data=b'body'
+        ) as response:
+            return response.status, await response.read()
+
+    def runs_of(self, identity: str) -> int:
+        """Return how many requests with an id the targets have received."""
+        return sum(
+            request.headers['Request-Id'] == identity
+            for target in self.targets
+            for request in target.requests
+        )
+
+
+@contextlib.asynccontextmanager
+async def run_pair(
+    store_address: str,
+    store: StandinStore,
+    folder: pathlib.Path,
+    zones: str = 'aa',
+    handler: Handler | None = None,
+) -> AsyncIterator[Pair]:
+    """Run hosts, one for each letter of their zones, until they are ready."""
+    redirect_connections(asyncio.get_running_loop(), TARGETS_IP, _relays_ip.get)
+    store.put('config', 'main', _configuration())
+    async with contextlib.AsyncExitStack() as stack:
+        caller = await stack.enter_async_context(ClientSession())
+        pair = Pair(store, [], [], caller)
+        ports = free_ports(TARGET_COUNT, TARGETS_IP)
+        for number, port in enumerate(ports):
+            target = StandinTarget(handler or respond_with_events)
+            pair.targets.append(target)
+            await _serve(stack, target.application(), port)
+            address = f'{TARGETS_IP}:{port}'
+            store.put('servers', f't{number}', target_entry(address))
+        for number, zone in enumerate(zones):
+            linked = await _start_host(
+                stack, folder, store_address, number, zone
+            )
+            for port in ports:
+                await linked.links.add((TARGETS_IP, port))
+            pair.hosts.append(linked)
+        await wait_for(lambda: _is_complete(pair))
+        yield pair
+
+
+async def respond_with_events(request: web.Request) -> web.Response:
+    """Respond with a whole stream, whatever the kind of the request."""
+    return web.Response(
+        body=b''.join(EVENTS), headers=response_headers(request)
+    )
+
+
+def response_headers(request: web.Request) -> dict[str, str]:
+    """Return the headers that a target's response needs."""
+    return {
+        'Request-Id': request.headers.get('Request-Id', ''),
+        'Response-Signature': 'signed',
+    }
+
+
+def _configuration() -> dict[str, Any]:
+    return {
+        **CONFIGURATION,
+        'routes': [
+            {**route, 'timeoutMs': 4000, 'resumable': True}
+            for route in CONFIGURATION['routes']
+        ],
+    }
+
+
+async def _serve(
+    stack: contextlib.AsyncExitStack, application: web.Application, port: int
+) -> None:
+    runner = web.AppRunner(
+        application, shutdown_timeout=0, handler_cancellation=True
+    )
+    await runner.setup()
+    stack.push_async_callback(runner.cleanup)
+    await web.TCPSite(runner, TARGETS_IP, port).start()
+
+
+async def _start_host(
+    stack: contextlib.AsyncExitStack,
+    folder: pathlib.Path,
+    store_address: str,
+    number: int,
+    zone: str,
+) -> LinkedHost:
+    settings = make_settings(platform={'address': store_address}).model_copy(
+        update={'host': f'host-{number}', 'zone': zone}
+    )
+    path = folder / f'{number}.toml'
+    path.write_text(render_settings(settings))
+    last_byte = number + 1
+    local_ip = RELAYS_IP.format(number=last_byte)
+    links = HostLinks(local_ip)
+    stack.push_async_callback(links.close)
+    with _relays_of_host(local_ip):
+        host = Host(SettingsFile(path, settings))
+        running = asyncio.create_task(host.run())
+    stack.push_async_callback(_stop, running)
+    return LinkedHost(host, settings, links)
+
+
+@contextlib.contextmanager
+def _relays_of_host(local_ip: str) -> Iterator[None]:
+    """Let the tasks that are created in the block use a host's relays."""
+    token = _relays_ip.set(local_ip)
+    try:
+        yield
+    finally:
+        _relays_ip.reset(token)
+
+
+async def _stop(running: asyncio.Task[None]) -> None:
+    running.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await running
+
+
+async def _is_complete(pair: Pair) -> bool:
+    """Return whether all hosts are ready and know each other."""
+    for linked in pair.hosts:
+        ready = f'http://{linked.settings.listen.ready}/ready'
+        if not await responds_ok(pair.caller, ready):
+            return False
+        state = linked.host.state
+        if len(state.peers.usable()) != len(pair.hosts) - 1:
+            return False
+        if len(state.fleet.targets_by_identity) != len(pair.targets):
+            return False
+    return True
