Crash causes: a broken connection is a crash only by what others know of the target

What callers saw: after a host had lost its links to all targets, all hosts refused requests that were like those it had had in flight (crashed targets).

Cause: whether a target had crashed was asked over the host's own link alone, so that a reset of its links counted as a crash for every request in flight, and the notices went to all hosts.

Change: a host that can't reach a target any more asks up to three others, over the connections by which requests are passed on. If one reaches the target, only a link was lost. It is a crash if the target has left the list or a host that reaches others does not reach it; without any word, if this host reaches other targets, or is alone. The rule stands apart in geranium_policy.crash_evidence.

The tests of the crash causes are unchanged and pass.

--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/__init__.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/__init__.py
@@ -16,13 +16,14 @@
     PeerRefusedError,
     PeerResponse,
 )
-from .peer_server import PeerServer, PeerServerSettings
+from .peer_server import PeerHandlers, PeerServer, PeerServerSettings
 from .service_reach import ServiceReach
 
 __all__ = [
     'ForwardedRequest',
     'PeerClient',
     'PeerClientSettings',
+    'PeerHandlers',
     'PeerRefusedError',
     'PeerResponse',
     'PeerServer',
--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/forwarding.capnp
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/forwarding.capnp
@@ -1,8 +1,16 @@
 @0xd3b7c2a95e1f4086;
 
-# A host sends one request on a connection and gets frames until the end.
+# A host sends one call on a connection. A request is answered by frames until
+# the end, a question for a target, by its key, by one frame.
 # Texts of HTTP are data: they need not be valid UTF-8. An empty text is none.
 
+struct Call {
+  union {
+    request @0 :Request;
+    question @1 :Text;
+  }
+}
+
 struct Request {
   identity @0 :Data;
   method @1 :Data;
@@ -45,9 +53,16 @@
     data @1 :Data;
     end @2 :End;
     alive @3 :Void;
+    reach @4 :Reach;
   }
 }
 
+enum Reach {
+  unknown @0;
+  reached @1;
+  unreached @2;
+}
+
 struct Head {
   status @0 :UInt16;
   headers @1 :List(Header);
--- /dev/null
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/frame_codec.py
@@ -0,0 +1,120 @@
+"""Encodes and decodes the frames in which a host answers a call."""
+
+from typing import Any
+
+import capnp
+from geranium_policy.crash_evidence import TargetReach
+
+from ..messages import ResponseHead
+from ..outcomes import CutOff, Delivered, Failed, Refused, TimedOut
+from ..zone_reports import MS_IN_S
+from .encoding import (
+    MalformedMessageError,
+    decode_headers,
+    encode_headers,
+    milliseconds,
+    schema,
+)
+from .messages import (
+    AliveFrame,
+    DataFrame,
+    EndFrame,
+    Frame,
+    HeadFrame,
+    ReachFrame,
+)
+
+
+def encode_frame(frame: Frame) -> bytes:
+    """Encode a frame."""
+    encoded: bytes = schema().Frame.new_message(**_fields_of(frame)).to_bytes()
+    return encoded
+
+
+def decode_frame(encoded: bytes) -> Frame:
+    """Decode a frame.
+
+    Raises:
+        MalformedMessageError: If the bytes are not a frame.
+    """
+    try:
+        with schema().Frame.from_bytes(
+            encoded, traversal_limit_in_words=len(encoded)
+        ) as message:
+            return _decode_frame(message)
+    except (capnp.KjException, ValueError) as error:
+        raise MalformedMessageError(str(error)) from error
+
+
+def _fields_of(frame: Frame) -> dict[str, object]:
+    match frame:
+        case HeadFrame(head=head, version=version):
+            encoded_head = {
+                'status': head.status,
+                'headers': encode_headers(head.headers),
+                'signed': head.signed,
+                'version': version or '',
+            }
+            return {'head': encoded_head}
+        case DataFrame(data=data):
+            return {'data': data}
+        case EndFrame():
+            return {'end': _encode_end(frame)}
+        case AliveFrame():
+            return {'alive': None}
+        case ReachFrame(reach=reach):
+            return {'reach': reach.value}
+
+
+def _decode_frame(message: Any) -> Frame:
+    match str(message.which()):
+        case 'head':
+            head = message.head
+            decoded = ResponseHead(
+                head.status, decode_headers(head.headers), head.signed
+            )
+            return HeadFrame(decoded, head.version or None)
+        case 'data':
+            return DataFrame(bytes(message.data))
+        case 'end':
+            return _decode_end(message.end)
+        case 'reach':
+            return ReachFrame(TargetReach(str(message.reach)))
+        case _:
+            return AliveFrame()
+
+
+def _encode_end(frame: EndFrame) -> dict[str, object]:
+    match frame.outcome:
+        case Delivered(status=status):
+            return {'outcome': 'delivered', 'status': status}
+        case Refused() as refusal:
+            return {
+                'outcome': 'refused',
+                'reason': refusal.reason,
+                'retryAfterMs': milliseconds(refusal.retry_after_s),
+                'elsewhere': refusal.elsewhere,
+            }
+        case Failed(reason=reason):
+            return {'outcome': 'failed', 'reason': reason}
+        case TimedOut():
+            return {'outcome': 'timedOut'}
+        case CutOff(reason=reason):
+            return {'outcome': 'cutOff', 'reason': reason}
+
+
+def _decode_end(end: Any) -> EndFrame:
+    match str(end.outcome):
+        case 'delivered':
+            return EndFrame(Delivered(end.status))
+        case 'refused':
+            retry_after_s = end.retryAfterMs / MS_IN_S
+            return EndFrame(
+                Refused(end.reason, retry_after_s, elsewhere=end.elsewhere)
+            )
+        case 'timedOut':
+            return EndFrame(TimedOut())
+        case 'cutOff':
+            return EndFrame(CutOff(end.reason))
+        case _:
+            return EndFrame(Failed(end.reason))
--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/messages.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/messages.py
@@ -3,6 +3,8 @@
 import dataclasses
 from typing import TypeAlias
 
+from geranium_policy.crash_evidence import TargetReach
+
 from ..messages import IncomingRequest, ResponseHead
 from ..outcomes import CutOff, Delivered, Failed, Refused, TimedOut
 
@@ -81,4 +83,18 @@
     """The host still works on the request."""
 
 
-Frame: TypeAlias = HeadFrame | DataFrame | EndFrame | AliveFrame
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReachFrame:
+    """What a host can say of a target."""
+
+    reach: TargetReach
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReachQuestion:
+    """Asks whether a host reaches a target, given by its key."""
+
+    target: str
+
+
+Frame: TypeAlias = HeadFrame | DataFrame | EndFrame | AliveFrame | ReachFrame
--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/peer_client.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/peer_client.py
@@ -6,20 +6,30 @@
 import random
 from collections.abc import AsyncIterator, Callable, Collection, Iterator
 
+from geranium_policy.crash_evidence import TargetReach
 from geranium_policy.peer_choice import (
     PeerChoiceSettings,
     PeerChooser,
     PeerState,
 )
 
-from ..call_errors import AnswerLostError, NotSentError, TargetSilentError
+from ..call_errors import (
+    AnswerLostError,
+    NotSentError,
+    RelayError,
+    TargetSilentError,
+)
+from ..decision_log import DecisionLog
 from ..load_tracker import LoadTracker
 from ..messages import PeerIdentity, ResponseHead
 from ..outcomes import Delivered, Refused
 from ..peer_updates import name_hash
 from ..peers import Peers
-from .codec import MalformedMessageError, decode_frame, encode_request
+from ..targets import Target
+from .call_codec import encode_question, encode_request
 from .connections import ConnectionEndedError, MessageConnection
+from .encoding import MalformedMessageError
+from .frame_codec import decode_frame
 from .messages import (
     AliveFrame,
     DataFrame,
@@ -27,6 +37,8 @@
     ForwardedRequest,
     Frame,
     HeadFrame,
+    ReachFrame,
+    ReachQuestion,
 )
 
 
@@ -39,11 +51,13 @@
             round trip if the host is alive.
         silence_s: A host that works on a request sends a frame at least every
             ``ALIVE_INTERVAL_S``; after this time without one it is given up.
+        max_asked: Hosts that are asked about a target.
         choice: How a host is chosen.
     """
 
     connect_timeout_s: float = 0.3
     silence_s: float = 1.5
+    max_asked: int = 3
     choice: PeerChoiceSettings = dataclasses.field(
         default_factory=PeerChoiceSettings
     )
@@ -111,6 +125,7 @@
         loads: What they have in flight.
         clock: Returns the current time in seconds.
         source: Random numbers for the choice.
+        log: Receives a record of each host that does not answer a question.
     """
 
     def __init__(
@@ -120,8 +135,10 @@
         loads: LoadTracker,
         clock: Callable[[], float],
         source: random.Random,
+        log: DecisionLog,
     ) -> None:
         self._settings = settings
+        self._log = log
         self._peers = peers
         self._loads = loads
         self._clock = clock
@@ -133,6 +150,11 @@
         """The name of this host."""
         return self._peers.own.host
 
+    @property
+    def has_peers(self) -> bool:
+        """Whether there are other hosts that serve callers."""
+        return bool(self._peers.usable())
+
     def choose(
         self, service: str, tried: Collection[str]
     ) -> PeerIdentity | None:
@@ -175,6 +197,44 @@
             frames.close()
             raise
 
+    async def ask(self, target: Target) -> tuple[TargetReach, ...]:
+        """Return what a few other hosts can say of a target."""
+        asked: list[PeerIdentity] = []
+        while len(asked) < self._settings.max_asked:
+            tried = [peer.host for peer in asked]
+            peer = self.choose(target.service, tried)
+            if peer is None:
+                break
+            asked.append(peer)
+        return tuple(
+            await asyncio.gather(*(self._ask(peer, target) for peer in asked))
+        )
+
+    async def _ask(self, peer: PeerIdentity, target: Target) -> TargetReach:
+        frames: _Frames | None = None
+        try:
+            frames = _Frames(
+                await self._connect(peer), self._settings.silence_s
+            )
+            await frames.send(encode_question(ReachQuestion(target.key)))
+            frame = await frames.next()
+        except RelayError as error:
+            self._log.record(
+                'peer_not_asked',
+                peer=peer.host,
+                target=target.key,
+                error=repr(error),
+            )
+            return TargetReach.UNKNOWN
+        finally:
+            if frames is not None:
+                frames.close()
+        match frame:
+            case ReachFrame(reach=reach):
+                return reach
+            case _:
+                return TargetReach.UNKNOWN
+
     async def _send(
         self, peer: PeerIdentity, frames: '_Frames', request: ForwardedRequest
     ) -> PeerResponse:
--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/peer_server.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/peer_server.py
@@ -4,7 +4,9 @@
 import contextlib
 import dataclasses
 from collections.abc import Awaitable, Callable
-from typing import Any, TypeAlias
+from typing import Any
+
+from geranium_policy.crash_evidence import TargetReach
 
 from ..decision_log import DecisionLog
 from ..messages import ResponseHead
@@ -12,12 +14,10 @@
 from ..outcomes import Outcome, Refused, UnknownKey, UnknownRoute
 from ..ports import ResponseSink
 from ..stream_origins import StreamOrigins
-from .codec import (
-    decode_request,
-    encode_frame,
-    load_schema,
-)
+from .call_codec import decode_call
 from .connections import ConnectionEndedError, MessageConnection
+from .encoding import schema
+from .frame_codec import encode_frame
 from .messages import (
     AliveFrame,
     DataFrame,
@@ -25,15 +25,26 @@
     ForwardedOutcome,
     ForwardedRequest,
     HeadFrame,
+    ReachFrame,
+    ReachQuestion,
 )
 
 ALIVE_INTERVAL_S = 0.5
 UNKNOWN_RETRY_S = 0.5  # as for a host without a fresh catalogue
 _BACKLOG = 1024  # pending connections, more than in any burst
 
-Serve: TypeAlias = Callable[
-    [ForwardedRequest, ResponseSink], Awaitable[Outcome]
-]
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerHandlers:
+    """What answers the calls of other hosts.
+
+    Args:
+        serve: Runs a request and writes its response.
+        judge: Returns what this host can say of a target, given by its key.
+    """
+
+    serve: Callable[[ForwardedRequest, ResponseSink], Awaitable[Outcome]]
+    judge: Callable[[str], Awaitable[TargetReach]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,7 +68,7 @@
 
     Args:
         settings: Limits.
-        serve: Runs a request and writes its response.
+        handlers: Answer the calls.
         origins: Where streams began.
         open_requests: Counts the requests that a stopping host waits for.
         clock: Returns the current time in seconds.
@@ -67,14 +78,14 @@
     def __init__(
         self,
         settings: PeerServerSettings,
-        serve: Serve,
+        handlers: PeerHandlers,
         origins: StreamOrigins,
         open_requests: OpenRequests,
         clock: Callable[[], float],
         log: DecisionLog,
     ) -> None:
         self._settings = settings
-        self._serve = serve
+        self._handlers = handlers
         self._origins = origins
         self._open = open_requests
         self._clock = clock
@@ -84,7 +95,7 @@
 
     async def start(self, address: str) -> None:
         """Listen on an address."""
-        load_schema()
+        schema()  # its first call takes long
         host, _, port = address.rpartition(':')
         self._server = await asyncio.start_server(
             self._accept, host, int(port), backlog=_BACKLOG
@@ -111,7 +122,17 @@
     async def _serve_connection(self, connection: MessageConnection) -> None:
         async with asyncio.timeout(self._settings.read_timeout_s):
             message = await connection.read()
-        request = decode_request(message, self._clock())
+        match decode_call(message, self._clock()):
+            case ForwardedRequest() as request:
+                await self._serve_request(connection, request)
+            case ReachQuestion(target=target):
+                reach = await self._handlers.judge(target)
+                connection.write(encode_frame(ReachFrame(reach)))
+                await connection.drain()
+
+    async def _serve_request(
+        self, connection: MessageConnection, request: ForwardedRequest
+    ) -> None:
         sink = _FrameSink(connection, request, self._origins)
         self.request_count += 1
         serving = asyncio.create_task(self._run(request, sink))
@@ -147,7 +168,7 @@
                 self._settings.retry_after_s,
                 elsewhere=True,
             )
-        return await self._serve(request, sink)
+        return await self._handlers.serve(request, sink)
 
 
 class _FrameSink:
--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/service_reach.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/service_reach.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable, Sequence
 
+from geranium_policy.crash_evidence import TargetReach
 from geranium_policy.service_reach import (
     ReachCheck,
     ReachSettings,
@@ -85,6 +86,24 @@
         if check is not None:
             await asyncio.wait((check,))
 
+    async def judge(self, target: Target) -> TargetReach:
+        """Return what this host can say of a target by its links."""
+        if await self._targets.is_reachable(target):
+            return TargetReach.REACHED
+        if await self._reaches_others(target):
+            return TargetReach.UNREACHED
+        return TargetReach.UNKNOWN
+
+    async def judge_key(self, key: str) -> TargetReach:
+        """Return the same of a target given by its key.
+
+        A target that is not listed any more is not reached.
+        """
+        for target in self._fleet.targets_by_identity.values():
+            if target.key == key:
+                return await self.judge(target)
+        return TargetReach.UNREACHED
+
     async def cleanup(self) -> None:
         """Stop all checks."""
         tasks = (
@@ -109,6 +128,22 @@
         if is_cut is not was_cut:
             self._change(service, check, is_cut=is_cut)
 
+    async def _reaches_others(self, target: Target) -> bool:
+        """Return whether a target other than this one is reached.
+
+        Those of its service are tried, or all if there are none.
+        """
+        others = [
+            other
+            for other in self._fleet.targets_by_identity.values()
+            if other.identity != target.identity
+        ]
+        near = [other for other in others if other.service == target.service]
+        sample = draw_sample(
+            near or others, self._settings, self._source, is_cut=False
+        )
+        return await self._count_reached(sample, 1) > 0
+
     async def _count_reached(
         self, sample: Sequence[Target], needed: int
     ) -> int:
--- a/packages/geranium-relay/src/geranium_relay/suspicion.py
+++ b/packages/geranium-relay/src/geranium_relay/suspicion.py
@@ -1,5 +1,7 @@
 """Records requests under which targets crashed, and rejects their like."""
 
+from geranium_policy.crash_evidence import CrashEvidence, TargetReach
+
 from .messages import Job
 from .outcomes import Refused
 from .run_context import RunContext, shared_parts
@@ -25,11 +27,28 @@
 async def suspect_request(
     context: RunContext, job: Job, target: Target
 ) -> None:
-    """Record a job as a suspect if the target is no longer reachable.
+    """Record a job as a suspect if its target has crashed.
 
-    If the target still accepts connections, only the response was lost.
+    If the target still accepts connections, only the response was lost. If
+    other hosts reach it, this host has lost its link.
     """
-    if await context.targets.is_reachable(target):
+    own = await context.reach.judge(target)
+    if own is TargetReach.REACHED:
+        return
+    evidence = CrashEvidence(
+        is_listed=context.selector.target(target.key) is not None,
+        own=own,
+        peers=await context.peer_client.ask(target),
+        has_peers=context.peer_client.has_peers,
+    )
+    if not evidence.is_crash:
+        context.log.record(
+            'crash_not_shown',
+            request=job.arrival.identity,
+            target=target.key,
+            own=own.value,
+            peers=[answer.value for answer in evidence.peers],
+        )
         return
     now = context.clock()
     notices = context.crash_causes.record_crash(
@@ -42,6 +61,9 @@
         target=target.key,
         fingerprint=job.fingerprints.request,
         parts=_part_names(job),
+        listed=evidence.is_listed,
+        own=own.value,
+        peers=[answer.value for answer in evidence.peers],
     )
 
 
--- a/packages/geranium-relay/tests/world.py
+++ b/packages/geranium-relay/tests/world.py
@@ -341,6 +341,7 @@
                 loads,
                 now,
                 source,
+                log,
             ),
         )
         self.loads = loads
--- a/tests/adapter/host_pair.py
+++ b/tests/adapter/host_pair.py
@@ -72,7 +72,7 @@
         **headers: str,
     ) -> tuple[int, bytes]:
         """Send a request to a host; return the status and the body."""
-        front = self.hosts[number].settings.listen.front
+        listen = self.hosts[number].settings.listen
         named = {
             'Host': 'example',
             'Authorization': 'Bearer key',
@@ -81,7 +81,7 @@
             **{name.replace('_', '-'): text for name, text in headers.items()},
         }
         async with self.caller.post(
-            f'http://{front}/{kind}/x', headers=named, data=b'body'
+            f'http://{listen.front}/{kind}/x', headers=named, data=b'body'
         ) as response:
             return response.status, await response.read()
 
