Adapter tests: hosts listen on an address that no outgoing connection uses

The suspected cause, not shown: since hosts listen on TCP at the peers' port too, an outgoing connection of another test may have taken a port between its choice and its use. Pairs of hosts can be restarted, and their targets have software versions.

--- a/packages/geranium-standins/src/geranium_standins/host_links.py
+++ b/packages/geranium-standins/src/geranium_standins/host_links.py
@@ -40,7 +40,7 @@
     """
 
     def __init__(self, local_ip: str) -> None:
-        self._local_ip = local_ip
+        self.local_ip = local_ip
         self._relays_by_port: dict[int, Relay] = {}
         self._cut: CutMode | None = None
         self._full_queues = contextlib.ExitStack()
@@ -51,7 +51,7 @@
         if port not in self._relays_by_port:
             self._relays_by_port[port] = Relay(*target)
             if self._cut is None:
-                await self._relays_by_port[port].start(self._local_ip, port)
+                await self._relays_by_port[port].start(self.local_ip, port)
 
     async def cut(self, mode: CutMode) -> None:
         """Cut all links until :meth:`heal`."""
@@ -73,7 +73,7 @@
         self._full_queues.close()
         for port, relay in self._relays_by_port.items():
             relay.set_faults(RelayFaults())
-            await relay.start(self._local_ip, port)
+            await relay.start(self.local_ip, port)
 
     async def close(self) -> None:
         """Stop all relays."""
@@ -85,12 +85,12 @@
         """Listen so that connections hang: the queue for them is full."""
         listener = self._full_queues.enter_context(socket.socket())
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((self._local_ip, port))
+        listener.bind((self.local_ip, port))
         listener.listen(0)
         for _ in range(_QUEUE_FILLERS):
             filler = self._full_queues.enter_context(socket.socket())
             filler.setblocking(False)
-            filler.connect_ex((self._local_ip, port))
+            filler.connect_ex((self.local_ip, port))
 
 
 def redirect_connections(
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -27,6 +27,9 @@
     [asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
 ]
 
+# No outgoing connection uses this address, so none can take a host's ports.
+HOST_IP = '127.0.4.1'
+
 ROUTE: dict[str, Any] = {
     'host': 'example',
     'timeoutMs': 800,
@@ -168,18 +171,18 @@
 
 def make_settings(**changes: Mapping[str, object]) -> PlatformSettings:
     """Return the settings of a host on free ports of this machine."""
-    ports = free_ports(5)
+    ports = free_ports(5, HOST_IP)
     return PlatformSettings.model_validate(
         {
             'nodeName': 'host-1',
-            'ip': '127.0.0.1',
+            'ip': HOST_IP,
             'zone': 'a',
             'internalPorts': [ports[3], ports[3]],
             'bootstrap': True,
             'listen': {
-                'front': f'127.0.0.1:{ports[0]}',
-                'ready': f'127.0.0.1:{ports[1]}',
-                'directory': f'127.0.0.1:{ports[2]}',
+                'front': f'{HOST_IP}:{ports[0]}',
+                'ready': f'{HOST_IP}:{ports[1]}',
+                'directory': f'{HOST_IP}:{ports[2]}',
                 'metricsPort': ports[4],
             },
             'bounds': {
--- a/tests/adapter/host_pair.py
+++ b/tests/adapter/host_pair.py
@@ -6,7 +6,7 @@
 import dataclasses
 import itertools
 import pathlib
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Iterator, Sequence
 from typing import Any
 
 from aiohttp import ClientSession, web
@@ -14,6 +14,7 @@
 from geranium_platform.host import Host
 from geranium_platform.reloading import SettingsFile
 from geranium_platform_standins import (
+    StandinCloud,
     StandinStore,
     free_ports,
     render_settings,
@@ -36,6 +37,7 @@
 TARGETS_IP = '127.0.2.2'
 RELAYS_IP = '127.0.3.{number}'
 TARGET_COUNT = 3
+ONE_VERSION = ('v1',) * TARGET_COUNT
 EVENTS = (b'id: 1\ndata: a\n\n', b'id: 2\ndata: b\n\n')
 _relays_ip: contextvars.ContextVar[str | None] = contextvars.ContextVar(
     'relays_ip', default=None
@@ -47,8 +49,39 @@
     """A running host and its links to the targets."""
 
     host: Host
-    settings: PlatformSettings
+    source: SettingsFile
     links: HostLinks
+    running: asyncio.Task[None]
+
+    @property
+    def settings(self) -> PlatformSettings:
+        """The settings of the host."""
+        return self.source.settings
+
+    async def stop(self) -> None:
+        """Stop the host at once."""
+        self.running.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self.running
+
+    def start(self) -> None:
+        """Start a process of the host, which knows nothing of the last.
+
+        It listens on other ports: the last one still holds its own.
+        """
+        store = self.settings.platform.model_dump()
+        fresh = make_settings(platform=store)
+        settings = self.settings.model_copy(
+            update={
+                'listen': fresh.listen,
+                'internal_ports': fresh.internal_ports,
+                'bootstrap': False,
+            }
+        )
+        self.source = SettingsFile(self.source.path, settings)
+        with _relays_of_host(self.links.local_ip):
+            self.host = Host(self.source)
+            self.running = asyncio.create_task(self.host.run())
 
 
 @dataclasses.dataclass(slots=True)
@@ -60,6 +93,25 @@
     hosts: list[LinkedHost]
     caller: ClientSession
 
+    async def restart_all(self) -> None:
+        """Stop all hosts at once and start them again."""
+        for linked in self.hosts:
+            await linked.stop()
+        for linked in self.hosts:
+            linked.start()
+        await self.wait_until_complete()
+
+    async def wait_until_complete(self) -> None:
+        """Return once all hosts are ready and know each other."""
+        await wait_for(lambda: _is_complete(self))
+
+    def knows(self, identity: str) -> bool:
+        """Return whether a host still knows a target."""
+        return any(
+            identity in linked.host.state.fleet.targets_by_identity
+            for linked in self.hosts
+        )
+
     async def cut(self, number: int, mode: CutMode) -> None:
         """Cut a host from all targets."""
         await self.hosts[number].links.cut(mode)
@@ -101,6 +153,7 @@
     folder: pathlib.Path,
     zones: str = 'aa',
     handler: Handler | None = None,
+    versions: Sequence[str] = ONE_VERSION,
 ) -> AsyncIterator[Pair]:
     """Run hosts, one for each letter of their zones, until they are ready."""
     redirect_connections(asyncio.get_running_loop(), TARGETS_IP, _relays_ip.get)
@@ -109,20 +162,28 @@
         caller = await stack.enter_async_context(ClientSession())
         pair = Pair(store, [], [], caller)
         ports = free_ports(TARGET_COUNT, TARGETS_IP)
+        cloud = StandinCloud().application()
+        cloud_address = await _serve(stack, cloud, 0)
         for number, port in enumerate(ports):
             target = StandinTarget(handler or respond_with_events)
             pair.targets.append(target)
             await _serve(stack, target.application(), port)
             address = f'{TARGETS_IP}:{port}'
-            store.put('servers', f't{number}', target_entry(address))
-        for number, zone in enumerate(zones):
-            linked = await _start_host(
-                stack, folder, store_address, number, zone
+            store.put(
+                'servers',
+                f't{number}',
+                target_entry(address, version=versions[number]),
             )
+        for number, zone in enumerate(zones):
+            settings = make_settings(
+                platform={'address': store_address},
+                cloud={'address': cloud_address},
+            ).model_copy(update={'host': f'host-{number}', 'zone': zone})
+            linked = _start_host(stack, folder, settings, number)
             for port in ports:
                 await linked.links.add((TARGETS_IP, port))
             pair.hosts.append(linked)
-        await wait_for(lambda: _is_complete(pair))
+        await pair.wait_until_complete()
         yield pair
 
 
@@ -153,36 +214,36 @@
 
 async def _serve(
     stack: contextlib.AsyncExitStack, application: web.Application, port: int
-) -> None:
+) -> str:
     runner = web.AppRunner(
         application, shutdown_timeout=0, handler_cancellation=True
     )
     await runner.setup()
     stack.push_async_callback(runner.cleanup)
     await web.TCPSite(runner, TARGETS_IP, port).start()
+    host, bound_port = runner.addresses[0][:2]
+    return f'{host}:{bound_port}'
 
 
-async def _start_host(
+def _start_host(
     stack: contextlib.AsyncExitStack,
     folder: pathlib.Path,
-    store_address: str,
+    settings: PlatformSettings,
     number: int,
-    zone: str,
 ) -> LinkedHost:
-    settings = make_settings(platform={'address': store_address}).model_copy(
-        update={'host': f'host-{number}', 'zone': zone}
-    )
     path = folder / f'{number}.toml'
     path.write_text(render_settings(settings))
     last_byte = number + 1
     local_ip = RELAYS_IP.format(number=last_byte)
     links = HostLinks(local_ip)
     stack.push_async_callback(links.close)
+    source = SettingsFile(path, settings)
     with _relays_of_host(local_ip):
-        host = Host(SettingsFile(path, settings))
+        host = Host(source)
         running = asyncio.create_task(host.run())
-    stack.push_async_callback(_stop, running)
-    return LinkedHost(host, settings, links)
+    linked = LinkedHost(host, source, links, running)
+    stack.push_async_callback(linked.stop)
+    return linked
 
 
 @contextlib.contextmanager
@@ -195,12 +256,6 @@
         _relays_ip.reset(token)
 
 
-async def _stop(running: asyncio.Task[None]) -> None:
-    running.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await running
-
-
 async def _is_complete(pair: Pair) -> bool:
     """Return whether all hosts are ready and know each other."""
     for linked in pair.hosts:
@@ -210,6 +265,8 @@
         state = linked.host.state
         if len(state.peers.usable()) + 1 != len(pair.hosts):
             return False
-        if len(state.fleet.targets_by_identity) != len(pair.targets):
+        if len(state.fleet.targets_by_identity) != len(
+            pair.store.names('servers')
+        ):
             return False
     return True
--- a/tests/adapter/test_host.py
+++ b/tests/adapter/test_host.py
@@ -7,6 +7,7 @@
 from geranium_platform_standins import StandinTarget
 from yarl import URL
 
+from .conftest import HOST_IP
 from .waits import ticks
 
 FORGED = {
@@ -251,7 +252,8 @@
     await post(world, '/safe/x')
     port = world.settings.listen.metrics_port
 
-    async with world.caller.get(f'http://127.0.0.1:{port}/metrics') as shown:
+    address = f'{HOST_IP}:{port}'
+    async with world.caller.get(f'http://{address}/metrics') as shown:
         text = await shown.text()
 
     counted = 'geraniumdrum_requests{outcome="Delivered",service="app"} 1'
--- a/tests/adapter/test_metrics_page.py
+++ b/tests/adapter/test_metrics_page.py
@@ -3,6 +3,7 @@
 import pathlib
 import re
 
+from .conftest import HOST_IP
 from .waits import wait_for
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -21,7 +22,7 @@
         answer = await world.caller.post(world.url(path), headers=headers)
         await answer.read()
     port = world.settings.listen.metrics_port
-    exposition = f'http://127.0.0.1:{port}/metrics'
+    exposition = f'http://{HOST_IP}:{port}/metrics'
     described = set(DESCRIBED.findall(PAGE.read_text()))
     shown = set()
 
