Stream origins: hosts that start know that a version has left

What callers saw (reported from a system like ours, and shown here by a test): after all hosts were killed at once, a stream that had begun at a version that had just left was taken up with 200 and went on at the version that was left; nothing said so.

Cause: where a stream began is known in memory only. A host that does not know it goes on at the one version in the list of targets, if there was no other lately. A host that has just started can't know that; it asked whether targets were born in the last half minute. An old version may leave long after the new one was started.

Change: the host that holds the duty records in the store which services have several versions, within a second after the second one is listed, and until half a minute after the last one has left. A host that needs to guess in the first half minute of its process reads the record; if it names another version, or can't be read, the stream is refused as not run.

Tests in the relay: the record, its end, a store that is away.

--- a/packages/geranium-relay/src/geranium_relay/__init__.py
+++ b/packages/geranium-relay/src/geranium_relay/__init__.py
@@ -94,6 +94,8 @@
     StreamOrigin,
     StreamOrigins,
     StreamOriginSettings,
+    VersionRecords,
+    VersionRecordSettings,
 )
 from .shared_reads import (
     SharedReads,
@@ -252,6 +254,8 @@
     'UsagePort',
     'UsageSettings',
     'UsageWriter',
+    'VersionRecordSettings',
+    'VersionRecords',
     'decode_peer_update',
     'encode_peer_update',
     'home_engine',
--- a/packages/geranium-relay/src/geranium_relay/run_context.py
+++ b/packages/geranium-relay/src/geranium_relay/run_context.py
@@ -19,6 +19,7 @@
 from .target_selector import TargetSelector
 from .telemetry import Telemetry
 from .usage import UsageCounter
+from .version_records import VersionRecords, VersionRecordSettings
 
 
 class RetryShares:
@@ -112,6 +113,8 @@
     'StreamOrigin',
     'StreamOriginSettings',
     'StreamOrigins',
+    'VersionRecordSettings',
+    'VersionRecords',
     'fingerprints_of',
     'shared_parts',
 ]
--- a/packages/geranium-relay/src/geranium_relay/stream_origins.py
+++ b/packages/geranium-relay/src/geranium_relay/stream_origins.py
@@ -17,6 +17,7 @@
 from .peer_updates import Audience, name_hash
 from .stream_origin_updates import MAX_ORIGINS, StreamOrigin
 from .targets import Fleet, Stage, Target
+from .version_records import VersionRecords
 from .zone_reports import MS_IN_S
 
 MAX_KEPT_ORIGINS = 50_000  # bounds the memory; the oldest are dropped
@@ -41,6 +42,7 @@
 
     Args:
         fleet: The targets.
+        records: Services that had several versions lately.
         settings: How long origins matter.
         clock: Returns the current time in seconds.
         unix_time: Returns the cluster's Unix time in seconds.
@@ -49,11 +51,13 @@
     def __init__(
         self,
         fleet: Fleet,
+        records: VersionRecords,
         settings: StreamOriginSettings,
         clock: Callable[[], float],
         unix_time: Callable[[], float],
     ) -> None:
         self._fleet = fleet
+        self._records = records
         self._settings = settings
         self._clock = clock
         self._unix_time = unix_time
@@ -107,7 +111,7 @@
         If it is not known, waits for the next updates of peers. ``None`` if
         none of them says it.
         """
-        version = self._known(identity, service)
+        version = await self._known(identity, service)
         if version is not None or identity is None:
             return version
         stream = name_hash(identity)
@@ -118,7 +122,7 @@
                     await waiter.wait()
         finally:
             self._waiters_by_stream.pop(stream, None)
-        return self._known(identity, service)
+        return await self._known(identity, service)
 
     def version_of(self, arrival: IncomingRequest) -> str | None:
         """Return the version at which a request began its stream, if known."""
@@ -138,31 +142,35 @@
             and target.stage is not Stage.PREFILL
         )
 
-    def _known(self, identity: str | None, service: str) -> str | None:
+    async def _known(self, identity: str | None, service: str) -> str | None:
         if identity is not None:
             origin = self._origins_by_stream.get(name_hash(identity))
             if origin is not None:
                 return origin[0]
-        return self._only_version(service)
+        return await self._only_version(service)
 
-    def _only_version(self, service: str) -> str | None:
+    async def _only_version(self, service: str) -> str | None:
         """Return the version of all targets, if there was no other lately."""
         lifetime_s = self._settings.lifetime_s
         now = self._clock()
         versions = self._fleet.versions_since(service, now - lifetime_s)
         if len(versions) != 1:
             return None
+        version = next(iter(versions))
         known_s = now - self._fleet.first_read_at
-        if known_s < lifetime_s:
-            # Targets may have replaced others before this host started.
-            oldest_ms = (self._unix_time() - known_s - lifetime_s) * MS_IN_S
-            youngest_ms = max(
-                (target.born_ms for target in self._fleet.of_service(service)),
-                default=0,
-            )
-            if youngest_ms > oldest_ms:
-                return None
-        return next(iter(versions))
+        if known_s >= lifetime_s:
+            return version
+        if self._has_young_targets(service, known_s + lifetime_s):
+            return None
+        if await self._records.may_have_begun_elsewhere(service, version):
+            return None
+        return version
+
+    def _has_young_targets(self, service: str, age_s: float) -> bool:
+        """Return whether targets are so young that no record may name them."""
+        oldest_ms = (self._unix_time() - age_s) * MS_IN_S
+        targets = self._fleet.of_service(service)
+        return any(target.born_ms > oldest_ms for target in targets)
 
     def _prune(self, now: float) -> None:
         origins = self._origins_by_stream
--- a/packages/geranium-relay/src/geranium_relay/targets.py
+++ b/packages/geranium-relay/src/geranium_relay/targets.py
@@ -176,6 +176,12 @@
         """All targets, including those that are leaving."""
         return self._targets_by_identity
 
+    def services(self) -> frozenset[str]:
+        """Return the names of the services that have targets."""
+        return frozenset(
+            target.service for target in self._targets_by_identity.values()
+        )
+
     def of_service(self, service: str) -> tuple[Target, ...]:
         """Return the targets of a service that accept new requests."""
         return tuple(
--- a/packages/geranium-relay/tests/fleet.py
+++ b/packages/geranium-relay/tests/fleet.py
@@ -10,6 +10,8 @@
 import geranium_relay as relay
 from geranium_policy.suspects import CrashNotice
 
+from .origins import make_origins
+
 ZONES = 'abc'
 DATAGRAM_DELAY_S = 0.002
 STORE_STATE = relay.AdvertisedStoreState(1, 0, 0, 0)
@@ -61,12 +63,7 @@
             relay.PeerUpdateSources(
                 self.loads,
                 self.outbox,
-                relay.StreamOrigins(
-                    relay.Fleet(0, 0),
-                    relay.StreamOriginSettings(),
-                    clock.now,
-                    clock.now,
-                ),
+                make_origins(relay.Fleet(0, 0), clock.now, clock.now),
                 lambda: self.status,
                 lambda: self.usage,
                 lambda: STORE_STATE,
--- a/packages/geranium-relay/tests/test_stream_versions.py
+++ b/packages/geranium-relay/tests/test_stream_versions.py
@@ -1,11 +1,15 @@
 """Streams that go on while two software versions serve side by side."""
 
 import asyncio
+import contextlib
 import dataclasses
+from collections.abc import AsyncIterator
 
 import geranium_relay as relay
+from geranium_coordination import MemoryStore, UnavailableError
 from geranium_relay.peer_updates import name_hash
 
+from . import origins
 from .test_peer_updates import Clock, make_target
 from .world import EVENTS, World, answer, cut
 
@@ -104,9 +108,10 @@
     assert not world.targets.calls
 
 
-def make_origins(fleet: relay.Fleet, clock: Clock) -> relay.StreamOrigins:
-    settings = relay.StreamOriginSettings(max_wait_s=0)
-    return relay.StreamOrigins(fleet, settings, clock.now, clock.now)
+def make_origins(
+    fleet: relay.Fleet, clock: Clock, store: MemoryStore | None = None
+) -> relay.StreamOrigins:
+    return origins.make_origins(fleet, clock.now, clock.now, store, 0)
 
 
 def make_targets(*versions: str, born_ms: int = 1) -> list[relay.Target]:
@@ -165,15 +170,15 @@
 async def test_version_that_is_just_gone_may_have_begun_a_stream() -> None:
     clock = Clock()
     fleet = relay.Fleet(0, LIFETIME_S)
-    origins = make_origins(fleet, clock)
+    known = make_origins(fleet, clock)
     fleet.replace(make_targets('v1'), clock.now())
     clock.instant += LIFETIME_S
     fleet.replace(make_targets('v2'), clock.now())
 
-    assert await origins.find('attempt', 's') is None
+    assert await known.find('attempt', 's') is None
 
     clock.instant += LIFETIME_S + 1
-    assert await origins.find('attempt', 's') == 'v2'
+    assert await known.find('attempt', 's') == 'v2'
 
 
 async def test_host_that_just_started_does_not_guess_after_a_release() -> None:
@@ -182,12 +187,12 @@
     born_ms = int((clock.now() - 1) * 1000)
     fleet = relay.Fleet(0, LIFETIME_S)
     fleet.replace(make_targets('v2', born_ms=born_ms), clock.now())
-    origins = make_origins(fleet, clock)
+    known = make_origins(fleet, clock)
 
-    assert await origins.find('attempt', 's') is None
+    assert await known.find('attempt', 's') is None
 
     clock.instant += LIFETIME_S
-    assert await origins.find('attempt', 's') == 'v2'
+    assert await known.find('attempt', 's') == 'v2'
 
 
 async def test_stream_of_a_service_without_targets_is_of_unknown_version() -> (
@@ -207,3 +212,58 @@
     fleet.replace((), clock.now())
 
     assert await make_origins(fleet, clock).find('attempt', 's') == 'v1'
+
+
+class AbsentStore(MemoryStore):
+    async def read_prefix(self, prefix: str) -> None:
+        raise UnavailableError(prefix)
+
+
+class HeldLease:
+    """A lease that is held until the test ends."""
+
+    def is_held(self) -> bool:
+        return True
+
+
+@contextlib.asynccontextmanager
+async def recording(
+    fleet: relay.Fleet, clock: Clock, store: MemoryStore
+) -> AsyncIterator[asyncio.Queue[str]]:
+    """Let a host keep the records; yield its log lines."""
+    lines = asyncio.Queue[str]()
+    records = origins.make_records(fleet, clock.now, store, lines)
+    task = asyncio.create_task(records.run(HeldLease()))
+    yield lines
+    task.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await task
+
+
+async def test_all_hosts_killed_after_a_version_left_do_not_guess() -> None:
+    clock, store = Clock(), MemoryStore()
+    fleet = relay.Fleet(0, LIFETIME_S)
+    fleet.replace(make_targets('v1', 'v2'), clock.now())
+    async with recording(fleet, clock, store) as lines:
+        await lines.get()
+    restarted = relay.Fleet(0, LIFETIME_S)
+    restarted.replace(make_targets('v2'), clock.now())
+
+    assert await make_origins(restarted, clock, store).find('x', 's') is None
+
+    async with recording(restarted, clock, store) as lines:
+        clock.instant += LIFETIME_S
+        await lines.get()
+    fresh = relay.Fleet(0, LIFETIME_S)
+    fresh.replace(make_targets('v2'), clock.now())
+    assert await make_origins(fresh, clock, store).find('x', 's') == 'v2'
+
+
+async def test_host_that_can_not_read_the_records_does_not_guess() -> None:
+    clock = Clock()
+    fleet = relay.Fleet(0, LIFETIME_S)
+    fleet.replace(make_targets('v1'), clock.now())
+
+    found = await make_origins(fleet, clock, AbsentStore()).find('x', 's')
+
+    assert found is None
--- a/packages/geranium-relay/tests/world.py
+++ b/packages/geranium-relay/tests/world.py
@@ -12,6 +12,8 @@
 from geranium_policy.retry_share import RetryShareSettings
 from geranium_policy.suspects import SuspectRegister, SuspectSettings
 
+from .origins import make_origins
+
 OK_HEAD = relay.ResponseHead(200, (), signed=True)
 EVENTS = (b'id: 1\ndata: a\n\n', b'id: 2\ndata: b\n\n', b'id: 3\ndata: c\n\n')
 Script = Callable[[relay.TargetCall], 'FakeAnswer']
@@ -302,9 +304,7 @@
         source = random.Random(1)
         log = relay.DecisionLog(relay.LogSettings(), self.lines.append, now)
         self.fleet = fleet
-        self._origins = relay.StreamOrigins(
-            fleet, relay.StreamOriginSettings(), now, time.time
-        )
+        self._origins = make_origins(fleet, now, time.time)
         self._notices = relay.TargetNotices(
             now,
             log,
