--- a/packages/geranium-relay/src/geranium_relay/stream_origins.py
+++ b/packages/geranium-relay/src/geranium_relay/stream_origins.py
@@ -57,7 +57,7 @@
         unix_time: Callable[[], float],
     ) -> None:
         self._fleet = fleet
-        self._records = records
+        self.records = records
         self._settings = settings
         self._clock = clock
         self._unix_time = unix_time
@@ -162,7 +162,7 @@
             return version
         if self._has_young_targets(service, known_s + lifetime_s):
             return None
-        if await self._records.may_have_begun_elsewhere(service, version):
+        if await self.records.may_have_begun_elsewhere(service, version):
             return None
         return version
 
