--- a/packages/geranium-relay/tests/world.py
+++ b/packages/geranium-relay/tests/world.py
@@ -177,6 +177,13 @@
 )
 
 
+def make_peers(clock: relay.BootClock) -> relay.Peers:
+    """Return the other hosts: there are none."""
+    own = relay.PeerIdentity('h1', 'a', 'h1:1', 'h1:2', 1)
+    log = relay.DecisionLog(relay.LogSettings(), str, clock.now)
+    return relay.Peers(relay.PeerSettings(), own, clock, log)
+
+
 class World:
     """A relay with fake targets."""
 
@@ -273,10 +280,22 @@
             limits=relay.Limits(1, 1, 1, 1),
         )
 
-    def _peers(self, log: relay.DecisionLog) -> relay.Peers:
-        """Return the other hosts: there are none."""
-        own = relay.PeerIdentity('h1', 'a', 'h1:1', 'h1:2', 1)
-        return relay.Peers(relay.PeerSettings(), own, self.clock, log)
+    def replace_peers(self, peers: relay.Peers) -> None:
+        """Let the host know other hosts."""
+        self._context = dataclasses.replace(
+            self._context, peer_client=self._peer_client(peers)
+        )
+        self.relay = self.make_relay(relay.RunSettings())
+
+    def _peer_client(self, peers: relay.Peers) -> relay.PeerClient:
+        return relay.PeerClient(
+            relay.PeerClientSettings(),
+            peers,
+            self.loads,
+            self.clock.now,
+            random.Random(1),
+            self._log,
+        )
 
     def _make_relay(self, engines: bool) -> relay.Relay:
         now = self.clock.now
@@ -304,6 +323,8 @@
         source = random.Random(1)
         log = relay.DecisionLog(relay.LogSettings(), self.lines.append, now)
         self.fleet = fleet
+        self.loads = loads
+        self._log = log
         self._origins = make_origins(fleet, now, time.time)
         self._notices = relay.TargetNotices(
             now,
@@ -335,15 +356,7 @@
             relay.ServiceReach(
                 relay.ReachSettings(), fleet, self.targets, now, source, log
             ),
-            relay.PeerClient(
-                relay.PeerClientSettings(),
-                self._peers(log),
-                loads,
-                now,
-                source,
-                log,
-            ),
+            self._peer_client(make_peers(self.clock)),
         )
-        self.loads = loads
         self._context = context
         return self.make_relay(relay.RunSettings())
