Peer forwarding: a request that another host works on at its deadline may have run

Its host had passed it on and was still waiting for the head of the response when the deadline came; the run was counted only with the head. It counts from the sending on now, and is taken back if the other host says that it has not run it, or was not reached. test_request_at_another_host_at_its_deadline_may_have_run failed before.

--- a/packages/geranium-relay/src/geranium_relay/peer_attempts.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_attempts.py
@@ -89,13 +89,15 @@
             place=len(self._tried),
         )
         request = self._request(job, context)
+        # It may have run as soon as it is sent.
+        self._send_limit.record_forwarded_run()
         try:
             response = await context.peer_client.send(peer, request)
         except (NotSentError, PeerRefusedError) as error:
+            self._send_limit.remove_forwarded_run()
             self._record_failure(job, context, error)
             return self._outcome_untaken(error)
         except RelayError as error:
-            self._send_limit.record_forwarded_run()
             return self._finish_lost(job, context, error)
         return await self._forward(job, context, response)
 
@@ -111,7 +113,6 @@
     async def _forward(
         self, job: Job, context: RunContext, response: PeerResponse
     ) -> Outcome | None:
-        self._send_limit.record_forwarded_run()
         # The host that sends the request counts it.
         self._recorder.counted = True
         context.telemetry.record_forward('taken')
--- a/packages/geranium-relay/src/geranium_relay/send_limit.py
+++ b/packages/geranium-relay/src/geranium_relay/send_limit.py
@@ -58,6 +58,11 @@
         self.sends += 1
         self.runs += 1
 
+    def remove_forwarded_run(self) -> None:
+        """Recount the last send of another host: it has not taken place."""
+        self.sends -= 1
+        self.runs -= 1
+
     def refund(self) -> None:
         """Recount the last send as one that reached no target."""
         self.sends -= 1
--- a/packages/geranium-relay/tests/test_peer_forwarding.py
+++ b/packages/geranium-relay/tests/test_peer_forwarding.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import itertools
 import random
 import socket
 import time
@@ -28,6 +29,7 @@
     silent,
 )
 
+HOSTS = 5
 INTERVALS = 40
 PER_INTERVAL = 20
 UNREACHED = failing(relay.NotSentError('refused'))
@@ -129,7 +131,7 @@
 
 def make_cut_world(*scripts: Callable) -> World:
     """Return a world whose host reaches no target."""
-    world = World(*scripts, *[UNREACHED] * 20)
+    world = World(*scripts, *itertools.repeat(UNREACHED, 20))
     world.targets.reachable = False
     return world
 
@@ -178,7 +180,7 @@
     """The host that takes it is cut, too, and knows a third one."""
     world, taker, third = make_cut_world(), Taker('h2'), Taker('h3')
     taker.world.targets.reachable = False
-    taker.world.targets.add_scripts(*[UNREACHED] * 20)
+    taker.world.targets.add_scripts(*itertools.repeat(UNREACHED, 20))
     async with run_hosts(world, taker), run_hosts(taker.world, third):
         outcome, _ = await world.serve('unsafe')
 
@@ -188,7 +190,7 @@
 
 
 async def test_refused_request_is_passed_on_to_the_next_host() -> None:
-    takers = [Taker('h2', refuse), Taker('h3', refuse), Taker('h4', refuse)]
+    takers = [Taker(name, refuse) for name in ('h2', 'h3', 'h4')]
     world = make_cut_world()
     async with run_hosts(world, *takers):
         outcome, _ = await world.serve('unsafe')
@@ -199,7 +201,7 @@
 
 async def test_host_that_does_not_reach_the_service_gets_no_request() -> None:
     world, taker, other = make_cut_world(), Taker('h2'), Taker('h3')
-    other.world.targets.add_scripts(*[answer(b'a')] * 8)
+    other.world.targets.add_scripts(*itertools.repeat(answer(b'a'), 8))
     async with run_hosts(world, taker, other, unreached=('h2',)):
         for _ in range(8):
             outcome, _ = await world.serve('safe')
@@ -260,6 +262,15 @@
     assert not taker.world.loads.open_count
 
 
+async def test_request_at_another_host_at_its_deadline_may_have_run() -> None:
+    world, taker = make_cut_world(), Taker('h2')
+    taker.world.targets.add_scripts(silent)
+    async with run_hosts(world, taker):
+        outcome, _ = await world.serve('unsafe')
+
+    assert outcome == relay.TimedOut()
+
+
 async def test_stream_that_breaks_at_a_host_goes_on_at_its_version() -> None:
     """The origin comes with the response: the host may be gone thereafter."""
     world, first, other = make_cut_world(), Taker('h2'), Taker('h3')
@@ -296,7 +307,8 @@
 def test_cut_fleet_spreads_its_requests_over_the_hosts_that_are_left() -> None:
     """Loads are told every 0.2 s; meanwhile all choose by the same ones."""
     chooser = PeerChooser(PeerChoiceSettings(), random.Random(1))
-    running, sent = [0] * 5, [0] * 5
+    running = [0 for _ in range(HOSTS)]
+    sent = list(running)
     for _ in range(INTERVALS):
         told = [
             PeerState(str(number), same_zone=True, in_flight=count)
--- a/packages/geranium-relay/tests/world.py
+++ b/packages/geranium-relay/tests/world.py
@@ -267,6 +267,13 @@
         settings = relay.RelaySettings(run)
         return relay.Relay(settings, self.view, self._context, random.Random(1))
 
+    def replace_peers(self, peers: relay.Peers) -> None:
+        """Let the host know other hosts."""
+        self._context = dataclasses.replace(
+            self._context, peer_client=self._peer_client(peers)
+        )
+        self.relay = self.make_relay(relay.RunSettings())
+
     def _catalogue(self, engines: bool) -> relay.Catalogue:
         profile = relay.EngineProfile(64, 500000) if engines else None
         return relay.Catalogue(
@@ -280,13 +287,6 @@
             limits=relay.Limits(1, 1, 1, 1),
         )
 
-    def replace_peers(self, peers: relay.Peers) -> None:
-        """Let the host know other hosts."""
-        self._context = dataclasses.replace(
-            self._context, peer_client=self._peer_client(peers)
-        )
-        self.relay = self.make_relay(relay.RunSettings())
-
     def _peer_client(self, peers: relay.Peers) -> relay.PeerClient:
         return relay.PeerClient(
             relay.PeerClientSettings(),
