Soak: hosts are cut from all targets, alone or with their zone

Each host reaches targets through relays at an address of its own, which refuse connections, reset them or let them hang. Cut hosts must serve two thirds of what the others serve; mutants pass nothing on, or take cuts for crashes.

--- a/packages/geranium-standins/src/geranium_standins/host_links.py
+++ b/packages/geranium-standins/src/geranium_standins/host_links.py
@@ -17,6 +17,7 @@
 
 Address: TypeAlias = tuple[str, int]
 Connect: TypeAlias = Callable[[socket.socket, Any], Awaitable[None]]
+TARGETS_IP = '127.0.2.2'  # address of all targets whose links can be cut
 _QUEUE_FILLERS = 4  # fill the queue of a listener that accepts nothing
 
 
--- a/soak/src/geranium_soak/checks/__init__.py
+++ b/soak/src/geranium_soak/checks/__init__.py
@@ -2,7 +2,7 @@
 
 from ..bounds import Bounds
 from ..observations import Ledger
-from . import calm, configuration, duties, notices, outcomes
+from . import calm, configuration, cut_hosts, duties, notices, outcomes
 from .violation import Check, Violation
 
 # Guarantees that hold at all times, whatever faults are active.
@@ -31,6 +31,7 @@
     calm.planned_work_cuts_no_requests,
     calm.work_ends_when_caller_leaves,
     calm.service_recovers,
+    cut_hosts.cut_hosts_serve,
 )
 
 
--- a/soak/src/geranium_soak/environment.py
+++ b/soak/src/geranium_soak/environment.py
@@ -6,7 +6,7 @@
 import itertools
 import pathlib
 import random
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Iterable, Sequence
 from http import HTTPStatus
 
 from aiohttp import web
@@ -21,6 +21,7 @@
     StandinStore,
 )
 from geranium_standins.faults import RelayFaults, RelayMode
+from geranium_standins.host_links import CutMode
 from geranium_standins.relay_server import Relay
 
 from .bounds import Bounds
@@ -30,6 +31,7 @@
 from .host_process import HostProcess, allocate_host
 from .observations import STORE, Change, Ledger, now
 from .recorders import TargetRecorder, provider_call
+from .target_links import TargetLinks, split_address
 
 ZONES = ('a', 'b', 'c')
 CATALOGUE_KIND = 'config'
@@ -90,10 +92,12 @@
             TargetRecorder(self.ledger),
             self.ledger,
             source,
+            self._link_target,
         )
         self._store_faults = FaultStack(self._apply_to_store, Faults())
         self._link_faults_by_host: dict[str, FaultStack[RelayFaults]] = {}
         self._links: list[Relay] = []
+        self._target_links_by_host: dict[str, TargetLinks] = {}
         self._key_numbers = itertools.count(1)
 
     @contextlib.asynccontextmanager
@@ -175,6 +179,21 @@
             f'store link {fault.value}', host.name, began_at
         )
 
+    async def cut_hosts(
+        self, hosts: Iterable[HostProcess], mode: CutMode, for_s: float
+    ) -> None:
+        """Cut hosts from all targets for ``for_s`` seconds."""
+        await asyncio.gather(
+            *(
+                self._target_links_by_host[host.name].cut(mode, for_s)
+                for host in hosts
+            )
+        )
+
+    async def _link_target(self, address: str, port: int) -> None:
+        for links in self._target_links_by_host.values():
+            await links.add((address, port))
+
     def _apply_to_store(self, faults: Faults) -> None:
         self._store.faults = faults
 
@@ -188,27 +207,31 @@
 
     async def _add_host(self, number: int, store: str, provider: str) -> None:
         skews = self.settings.skews_s
+        links = TargetLinks(number, self.ledger)
+        options = '--clock-offset', str(skews[number % len(skews)])
         program = (
             *self.settings.program,
-            '--clock-offset',
-            str(skews[number % len(skews)]),
+            *options,
+            '--links',
+            links.local_ip,
         )
-        zone = ZONES[number % len(ZONES)]
-        spec = allocate_host(number, zone, program)
+        spec = allocate_host(number, ZONES[number % len(ZONES)], program)
         host = HostProcess(spec, self.settings.folder, self.ledger)
-        address, _, port = store.rpartition(':')
-        link = Relay(address, int(port))
+        link = Relay(*split_address(store))
         self._links.append(link)
         self._link_faults_by_host[host.name] = FaultStack(
             link.set_faults,
             RelayFaults(),
         )
         self.hosts.append(host)
+        self._target_links_by_host[host.name] = links
+        for endpoint in self.fleet.endpoints:
+            await links.add(split_address(endpoint.address))
         await host.start(
             {
                 'nodeName': spec.name,
                 'ip': spec.address,
-                'zone': zone,
+                'zone': spec.zone,
                 'internalPorts': [spec.peers_port, spec.peers_port],
                 'bootstrap': True,
                 'listen': {
@@ -228,6 +251,8 @@
         await self.fleet.close()
         for link in self._links:
             await link.stop()
+        for links in self._target_links_by_host.values():
+            await links.close()
 
 
 class _RecordingProvider(StandinCloud):
--- a/soak/src/geranium_soak/faults.py
+++ b/soak/src/geranium_soak/faults.py
@@ -4,6 +4,8 @@
 import enum
 from typing import TypeAlias
 
+from .target_links import CutHosts
+
 
 class LinkFault(enum.Enum):
     """A fault of a connection; the values are the loopback relay's modes."""
@@ -171,7 +173,7 @@
 
 
 RareFault: TypeAlias = (
-    RestoreStore | AnnounceDeparture | AskForPause | NameLimit
+    RestoreStore | AnnounceDeparture | AskForPause | NameLimit | CutHosts
 )
 Fault: TypeAlias = (
     KillHosts
--- a/soak/src/geranium_soak/fleet.py
+++ b/soak/src/geranium_soak/fleet.py
@@ -4,10 +4,10 @@
 import itertools
 import random
 import time
+from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 from geranium_platform_standins import (
-    LOOPBACK,
     PROMPT_SERVICE,
     RequestObserver,
     SimulatedTarget,
@@ -16,6 +16,7 @@
     free_ports,
 )
 from geranium_standins.faults import RelayFaults, RelayMode
+from geranium_standins.host_links import TARGETS_IP
 from geranium_standins.relay_server import Relay
 from geranium_standins.settings import MS_PER_S
 
@@ -38,6 +39,8 @@
         observer: Called for each request at a target.
         ledger: Records faults and leaving targets.
         source: Source of the targets' random behaviour.
+        on_add: Called with the address of each endpoint before its target
+            starts.
     """
 
     def __init__(
@@ -46,9 +49,11 @@
         observer: RequestObserver,
         ledger: Ledger,
         source: random.Random,
+        on_add: Callable[[str, int], Awaitable[None]],
     ) -> None:
         self.endpoints: list[TargetEndpoint] = []
         self._entries = EndpointEntries(store)
+        self._on_add = on_add
         self._observer = observer
         self._ledger = ledger
         self._source = source
@@ -64,7 +69,8 @@
         # the port while no target listens on it.
         port = free_ports(1, TARGETS_ADDRESS)[0]
         relay = Relay(TARGETS_ADDRESS, port)
-        address = await relay.start(LOOPBACK, 0)
+        address = await relay.start(TARGETS_IP, 0)
+        await self._on_add(TARGETS_IP, int(address.rpartition(':')[2]))
         endpoint = TargetEndpoint(zone, stage, service, relay, address, port)
         self.endpoints.append(endpoint)
         self._link_faults_by_endpoint[endpoint.name] = FaultStack(
--- a/soak/src/geranium_soak/injector.py
+++ b/soak/src/geranium_soak/injector.py
@@ -11,6 +11,7 @@
 from .fleet import simulated_target_faults
 from .observations import now
 from .plans import Step
+from .target_links import CutHosts
 
 SETTINGS_LINE = 'extraField{number} = {number}'  # hosts ignore unknown fields
 
@@ -55,11 +56,23 @@
                 for _ in range(count):
                     self._environment.publish()
                     await asyncio.sleep(gap_s)
+            case CutHosts():
+                await self._cut_hosts(fault)
             case faults.WithdrawKey():
                 self._environment.withdraw_key()
             case _:
                 await self._inject_target_fault(fault)
 
+    async def _cut_hosts(self, fault: CutHosts) -> None:
+        chosen = self._source.choice(self._environment.hosts)
+        hosts = [
+            host
+            for host in self._environment.hosts
+            if host is chosen
+            or (fault.whole_zone and host.spec.zone == chosen.spec.zone)
+        ]
+        await self._environment.cut_hosts(hosts, fault.mode, fault.for_s)
+
     async def _inject_host_fault(self, fault: faults.Fault) -> None:
         host = self._source.choice(self._environment.hosts)
         match fault:
--- a/soak/src/geranium_soak/plans.py
+++ b/soak/src/geranium_soak/plans.py
@@ -7,7 +7,11 @@
 from types import MappingProxyType
 
 from . import faults
-from .rare_faults import LIMIT_WEIGHT_BY_MAKER, RARE_WEIGHT_BY_MAKER
+from .rare_faults import (
+    CUT_WEIGHT_BY_MAKER,
+    LIMIT_WEIGHT_BY_MAKER,
+    RARE_WEIGHT_BY_MAKER,
+)
 
 SERIES_SHARE = 0.35  # of the draws are repeated, like rolling operator work
 SERIES_LENGTH = (2, 4)
@@ -24,6 +28,7 @@
 SIGNALLED_SHARE = 0.5  # of the changes of settings
 RARE_FACTOR = 2  # these faults are drawn in the first part of a plan
 LIMIT_FACTOR = 4  # likewise; a few limits leave targets for the callers
+MEAN_CUT_INTERVAL_S = 10.0  # cut hosts have others beside them
 ADDRESS_REUSE_SHARE = 0.4  # of the crashed targets
 
 
@@ -58,6 +63,13 @@
             hosts,
             LIMIT_WEIGHT_BY_MAKER,
         ),
+        _draw_steps(
+            random.Random(f'{seed} cuts'),
+            length_s,
+            hosts,
+            CUT_WEIGHT_BY_MAKER,
+            MEAN_CUT_INTERVAL_S,
+        ),
     )
     return tuple(sorted(steps, key=lambda step: step.at_s))
 
@@ -67,9 +79,10 @@
     length_s: float,
     hosts: int,
     weight_by_maker: Mapping['Maker', int],
+    mean_interval_s: float = MEAN_INTERVAL_S,
 ) -> Iterator[Step]:
     makers, weights = zip(*weight_by_maker.items(), strict=True)
-    at_s = source.uniform(0, MEAN_INTERVAL_S)
+    at_s = source.uniform(0, mean_interval_s)
     while at_s < length_s:
         maker = source.choices(makers, weights)[0]
         fault = maker(source, hosts)
@@ -77,7 +90,7 @@
         yield from _draw_follow_up_withdrawal(source, fault, at_s)
         if _chance(source, SERIES_SHARE):
             yield from _draw_series(source, maker, at_s, hosts)
-        at_s += source.expovariate(1 / MEAN_INTERVAL_S)
+        at_s += source.expovariate(1 / mean_interval_s)
 
 
 def _draw_follow_up_withdrawal(
--- a/soak/src/geranium_soak/rare_faults.py
+++ b/soak/src/geranium_soak/rare_faults.py
@@ -4,7 +4,10 @@
 from collections.abc import Callable, Mapping
 from types import MappingProxyType
 
+from geranium_standins.host_links import CutMode
+
 from . import faults
+from .target_links import CutHosts
 
 LOST_S = (0.4, 2.5)  # age of the copy that the store is restored from
 RESTORE_GAP_S = (0.1, 1.0)  # until operators and targets write again
@@ -13,6 +16,8 @@
 REFUSED_SHARES = (0.1, 1)
 REFUSING_S = (0.4, 5.0)
 LIMITS_PER_S = (0.5, 4.0)
+WHOLE_ZONE_SHARE = 0.5  # of the cuts of hosts
+CUT_S = (4.0, 9.0)  # longer than hosts may take to notice a cut
 LIMITED_S = (6.0, 14.0)  # hosts have some seconds to learn of a limit
 
 
@@ -40,6 +45,14 @@
     )
 
 
+def _draw_host_cut(source: random.Random, hosts: int) -> faults.Fault:
+    return CutHosts(
+        source.choice(tuple(CutMode)),
+        source.random() < WHOLE_ZONE_SHARE,
+        source.uniform(*CUT_S),
+    )
+
+
 RARE_WEIGHT_BY_MAKER: Mapping[
     Callable[[random.Random, int], faults.Fault], int
 ] = MappingProxyType(
@@ -53,3 +66,6 @@
 LIMIT_WEIGHT_BY_MAKER: Mapping[
     Callable[[random.Random, int], faults.Fault], int
 ] = MappingProxyType({_draw_limit: 1})
+CUT_WEIGHT_BY_MAKER: Mapping[
+    Callable[[random.Random, int], faults.Fault], int
+] = MappingProxyType({_draw_host_cut: 1})
--- a/soak/src/geranium_soak/skewed_host.py
+++ b/soak/src/geranium_soak/skewed_host.py
@@ -1,16 +1,21 @@
 """Runs a host with a skewed wall clock.
 
-    python -P skewed_host.py --clock-offset 3 --settings FILE
+    python -P skewed_host.py --clock-offset 3 --links IP --settings FILE
 
 Only the wall clock is shifted, as on a machine whose clock is wrong. The
-monotonic clocks are unchanged.
+monotonic clocks are unchanged. With ``--links``, connections to targets go
+through relays at that address, where the host can be cut from all targets.
 """
 
+import asyncio
 import runpy
 import sys
 import time
 
-OPTION = '--clock-offset'
+from geranium_standins.host_links import TARGETS_IP, redirect_connections
+
+OFFSET_OPTION = '--clock-offset'
+LINKS_OPTION = '--links'
 
 
 def shift_time_of_day(by_s: float) -> None:
@@ -19,15 +24,36 @@
     time.time = lambda: read() + by_s
 
 
-def take_offset(arguments: list[str]) -> float:
-    """Remove the option from the arguments; return its value in seconds."""
-    if OPTION not in arguments:
-        return 0
-    position = arguments.index(OPTION)
+def take_option(arguments: list[str], name: str) -> str | None:
+    """Remove an option from the arguments; return its value, if it is given."""
+    if name not in arguments:
+        return None
+    position = arguments.index(name)
     arguments.pop(position)
-    return float(arguments.pop(position))
+    return arguments.pop(position)
+
+
+class LinkedLoopPolicy(asyncio.DefaultEventLoopPolicy):
+    """Makes event loops whose connections to targets go through relays.
+
+    Args:
+        relays_ip: Address of the relays.
+    """
+
+    def __init__(self, relays_ip: str) -> None:
+        super().__init__()
+        self._relays_ip = relays_ip
+
+    def new_event_loop(self) -> asyncio.AbstractEventLoop:
+        """Return a new event loop."""
+        loop = super().new_event_loop()
+        redirect_connections(loop, TARGETS_IP, lambda: self._relays_ip)
+        return loop
 
 
 if __name__ == '__main__':
-    shift_time_of_day(take_offset(sys.argv))
+    shift_time_of_day(float(take_option(sys.argv, OFFSET_OPTION) or 0))
+    links = take_option(sys.argv, LINKS_OPTION)
+    if links is not None:
+        asyncio.set_event_loop_policy(LinkedLoopPolicy(links))
     runpy.run_module('geranium_platform', run_name='__main__', alter_sys=True)
--- a/soak/tests/mutated_host.py
+++ b/soak/tests/mutated_host.py
@@ -12,6 +12,7 @@
 
 import geranium_relay as relay
 from geranium_coordination import Lease
+from geranium_policy.crash_evidence import CrashEvidence
 from geranium_relay.response_forwarder import ResponseForwarder
 from geranium_relay.runs import Run
 from geranium_relay.sealed_windows import NotSealed, SealedWindows
@@ -121,7 +122,19 @@
     relay.TargetRateLimits.accepts_request = lambda limits, key: True
 
 
+def take_cuts_for_crashes() -> None:
+    """Count each broken connection to an unreached target as a crash."""
+    CrashEvidence.is_crash = property(lambda evidence: True)
+
+
+def pass_nothing_on() -> None:
+    """Serve only what this host can send itself."""
+    relay.PeerClient.choose = lambda client, service, tried: None
+
+
 MUTANTS = {
+    'cut-as-crash': take_cuts_for_crashes,
+    'nothing-passed-on': pass_nothing_on,
     'stale-key': accept_stale_keys,
     'outlived-lease': hold_leases_forever,
     'unsafe-resend': resend_unsafe_requests,
--- a/tests/adapter/host_pair.py
+++ b/tests/adapter/host_pair.py
@@ -21,6 +21,7 @@
 )
 from geranium_platform_standins.targets import Handler, StandinTarget
 from geranium_standins.host_links import (
+    TARGETS_IP,
     CutMode,
     HostLinks,
     redirect_connections,
@@ -34,7 +35,6 @@
 )
 from .waits import wait_for
 
-TARGETS_IP = '127.0.2.2'
 RELAYS_IP = '127.0.3.{number}'
 TARGET_COUNT = 3
 ONE_VERSION = ('v1',) * TARGET_COUNT
