Target rate limits: a request goes to a host that has a share of the limit

Change: a request that this host refuses while other hosts have shares of the limits of its service's targets is passed on to one of these, which sends it with a permit of its own or says when the next one comes. One host is tried. Limits and permits are as before.

Evidence: test_request_is_sent_by_the_host_that_has_the_share_of_a_limit failed before with a refusal ('no target').

--- a/packages/geranium-policy/src/geranium_policy/rate_shares.py
+++ b/packages/geranium-policy/src/geranium_policy/rate_shares.py
@@ -33,26 +33,25 @@
     min_rate_per_s: float = 0.01
 
 
-def share_per_s(
+def sharing_hosts(
     rate_per_s: float,
     subject: str,
-    own: str,
     near_by_host: Mapping[str, bool],
     settings: RateShareSettings,
-) -> float:
-    """Return this host's share of a rate, 0 if others have it all.
+) -> list[str]:
+    """Return the hosts among which a rate is divided.
 
     Args:
         rate_per_s: The rate of all hosts together.
         subject: What the rate applies to.
-        own: Name of this host.
-        near_by_host: The hosts that share the rate, and whether they are near the
-            subject. Near hosts come first: others would seldom use their shares.
+        near_by_host: The hosts that may share the rate, and whether they are near
+            the subject. Near hosts come first: others would seldom use their
+            shares.
         settings: How the rate is divided.
     """
     rate_per_s = max(rate_per_s, settings.min_rate_per_s)
     count = max(int(rate_per_s / settings.min_share_per_s), 1)
-    chosen = heapq.nsmallest(
+    return heapq.nsmallest(
         count,
         near_by_host,
         key=lambda host: (
@@ -60,7 +59,28 @@
             xxhash.xxh3_64_intdigest(f'{subject}/{host}'.encode()),
         ),
     )
-    return rate_per_s / len(chosen) if own in chosen else 0
+
+
+def share_per_s(
+    rate_per_s: float,
+    subject: str,
+    own: str,
+    near_by_host: Mapping[str, bool],
+    settings: RateShareSettings,
+) -> float:
+    """Return this host's share of a rate, 0 if others have it all.
+
+    Args:
+        rate_per_s: The rate of all hosts together.
+        subject: What the rate applies to.
+        own: Name of this host.
+        near_by_host: See :func:`sharing_hosts`.
+        settings: How the rate is divided.
+    """
+    hosts = sharing_hosts(rate_per_s, subject, near_by_host, settings)
+    if own not in hosts:
+        return 0
+    return max(rate_per_s, settings.min_rate_per_s) / len(hosts)
 
 
 class RatePermits:
--- a/packages/geranium-relay/src/geranium_relay/attempt_selection.py
+++ b/packages/geranium-relay/src/geranium_relay/attempt_selection.py
@@ -53,7 +53,7 @@
         attempt = self._next_attempt(avoid)
         if isinstance(attempt, Refused) or self._send_limit.take():
             return attempt
-        return self._refuse('no repeat left')
+        return self._refuse('no repeat left', avoid)
 
     def _next_attempt(self, avoid: set[str]) -> Attempt | Refused:
         now = self._context.clock()
@@ -68,10 +68,9 @@
                 return self._make_attempt(decision, now)
             case TooBusy(free_in_s=free_in_s):
                 record_busy(self._job, self._context, avoid, free_in_s)
-                wait_s = max(free_in_s, self._settings.retry_after_s)
-                return Refused('engines busy', wait_s)
+                return self._refuse('engines busy', avoid, free_in_s)
             case NoEngine():
-                return self._refuse('no target')
+                return self._refuse('no target', avoid)
 
     def _select(self, failed: set[str]) -> Placement | TooBusy | NoEngine:
         selector = self._context.selector
@@ -92,10 +91,22 @@
             reader = selector.target(placement.reader)
         return Attempt(reader, target, placement, now)
 
-    def _refuse(self, reason: str) -> Refused:
-        """Refuse the request; other hosts may reach what this one does not."""
+    def _refuse(
+        self, reason: str, avoid: set[str], free_in_s: float = 0
+    ) -> Refused:
+        """Refuse the request.
+
+        Other hosts may reach what this one does not, or have shares of the
+        limits of targets.
+        """
+        hosts: frozenset[str] = frozenset()
+        if not self._send_limit.has_unreached:
+            hosts = self._context.selector.permit_holders(
+                self._job.service, self._version.excluded() | avoid
+            )
         return Refused(
             reason,
-            self._settings.retry_after_s,
-            elsewhere=self._send_limit.has_unreached,
+            max(free_in_s, self._settings.retry_after_s),
+            elsewhere=self._send_limit.has_unreached or bool(hosts),
+            hosts=hosts,
         )
--- a/packages/geranium-relay/src/geranium_relay/outcomes.py
+++ b/packages/geranium-relay/src/geranium_relay/outcomes.py
@@ -15,12 +15,14 @@
 class Refused:
     """The request did not run; the caller may retry after a delay.
 
-    ``elsewhere`` says that another host may be able to serve it now.
+    ``elsewhere`` says that another host may be able to serve it now, ``hosts``
+    which ones, if that is known.
     """
 
     reason: str
     retry_after_s: float
     elsewhere: bool = False
+    hosts: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/geranium-relay/src/geranium_relay/peer_attempts.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_attempts.py
@@ -57,25 +57,34 @@
         self._tried: list[str] = []
 
     async def run(
-        self, job: Job, context: RunContext
+        self, job: Job, context: RunContext, refusal: Refused
     ) -> Outcome | NotTaken | None:
         """Pass a job on to hosts until one has taken it.
 
         ``None`` means that the request may be sent again after a run whose
         response was lost.
+
+        Args:
+            job: The request.
+            context: The components of the host.
+            refusal: Why this host does not send it.
         """
         outcome: Outcome | NotTaken | None = NotTaken()
         while isinstance(outcome, NotTaken):
-            peer = self._next_peer(job, context)
+            peer = self._next_peer(job, context, refusal.hosts)
             if peer is None:
                 break
             outcome = await self._try_peer(job, context, peer)
         return outcome
 
-    def _next_peer(self, job: Job, context: RunContext) -> PeerIdentity | None:
-        if len(self._tried) >= self._max_peers:
+    def _next_peer(
+        self, job: Job, context: RunContext, hosts: frozenset[str]
+    ) -> PeerIdentity | None:
+        # A host with a share of a limit knows when others could send.
+        max_peers = min(self._max_peers, 1) if hosts else self._max_peers
+        if len(self._tried) >= max_peers:
             return None
-        return context.peer_client.choose(job.service, self._tried)
+        return context.peer_client.choose(job.service, self._tried, hosts)
 
     async def _try_peer(
         self, job: Job, context: RunContext, peer: PeerIdentity
--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/peer_client.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/peer_client.py
@@ -156,13 +156,22 @@
         return bool(self._peers.usable())
 
     def choose(
-        self, service: str, tried: Collection[str]
+        self,
+        service: str,
+        tried: Collection[str],
+        among: Collection[str] = (),
     ) -> PeerIdentity | None:
-        """Return a host that reaches a service, other than those tried."""
+        """Return a host that reaches a service, other than those tried.
+
+        Args:
+            service: The service.
+            tried: Names of hosts that are left out.
+            among: Names of the hosts to choose from; all if there are none.
+        """
         peers_by_host = {
             peer.host: peer
             for peer in _hosts_reaching(service, self._peers)
-            if peer.host not in tried
+            if peer.host not in tried and (not among or peer.host in among)
         }
         running_by_host = self._loads.running_by_host(self._clock())
         name = self._chooser.choose(
--- a/packages/geranium-relay/src/geranium_relay/request_recorder.py
+++ b/packages/geranium-relay/src/geranium_relay/request_recorder.py
@@ -43,7 +43,7 @@
         if prompt is None:
             return
         for key in filter(None, (placement.reader, placement.generator)):
-            selector.record_prompt(self._job.service, key, prompt)
+            selector.record_cached_parts(key, prompt.parts)
             self._context.outbox.record_dispatch(key, prompt.parts)
 
     def record_begun(self, attempt: Attempt, dispatch: Dispatch) -> None:
--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -125,7 +125,7 @@
         if not self._context.reach.is_cut(service):
             attempt = self._selection.take(self._avoid)
         if isinstance(attempt, Refused) and attempt.elsewhere:
-            outcome = await self._peers.run(self._job, self._context)
+            outcome = await self._peers.run(self._job, self._context, attempt)
             if not isinstance(outcome, NotTaken):
                 return outcome
             attempt = self._selection.take(self._avoid)
--- a/packages/geranium-relay/src/geranium_relay/target_rate_limits.py
+++ b/packages/geranium-relay/src/geranium_relay/target_rate_limits.py
@@ -13,6 +13,7 @@
     RatePermits,
     RateShareSettings,
     share_per_s,
+    sharing_hosts,
 )
 
 from .decision_log import DecisionLog
@@ -154,6 +155,16 @@
         permit_at = self.permit_at(key)
         return permit_at is not None and permit_at <= self._clock()
 
+    def holders(self, key: str) -> frozenset[str]:
+        """Return the other hosts that have shares of a target's limit."""
+        known = self._in_force(key)
+        if known is None or known.per_s is None:
+            return frozenset()
+        hosts = sharing_hosts(
+            known.per_s, key, self._hosts(key), self._settings
+        )
+        return frozenset(hosts) - {self._own}
+
     def is_due(self, key: str) -> bool:
         """Return whether nobody has seen lately if a limit still holds.
 
--- a/packages/geranium-relay/src/geranium_relay/target_selector.py
+++ b/packages/geranium-relay/src/geranium_relay/target_selector.py
@@ -191,6 +191,18 @@
             )
         return Placement(None, name, 0, 0, 0)
 
+    def permit_holders(
+        self, service: str, avoid: frozenset[str]
+    ) -> frozenset[str]:
+        """Return the other hosts that may send to limited targets."""
+        return frozenset(
+            host
+            for target in self._fleet.of_service(service)
+            if target.key not in avoid
+            and self._notices.accepts_requests(target.key)
+            for host in self._rate_limits.holders(target.key)
+        )
+
     def target(self, key: str) -> Target | None:
         """Return the target with a key, or ``None`` if it was removed."""
         identity = key.rpartition('@')[0]
@@ -239,16 +251,10 @@
         """Update the target's health with the result of a call."""
         self._health.observe(target.key, observation, self._clock())
 
-    def record_prompt(self, service: str, target: str, prompt: Prompt) -> None:
-        """Record that a target now caches a prompt."""
-        prefix_caches = self._caches_by_service.get(service)
-        if prefix_caches is not None:
-            prefix_caches.add(target, prompt.parts)
-
     def record_cached_parts(
         self, target: str, parts: tuple[PromptPart, ...]
     ) -> None:
-        """Record that a target caches prompt parts that a peer sent it."""
+        """Record that a target caches prompt parts that were sent to it."""
         found = self.target(target)
         if found is None:
             return
--- a/packages/geranium-relay/tests/test_peer_forwarding.py
+++ b/packages/geranium-relay/tests/test_peer_forwarding.py
@@ -262,6 +262,38 @@
     assert not taker.world.loads.open_count
 
 
+async def test_request_is_sent_by_the_host_that_has_the_share_of_a_limit() -> (
+    None
+):
+    world, taker, other = World(), Taker('h2'), Taker('h3')
+    taker.world.targets.add_scripts(answer(b'a'))
+    for target in world.fleet.targets_by_identity.values():
+        world.limit(target, 1, holder='h2')
+    async with run_hosts(world, taker, other):
+        outcome, _ = await world.serve('unsafe')
+
+    assert outcome == relay.Delivered(200)
+    assert not world.targets.calls
+    assert not other.taken
+
+
+async def test_host_without_a_permit_left_says_when_the_next_one_comes() -> (
+    None
+):
+    async def refuse_until_permit(
+        _request: relay.ForwardedRequest, _sink: relay.ResponseSink
+    ) -> relay.Outcome:
+        return relay.Refused('engines busy', 7)
+
+    world, taker = World(), Taker('h2', refuse_until_permit)
+    for target in world.fleet.targets_by_identity.values():
+        world.limit(target, 1, holder='h2')
+    async with run_hosts(world, taker):
+        outcome, _ = await world.serve('unsafe')
+
+    assert outcome == relay.Refused('engines busy', 7)
+
+
 async def test_request_at_another_host_at_its_deadline_may_have_run() -> None:
     world, taker = make_cut_world(), Taker('h2')
     taker.world.targets.add_scripts(silent)
--- a/packages/geranium-relay/tests/world.py
+++ b/packages/geranium-relay/tests/world.py
@@ -194,6 +194,7 @@
         targets: int = 3,
     ) -> None:
         self._target_count = targets
+        self._limit_holders = {'h1': True}
         self.clock = relay.BootClock()
         self.targets = FakeTargets(*scripts)
         self.suspects = SuspectRegister(SuspectSettings(max_crashes=2))
@@ -219,6 +220,12 @@
         """Return the target of a world that has one."""
         return next(iter(self.fleet.targets_by_identity.values()))
 
+    def limit(self, target: relay.Target, per_s: float, holder: str) -> None:
+        """Let a target name a limit that one host has alone."""
+        self._limit_holders = {holder: True}
+        notice = relay.RateLimitNotice(per_s, self.clock.now())
+        self.notices.rate_limits.record(target.key, notice)
+
     def replace_routes(self, shares: tuple[relay.Share, ...]) -> None:
         """Apply a catalogue version whose routes have other shares."""
         known = self._catalogue(engines=False)
@@ -330,7 +337,11 @@
             now,
             log,
             relay.TargetRateLimits(
-                'h1', lambda _key: {'h1': True}, now, time.time, log
+                'h1',
+                lambda _key: self._limit_holders,
+                now,
+                time.time,
+                log,
             ),
         )
         self.selector = relay.TargetSelector(
--- a/soak/tests/mutated_host.py
+++ b/soak/tests/mutated_host.py
@@ -129,7 +129,7 @@
 
 def pass_nothing_on() -> None:
     """Serve only what this host can send itself."""
-    relay.PeerClient.choose = lambda client, service, tried: None
+    relay.PeerClient.choose = lambda *_: None
 
 
 MUTANTS = {
