Target rate limits: hosts that are cut from a service have no share

A share that lies with a cut host serves nobody: its callers' requests are passed on to hosts that have none. All hosts leave out those whose updates say that they don't reach the service; a host that is cut leaves itself out. A test beside those of the limits.

--- a/packages/geranium-relay/src/geranium_relay/__init__.py
+++ b/packages/geranium-relay/src/geranium_relay/__init__.py
@@ -64,6 +64,7 @@
     ReachSettings,
     RunProgress,
     ServiceReach,
+    hosts_reaching,
 )
 from .peer_updates import (
     AdvertisedStoreState,
@@ -259,5 +260,6 @@
     'decode_peer_update',
     'encode_peer_update',
     'home_engine',
+    'hosts_reaching',
     'send_once',
 ]
--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/__init__.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/__init__.py
@@ -17,6 +17,7 @@
     PeerResponse,
 )
 from .peer_server import PeerHandlers, PeerServer, PeerServerSettings
+from .reaching_hosts import hosts_reaching
 from .service_reach import ServiceReach
 
 __all__ = [
@@ -31,4 +32,5 @@
     'ReachSettings',
     'RunProgress',
     'ServiceReach',
+    'hosts_reaching',
 ]
--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/peer_client.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/peer_client.py
@@ -4,7 +4,7 @@
 import collections
 import dataclasses
 import random
-from collections.abc import AsyncIterator, Callable, Collection, Iterator
+from collections.abc import AsyncIterator, Callable, Collection
 
 from geranium_policy.crash_evidence import TargetReach
 from geranium_policy.peer_choice import (
@@ -23,7 +23,6 @@
 from ..load_tracker import LoadTracker
 from ..messages import PeerIdentity, ResponseHead
 from ..outcomes import Delivered, Refused
-from ..peer_updates import name_hash
 from ..peers import Peers
 from ..targets import Target
 from .call_codec import encode_question, encode_request
@@ -40,6 +39,7 @@
     ReachFrame,
     ReachQuestion,
 )
+from .reaching_hosts import hosts_reaching
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -170,7 +170,7 @@
         """
         peers_by_host = {
             peer.host: peer
-            for peer in _hosts_reaching(service, self._peers)
+            for peer in hosts_reaching(service, self._peers)
             if peer.host not in tried and (not among or peer.host in among)
         }
         running_by_host = self._loads.running_by_host(self._clock())
@@ -271,23 +271,6 @@
         self._sent_by_host[host] -= 1
 
 
-def _hosts_reaching(service: str, peers: Peers) -> Iterator[PeerIdentity]:
-    """Yield the usable hosts that reach a service.
-
-    Each update of a host lists the services that it does not reach, so a
-    host is left out only as long as its updates say so.
-    """
-    service_hash = name_hash(service)
-    unreaching = {
-        reported.host
-        for reported in peers.host_reports()
-        if service_hash in reported.unreached
-    }
-    for peer in peers.usable():
-        if name_hash(peer.host) not in unreaching:
-            yield peer
-
-
 class _Frames:
     """The frames of one response, as long as the host is alive."""
 
--- a/tests/adapter/test_target_limits.py
+++ b/tests/adapter/test_target_limits.py
@@ -1,9 +1,14 @@
 """Targets that name how many requests a second they take from all hosts."""
 
+import dataclasses
+
+import geranium_relay as relay
 import pytest
 from aiohttp import web
 from geranium_platform_standins import StandinTarget
+from geranium_relay.peer_updates import name_hash
 
+from .test_feeds import FeedHarness, make_update
 from .waits import wait_for
 
 LATER_REQUESTS = 8
@@ -77,3 +82,25 @@
     await wait_for(is_lifted)
     for _ in range(LATER_REQUESTS):
         assert (await post(world)).status == 200
+
+
+def test_cut_host_has_no_share_of_a_limit() -> None:
+    """All hosts leave it out: it sends nothing to the target."""
+    harness = FeedHarness()
+    state = harness.state
+    target = next(iter(harness.fleet.targets_by_identity.values()))
+    notice = relay.RateLimitNotice(1, state.clock.now())
+    state.notices.rate_limits.record(target.key, notice)
+    peer = relay.PeerIdentity('b', target.zone, 'b:1', 'b:2', 1)
+    update = make_update(peer, relay.AdvertisedStoreState(1, 0, 0, 0))
+
+    state.peers.handle_update(
+        dataclasses.replace(update, unreached=(name_hash(target.service),)),
+        1000,
+    )
+    assert not state.notices.rate_limits.holders(target.key)
+
+    state.peers.handle_update(update, 1001)
+    state.set_serving_check(lambda _service: False)
+    assert state.notices.rate_limits.holders(target.key) == {'b'}
+    assert state.notices.rate_limits.permit_at(target.key) is None
