--- a/packages/geranium-emulator/src/geranium_emulator/hosts.py
+++ b/packages/geranium-emulator/src/geranium_emulator/hosts.py
@@ -185,7 +185,7 @@
     def record_prompt(self, request: EmulatedRequest, key: str) -> None:
         """Record that an engine caches a prompt, and queue it for peers."""
         prompt = request.prompt
-        self.selector.record_prompt(request.job.service, key, prompt)
+        self.selector.record_cached_parts(key, prompt.parts)
         for sent in self._cached_parts_by_audience.values():
             sent.append((key, prompt.parts[:-1]))
 
