Reach of services: a cut that one service shows is looked for in the others

A host that loses its links loses them to all services, mostly. With hanging links, the first request of each service found out for itself, 0.75 s after it came: more than some callers wait (the deadline of deposit-hold is 0.6 s).

--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/service_reach.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/service_reach.py
@@ -175,6 +175,9 @@
                 tried=check.tried,
                 reached=check.reached,
             )
+            # The next request of another service should not find out first.
+            for other in self._fleet.services():
+                self.suspect(other)
         else:
             cut_at = self._cut_at_by_service.pop(service)
             self._watches_by_service.pop(service, None)
