--- a/soak/tests/test_cut_hosts_check.py
+++ b/soak/tests/test_cut_hosts_check.py
@@ -13,16 +13,16 @@
 BOUNDS = Bounds()
 REQUESTS = 40
 CUT_AT = 100
+CUT = Disruption(
+    CUT_FROM_TARGETS, frozenset(('cut',)), False, CUT_AT, CUT_AT + 30
+)
 SENT_AT = CUT_AT + BOUNDS.reconnect_s + 1
 
 
 def make_ledger(served_at_cut_host: int, sent_at: float = SENT_AT) -> Ledger:
     """Return a ledger of a cut host, and of one that serves all requests."""
     ledger = Ledger()
-    cut = Disruption(
-        CUT_FROM_TARGETS, frozenset(('cut',)), False, CUT_AT, CUT_AT + 30
-    )
-    ledger.disruptions.append(cut)
+    ledger.disruptions.append(CUT)
     served_by_host = {'cut': served_at_cut_host, 'other': REQUESTS}
     for host, served in served_by_host.items():
         for number in range(REQUESTS):
