--- a/packages/geranium-policy/tests/test_rate_shares.py
+++ b/packages/geranium-policy/tests/test_rate_shares.py
@@ -7,6 +7,7 @@
     RatePermits,
     RateShareSettings,
     share_per_s,
+    sharing_hosts,
 )
 
 SETTINGS = RateShareSettings()
@@ -15,6 +16,7 @@
 TOLERATED = 5
 DURATION_S = 40
 STEP_S = 0.01
+CALLS_PER_S = 40  # to one target, at all hosts together
 
 
 def names(count: int) -> list[str]:
@@ -69,6 +71,43 @@
     assert len(sent) >= offered_per_s * DURATION_S / 2
 
 
+def replay_passed_on(rate_per_s: float, hosts: int) -> list[float]:
+    """Return when requests are sent that come to hosts at random.
+
+    A host without a share passes its requests on to one that has one.
+    """
+    source = random.Random(7)
+    everyone = names(hosts)
+    holders = sharing_hosts(rate_per_s, 'target', near(everyone), SETTINGS)
+    permits_by_host = {}
+    for holder in holders:
+        permits_by_host[holder] = RatePermits(SETTINGS.burst_s, 0)
+        permits_by_host[holder].set_rate(rate_per_s / len(holders), 0)
+    sent = []
+    now = source.expovariate(CALLS_PER_S)
+    while now < DURATION_S:
+        own = source.choice(everyone)
+        if own not in permits_by_host:
+            own = source.choice(holders)
+        if permits_by_host[own].take(now):
+            sent.append(now)
+        now += source.expovariate(CALLS_PER_S)
+    return sent
+
+
+@pytest.mark.parametrize('hosts', [9, 60, 195])
+@pytest.mark.parametrize('rate_per_s', [0.5, 2, 10, 20])
+def test_limit_is_used_though_callers_come_to_other_hosts(
+    rate_per_s: float, hosts: int
+) -> None:
+    """Few callers come to the hosts with a share in a large fleet."""
+    sent = replay_passed_on(rate_per_s, hosts)
+
+    allowed = TOLERANCE * WINDOW_S * rate_per_s + TOLERATED
+    assert most_in_a_window(sent) <= allowed
+    assert len(sent) >= rate_per_s * DURATION_S / 2
+
+
 @pytest.mark.parametrize('hosts', [1, 9, 195])
 @pytest.mark.parametrize('rate_per_s', [0.3, 1, 7.5, 600])
 def test_shares_add_up_to_the_rate(rate_per_s: float, hosts: int) -> None:
