--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/peer_server.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/peer_server.py
@@ -95,7 +95,7 @@
 
     async def start(self, address: str) -> None:
         """Listen on an address."""
-        schema()  # its first call takes long
+        schema()  # parsed before the first request
         host, _, port = address.rpartition(':')
         self._server = await asyncio.start_server(
             self._accept, host, int(port), backlog=_BACKLOG
