--- a/soak/tests/test_cut_hosts_check.py
+++ b/soak/tests/test_cut_hosts_check.py
@@ -58,3 +58,19 @@
     ledger.disruptions.append(paused)
 
     assert not violations(ledger)
+
+
+def test_cut_host_is_excused_while_no_other_host_is_without_a_fault() -> None:
+    """Seed 3000: of four hosts two were cut, one stopped, one had no store."""
+    ledger = make_ledger(0)
+    later = make_ledger(REQUESTS, SENT_AT + 10)
+    for identity, sent in later.sent_by_id.items():
+        renamed = dataclasses.replace(sent, identity=f'later-{identity}')
+        if sent.host == 'other':
+            record(ledger, renamed, [], later.outcome_by_id[identity])
+    paused = Disruption(
+        'paused', frozenset(('other',)), False, SENT_AT - 1, SENT_AT + 1
+    )
+    ledger.disruptions.append(paused)
+
+    assert not violations(ledger)
