--- a/soak/src/geranium_soak/checks/cut_hosts.py
+++ b/soak/src/geranium_soak/checks/cut_hosts.py
@@ -109,13 +109,12 @@
         )
 
     def leave_a_host(self, sent: SentRequest) -> bool:
-        """Return whether a host had no fault around a request."""
-        since = sent.at - self._bounds.reconnect_s
+        """Return whether a host had no fault at the time of a request."""
         affected = frozenset[str]().union(
             *(
                 disruption.subjects
                 for disruption in self._ledger.disruptions
-                if disruption.overlaps(since, sent.at)
+                if disruption.overlaps(sent.at, sent.at)
             )
         )
         return not self._hosts <= affected
