--- a/packages/geranium-relay/src/geranium_relay/peer_attempts.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_attempts.py
@@ -190,10 +190,7 @@
         """Return the outcome unless the request may be sent again."""
         self._record_failure(job, context, error)
         self._forwarder.drop_partial_event()
-        route = job.route
-        may_repeat = (
-            route.repeatable and self._send_limit.runs < route.max_attempts
-        )
+        may_repeat = self._send_limit.may_run_again(job.route)
         if may_repeat and self._forwarder.can_resume():
             return None
         if self._forwarder.started:
--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -154,8 +154,7 @@
 
     def _may_repeat(self) -> bool:
         """Return whether the request may run again after this run."""
-        route = self._job.route
-        return route.repeatable and self._send_limit.runs < route.max_attempts
+        return self._send_limit.may_run_again(self._job.route)
 
     async def _send(self, attempt: Attempt) -> Outcome | None:
         cache_handle = await self._prefill.read(self._job, attempt)
--- a/packages/geranium-relay/src/geranium_relay/send_limit.py
+++ b/packages/geranium-relay/src/geranium_relay/send_limit.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from .catalogue import Route
 from .peer_forwarding import RunProgress
 from .run_context import RetryShares
 from .run_settings import RunSettings
@@ -53,6 +54,10 @@
         """Whether a target did not accept a connection."""
         return self._unconnected > 0
 
+    def may_run_again(self, route: Route) -> bool:
+        """Return whether a request of a route may run once more."""
+        return route.repeatable and self.runs < route.max_attempts
+
     def record_forwarded_run(self) -> None:
         """Count a send of another host, which may have run."""
         self.sends += 1
--- a/soak/tests/mutated_host.py
+++ b/soak/tests/mutated_host.py
@@ -35,7 +35,7 @@
 
 def resend_unsafe_requests() -> None:
     """Resend a request whose response was lost, whatever its kind."""
-    Run._may_repeat = lambda run: run._runs < 2
+    Run._may_repeat = lambda run: run._send_limit.runs < 2
 
 
 def revert_versions() -> None:
