Logs: each call beyond the first of a request, with the share that was left

The line repeat_asked and the metric repeats say so for runs that follow an earlier one, which are counted, and for prefill calls that fail, which are not counted yet.

--- a/packages/geranium-policy/src/geranium_policy/retry_share.py
+++ b/packages/geranium-policy/src/geranium_policy/retry_share.py
@@ -29,6 +29,21 @@
     used_share: float = 0.7
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryShareState:
+    """What a decision on a retry was based on.
+
+    Args:
+        used: Retries in the last window.
+        allowed: Retries that the share allows in a window.
+        hosts: Number of hosts that share the allowance.
+    """
+
+    used: int
+    allowed: float
+    hosts: int
+
+
 class RetryShare:
     """Counts the first sends and retries of one service on one host."""
 
@@ -51,14 +66,21 @@
         Returns:
             Whether the budget allowed the retry.
         """
+        state = self.state(hosts, now)
+        if state.used + 1 > state.allowed:
+            return False
+        self._retries.append(now)
+        return True
+
+    def state(self, hosts: int, now: float) -> RetryShareState:
+        """Return how much of the share is used."""
         settings = self.settings
         self._prune(now - settings.window_s)
         allowed = settings.ratio * len(self._first_sends)
         allowed += settings.allowance / max(hosts, 1)
-        if len(self._retries) + 1 > allowed * settings.used_share:
-            return False
-        self._retries.append(now)
-        return True
+        return RetryShareState(
+            len(self._retries), allowed * settings.used_share, hosts
+        )
 
     def refund(self) -> None:
         """Return the last retry taken to the budget if it was not sent."""
--- a/packages/geranium-relay/src/geranium_relay/attempt_selection.py
+++ b/packages/geranium-relay/src/geranium_relay/attempt_selection.py
@@ -4,7 +4,7 @@
 from .catalogue import Service
 from .messages import Job
 from .outcomes import Refused
-from .request_recorder import record_busy
+from .request_recorder import record_busy, record_repeat
 from .run_context import RunContext
 from .run_settings import RunSettings
 from .send_limit import SendLimit
@@ -51,9 +51,13 @@
             The refusal if no attempt is possible.
         """
         attempt = self._next_attempt(avoid)
-        if isinstance(attempt, Refused) or self._send_limit.take():
+        if isinstance(attempt, Refused):
             return attempt
-        return self._refuse('no repeat left', avoid)
+        repeated = self._send_limit.sends > 0
+        taken = self._send_limit.take()
+        if repeated:
+            record_repeat(self._job, self._context, 'run', taken=taken)
+        return attempt if taken else self._refuse('no repeat left', avoid)
 
     def _next_attempt(self, avoid: set[str]) -> Attempt | Refused:
         now = self._context.clock()
--- a/packages/geranium-relay/src/geranium_relay/prefill_runner.py
+++ b/packages/geranium-relay/src/geranium_relay/prefill_runner.py
@@ -5,9 +5,15 @@
 from geranium_policy.health import ResponseTimeout, Unreachable
 
 from .attempts import Attempt
-from .call_errors import NotRunError, RelayError, TargetSilentError
+from .call_errors import (
+    NotRunError,
+    NotSentError,
+    RelayError,
+    TargetSilentError,
+)
 from .load_tracker import Dispatch
 from .messages import CacheHandle, Job, TargetCall
+from .request_recorder import record_repeat
 from .run_context import RunContext
 from .run_settings import RunSettings
 from .targets import Target
@@ -70,6 +76,8 @@
             reader=reader.key,
             error=repr(error),
         )
+        if not isinstance(error, NotSentError):
+            record_repeat(job, self._context, 'prefill', taken=True)
         if not isinstance(error, NotRunError):
             self._context.reach.suspect(reader.service)
         match error:
--- a/packages/geranium-relay/src/geranium_relay/request_recorder.py
+++ b/packages/geranium-relay/src/geranium_relay/request_recorder.py
@@ -121,3 +121,28 @@
         free_in_s=round(free_in_s, 3),
         objective_s=job.route.target_latency_s,
     )
+
+
+def record_repeat(
+    job: Job, context: RunContext, kind: str, *, taken: bool
+) -> None:
+    """Record a call beyond the first of a request, or that none was left.
+
+    Args:
+        job: The request.
+        context: The components of the host.
+        kind: ``run`` or ``prefill``.
+        taken: Whether the retry budget allowed the call.
+    """
+    context.telemetry.record_repeat(kind, taken=taken)
+    state = context.retries.state(job.service, context.clock())
+    context.log.record(
+        'repeat_asked',
+        request=job.arrival.identity,
+        service=job.service,
+        kind=kind,
+        taken=taken,
+        used=state.used,
+        allowed=round(state.allowed, 2),
+        hosts=state.hosts,
+    )
--- a/packages/geranium-relay/src/geranium_relay/run_context.py
+++ b/packages/geranium-relay/src/geranium_relay/run_context.py
@@ -4,7 +4,11 @@
 from collections.abc import Callable
 
 from geranium_policy.crash_causes import CrashCauses, RequestFingerprints
-from geranium_policy.retry_share import RetryShare, RetryShareSettings
+from geranium_policy.retry_share import (
+    RetryShare,
+    RetryShareSettings,
+    RetryShareState,
+)
 from geranium_policy.suspects import request_fingerprint
 
 from .catalogue import Team
@@ -48,6 +52,10 @@
         """Take a retry from the budget; return whether one was left."""
         return self._share(service).take(self._hosts(), now)
 
+    def state(self, service: str, now: float) -> RetryShareState:
+        """Return how much of the share of a service is used."""
+        return self._share(service).state(self._hosts(), now)
+
     def refund(self, service: str) -> None:
         """Return the last retry to the budget: nothing was sent."""
         self._share(service).refund()
--- a/packages/geranium-relay/src/geranium_relay/telemetry.py
+++ b/packages/geranium-relay/src/geranium_relay/telemetry.py
@@ -11,6 +11,7 @@
     ('requests', 'Requests by outcome and service.'),
     ('attempts', 'Attempts at targets by outcome.'),
     ('refusals', 'Refused requests by reason.'),
+    ('repeats', 'Calls beyond the first of a request by kind and decision.'),
     ('forwards', 'Requests passed on to other hosts by outcome.'),
     ('store_calls', 'Calls to the store by method and outcome.'),
 )
@@ -50,6 +51,11 @@
         """Record why a request was refused."""
         self._record('refusals', 1, {'reason': reason})
 
+    def record_repeat(self, kind: str, *, taken: bool) -> None:
+        """Record a call beyond the first of a request, or its denial."""
+        decision = 'taken' if taken else 'denied'
+        self._record('repeats', 1, {'kind': kind, 'decision': decision})
+
     def record_forward(self, outcome: str) -> None:
         """Record what came of passing a request on to another host."""
         self._record('forwards', 1, {'outcome': outcome})
