Known red: calls that the retry budget misses, and silent targets that are given up for nothing

- a refused prefill call is not counted (60 calls beyond the first for 60 requests, 20 allowed), nor is the prefill call of a repeated run, nor the sends of a host that refuses a request that it was passed;
- a host that starts again sends 60 times for 20 requests, 24 are allowed by them alone;
- hosts that do not hear each other for minutes divide the allowance by fewer;
- a repeatable request or stream whose target is silent for 0.3 s fails, since the target is given up before it is known that another attempt is left.

The test of hosts that fell silent took half a minute for enough. It asks for minutes now and that hosts which said that they leave do not count for so long.

--- a/packages/geranium-relay/tests/test_topology.py
+++ b/packages/geranium-relay/tests/test_topology.py
@@ -327,7 +327,7 @@
         assert node is sender or found
 
 
-def test_budget_counts_hosts_that_have_just_fallen_silent(
+def test_budget_counts_hosts_that_are_silent_for_minutes(
     fleet: Fleet,
 ) -> None:
     """Hosts behind a partition still use their shares of a common budget."""
@@ -338,5 +338,19 @@
     node = fleet.nodes[0]
     assert node.peers.alive_count() == 1
     assert node.peers.recent_count() == HOSTS
-    fleet.run(20)
+    fleet.run(220)
+    assert node.peers.recent_count() == HOSTS
+    fleet.run(120)
     assert node.peers.recent_count() == 1
+
+
+def test_budget_counts_no_hosts_that_have_left(fleet: Fleet) -> None:
+    leaving = relay.HostStatus(ready=False, leaving=True)
+    for stopping in fleet.nodes[1:]:
+        stopping.status = leaving
+    fleet.run(2)
+    fleet.stop(fleet.nodes[1:])
+
+    fleet.run(40)
+
+    assert fleet.nodes[0].peers.recent_count() == 1
--- a/packages/geranium-relay/tests/world.py
+++ b/packages/geranium-relay/tests/world.py
@@ -16,6 +16,7 @@
 
 OK_HEAD = relay.ResponseHead(200, (), signed=True)
 EVENTS = (b'id: 1\ndata: a\n\n', b'id: 2\ndata: b\n\n', b'id: 3\ndata: c\n\n')
+RETRY_BUDGET = RetryShareSettings(0.2, 56, 10)
 Script = Callable[[relay.TargetCall], 'FakeAnswer']
 
 
@@ -53,6 +54,8 @@
         self.dropped: list[relay.CacheHandle] = []
         self.reachable = True
         self.chosen = ''
+        self.prefill_calls: list[relay.TargetCall] = []
+        self.prefill_error: Exception | None = None
         self.answers: list[FakeAnswer] = []
         self._scripts = list(scripts)
 
@@ -69,7 +72,10 @@
         return answer
 
     async def read_prompt(self, call: relay.TargetCall) -> relay.CacheHandle:
-        raise relay.NotSentError('no reader')
+        self.prefill_calls.append(call)
+        if self.prefill_error is not None:
+            raise self.prefill_error
+        return relay.CacheHandle(call.target, 'kept', 10)
 
     async def is_reachable(self, target: relay.Target) -> bool:
         return self.reachable
@@ -192,8 +198,10 @@
         *scripts: Script,
         engines: bool = False,
         targets: int = 3,
+        retry_budget: RetryShareSettings = RETRY_BUDGET,
     ) -> None:
         self._target_count = targets
+        self._retry_budget = retry_budget
         self._limit_holders = {'h1': True}
         self.clock = relay.BootClock()
         self.targets = FakeTargets(*scripts)
@@ -239,6 +247,12 @@
         )
         self.view.accept(changed, self.clock.now())
 
+    def separate_prefill(self) -> None:
+        """Let one of the engines do nothing but prefill prompts."""
+        first, *others = self.fleet.targets_by_identity.values()
+        reader = dataclasses.replace(first, stage=relay.Stage.PREFILL)
+        self.fleet.replace([reader, *others], self.clock.now())
+
     def place_isolated(self) -> None:
         """Make the next prompt be prefilled on a separate engine."""
         reader, target, *_ = self.fleet.targets_by_identity.values()
@@ -356,7 +370,7 @@
             self.targets,
             self.selector,
             loads,
-            relay.RetryShares(RetryShareSettings(0.2, 56, 10), lambda: 1),
+            relay.RetryShares(self._retry_budget, lambda: 1),
             CrashCauses(CrashCauseSettings(), self.suspects),
             relay.Outbox(),
             self._origins,
