Retry budget: prefill calls beyond the first that is accepted take a retry

Cause: hosts counted runs only. A prefill call that was refused or failed was not counted, nor was the prefill call of a repeated run; under overload the engines that prefill refuse hundreds in a window.

Now a prefill call takes a permit before it is sent. The permit is returned if the call is the first of its request that is accepted, or reached no engine; without one, the generating engine prefills the prompt itself. Permits count from the decision on, and their window begins with the call, so that runs that waited for a prefill can't add up with later ones.

First sends are pruned when they are recorded; until now that happened only when a retry was asked for, so a host without retries kept each of them.

--- a/packages/geranium-policy/src/geranium_policy/retry_share.py
+++ b/packages/geranium-policy/src/geranium_policy/retry_share.py
@@ -1,10 +1,15 @@
 """One host's share of a retry budget that all hosts have in common.
 
 When many requests fail together, every host retries at once and the retries
-of all hosts add up at the targets. In any window, the budget allows retries
-up to a ratio of the first sends plus a fixed allowance. The ratio applies to
-each host's own sends, and the allowance is divided by the number of hosts, so
-a retry needs no communication between hosts.
+of all hosts add up at the targets. In any window, the budget allows calls
+beyond the first of each request up to a ratio of the first sends plus a fixed
+allowance. The ratio applies to each host's own sends, and the allowance is
+divided by the number of hosts, so a retry needs no communication between
+hosts.
+
+A permit is taken before the call and counts from then on, so that calls that
+wait for something else, such as a prefill, are not forgotten meanwhile. The
+window begins with the call itself, when it reaches the target.
 """
 
 import collections
@@ -34,7 +39,7 @@
     """What a decision on a retry was based on.
 
     Args:
-        used: Retries in the last window.
+        used: Retries in the last window, and permits that are not used yet.
         allowed: Retries that the share allows in a window.
         hosts: Number of hosts that share the allowance.
     """
@@ -43,6 +48,21 @@
     allowed: float
     hosts: int
 
+    def has_left(self, permits: int = 1) -> bool:
+        """Return whether a number of permits can be taken."""
+        return self.used + permits <= self.allowed
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class RetryPermit:
+    """A permit for one call beyond the first of a request.
+
+    Args:
+        sent_at: When the call was sent; ``None`` before.
+    """
+
+    sent_at: float | None = None
+
 
 class RetryShare:
     """Counts the first sends and retries of one service on one host."""
@@ -50,49 +70,66 @@
     def __init__(self, settings: RetryShareSettings) -> None:
         self.settings = settings
         self._first_sends = collections.deque[float]()
-        self._retries = collections.deque[float]()
+        self._open: set[RetryPermit] = set()
+        self._sent = collections.deque[RetryPermit]()
 
     def record_first(self, now: float) -> None:
         """Record the first send of a request."""
         self._first_sends.append(now)
+        self._prune(now)
 
-    def take(self, hosts: int, now: float) -> bool:
-        """Take one retry from the budget.
+    def take(self, hosts: int, now: float) -> RetryPermit | None:
+        """Take a permit for one call, if the budget has one left.
 
         Args:
             hosts: Number of hosts that share the allowance.
             now: Current time in seconds.
-
-        Returns:
-            Whether the budget allowed the retry.
         """
-        state = self.state(hosts, now)
-        if state.used + 1 > state.allowed:
-            return False
-        self._retries.append(now)
-        return True
+        if not self.state(hosts, now).has_left():
+            return None
+        permit = RetryPermit()
+        self._open.add(permit)
+        return permit
+
+    def use(self, permit: RetryPermit, now: float) -> None:
+        """Record that the call of a permit is sent now."""
+        if permit in self._open:
+            self._open.remove(permit)
+            permit.sent_at = now
+            self._sent.append(permit)
+
+    def refund(self, permit: RetryPermit) -> None:
+        """Return a permit to the budget: its call does not count."""
+        self.discard(permit)
+        if permit in self._sent:
+            self._sent.remove(permit)
+
+    def discard(self, permit: RetryPermit) -> None:
+        """Return a permit to the budget unless its call was sent."""
+        self._open.discard(permit)
 
     def state(self, hosts: int, now: float) -> RetryShareState:
         """Return how much of the share is used."""
         settings = self.settings
-        self._prune(now - settings.window_s)
+        self._prune(now)
         allowed = settings.ratio * len(self._first_sends)
         allowed += settings.allowance / max(hosts, 1)
         return RetryShareState(
-            len(self._retries), allowed * settings.used_share, hosts
+            self.recent_repeats, allowed * settings.used_share, hosts
         )
 
-    def refund(self) -> None:
-        """Return the last retry taken to the budget if it was not sent."""
-        if self._retries:
-            self._retries.pop()
-
     @property
     def recent_repeats(self) -> int:
-        """Retries in the last window, as of the last call of :meth:`take`."""
-        return len(self._retries)
+        """Retries in the last window, as of the last call of a method."""
+        return len(self._open) + len(self._sent)
+
+    def _prune(self, now: float) -> None:
+        oldest = now - self.settings.window_s
+        while self._first_sends and self._first_sends[0] < oldest:
+            self._first_sends.popleft()
+        while self._sent and _is_older(self._sent[0], oldest):
+            self._sent.popleft()
+
 
-    def _prune(self, oldest: float) -> None:
-        for sends in (self._first_sends, self._retries):
-            while sends and sends[0] < oldest:
-                sends.popleft()
+def _is_older(permit: RetryPermit, oldest: float) -> bool:
+    return permit.sent_at is not None and permit.sent_at < oldest
--- a/packages/geranium-policy/tests/test_retry_share.py
+++ b/packages/geranium-policy/tests/test_retry_share.py
@@ -1,11 +1,21 @@
 """Retries of all hosts together stay within the shared budget."""
 
-from geranium_policy.retry_share import RetryShare, RetryShareSettings
+from geranium_policy.retry_share import (
+    RetryPermit,
+    RetryShare,
+    RetryShareSettings,
+)
 
 SETTINGS = RetryShareSettings(ratio=0.2, allowance=56, window_s=10)
 HOSTS = 8
 
 
+def take(share: RetryShare, now: float) -> RetryPermit:
+    permit = share.take(1, now)
+    assert permit is not None
+    return permit
+
+
 def test_all_hosts_together_stay_within_the_budget() -> None:
     """All targets fail and every host retries as often as allowed."""
     shares = [RetryShare(SETTINGS) for _ in range(HOSTS)]
@@ -16,7 +26,9 @@
         for share in shares:
             share.record_first(now)
             sent += 1
-            if share.take(HOSTS, now):
+            permit = share.take(HOSTS, now)
+            if permit is not None:
+                share.use(permit, now)
                 taken.append(now)
 
     for start in range(11):
@@ -35,7 +47,7 @@
 def test_retries_are_allowed_again_after_the_window() -> None:
     share = RetryShare(RetryShareSettings(0, 8, 10, used_share=1))
     for _ in range(8):
-        assert share.take(1, 0)
+        share.use(take(share, 0), 0)
 
     assert not share.take(1, 9.9)
     assert share.take(1, 10.1)
@@ -43,7 +55,37 @@
 
 def test_refunded_retry_can_be_taken_again() -> None:
     share = RetryShare(RetryShareSettings(0, 1, 10, used_share=1))
-    assert share.take(1, 0)
+    permit = take(share, 0)
     assert not share.take(1, 0)
-    share.refund()
+    share.refund(permit)
     assert share.take(1, 0)
+
+
+def test_window_of_a_retry_begins_when_it_is_sent() -> None:
+    """Retries that waited for a prefill arrive together with later ones."""
+    share = RetryShare(RetryShareSettings(0, 1, 10, used_share=1))
+    permit = take(share, 0)
+
+    assert not share.take(1, 10.1)
+    share.use(permit, 12)
+    assert not share.take(1, 21.9)
+    assert share.take(1, 22.1)
+
+
+def test_permit_that_was_not_used_is_returned() -> None:
+    share = RetryShare(RetryShareSettings(0, 1, 10, used_share=1))
+    permit = take(share, 0)
+    share.discard(permit)
+
+    used = take(share, 0)
+    share.use(used, 0)
+    share.discard(used)
+    assert not share.take(1, 0)
+
+
+def test_first_sends_are_kept_for_one_window_only() -> None:
+    share = RetryShare(RetryShareSettings(1, 0, 10, used_share=1))
+    for second in range(100):
+        share.record_first(second)
+
+    assert share.state(1, 99).allowed == 11
--- a/packages/geranium-relay/src/geranium_relay/attempt_selection.py
+++ b/packages/geranium-relay/src/geranium_relay/attempt_selection.py
@@ -57,7 +57,11 @@
         taken = self._send_limit.take()
         if repeated:
             record_repeat(self._job, self._context, 'run', taken=taken)
-        return attempt if taken else self._refuse('no repeat left', avoid)
+        if not taken:
+            return self._refuse('no repeat left', avoid)
+        if attempt.reader is not None:
+            self._send_limit.take_prefill()
+        return attempt
 
     def _next_attempt(self, avoid: set[str]) -> Attempt | Refused:
         now = self._context.clock()
@@ -81,7 +85,12 @@
         avoid = self._version.excluded() | failed
         if self._service.engine is None:
             return selector.select_target(self._job, avoid)
-        return selector.select_engines(self._job, self._service.engine, avoid)
+        return selector.select_engines(
+            self._job,
+            self._service.engine,
+            avoid,
+            self._send_limit.may_prefill(),
+        )
 
     def _make_attempt(
         self, placement: Placement, now: float
--- a/packages/geranium-relay/src/geranium_relay/prefill_runner.py
+++ b/packages/geranium-relay/src/geranium_relay/prefill_runner.py
@@ -16,15 +16,22 @@
 from .request_recorder import record_repeat
 from .run_context import RunContext
 from .run_settings import RunSettings
+from .send_limit import SendLimit
 from .targets import Target
 
 
 class PrefillRunner:
     """Prefills the prompts of jobs separately from generation."""
 
-    def __init__(self, context: RunContext, settings: RunSettings) -> None:
+    def __init__(
+        self,
+        context: RunContext,
+        settings: RunSettings,
+        send_limit: SendLimit,
+    ) -> None:
         self._context = context
         self._settings = settings
+        self._send_limit = send_limit
 
     async def read(self, job: Job, attempt: Attempt) -> CacheHandle | None:
         """Prefill the prompt on the attempt's reader.
@@ -42,14 +49,18 @@
             self._context.clock(),
             attempt.placement.first_s,
         )
+        self._send_limit.record_prefill()
         try:
             with self._context.loads.counted(dispatch):
-                return await self._prefill(job, reader, dispatch.expected_s)
+                kept = await self._prefill(job, reader, dispatch.expected_s)
         except (RelayError, TimeoutError) as error:
             self._record_failure(job, reader, error)
             return None
         finally:
             self._context.selector.observe_latency(reader, dispatch)
+        if not self._send_limit.accept_prefill():
+            record_repeat(job, self._context, 'prefill', taken=True)
+        return kept
 
     async def _prefill(
         self,
@@ -76,7 +87,9 @@
             reader=reader.key,
             error=repr(error),
         )
-        if not isinstance(error, NotSentError):
+        if isinstance(error, NotSentError):
+            self._send_limit.refund_prefill()
+        else:
             record_repeat(job, self._context, 'prefill', taken=True)
         if not isinstance(error, NotRunError):
             self._context.reach.suspect(reader.service)
--- a/packages/geranium-relay/src/geranium_relay/run_context.py
+++ b/packages/geranium-relay/src/geranium_relay/run_context.py
@@ -4,11 +4,6 @@
 from collections.abc import Callable
 
 from geranium_policy.crash_causes import CrashCauses, RequestFingerprints
-from geranium_policy.retry_share import (
-    RetryShare,
-    RetryShareSettings,
-    RetryShareState,
-)
 from geranium_policy.suspects import request_fingerprint
 
 from .catalogue import Team
@@ -18,6 +13,7 @@
 from .peer_forwarding import PeerClient, ServiceReach
 from .peer_updates import Outbox
 from .ports import TargetPort
+from .retry_shares import RetryShares
 from .stream_origin_updates import StreamOrigin
 from .stream_origins import StreamOrigins, StreamOriginSettings
 from .target_selector import TargetSelector
@@ -26,53 +22,6 @@
 from .version_records import VersionRecords, VersionRecordSettings
 
 
-class RetryShares:
-    """This host's share of the retry budget of each service."""
-
-    def __init__(
-        self,
-        settings: RetryShareSettings,
-        hosts: Callable[[], int],
-    ) -> None:
-        self._settings = settings
-        self._hosts = hosts
-        self._shares_by_service: dict[str, RetryShare] = {}
-
-    def replace_settings(self, settings: RetryShareSettings) -> None:
-        """Replace the budget settings; sent requests stay counted."""
-        self._settings = settings
-        for share in self._shares_by_service.values():
-            share.settings = settings
-
-    def record_first(self, service: str, now: float) -> None:
-        """Count the first send of a request to a service."""
-        self._share(service).record_first(now)
-
-    def take(self, service: str, now: float) -> bool:
-        """Take a retry from the budget; return whether one was left."""
-        return self._share(service).take(self._hosts(), now)
-
-    def state(self, service: str, now: float) -> RetryShareState:
-        """Return how much of the share of a service is used."""
-        return self._share(service).state(self._hosts(), now)
-
-    def refund(self, service: str) -> None:
-        """Return the last retry to the budget: nothing was sent."""
-        self._share(service).refund()
-
-    def recent_repeats(self) -> int:
-        """Return the number of retries that count against the budget now."""
-        shares = self._shares_by_service.values()
-        return sum(share.recent_repeats for share in shares)
-
-    def _share(self, service: str) -> RetryShare:
-        share = self._shares_by_service.get(service)
-        if share is None:
-            share = RetryShare(self._settings)
-            self._shares_by_service[service] = share
-        return share
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunContext:
     """The components of a host that running a request needs."""
--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -58,7 +58,6 @@
         self._service = service
         self._context = context
         self._settings = settings
-        self._prefill = PrefillRunner(context, settings)
         self._forwarder = ResponseForwarder(
             sink,
             resumable=job.route.resumable,
@@ -76,6 +75,7 @@
             context.clock,
             progress,
         )
+        self._prefill = PrefillRunner(context, settings, self._send_limit)
         self._selection = AttemptSelection(
             job,
             service,
@@ -103,8 +103,11 @@
                 self._settings.retry_after_s,
             )
         outcome = None
-        while outcome is None:
-            outcome = await self._try_once()
+        try:
+            while outcome is None:
+                outcome = await self._try_once()
+        finally:
+            self._send_limit.close()
         return outcome
 
     def deadline_outcome(self) -> Outcome:
@@ -214,7 +217,7 @@
             cache_handle,
             self._forwarder.resume_after,
         )
-        self._send_limit.runs += 1
+        self._send_limit.record_run()
         timeouts = response_timeouts(
             self._job.route,
             attempt,
@@ -302,8 +305,7 @@
             case NotRunError():
                 return None
             case NotSentError():
-                if attempt.reader is None:
-                    self._send_limit.refund()
+                self._send_limit.refund()
                 self._context.selector.observe(target, Unreachable())
                 return None
             case TargetSilentError():
--- a/packages/geranium-relay/src/geranium_relay/send_limit.py
+++ b/packages/geranium-relay/src/geranium_relay/send_limit.py
@@ -2,18 +2,22 @@
 
 from collections.abc import Callable
 
+from geranium_policy.retry_share import RetryPermit
+
 from .catalogue import Route
 from .peer_forwarding import RunProgress
-from .run_context import RetryShares
+from .retry_shares import RetryShares
 from .run_settings import RunSettings
 
 
 class SendLimit:
-    """Counts the sends of one request and the retries of its service.
+    """Counts the calls for one request and the retries of its service.
 
-    A send that fails to connect reached no target. It counts against a
-    separate limit, so that a removed target uses up neither the sends of the
-    request nor the retry budget of the service.
+    Every call beyond the first takes a permit from the retry budget of the
+    service: runs, and prefill calls other than the first that is accepted. A
+    send that fails to connect reached no target. It counts against a separate
+    limit, so that a removed target uses up neither the sends of the request
+    nor the retry budget.
 
     Args:
         service: Name of the request's service.
@@ -36,11 +40,19 @@
         self.sends = progress.sends
         self.runs = progress.runs
         self.first_recorded = progress.first_recorded
+        self.prefilled = False
         self._unconnected = 0
         self._service = service
         self._retries = retries
         self._settings = settings
         self._clock = clock
+        self._run_permit: RetryPermit | None = None
+        self._prefill_permit: RetryPermit | None = None
+
+    def close(self) -> None:
+        """Return the permits that were not used: the request has ended."""
+        self._discard(self._run_permit)
+        self._discard(self._prefill_permit)
 
     def take(self) -> bool:
         """Count a send if the limits allow it, and return whether they do."""
@@ -49,6 +61,17 @@
         self.sends += 1
         return True
 
+    def take_prefill(self) -> bool:
+        """Take a permit for a prefill call; return whether there was one."""
+        self._discard(self._prefill_permit)
+        self._prefill_permit = self._retries.take(self._service, self._clock())
+        return self._prefill_permit is not None
+
+    def may_prefill(self) -> bool:
+        """Return whether the next send may begin with a prefill call."""
+        state = self._retries.state(self._service, self._clock())
+        return state.has_left(2 if self.sends else 1)
+
     @property
     def has_unreached(self) -> bool:
         """Whether a target did not accept a connection."""
@@ -58,6 +81,32 @@
         """Return whether a request of a route may run once more."""
         return route.repeatable and self.runs < route.max_attempts
 
+    def record_prefill(self) -> None:
+        """Record that a prefill call is sent now."""
+        if self._prefill_permit is not None:
+            self._retries.use(
+                self._service, self._prefill_permit, self._clock()
+            )
+
+    def refund_prefill(self) -> None:
+        """Record that the last prefill call has reached no target."""
+        if self._prefill_permit is not None:
+            self._retries.refund(self._service, self._prefill_permit)
+
+    def accept_prefill(self) -> bool:
+        """Record an accepted prefill call; return whether it was the first."""
+        if self.prefilled:
+            return False
+        self.prefilled = True
+        self.refund_prefill()
+        return True
+
+    def record_run(self) -> None:
+        """Record that the request is sent to be run now."""
+        self.runs += 1
+        if self._run_permit is not None:
+            self._retries.use(self._service, self._run_permit, self._clock())
+
     def record_forwarded_run(self) -> None:
         """Count a send of another host, which may have run."""
         self.sends += 1
@@ -72,17 +121,25 @@
         """Recount the last send as one that reached no target."""
         self.sends -= 1
         self._unconnected += 1
-        if self.sends:
-            self._retries.refund(self._service)
+        if self._run_permit is not None:
+            self._retries.refund(self._service, self._run_permit)
 
     def _may_send(self) -> bool:
+        self._discard(self._run_permit)
+        self._run_permit = None
         if self._unconnected > self._settings.max_unconnected:
             return False
         if self.sends:
-            return self.sends < self._settings.max_sends and (
-                self._retries.take(self._service, self._clock())
-            )
+            if self.sends < self._settings.max_sends:
+                self._run_permit = self._retries.take(
+                    self._service, self._clock()
+                )
+            return self._run_permit is not None
         if not self.first_recorded:
             self.first_recorded = True
             self._retries.record_first(self._service, self._clock())
         return True
+
+    def _discard(self, permit: RetryPermit | None) -> None:
+        if permit is not None:
+            self._retries.discard(self._service, permit)
--- a/packages/geranium-relay/src/geranium_relay/target_selector.py
+++ b/packages/geranium-relay/src/geranium_relay/target_selector.py
@@ -124,8 +124,16 @@
         job: Job,
         profile: EngineProfile,
         avoid: frozenset[str],
+        may_prefill: bool = True,
     ) -> PlacementDecision:
-        """Select the engines for a job with a prompt."""
+        """Select the engines for a job with a prompt.
+
+        Args:
+            job: The job.
+            profile: The engines of its service.
+            avoid: Keys of the targets that are left out.
+            may_prefill: Whether another engine may prefill the prompt.
+        """
         now = self._clock()
         prompt = job.arrival.prompt
         if prompt is None:
@@ -140,6 +148,8 @@
         # If the limited target to check can't take the request in time, nothing
         # is left out.
         targets = self._fleet.of_service(job.service)
+        if not may_prefill:
+            avoid |= _prefill_engines(targets)
         beside_due = targets_beside_due(targets, self._rate_limits, avoid)
         for left_out in dict.fromkeys((beside_due, _NOTHING)):
             decision = self._prompt_placer.choose(
@@ -149,8 +159,9 @@
             )
             if isinstance(decision, Placement):
                 return decision
-        ends = _pause_ends(targets, self._notices, avoid)
-        return _with_pauses(decision, ends, now)
+        return _with_pauses(
+            decision, _pause_ends(targets, self._notices, avoid), now
+        )
 
     def select_generator(
         self,
@@ -331,6 +342,12 @@
             )
 
 
+def _prefill_engines(targets: Iterable[Target]) -> frozenset[str]:
+    return frozenset(
+        target.key for target in targets if target.stage is Stage.PREFILL
+    )
+
+
 def _home_engines(
     prompt: Prompt, engines: tuple[Target, ...]
 ) -> frozenset[str]:
--- a/packages/geranium-relay/tests/test_retry_budget.py
+++ b/packages/geranium-relay/tests/test_retry_budget.py
@@ -22,7 +22,7 @@
 REQUESTS = 60
 SMALL_BUDGET = RetryShareSettings(0.2, 8, 10)
 NO_BUDGET = RetryShareSettings(0, 0, 10)
-PROMPT = relay.Prompt(30000, 3, (relay.PromptPart('p', 30000),))
+PROMPT_TOKENS = 4000
 FULL = relay.NotRunError('status 503')
 QUICK = relay.RunSettings(
     stream_silence_s=0.1, max_silent_gaps=0, call_timeout_factor=1
@@ -51,6 +51,11 @@
     return FakeAnswer(OK_HEAD, EVENTS)
 
 
+def own_prompt(number: int) -> relay.Prompt:
+    part = relay.PromptPart(f'p{number}', PROMPT_TOKENS)
+    return relay.Prompt(PROMPT_TOKENS, 3, (part,))
+
+
 def repeated(calls: list[relay.TargetCall]) -> int:
     """Return the number of calls beyond the first of each request."""
     identities = [call.job.arrival.identity for call in calls]
@@ -80,7 +85,7 @@
 
     for number in range(REQUESTS):
         outcome, _ = await world.serve(
-            'resumable', identity=f'r{number}', prompt=PROMPT
+            'resumable', identity=f'r{number}', prompt=own_prompt(number)
         )
         assert outcome == relay.Delivered(200)
 
@@ -100,7 +105,9 @@
 
     for number in range(REQUESTS):
         # Without a repeat, the next request meets the other script.
-        await world.serve('resumable', identity=f'r{number}', prompt=PROMPT)
+        await world.serve(
+            'resumable', identity=f'r{number}', prompt=own_prompt(number)
+        )
 
     assert world.targets.prefill_calls
     assert extra_calls(world) <= 0.2 * REQUESTS + 8
