Passed-on requests: the sends of a host that refuses count at the next one

Cause: a host that took a request from another, sent it to targets that refused it, and refused it itself, said nothing of these sends. The first host took the request for unsent, passed it on to the next one, and each sent it as its first send, outside of the retry budget; up to three hosts, with up to three sends each.

A refusal between hosts now says how often the request was sent, whether its first send is counted and whether a prompt was prefilled for it; a request says the last, too.

The permits of prefill calls have a class of their own.

--- a/packages/geranium-relay/src/geranium_relay/attempt_selection.py
+++ b/packages/geranium-relay/src/geranium_relay/attempt_selection.py
@@ -60,7 +60,7 @@
         if not taken:
             return self._refuse('no repeat left', avoid)
         if attempt.reader is not None:
-            self._send_limit.take_prefill()
+            self._send_limit.prefill.take()
         return attempt
 
     def _next_attempt(self, avoid: set[str]) -> Attempt | Refused:
@@ -122,4 +122,5 @@
             max(free_in_s, self._settings.retry_after_s),
             elsewhere=self._send_limit.has_unreached or bool(hosts),
             hosts=hosts,
+            calls=self._send_limit.refused_calls,
         )
--- a/packages/geranium-relay/src/geranium_relay/outcomes.py
+++ b/packages/geranium-relay/src/geranium_relay/outcomes.py
@@ -11,18 +11,34 @@
     status: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RefusedCalls:
+    """The calls for a request that targets have refused.
+
+    Args:
+        sends: How often it was sent to be run.
+        first_recorded: Whether its first send counts in the retry budget.
+        prefilled: Whether an engine has accepted a prefill call for it.
+    """
+
+    sends: int = 0
+    first_recorded: bool = False
+    prefilled: bool = False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refused:
     """The request did not run; the caller may retry after a delay.
 
     ``elsewhere`` says that another host may be able to serve it now, ``hosts``
-    which ones, if that is known.
+    which ones, if that is known. ``calls`` is what was sent for it.
     """
 
     reason: str
     retry_after_s: float
     elsewhere: bool = False
     hosts: frozenset[str] = frozenset()
+    calls: RefusedCalls = RefusedCalls()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/geranium-relay/src/geranium_relay/peer_attempts.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_attempts.py
@@ -104,6 +104,8 @@
             response = await context.peer_client.send(peer, request)
         except (NotSentError, PeerRefusedError) as error:
             self._send_limit.remove_forwarded_run()
+            if isinstance(error, PeerRefusedError):
+                self._send_limit.add_refused(error.refusal.calls)
             self._record_failure(job, context, error)
             return self._outcome_untaken(error)
         except RelayError as error:
@@ -174,6 +176,7 @@
                 self._send_limit.first_recorded,
                 self._recorder.counted,
                 self._version.known,
+                self._send_limit.prefill.accepted,
             ),
         )
 
--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/call_codec.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/call_codec.py
@@ -73,6 +73,7 @@
         'firstRecorded': progress.first_recorded,
         'counted': progress.counted,
         'version': progress.version or '',
+        'prefilled': progress.prefilled,
     }
     if math.isfinite(request.due_at):
         fields['hasDue'] = True
@@ -117,6 +118,7 @@
             message.firstRecorded,
             message.counted,
             message.version or None,
+            message.prefilled,
         ),
     )
 
--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/forwarding.capnp
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/forwarding.capnp
@@ -33,6 +33,7 @@
   version @18 :Text;
   sender @19 :Text;
   hasPrompt @20 :Bool;
+  prefilled @21 :Bool;
 }
 
 struct Header {
@@ -76,6 +77,10 @@
   retryAfterMs @2 :UInt32;
   elsewhere @3 :Bool;
   status @4 :UInt16;
+  # What was done for a refused request; hosts of older versions leave it out.
+  sends @5 :UInt16;
+  firstRecorded @6 :Bool;
+  prefilled @7 :Bool;
 }
 
 enum Outcome {
--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/frame_codec.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/frame_codec.py
@@ -6,7 +6,14 @@
 from geranium_policy.crash_evidence import TargetReach
 
 from ..messages import ResponseHead
-from ..outcomes import CutOff, Delivered, Failed, Refused, TimedOut
+from ..outcomes import (
+    CutOff,
+    Delivered,
+    Failed,
+    Refused,
+    RefusedCalls,
+    TimedOut,
+)
 from ..zone_reports import MS_IN_S
 from .encoding import (
     MalformedMessageError,
@@ -94,6 +101,9 @@
                 'reason': refusal.reason,
                 'retryAfterMs': milliseconds(refusal.retry_after_s),
                 'elsewhere': refusal.elsewhere,
+                'sends': refusal.calls.sends,
+                'firstRecorded': refusal.calls.first_recorded,
+                'prefilled': refusal.calls.prefilled,
             }
         case Failed(reason=reason):
             return {'outcome': 'failed', 'reason': reason}
@@ -108,13 +118,19 @@
         case 'delivered':
             return EndFrame(Delivered(end.status))
         case 'refused':
-            retry_after_s = end.retryAfterMs / MS_IN_S
-            return EndFrame(
-                Refused(end.reason, retry_after_s, elsewhere=end.elsewhere)
-            )
+            return EndFrame(_decode_refusal(end))
         case 'timedOut':
             return EndFrame(TimedOut())
         case 'cutOff':
             return EndFrame(CutOff(end.reason))
         case _:
             return EndFrame(Failed(end.reason))
+
+
+def _decode_refusal(end: Any) -> Refused:
+    return Refused(
+        end.reason,
+        end.retryAfterMs / MS_IN_S,
+        elsewhere=end.elsewhere,
+        calls=RefusedCalls(end.sends, end.firstRecorded, end.prefilled),
+    )
--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/messages.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/messages.py
@@ -21,6 +21,7 @@
         first_recorded: Whether its first send counts in the retry budget.
         counted: Whether it was counted for usage.
         version: Software version at which its stream began, if it has.
+        prefilled: Whether an engine has accepted a prefill call for it.
     """
 
     sends: int = 0
@@ -28,6 +29,7 @@
     first_recorded: bool = False
     counted: bool = False
     version: str | None = None
+    prefilled: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/geranium-relay/src/geranium_relay/prefill_runner.py
+++ b/packages/geranium-relay/src/geranium_relay/prefill_runner.py
@@ -13,10 +13,10 @@
 )
 from .load_tracker import Dispatch
 from .messages import CacheHandle, Job, TargetCall
+from .prefill_permits import PrefillPermits
 from .request_recorder import record_repeat
 from .run_context import RunContext
 from .run_settings import RunSettings
-from .send_limit import SendLimit
 from .targets import Target
 
 
@@ -27,11 +27,11 @@
         self,
         context: RunContext,
         settings: RunSettings,
-        send_limit: SendLimit,
+        permits: PrefillPermits,
     ) -> None:
         self._context = context
         self._settings = settings
-        self._send_limit = send_limit
+        self._permits = permits
 
     async def read(self, job: Job, attempt: Attempt) -> CacheHandle | None:
         """Prefill the prompt on the attempt's reader.
@@ -49,7 +49,7 @@
             self._context.clock(),
             attempt.placement.first_s,
         )
-        self._send_limit.record_prefill()
+        self._permits.record_call()
         try:
             with self._context.loads.counted(dispatch):
                 kept = await self._prefill(job, reader, dispatch.expected_s)
@@ -58,7 +58,7 @@
             return None
         finally:
             self._context.selector.observe_latency(reader, dispatch)
-        if not self._send_limit.accept_prefill():
+        if not self._permits.record_accepted():
             record_repeat(job, self._context, 'prefill', taken=True)
         return kept
 
@@ -88,7 +88,7 @@
             error=repr(error),
         )
         if isinstance(error, NotSentError):
-            self._send_limit.refund_prefill()
+            self._permits.refund()
         else:
             record_repeat(job, self._context, 'prefill', taken=True)
         if not isinstance(error, NotRunError):
--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -75,7 +75,9 @@
             context.clock,
             progress,
         )
-        self._prefill = PrefillRunner(context, settings, self._send_limit)
+        self._prefill = PrefillRunner(
+            context, settings, self._send_limit.prefill
+        )
         self._selection = AttemptSelection(
             job,
             service,
--- a/packages/geranium-relay/src/geranium_relay/send_limit.py
+++ b/packages/geranium-relay/src/geranium_relay/send_limit.py
@@ -5,7 +5,9 @@
 from geranium_policy.retry_share import RetryPermit
 
 from .catalogue import Route
+from .outcomes import RefusedCalls
 from .peer_forwarding import RunProgress
+from .prefill_permits import PrefillPermits
 from .retry_shares import RetryShares
 from .run_settings import RunSettings
 
@@ -40,19 +42,20 @@
         self.sends = progress.sends
         self.runs = progress.runs
         self.first_recorded = progress.first_recorded
-        self.prefilled = False
+        self.prefill = PrefillPermits(
+            service, retries, clock, accepted=progress.prefilled
+        )
         self._unconnected = 0
         self._service = service
         self._retries = retries
         self._settings = settings
         self._clock = clock
         self._run_permit: RetryPermit | None = None
-        self._prefill_permit: RetryPermit | None = None
 
     def close(self) -> None:
         """Return the permits that were not used: the request has ended."""
-        self._discard(self._run_permit)
-        self._discard(self._prefill_permit)
+        self._discard_permit()
+        self.prefill.close()
 
     def take(self) -> bool:
         """Count a send if the limits allow it, and return whether they do."""
@@ -61,16 +64,9 @@
         self.sends += 1
         return True
 
-    def take_prefill(self) -> bool:
-        """Take a permit for a prefill call; return whether there was one."""
-        self._discard(self._prefill_permit)
-        self._prefill_permit = self._retries.take(self._service, self._clock())
-        return self._prefill_permit is not None
-
     def may_prefill(self) -> bool:
         """Return whether the next send may begin with a prefill call."""
-        state = self._retries.state(self._service, self._clock())
-        return state.has_left(2 if self.sends else 1)
+        return self.prefill.are_left(2 if self.sends else 1)
 
     @property
     def has_unreached(self) -> bool:
@@ -81,26 +77,6 @@
         """Return whether a request of a route may run once more."""
         return route.repeatable and self.runs < route.max_attempts
 
-    def record_prefill(self) -> None:
-        """Record that a prefill call is sent now."""
-        if self._prefill_permit is not None:
-            self._retries.use(
-                self._service, self._prefill_permit, self._clock()
-            )
-
-    def refund_prefill(self) -> None:
-        """Record that the last prefill call has reached no target."""
-        if self._prefill_permit is not None:
-            self._retries.refund(self._service, self._prefill_permit)
-
-    def accept_prefill(self) -> bool:
-        """Record an accepted prefill call; return whether it was the first."""
-        if self.prefilled:
-            return False
-        self.prefilled = True
-        self.refund_prefill()
-        return True
-
     def record_run(self) -> None:
         """Record that the request is sent to be run now."""
         self.runs += 1
@@ -117,6 +93,19 @@
         self.sends -= 1
         self.runs -= 1
 
+    @property
+    def refused_calls(self) -> RefusedCalls:
+        """What was sent for the request, if it has not run."""
+        return RefusedCalls(
+            self.sends, self.first_recorded, self.prefill.accepted
+        )
+
+    def add_refused(self, calls: RefusedCalls) -> None:
+        """Add the calls that another host has sent in vain."""
+        self.sends = max(self.sends, calls.sends)
+        self.first_recorded |= calls.first_recorded
+        self.prefill.accepted |= calls.prefilled
+
     def refund(self) -> None:
         """Recount the last send as one that reached no target."""
         self.sends -= 1
@@ -125,8 +114,7 @@
             self._retries.refund(self._service, self._run_permit)
 
     def _may_send(self) -> bool:
-        self._discard(self._run_permit)
-        self._run_permit = None
+        self._discard_permit()
         if self._unconnected > self._settings.max_unconnected:
             return False
         if self.sends:
@@ -140,6 +128,7 @@
             self._retries.record_first(self._service, self._clock())
         return True
 
-    def _discard(self, permit: RetryPermit | None) -> None:
-        if permit is not None:
-            self._retries.discard(self._service, permit)
+    def _discard_permit(self) -> None:
+        if self._run_permit is not None:
+            self._retries.discard(self._service, self._run_permit)
+            self._run_permit = None
