Runs: a silent target is given up only for an attempt that is reserved

Cause: the timeout of an attempt that could be repeated ended it, and only then a retry was asked for. A sound target that is silent for a second has that effect on every request at every host at once, just when the budget is spent.

At the timeout a host now reserves the next attempt first: a target for it and a permit of the retry budget. If the target answers just then, the reservation is returned. The silence counts for the target's health in both cases, and has a line in the log (target_silent).

--- a/packages/geranium-relay/src/geranium_relay/peer_attempts.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_attempts.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 
-from .attempts import ResponseTimeouts
 from .call_errors import AnswerLostError, NotSentError, RelayError
 from .catalogue import RouteKind
 from .messages import Job, PeerIdentity
@@ -18,6 +17,7 @@
 from .run_context import RunContext
 from .run_settings import RunSettings
 from .send_limit import SendLimit
+from .silence import no_silence_limit
 from .stream_origins import StreamVersion
 
 
@@ -142,7 +142,7 @@
             return await self._forwarder.forward_stream(
                 response,
                 # The other host continues silent streams.
-                ResponseTimeouts(),
+                no_silence_limit(),
                 lambda: None,
                 lambda: self._record_first_event(response),
             )
--- a/packages/geranium-relay/src/geranium_relay/request_recorder.py
+++ b/packages/geranium-relay/src/geranium_relay/request_recorder.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Collection
 
-from geranium_policy.health import Responded
+from geranium_policy.health import Responded, ResponseTimeout
 
 from .attempts import Attempt
 from .load_tracker import Dispatch
@@ -19,6 +19,7 @@
         self._job = job
         self._context = context
         self.counted = counted
+        self._silent: Attempt | None = None
 
     def record_dispatch(self, attempt: Attempt, send: int) -> None:
         """Record that the request is sent to a target."""
@@ -86,6 +87,19 @@
             started=started,
         )
 
+    def record_silence(self, attempt: Attempt) -> None:
+        """Record, once for an attempt, that its target is silent."""
+        if attempt is self._silent:
+            return
+        self._silent = attempt
+        self._context.selector.observe(attempt.target, ResponseTimeout())
+        self._context.log.record(
+            'target_silent',
+            request=self._job.arrival.identity,
+            target=attempt.target.key,
+            waited_s=round(self._context.clock() - attempt.started_at, 3),
+        )
+
     def record_stream_end(
         self, attempt: Attempt, *, framed: bool, inside_event: bool
     ) -> None:
--- a/packages/geranium-relay/src/geranium_relay/response_forwarder.py
+++ b/packages/geranium-relay/src/geranium_relay/response_forwarder.py
@@ -3,12 +3,12 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable
 
-from .attempts import ResponseTimeouts
-from .call_errors import AnswerLostError, TargetSilentError
+from .call_errors import AnswerLostError
 from .event_framer import MAX_EVENT_BYTES, EventFramer, StreamTail
 from .messages import ResponseHead
 from .outcomes import CutOff, Delivered, Outcome
 from .ports import ResponseSink, TargetResponse
+from .silence import SilenceLimit
 
 
 class ResponseForwarder:
@@ -66,7 +66,7 @@
     async def forward_stream(
         self,
         response: TargetResponse,
-        timeouts: ResponseTimeouts,
+        limit: SilenceLimit,
         record_first_chunk: Callable[[], None],
         record_first_event: Callable[[], None],
     ) -> Outcome:
@@ -81,7 +81,7 @@
         """
         begun = False
         self._tail = StreamTail()
-        chunks = _TimedChunks(response, timeouts)
+        chunks = _TimedChunks(response, limit)
         async for chunk in chunks:
             if not begun:
                 begun = True
@@ -128,31 +128,26 @@
 
     Args:
         response: The response.
-        timeouts: Of the first progress and of the pauses after it.
+        limit: Of the first progress and of the pauses after it.
     """
 
-    def __init__(
-        self, response: TargetResponse, timeouts: ResponseTimeouts
-    ) -> None:
+    def __init__(self, response: TargetResponse, limit: SilenceLimit) -> None:
         self._chunks = aiter(response.chunks())
-        self._pause_s = timeouts.pause_s
+        self._limit = limit
         self._clock = asyncio.get_running_loop().time
         self._deadline: float | None = None
-        self._set_deadline(timeouts.first_s)
+        self._set_deadline(limit.timeouts.first_s)
 
     def __aiter__(self) -> AsyncIterator[bytes]:
         return self
 
     async def __anext__(self) -> bytes:
-        try:
-            async with asyncio.timeout_at(self._deadline):
-                return await anext(self._chunks)
-        except TimeoutError:
-            raise TargetSilentError('stream is silent') from None
+        async with self._limit.until(self._deadline):
+            return await anext(self._chunks)
 
     def restart_timeout(self) -> None:
         """Allow a whole pause from now on."""
-        self._set_deadline(self._pause_s)
+        self._set_deadline(self._limit.timeouts.pause_s)
 
     def _set_deadline(self, limit_s: float | None) -> None:
         self._deadline = None if limit_s is None else self._clock() + limit_s
--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -3,10 +3,11 @@
 import dataclasses
 from http import HTTPStatus
 
-from geranium_policy.health import ResponseTimeout, Unreachable
+from geranium_policy.health import Unreachable
 
+from .alternative_attempt import AlternativeAttempt
 from .attempt_selection import AttemptSelection
-from .attempts import Attempt, ResponseTimeouts, response_timeouts
+from .attempts import Attempt, response_timeouts
 from .call_errors import (
     AnswerLostError,
     NotRunError,
@@ -28,6 +29,7 @@
 from .run_settings import RunSettings
 from .send_limit import SendLimit
 from .sending import open_response
+from .silence import SilenceLimit
 from .stream_origins import StreamVersion
 from .suspicion import clear_request, crash_refusal, suspect_request
 
@@ -86,6 +88,9 @@
             self._version,
             self._send_limit,
         )
+        self._alternative = AlternativeAttempt(
+            self._selection, self._send_limit
+        )
         self._peers = PeerAttempts(
             self._forwarder,
             self._recorder,
@@ -122,6 +127,9 @@
 
     async def _try_once(self) -> Outcome | None:
         """Try a peer or a target; ``None`` means that another may follow."""
+        alternative = self._alternative.take()
+        if alternative is not None:
+            return await self._run_attempt(alternative)
         service = self._job.service
         await self._context.reach.settle(service)
         attempt: Attempt | Refused = Refused(
@@ -220,28 +228,43 @@
             self._forwarder.resume_after,
         )
         self._send_limit.record_run()
-        timeouts = response_timeouts(
-            self._job.route,
-            attempt,
-            self._settings,
-            may_repeat=self._may_repeat(),
-        )
+        limit = self._silence_limit(attempt)
         try:
-            response = await open_response(self._context, call, timeouts)
+            response = await open_response(self._context, call, limit)
         except (NotSentError, NotRunError):
             self._send_limit.runs -= 1
             raise
         try:
-            return await self._forward(response, attempt, dispatch, timeouts)
+            return await self._forward(response, attempt, dispatch, limit)
         finally:
             response.close()
 
+    def _silence_limit(self, attempt: Attempt) -> SilenceLimit:
+        timeouts = response_timeouts(
+            self._job.route,
+            attempt,
+            self._settings,
+            may_repeat=self._may_repeat(),
+        )
+        return SilenceLimit(
+            timeouts,
+            lambda: self._reserve_other(attempt),
+            self._alternative.release,
+        )
+
+    def _reserve_other(self, attempt: Attempt) -> bool:
+        """Reserve an attempt at another target than a silent one."""
+        self._recorder.record_silence(attempt)
+        if not self._may_repeat() or not self._forwarder.can_resume():
+            return False
+        return self._alternative.reserve(self._avoid | {attempt.target.key})
+
     async def _forward(
         self,
         response: TargetResponse,
         attempt: Attempt,
         dispatch: Dispatch,
-        timeouts: ResponseTimeouts,
+        limit: SilenceLimit,
     ) -> Outcome | None:
         head = response.head
         if head.succeeded and not head.signed:
@@ -249,7 +272,7 @@
         self._recorder.count()
         if self._job.route.kind is RouteKind.STREAM and head.succeeded:
             return await self._forward_stream(
-                response, attempt, dispatch, timeouts
+                response, attempt, dispatch, limit
             )
         body = await response.read(self._settings.max_body_bytes)
         self._recorder.record_begun(attempt, dispatch)
@@ -265,12 +288,12 @@
         response: TargetResponse,
         attempt: Attempt,
         dispatch: Dispatch,
-        timeouts: ResponseTimeouts,
+        limit: SilenceLimit,
     ) -> Outcome:
         try:
             outcome = await self._forwarder.forward_stream(
                 response,
-                timeouts,
+                limit,
                 lambda: self._recorder.record_begun(attempt, dispatch),
                 lambda: self._version.record_first_event(attempt.target),
             )
@@ -311,7 +334,7 @@
                 self._context.selector.observe(target, Unreachable())
                 return None
             case TargetSilentError():
-                self._context.selector.observe(target, ResponseTimeout())
+                self._recorder.record_silence(attempt)
             case _:
                 self._context.selector.observe(target, Unreachable())
         if isinstance(error, AnswerLostError) and error.broken:
--- a/packages/geranium-relay/src/geranium_relay/send_limit.py
+++ b/packages/geranium-relay/src/geranium_relay/send_limit.py
@@ -64,6 +64,17 @@
         self.sends += 1
         return True
 
+    def release(self) -> None:
+        """Recount the last send as one that does not take place."""
+        self.sends -= 1
+        self.close()
+
+    def has_repeat(self) -> bool:
+        """Return whether the request may be sent once more."""
+        if self.sends >= self._settings.max_sends:
+            return False
+        return self._retries.state(self._service, self._clock()).has_left()
+
     def may_prefill(self) -> bool:
         """Return whether the next send may begin with a prefill call."""
         return self.prefill.are_left(2 if self.sends else 1)
--- a/packages/geranium-relay/src/geranium_relay/sending.py
+++ b/packages/geranium-relay/src/geranium_relay/sending.py
@@ -2,17 +2,17 @@
 
 import asyncio
 
-from .attempts import ResponseTimeouts
-from .call_errors import NotRunError, NotSentError, TargetSilentError
+from .call_errors import NotRunError, NotSentError
 from .messages import TargetCall
 from .ports import TargetResponse
 from .run_context import RunContext
+from .silence import SilenceLimit
 
 
 async def open_response(
     context: RunContext,
     call: TargetCall,
-    timeouts: ResponseTimeouts,
+    limit: SilenceLimit,
 ) -> TargetResponse:
     """Send a call and return its response once the head has arrived.
 
@@ -22,11 +22,13 @@
     Raises:
         RelayError: See :class:`TargetPort`.
     """
+    deadline = None
+    if limit.timeouts.first_s is not None:
+        now = asyncio.get_running_loop().time()
+        deadline = now + limit.timeouts.first_s
     try:
-        async with asyncio.timeout(timeouts.first_s):
+        async with limit.until(deadline):
             return await context.targets.send(call)
-    except TimeoutError:
-        raise TargetSilentError('no answer') from None
     except (NotSentError, NotRunError):
         if call.fetch_from is not None:
             await context.targets.drop_prompt(call.fetch_from)
