Retry budget: a host that starts again has no part of the allowance for one window

Cause: each process began with a whole share, also if the process before it on the host had just used it. All hosts, killed in the middle of a window, could use the allowance twice.

A host that is not part of the system's first start now waits one window for its part of the allowance; until then its own first sends give it retries, as before.

--- a/packages/geranium-policy/src/geranium_policy/retry_share.py
+++ b/packages/geranium-policy/src/geranium_policy/retry_share.py
@@ -14,6 +14,7 @@
 
 import collections
 import dataclasses
+import math
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,10 +66,21 @@
 
 
 class RetryShare:
-    """Counts the first sends and retries of one service on one host."""
+    """Counts the first sends and retries of one service on one host.
 
-    def __init__(self, settings: RetryShareSettings) -> None:
+    A host that starts again does not know what the process before it has sent.
+    It has no part of the allowance until those calls are out of the window.
+
+    Args:
+        settings: The budget of all hosts.
+        started_at: Start of the process; ``-inf`` if none ran before it.
+    """
+
+    def __init__(
+        self, settings: RetryShareSettings, started_at: float = -math.inf
+    ) -> None:
         self.settings = settings
+        self._started_at = started_at
         self._first_sends = collections.deque[float]()
         self._open: set[RetryPermit] = set()
         self._sent = collections.deque[RetryPermit]()
@@ -113,7 +125,8 @@
         settings = self.settings
         self._prune(now)
         allowed = settings.ratio * len(self._first_sends)
-        allowed += settings.allowance / max(hosts, 1)
+        if self._started_at <= now - settings.window_s:
+            allowed += settings.allowance / max(hosts, 1)
         return RetryShareState(
             self.recent_repeats, allowed * settings.used_share, hosts
         )
--- a/packages/geranium-policy/tests/test_retry_share.py
+++ b/packages/geranium-policy/tests/test_retry_share.py
@@ -89,3 +89,23 @@
         share.record_first(second)
 
     assert share.state(1, 99).allowed == 11
+
+
+def test_hosts_that_start_again_stay_within_the_budget() -> None:
+    """All hosts are killed after they have used their shares."""
+    shares = [RetryShare(SETTINGS) for _ in range(HOSTS)]
+    sent_at = []
+    for step in range(300):
+        now = step * 0.1
+        if step == 110:
+            shares = [RetryShare(SETTINGS, now) for _ in range(HOSTS)]
+        for share in shares:
+            permit = share.take(HOSTS, now)
+            if permit is not None:
+                share.use(permit, now)
+                sent_at.append(now)
+
+    for start in range(20):
+        in_window = [at for at in sent_at if start <= at < start + 10]
+        assert len(in_window) <= SETTINGS.allowance
+    assert max(sent_at) > 11
--- a/packages/geranium-relay/src/geranium_relay/retry_shares.py
+++ b/packages/geranium-relay/src/geranium_relay/retry_shares.py
@@ -1,5 +1,6 @@
 """This host's shares of the retry budgets of all services."""
 
+import math
 from collections.abc import Callable
 
 from geranium_policy.retry_share import (
@@ -16,15 +17,18 @@
     Args:
         settings: The retry budget of a service, of all hosts together.
         hosts: Returns the number of hosts that share its allowance.
+        started_at: Start of this process; ``-inf`` if none ran before it.
     """
 
     def __init__(
         self,
         settings: RetryShareSettings,
         hosts: Callable[[], int],
+        started_at: float = -math.inf,
     ) -> None:
         self._settings = settings
         self._hosts = hosts
+        self._started_at = started_at
         self._shares_by_service: dict[str, RetryShare] = {}
 
     def replace_settings(self, settings: RetryShareSettings) -> None:
@@ -65,6 +69,6 @@
     def _share(self, service: str) -> RetryShare:
         share = self._shares_by_service.get(service)
         if share is None:
-            share = RetryShare(self._settings)
+            share = RetryShare(self._settings, self._started_at)
             self._shares_by_service[service] = share
         return share
