Retry budget: hosts that do not hear each other for minutes keep their shares

Regions that lose each other for minutes, or a host that never hears others, would each use the whole allowance.

A silent host counts for five minutes, unless it has said that it leaves; one that was listed and never heard does, too. The price: after a crash for good the others leave a part of the allowance unused for as long.

--- a/packages/geranium-relay/src/geranium_relay/peers.py
+++ b/packages/geranium-relay/src/geranium_relay/peers.py
@@ -131,12 +131,17 @@
     def recent_count(self) -> int:
         """Return the number of hosts that may still share a common budget.
 
-        Unlike :meth:`alive_count`, it includes hosts that have just become
-        silent: they may be alive behind a partition.
+        Unlike :meth:`alive_count`, it includes hosts that have become silent
+        and those that were never heard: they may be alive behind a partition.
         """
-        oldest = self._clock.now() - self._settings.prune_after_s
+        now = self._clock.now()
+        oldest_by_leaving = {
+            False: now - self._settings.budget_share_s,
+            True: now - self._settings.prune_after_s,
+        }
         return 1 + sum(
-            _is_alive(peer, oldest) for peer in self._peers_by_hash.values()
+            _last_sign_at(peer) > oldest_by_leaving[peer.leaving]
+            for peer in self._peers_by_hash.values()
         )
 
     def rank_in_zone(self) -> int:
@@ -236,3 +241,8 @@
 
 def _is_alive(peer: _Peer, oldest: float) -> bool:
     return peer.updated_at is not None and peer.updated_at > oldest
+
+
+def _last_sign_at(peer: _Peer) -> float:
+    """Return when a peer was heard last, or added if it never was."""
+    return peer.added_at if peer.updated_at is None else peer.updated_at
--- a/packages/geranium-relay/src/geranium_relay/update_intervals.py
+++ b/packages/geranium-relay/src/geranium_relay/update_intervals.py
@@ -20,6 +20,9 @@
             its zone rely on for what it reads from the store.
         missed_updates: A host that misses this many updates is not used.
         prune_after_s: A host that is silent for this time is sent no updates.
+        budget_share_s: Time for which a silent host is taken to use its share
+            of a common budget, unless it said that it leaves. Partitions between
+            hosts that go on serving last for minutes.
         min_correction_s: Smaller differences of cluster time are ignored.
         aggregators_per_zone: Number of aggregators in each zone.
         max_aggregated_per_s: Updates that an aggregator receives in a second
@@ -36,6 +39,7 @@
     reader_update_interval_s: float = 0.4
     missed_updates: float = 6
     prune_after_s: float = 30
+    budget_share_s: float = 300
     min_correction_s: float = 0.25
     aggregators_per_zone: int = 2
     max_aggregated_per_s: float = 160
--- a/packages/geranium-relay/tests/test_topology.py
+++ b/packages/geranium-relay/tests/test_topology.py
@@ -354,3 +354,16 @@
     fleet.run(40)
 
     assert fleet.nodes[0].peers.recent_count() == 1
+
+
+def test_budget_counts_hosts_that_were_never_heard() -> None:
+    """A host starts while no updates arrive from the others."""
+    fleet = Fleet(9)
+    node = fleet.nodes[0]
+    for other in fleet.nodes[1:]:
+        fleet.cut.add(frozenset((node.name, other.name)))
+
+    fleet.run(100)
+
+    assert node.peers.alive_count() == 1
+    assert node.peers.recent_count() == 9
