Placement: targets that refuse requests are left out for a moment

The load pattern: some targets refuse most of what they get, under overload or in trouble, while their loads as hosts know them are low, since what they refuse never runs; hosts chose them again at once, and each refusal used up a retry or a prefill call of the budget. A first run, which costs no retry, may still try one if there is no other.

--- a/packages/geranium-relay/src/geranium_relay/attempt_selection.py
+++ b/packages/geranium-relay/src/geranium_relay/attempt_selection.py
@@ -10,7 +10,12 @@
 from .send_limit import SendLimit
 from .stream_origins import StreamVersion
 from .suspicion import crash_refusal
-from .target_selector import NoEngine, Placement, TooBusy
+from .target_selector import (
+    NoEngine,
+    Placement,
+    PlacementDecision,
+    TooBusy,
+)
 
 
 class AttemptSelection:
@@ -80,9 +85,23 @@
             case NoEngine():
                 return self._refuse('no target', avoid)
 
-    def _select(self, failed: set[str]) -> Placement | TooBusy | NoEngine:
-        selector = self._context.selector
+    def _select(self, failed: set[str]) -> PlacementDecision:
+        """Select targets, other than those that have just refused requests.
+
+        A first run costs no retry: it may try them if there are no others.
+        """
+        refusals = self._context.selector.refusals
+        refusing = refusals.refusing(self._context.clock())
         avoid = self._version.excluded() | failed
+        decision = self._select_beside(avoid | refusing)
+        if isinstance(decision, Placement) or self._send_limit.sends:
+            return decision
+        fleet = self._context.selector.fleet
+        readers = fleet.prefill_engines(self._job.service)
+        return self._select_beside(avoid | (refusing & readers))
+
+    def _select_beside(self, avoid: frozenset[str]) -> PlacementDecision:
+        selector = self._context.selector
         if self._service.engine is None:
             return selector.select_target(self._job, avoid)
         return selector.select_engines(
--- a/packages/geranium-relay/src/geranium_relay/prefill_runner.py
+++ b/packages/geranium-relay/src/geranium_relay/prefill_runner.py
@@ -58,6 +58,7 @@
             return None
         finally:
             self._context.selector.observe_latency(reader, dispatch)
+        self._context.selector.refusals.record_accepted(reader.key)
         if not self._permits.record_accepted():
             record_repeat(job, self._context, 'prefill', taken=True)
         return kept
@@ -95,7 +96,9 @@
             self._context.reach.suspect(reader.service)
         match error:
             case NotRunError():
-                return
+                self._context.selector.refusals.record_refused(
+                    reader.key, self._context.clock()
+                )
             case TimeoutError() | TargetSilentError():
                 self._context.selector.observe(reader, ResponseTimeout())
             case _:
--- a/packages/geranium-relay/src/geranium_relay/request_recorder.py
+++ b/packages/geranium-relay/src/geranium_relay/request_recorder.py
@@ -6,7 +6,7 @@
 
 from .attempts import Attempt
 from .load_tracker import Dispatch
-from .messages import Job
+from .messages import CacheHandle, Job
 from .run_context import RunContext
 
 
@@ -54,6 +54,7 @@
         now = self._context.clock()
         if attempt.reader is None:
             self._context.selector.observe_latency(attempt.target, dispatch)
+        self._context.selector.refusals.record_accepted(attempt.target.key)
         expected_s = attempt.placement.first_s
         self._context.selector.observe(
             attempt.target,
@@ -87,6 +88,19 @@
             started=started,
         )
 
+    def record_refusal(
+        self, attempt: Attempt, cache_handle: CacheHandle | None
+    ) -> None:
+        """Record that a target has refused the request.
+
+        It also does so if it can't fetch the prefilled prompt.
+        """
+        now = self._context.clock()
+        refusals = self._context.selector.refusals
+        refusals.record_refused(attempt.target.key, now)
+        if cache_handle is not None:
+            refusals.record_refused(cache_handle.source.key, now)
+
     def record_silence(self, attempt: Attempt) -> None:
         """Record, once for an attempt, that its target is silent."""
         if attempt is self._silent:
--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -231,9 +231,13 @@
         limit = self._silence_limit(attempt)
         try:
             response = await open_response(self._context, call, limit)
-        except (NotSentError, NotRunError):
+        except NotSentError:
             self._send_limit.runs -= 1
             raise
+        except NotRunError:
+            self._send_limit.runs -= 1
+            self._recorder.record_refusal(attempt, cache_handle)
+            raise
         try:
             return await self._forward(response, attempt, dispatch, limit)
         finally:
--- a/packages/geranium-relay/src/geranium_relay/target_selector.py
+++ b/packages/geranium-relay/src/geranium_relay/target_selector.py
@@ -21,6 +21,7 @@
     PromptPlacer,
     TooBusy,
 )
+from geranium_policy.refusals import RefusalBackoff, RefusalSettings
 from geranium_policy.stale_loads import StaleLoadSettings
 from geranium_policy.target_choice import (
     TargetChoiceSettings,
@@ -63,6 +64,9 @@
     rates: EngineRates = dataclasses.field(
         default_factory=EngineRates,
     )
+    refusals: RefusalSettings = dataclasses.field(
+        default_factory=RefusalSettings,
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,6 +87,9 @@
 class TargetSelector:
     """Selects targets for jobs and tracks their latency and health.
 
+    ``fleet`` holds the targets, ``refusals`` tells which of them have just
+    refused requests.
+
     Args:
         context: The location of this host and the age of its peer data.
         fleet: The targets.
@@ -107,7 +114,7 @@
             settings.stale_loads,
             context.mean_update_age_s,
         )
-        self._fleet = fleet
+        self.fleet = fleet
         self._loads = loads
         self._notices = context.notices
         self._rate_limits = context.notices.rate_limits
@@ -116,6 +123,7 @@
         self._prompt_placer = PromptPlacer(settings.prompts, source)
         self._target_chooser = TargetChooser(settings.targets, source)
         self._health = HealthTracker(settings.health, source)
+        self.refusals = RefusalBackoff(settings.refusals, source)
         self._corrections = LatencyCorrections(settings.corrections)
         self._caches_by_service: dict[str, PrefixCacheIndex] = {}
 
@@ -147,9 +155,9 @@
         )
         # If the limited target to check can't take the request in time, nothing
         # is left out.
-        targets = self._fleet.of_service(job.service)
+        targets = self.fleet.of_service(job.service)
         if not may_prefill:
-            avoid |= _prefill_engines(targets)
+            avoid |= self.fleet.prefill_engines(job.service)
         beside_due = targets_beside_due(targets, self._rate_limits, avoid)
         for left_out in dict.fromkeys((beside_due, _NOTHING)):
             decision = self._prompt_placer.choose(
@@ -196,7 +204,7 @@
         ]
         name = self._target_chooser.choose(states)
         if name is None:
-            targets = self._fleet.of_service(job.service)
+            targets = self.fleet.of_service(job.service)
             return _with_pauses(
                 NoEngine(), _pause_ends(targets, self._notices, avoid), now
             )
@@ -208,7 +216,7 @@
         """Return the other hosts that may send to limited targets."""
         return frozenset(
             host
-            for target in self._fleet.of_service(service)
+            for target in self.fleet.of_service(service)
             if target.key not in avoid
             and self._notices.accepts_requests(target.key)
             for host in self._rate_limits.holders(target.key)
@@ -217,7 +225,7 @@
     def target(self, key: str) -> Target | None:
         """Return the target with a key, or ``None`` if it was removed."""
         identity = key.rpartition('@')[0]
-        target = self._fleet.targets_by_identity.get(identity)
+        target = self.fleet.targets_by_identity.get(identity)
         if target is None or target.key != key:
             return None
         return target
@@ -277,6 +285,7 @@
         """Remove the state of a target that no longer exists."""
         self._corrections.remove(target)
         self._health.remove(target)
+        self.refusals.remove(target)
         for prefix_caches in self._caches_by_service.values():
             prefix_caches.remove_target(target)
 
@@ -293,7 +302,7 @@
     def _application_targets(
         self, job: Job, avoid: frozenset[str]
     ) -> dict[str, Target]:
-        targets = self._fleet.of_service(job.service)
+        targets = self.fleet.of_service(job.service)
         beside_due = targets_beside_due(targets, self._rate_limits, avoid)
         checked = self._usable_targets(job.service, avoid | beside_due)
         return checked or self._usable_targets(job.service, avoid)
@@ -305,7 +314,7 @@
     ) -> dict[str, Target]:
         targets_by_key = {
             target.key: target
-            for target in self._fleet.of_service(service)
+            for target in self.fleet.of_service(service)
             if self._notices.accepts_requests(target.key)
             and self._rate_limits.accepts_request(target.key)
         }
@@ -342,12 +351,6 @@
             )
 
 
-def _prefill_engines(targets: Iterable[Target]) -> frozenset[str]:
-    return frozenset(
-        target.key for target in targets if target.stage is Stage.PREFILL
-    )
-
-
 def _home_engines(
     prompt: Prompt, engines: tuple[Target, ...]
 ) -> frozenset[str]:
@@ -396,6 +399,7 @@
 __all__ = [
     'NoEngine',
     'Placement',
+    'PlacementDecision',
     'PrefixCacheIndex',
     'SelectorContext',
     'TargetSelector',
--- a/packages/geranium-relay/src/geranium_relay/targets.py
+++ b/packages/geranium-relay/src/geranium_relay/targets.py
@@ -190,6 +190,14 @@
             if target.service == service and not target.leaving
         )
 
+    def prefill_engines(self, service: str) -> frozenset[str]:
+        """Return the keys of the engines that only prefill prompts."""
+        return frozenset(
+            target.key
+            for target in self.of_service(service)
+            if target.stage is Stage.PREFILL
+        )
+
     def versions_since(self, service: str, instant: float) -> frozenset[str]:
         """Return the software versions of a service's targets since a time."""
         versions = {
