Retry budget: prefill calls have a part that runs leave

When runs had used their part of the budget, no prompt could be prefilled on another engine, though nearly all of those permits come back: the engines that prefill were idle, and requests were refused as engines busy. Prefill calls may now use 0.9 of the budget, runs 0.7 as before; a permit counts from the call itself, so that no window gets more than that.

--- a/packages/geranium-policy/src/geranium_policy/retry_share.py
+++ b/packages/geranium-policy/src/geranium_policy/retry_share.py
@@ -14,7 +14,16 @@
 
 import collections
 import dataclasses
+import enum
 import math
+from collections.abc import Mapping
+
+
+class RetryKind(enum.Enum):
+    """What a call beyond the first of a request is."""
+
+    RUN = 'run'
+    PREFILL = 'prefill'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -27,12 +36,16 @@
         window_s: Length of a window.
         used_share: Share of the budget that is used, so that sends that
             cross the boundary of a window stay within its budget.
+        prefill_share: Share of the budget that prefill calls may use beside
+            runs. Most of them give their permits back, and without any, the
+            engines that prefill would be idle when runs have used theirs.
     """
 
     ratio: float
     allowance: float
     window_s: float
     used_share: float = 0.7
+    prefill_share: float = 0.9
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,17 +54,17 @@
 
     Args:
         used: Retries in the last window, and permits that are not used yet.
-        allowed: Retries that the share allows in a window.
+        allowed_by_kind: Retries that the share allows in a window.
         hosts: Number of hosts that share the allowance.
     """
 
     used: int
-    allowed: float
+    allowed_by_kind: Mapping[RetryKind, float]
     hosts: int
 
-    def has_left(self, permits: int = 1) -> bool:
+    def has_left(self, kind: RetryKind, permits: int = 1) -> bool:
         """Return whether a number of permits can be taken."""
-        return self.used + permits <= self.allowed
+        return self.used + permits <= self.allowed_by_kind[kind]
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -90,14 +103,17 @@
         self._first_sends.append(now)
         self._prune(now)
 
-    def take(self, hosts: int, now: float) -> RetryPermit | None:
+    def take(
+        self, kind: RetryKind, hosts: int, now: float
+    ) -> RetryPermit | None:
         """Take a permit for one call, if the budget has one left.
 
         Args:
+            kind: What the call is.
             hosts: Number of hosts that share the allowance.
             now: Current time in seconds.
         """
-        if not self.state(hosts, now).has_left():
+        if not self.state(hosts, now).has_left(kind):
             return None
         permit = RetryPermit()
         self._open.add(permit)
@@ -128,7 +144,12 @@
         if self._started_at <= now - settings.window_s:
             allowed += settings.allowance / max(hosts, 1)
         return RetryShareState(
-            self.recent_repeats, allowed * settings.used_share, hosts
+            self.recent_repeats,
+            {
+                RetryKind.RUN: allowed * settings.used_share,
+                RetryKind.PREFILL: allowed * settings.prefill_share,
+            },
+            hosts,
         )
 
     @property
--- a/packages/geranium-policy/tests/test_refusals.py
+++ b/packages/geranium-policy/tests/test_refusals.py
@@ -7,6 +7,7 @@
 
 SETTINGS = RefusalSettings()
 SPAN_S = 60
+FULL_SHARE = 0.1  # of its requests that a full target refuses
 STEP_S = 0.02  # between requests of one host
 
 
@@ -83,7 +84,7 @@
         now = step * STEP_S
         if backoff.refusing(now):
             continue
-        if source.random() < 0.1:
+        if source.random() < FULL_SHARE:
             backoff.record_refused('t', now)
         else:
             backoff.record_accepted('t')
--- a/packages/geranium-policy/tests/test_retry_share.py
+++ b/packages/geranium-policy/tests/test_retry_share.py
@@ -1,6 +1,7 @@
 """Retries of all hosts together stay within the shared budget."""
 
 from geranium_policy.retry_share import (
+    RetryKind,
     RetryPermit,
     RetryShare,
     RetryShareSettings,
@@ -11,7 +12,7 @@
 
 
 def take(share: RetryShare, now: float) -> RetryPermit:
-    permit = share.take(1, now)
+    permit = share.take(RetryKind.RUN, 1, now)
     assert permit is not None
     return permit
 
@@ -26,7 +27,7 @@
         for share in shares:
             share.record_first(now)
             sent += 1
-            permit = share.take(HOSTS, now)
+            permit = share.take(RetryKind.RUN, HOSTS, now)
             if permit is not None:
                 share.use(permit, now)
                 taken.append(now)
@@ -41,7 +42,7 @@
     share = RetryShare(SETTINGS)
     share.record_first(0)
 
-    assert share.take(HOSTS, 0.1)
+    assert share.take(RetryKind.RUN, HOSTS, 0.1)
 
 
 def test_retries_are_allowed_again_after_the_window() -> None:
@@ -49,16 +50,16 @@
     for _ in range(8):
         share.use(take(share, 0), 0)
 
-    assert not share.take(1, 9.9)
-    assert share.take(1, 10.1)
+    assert not share.take(RetryKind.RUN, 1, 9.9)
+    assert share.take(RetryKind.RUN, 1, 10.1)
 
 
 def test_refunded_retry_can_be_taken_again() -> None:
     share = RetryShare(RetryShareSettings(0, 1, 10, used_share=1))
     permit = take(share, 0)
-    assert not share.take(1, 0)
+    assert not share.take(RetryKind.RUN, 1, 0)
     share.refund(permit)
-    assert share.take(1, 0)
+    assert share.take(RetryKind.RUN, 1, 0)
 
 
 def test_window_of_a_retry_begins_when_it_is_sent() -> None:
@@ -66,10 +67,10 @@
     share = RetryShare(RetryShareSettings(0, 1, 10, used_share=1))
     permit = take(share, 0)
 
-    assert not share.take(1, 10.1)
+    assert not share.take(RetryKind.RUN, 1, 10.1)
     share.use(permit, 12)
-    assert not share.take(1, 21.9)
-    assert share.take(1, 22.1)
+    assert not share.take(RetryKind.RUN, 1, 21.9)
+    assert share.take(RetryKind.RUN, 1, 22.1)
 
 
 def test_permit_that_was_not_used_is_returned() -> None:
@@ -80,7 +81,7 @@
     used = take(share, 0)
     share.use(used, 0)
     share.discard(used)
-    assert not share.take(1, 0)
+    assert not share.take(RetryKind.RUN, 1, 0)
 
 
 def test_first_sends_are_kept_for_one_window_only() -> None:
@@ -88,7 +89,7 @@
     for second in range(100):
         share.record_first(second)
 
-    assert share.state(1, 99).allowed == 11
+    assert share.state(1, 99).allowed_by_kind[RetryKind.RUN] == 11
 
 
 def test_hosts_that_start_again_stay_within_the_budget() -> None:
@@ -100,7 +101,7 @@
         if step == 110:
             shares = [RetryShare(SETTINGS, now) for _ in range(HOSTS)]
         for share in shares:
-            permit = share.take(HOSTS, now)
+            permit = share.take(RetryKind.RUN, HOSTS, now)
             if permit is not None:
                 share.use(permit, now)
                 sent_at.append(now)
@@ -109,3 +110,15 @@
         in_window = [at for at in sent_at if start <= at < start + 10]
         assert len(in_window) <= SETTINGS.allowance
     assert max(sent_at) > 11
+
+
+def test_prefill_calls_have_a_part_that_runs_leave() -> None:
+    """Runs that targets refuse have used all that runs may use."""
+    share = RetryShare(RetryShareSettings(0, 10, 10, 0.7, 0.9))
+    for _ in range(7):
+        share.use(take(share, 0), 0)
+
+    assert not share.take(RetryKind.RUN, 1, 0)
+    for _ in range(2):
+        assert share.take(RetryKind.PREFILL, 1, 0)
+    assert not share.take(RetryKind.PREFILL, 1, 0)
--- a/packages/geranium-relay/src/geranium_relay/attempt_selection.py
+++ b/packages/geranium-relay/src/geranium_relay/attempt_selection.py
@@ -1,5 +1,7 @@
 """Selects the next attempt of a request, within its limits."""
 
+from geranium_policy.retry_share import RetryKind
+
 from .attempts import Attempt
 from .catalogue import Service
 from .messages import Job
@@ -61,7 +63,7 @@
         repeated = self._send_limit.sends > 0
         taken = self._send_limit.take()
         if repeated:
-            record_repeat(self._job, self._context, 'run', taken=taken)
+            record_repeat(self._job, self._context, RetryKind.RUN, taken=taken)
         if not taken:
             return self._refuse('no repeat left', avoid)
         if attempt.reader is not None:
--- a/packages/geranium-relay/src/geranium_relay/prefill_permits.py
+++ b/packages/geranium-relay/src/geranium_relay/prefill_permits.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from geranium_policy.retry_share import RetryPermit
+from geranium_policy.retry_share import RetryKind, RetryPermit
 
 from .retry_shares import RetryShares
 
@@ -38,12 +38,14 @@
     def are_left(self, permits: int) -> bool:
         """Return whether the budget has a number of permits left."""
         state = self._retries.state(self._service, self._clock())
-        return state.has_left(permits)
+        return state.has_left(RetryKind.PREFILL, permits)
 
     def take(self) -> bool:
         """Take a permit for a call; return whether there was one."""
         self.close()
-        self._permit = self._retries.take(self._service, self._clock())
+        self._permit = self._retries.take(
+            self._service, RetryKind.PREFILL, self._clock()
+        )
         return self._permit is not None
 
     def record_call(self) -> None:
--- a/packages/geranium-relay/src/geranium_relay/prefill_runner.py
+++ b/packages/geranium-relay/src/geranium_relay/prefill_runner.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from geranium_policy.health import ResponseTimeout, Unreachable
+from geranium_policy.retry_share import RetryKind
 
 from .attempts import Attempt
 from .call_errors import (
@@ -60,7 +61,7 @@
             self._context.selector.observe_latency(reader, dispatch)
         self._context.selector.refusals.record_accepted(reader.key)
         if not self._permits.record_accepted():
-            record_repeat(job, self._context, 'prefill', taken=True)
+            record_repeat(job, self._context, RetryKind.PREFILL, taken=True)
         return kept
 
     async def _prefill(
@@ -91,7 +92,7 @@
         if isinstance(error, NotSentError):
             self._permits.refund()
         else:
-            record_repeat(job, self._context, 'prefill', taken=True)
+            record_repeat(job, self._context, RetryKind.PREFILL, taken=True)
         if not isinstance(error, NotRunError):
             self._context.reach.suspect(reader.service)
         match error:
--- a/packages/geranium-relay/src/geranium_relay/request_recorder.py
+++ b/packages/geranium-relay/src/geranium_relay/request_recorder.py
@@ -3,6 +3,7 @@
 from collections.abc import Collection
 
 from geranium_policy.health import Responded, ResponseTimeout
+from geranium_policy.retry_share import RetryKind
 
 from .attempts import Attempt
 from .load_tracker import Dispatch
@@ -152,25 +153,25 @@
 
 
 def record_repeat(
-    job: Job, context: RunContext, kind: str, *, taken: bool
+    job: Job, context: RunContext, kind: RetryKind, *, taken: bool
 ) -> None:
     """Record a call beyond the first of a request, or that none was left.
 
     Args:
         job: The request.
         context: The components of the host.
-        kind: ``run`` or ``prefill``.
+        kind: What the call is.
         taken: Whether the retry budget allowed the call.
     """
-    context.telemetry.record_repeat(kind, taken=taken)
+    context.telemetry.record_repeat(kind.value, taken=taken)
     state = context.retries.state(job.service, context.clock())
     context.log.record(
         'repeat_asked',
         request=job.arrival.identity,
         service=job.service,
-        kind=kind,
+        kind=kind.value,
         taken=taken,
         used=state.used,
-        allowed=round(state.allowed, 2),
+        allowed=round(state.allowed_by_kind[kind], 2),
         hosts=state.hosts,
     )
--- a/packages/geranium-relay/src/geranium_relay/retry_shares.py
+++ b/packages/geranium-relay/src/geranium_relay/retry_shares.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from geranium_policy.retry_share import (
+    RetryKind,
     RetryPermit,
     RetryShare,
     RetryShareSettings,
@@ -41,9 +42,11 @@
         """Count the first send of a request to a service."""
         self._share(service).record_first(now)
 
-    def take(self, service: str, now: float) -> RetryPermit | None:
+    def take(
+        self, service: str, kind: RetryKind, now: float
+    ) -> RetryPermit | None:
         """Take a permit for one more call, if the budget has one left."""
-        return self._share(service).take(self._hosts(), now)
+        return self._share(service).take(kind, self._hosts(), now)
 
     def use(self, service: str, permit: RetryPermit, now: float) -> None:
         """Record that the call of a permit is sent now."""
--- a/packages/geranium-relay/src/geranium_relay/send_limit.py
+++ b/packages/geranium-relay/src/geranium_relay/send_limit.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from geranium_policy.retry_share import RetryPermit
+from geranium_policy.retry_share import RetryKind, RetryPermit
 
 from .catalogue import Route
 from .outcomes import RefusedCalls
@@ -73,7 +73,8 @@
         """Return whether the request may be sent once more."""
         if self.sends >= self._settings.max_sends:
             return False
-        return self._retries.state(self._service, self._clock()).has_left()
+        state = self._retries.state(self._service, self._clock())
+        return state.has_left(RetryKind.RUN)
 
     def may_prefill(self) -> bool:
         """Return whether the next send may begin with a prefill call."""
@@ -131,7 +132,7 @@
         if self.sends:
             if self.sends < self._settings.max_sends:
                 self._run_permit = self._retries.take(
-                    self._service, self._clock()
+                    self._service, RetryKind.RUN, self._clock()
                 )
             return self._run_permit is not None
         if not self.first_recorded:
