Store: one entry that can't be decoded no longer hides all others

A host stopped following the list of targets as long as one entry of it was nested deeper than the interpreter's recursion limit, or had a number of more than 4300 digits: no target was added or removed, and the task of the feed failed again and again ("task_failed", RecursionError).

StoreResponse.document caught ValueError only, while json.loads raises RecursionError for such a body. A number too long raises ValueError, which made the whole body None, that is a malformed list.

A body that the decoder rejects is now decoded once more, with a placeholder for what is nested deeper than 64 levels and for invalid numbers. The pass over the text is iterative and linear. The placeholder is a value of no JSON type, so no validation of a field takes it for a valid value; NaN and infinities decode to it as well. Only the entry with it is left out.

--- a/packages/geranium-relay/src/geranium_relay/store_http_client.py
+++ b/packages/geranium-relay/src/geranium_relay/store_http_client.py
@@ -15,6 +15,7 @@
 from geranium_coordination import AnswerLostError, UnavailableError
 
 from .http_connections import send_once
+from .json_bodies import decode_body
 
 CallObserver = Callable[[str, str], None]
 _NO_RESPONSE_ERRORS = (TimeoutError, aiohttp.ClientError, ConnectionError)
@@ -51,10 +52,10 @@
     def document(self) -> Any:
         """The decoded body, or ``None`` if it is not JSON.
 
-        Invalid UTF-8 is decoded to replacement characters.
+        Values that can't be decoded are replaced, see :func:`decode_body`.
         """
         try:
-            return json.loads(self.raw.decode(errors='replace'))
+            return decode_body(self.raw)
         except ValueError:
             return None
 
