Store lists: an object without a readable name or revision hides no other

A list with one object whose metadata is missing, of another type, or has a revision that is no number raised an error for the whole list, for changes too: TypeError, AttributeError or UnavailableError, so the task of the feed failed or the list was not followed as long as that object stayed. A response with another status and a JSON body without "items" was an empty list, so all targets were gone. A list that is read in pages asked for the same page for ever after a name with "#", "&" or "+", which was not quoted.

The decoding assumed documents that this product writes. Versions are accepted within the range of revisions only.

--- a/tests/adapter/test_object_store.py
+++ b/tests/adapter/test_object_store.py
@@ -1,9 +1,12 @@
 """``PlatformStore`` fulfils the contract of ``ObjectStore``."""
 
+import asyncio
 import contextlib
 from collections.abc import AsyncIterator
+from typing import Any
 
 import pytest
+from aiohttp import web
 from geranium_coordination import (
     AnswerLostError,
     ConflictError,
@@ -20,6 +23,8 @@
 from geranium_platform_standins import StandinStore
 from geranium_relay import StoreSettings
 
+from .conftest import Serve
+
 KEY = 'usage/counts/host'
 
 
@@ -152,6 +157,117 @@
     assert await store.watch_kind('servers', 1, 0.1) == HistoryGone()
 
 
+ODD_DOCUMENTS = (
+    None,
+    3,
+    {},
+    {'spec': {}},
+    {'metadata': None, 'spec': {}},
+    {'metadata': [], 'spec': {}},
+    {'metadata': {'revision': 4}, 'spec': {}},
+    {'metadata': {'name': 7, 'revision': 4}, 'spec': {}},
+    {'metadata': {'name': [], 'revision': 4}, 'spec': {}},
+    {'metadata': {'name': 't0'}, 'spec': {}},
+    {'metadata': {'name': 't0', 'revision': '4'}, 'spec': {}},
+    {'metadata': {'name': 't0', 'revision': -1}, 'spec': {}},
+    {'metadata': {'name': 't0', 'revision': 1e999}, 'spec': {}},
+    {'metadata': {'name': 't0', 'revision': 10**300}, 'spec': {}},
+)
+
+
+@pytest.mark.parametrize('odd', ODD_DOCUMENTS)
+async def test_object_without_name_or_revision_hides_no_other(
+    store: PlatformStore, store_standin: StandinStore, odd: Any
+) -> None:
+    left_out: list[tuple[str, int]] = []
+    store.unreadable.on_change = lambda *counted: left_out.append(counted)
+    store_standin.put('servers', 't1', {'n': 1})
+    store_standin.documents['servers', 't0'] = odd
+
+    for _ in range(2):
+        listing = await store.list_kind('servers')
+
+    assert [found.key for found in listing.entries] == ['t1']
+    assert left_out == [('servers', 1)]
+
+
+@pytest.mark.parametrize(
+    'odd',
+    [
+        None,
+        3,
+        {'object': 3},
+        {'object': {}},
+        {'object': {'metadata': 3, 'spec': {}}},
+        {'object': {'metadata': {'name': []}, 'spec': {}}},
+        {'object': {'metadata': {'name': 7}, 'spec': {}}},
+    ],
+)
+async def test_odd_change_hides_no_other(
+    store: PlatformStore,
+    store_standin: StandinStore,
+    odd: Any,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    listing = await store.list_kind('servers')
+    store_standin.put('servers', 't1', {'n': 1})
+    events = store_standin.events_since('servers', 0)
+    monkeypatch.setattr(
+        store_standin, 'events_since', lambda *_since: [odd, *events]
+    )
+
+    changes = await store.watch_kind('servers', listing.version, 1)
+
+    assert isinstance(changes, Changes)
+    assert changes.body_by_name == {'t1': {'n': 1}}
+
+
+@pytest.mark.parametrize('path', ['servers', 'servers?watch=1&waitMs=0'])
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'{"error": "no"}',
+        b'{"items": 3, "events": 3, "storeRevision": 3}',
+        b'{"items": [], "events": [], "storeRevision": "3"}',
+        b'{"items": [], "events": [], "storeRevision": -1}',
+        b'{"items": [], "events": [], "storeRevision": 1e999}',
+        b'{"items": [], "events": [], "storeRevision": NaN}',
+        b'[]',
+        b'x',
+    ],
+)
+async def test_odd_body_of_a_list_is_unavailable(
+    serve: Serve, body: bytes, path: str
+) -> None:
+    async def answer(_request: web.Request) -> web.Response:
+        return web.Response(body=body)
+
+    application = web.Application()
+    application.router.add_get('/objects/servers', answer)
+    client = PlatformStore(StoreSettings(await serve(application)))
+
+    with pytest.raises(UnavailableError):
+        if path == 'servers':
+            await client.list_kind('servers')
+        else:
+            await client.watch_kind('servers', 1, 0)
+    await client.cleanup()
+
+
+@pytest.mark.parametrize('last', ['a&b', 'a#b', 'a b', 'a%2fb', 'a+b', 'ü'])
+async def test_list_goes_on_after_an_odd_name(
+    store: PlatformStore, store_standin: StandinStore, last: str
+) -> None:
+    store_standin.page_size = 1
+    store_standin.put('servers', last, {})
+    store_standin.put('servers', 'zz', {})
+
+    async with asyncio.timeout(2):
+        listing = await store.list_kind('servers')
+
+    assert {found.key for found in listing.entries} == {last, 'zz'}
+
+
 async def test_unreachable_store_is_unavailable() -> None:
     client = PlatformStore(StoreSettings('127.0.0.1:1'))
 
