Targets: an entry with a port out of range is left out, and calls to it not sent

An entry with the address 127.0.0.1:99999 became a target. A request to it ended with a ValueError of the URL instead of going to another target; a probe of whether targets are reached raised OverflowError or ValueError; an address like 300.0.0.1:80 counted as a lost response, so that the request may have run.

The pattern of the field allowed any digits, and the calls expected OSError and errors of the HTTP client only.

--- a/tests/adapter/test_odd_entries.py
+++ b/tests/adapter/test_odd_entries.py
@@ -24,6 +24,7 @@
 @pytest.mark.parametrize(
     'spec',
     [
+        pytest.param(target_entry('127.0.0.1:99999'), id='port'),
         pytest.param(raw(DEEP), id='deep'),
         pytest.param(raw(DEEP_TABLES), id='deep-tables'),
         pytest.param(
--- /dev/null
+++ b/tests/adapter/test_odd_targets.py
@@ -0,0 +1,48 @@
+"""Targets that can't be connected to end no task and no request."""
+
+import geranium_relay as relay
+import pytest
+from geranium_platform.documents import DocumentError, decode_target
+
+from .conftest import target_entry
+from .odd_hosts import HostParts, make_target
+
+UNUSABLE_ADDRESSES = (
+    '127.0.0.1:99999',
+    '127.0.0.1:65536',
+    '127.0.0.1:0',
+    '300.0.0.1:80',
+    '0.0.0.0:80',
+    ':80',
+    '127.0.0.1:',
+    '127.0.0.1:{port}'.format(port='9' * 5000),
+    '127.0.0.1:\u0663',
+    '127.0.0.1:+9',
+)
+
+
+@pytest.fixture
+async def parts() -> HostParts:
+    return HostParts()
+
+
+@pytest.mark.parametrize('address', UNUSABLE_ADDRESSES)
+def test_entry_with_an_unusable_address_is_left_out(address: str) -> None:
+    with pytest.raises(DocumentError, match='address'):
+        decode_target('t1', target_entry(address))
+
+
+@pytest.mark.parametrize('address', UNUSABLE_ADDRESSES)
+async def test_call_to_an_unusable_address_is_not_sent(
+    parts: HostParts, address: str
+) -> None:
+    target = make_target(address=address)
+
+    with pytest.raises(relay.NotSentError):
+        await parts.calls.send(parts.call(target))
+    with pytest.raises(relay.NotSentError):
+        await parts.calls.read_prompt(parts.call(target))
+    await parts.calls.drop_prompt(relay.CacheHandle(target, 'h', 1))
+    assert not await parts.calls.is_reachable(target)
+    assert 'prompt_not_freed' in parts.lines[0]
+    await parts.calls.cleanup()
