Targets: an entry with a number out of range is left out

An entry with a "born" of 2**64 became a target. A host that reads the store for its zone could then send no update as long as the change was to be sent: the integer did not fit its field, so the task of the exchange and that of the feed ended with OverflowError or KjException and were started again, and the peers heard nothing. "slots" and the version of the weights had the same fault. A version of -1 is read by peers as none.

The fields were integers without bounds.

--- a/tests/adapter/test_odd_entries.py
+++ b/tests/adapter/test_odd_entries.py
@@ -25,6 +25,7 @@
     'spec',
     [
         pytest.param(target_entry('127.0.0.1:99999'), id='port'),
+        pytest.param(target_entry('127.0.0.1:9', born=2**64), id='born'),
         pytest.param(raw(DEEP), id='deep'),
         pytest.param(raw(DEEP_TABLES), id='deep-tables'),
         pytest.param(
--- a/tests/adapter/test_odd_targets.py
+++ b/tests/adapter/test_odd_targets.py
@@ -1,5 +1,7 @@
 """Targets that can't be connected to end no task and no request."""
 
+import math
+
 import geranium_relay as relay
 import pytest
 from geranium_platform.documents import DocumentError, decode_target
@@ -46,3 +48,33 @@
     assert not await parts.calls.is_reachable(target)
     assert 'prompt_not_freed' in parts.lines[0]
     await parts.calls.cleanup()
+
+
+MANY_DIGITS = 400
+LARGE_NUMBERS = (10**MANY_DIGITS, 1 << 64, 1 << 63)
+ODD_NUMBERS = (*LARGE_NUMBERS, -1, math.inf, math.nan, True)
+
+
+@pytest.mark.parametrize('odd', ODD_NUMBERS)
+@pytest.mark.parametrize('field', ['slots', 'born', 'sequence'])
+def test_entry_with_a_number_out_of_range_is_left_out(
+    field: str, odd: float
+) -> None:
+    with pytest.raises(DocumentError, match=field):
+        decode_target('t1', target_entry('127.0.0.1:9', **{field: odd}))
+
+
+@pytest.mark.parametrize('odd', ODD_NUMBERS)
+def test_entry_with_a_weights_version_out_of_range_is_left_out(
+    odd: float,
+) -> None:
+    models = [{'name': 'm', 'version': odd}]
+
+    with pytest.raises(DocumentError, match='models'):
+        decode_target('t1', target_entry('127.0.0.1:9', models=models))
+
+
+@pytest.mark.parametrize('odd', [math.inf, math.nan, 10**MANY_DIGITS])
+def test_entry_without_a_finite_cold_time_is_left_out(odd: float) -> None:
+    with pytest.raises(DocumentError, match='coldRemainingMs'):
+        decode_target('t1', target_entry('127.0.0.1:9', coldRemainingMs=odd))
