Targets: an entry with an unprintable or very long text is left out

An entry whose zone, service, version or name contained a line break, a lone surrogate or thousands of characters became a target. A line break in the name made the header of each request to it invalid (ValueError in the request), a lone surrogate failed in the digest of the list, so the list was not followed, and a text of 70 kB made the updates of the hosts that read the list larger than a datagram, so that their peers heard nothing while they sent the change.

The fields were texts without conditions.

--- a/tests/adapter/test_odd_targets.py
+++ b/tests/adapter/test_odd_targets.py
@@ -78,3 +78,25 @@
 def test_entry_without_a_finite_cold_time_is_left_out(odd: float) -> None:
     with pytest.raises(DocumentError, match='coldRemainingMs'):
         decode_target('t1', target_entry('127.0.0.1:9', coldRemainingMs=odd))
+
+
+ODD_TEXTS = (
+    'a\r\nb',
+    'a\x00',
+    '\ud800',
+    '\u2028',
+    'x' * 5000,
+)
+
+
+@pytest.mark.parametrize('odd', ODD_TEXTS)
+@pytest.mark.parametrize('field', ['service', 'zone', 'version'])
+def test_entry_with_an_odd_text_is_left_out(field: str, odd: str) -> None:
+    with pytest.raises(DocumentError, match=field):
+        decode_target('t1', target_entry('127.0.0.1:9', **{field: odd}))
+
+
+@pytest.mark.parametrize('odd', ODD_TEXTS)
+def test_entry_with_an_odd_name_is_left_out(odd: str) -> None:
+    with pytest.raises(DocumentError, match='name'):
+        decode_target(odd, target_entry('127.0.0.1:9'))
