--- a/tests/adapter/test_odd_entries.py
+++ b/tests/adapter/test_odd_entries.py
@@ -1,7 +1,9 @@
 """Odd entries in the store are left out; the others are followed."""
 
+import sys
 from collections.abc import Awaitable, Callable
 
+import geranium_relay as relay
 import pytest
 from geranium_platform_standins import StandinStore, StandinTarget
 
@@ -52,6 +54,35 @@
         assert response.status == 200
 
 
+async def test_no_depth_of_an_entry_ends_a_read(world: World) -> None:
+    feed = world.host._target_feed
+    limit = sys.getrecursionlimit()
+    for levels in range(limit - 150, limit, 3):
+        deep = ''.join(('[' * levels, ']' * levels))
+        world.store.put('servers', 't0', raw(deep))
+        for _ in range(2):
+            await feed._read()
+        assert await knows_exactly(world, 't1')()
+
+
+async def test_unreadable_entry_is_logged_once(
+    world: World,
+) -> None:
+    lines: list[str] = []
+    feed = world.host._target_feed
+    feed._log = relay.DecisionLog(
+        relay.LogSettings(), lines.append, world.host.state.clock.now
+    )
+    world.store.put('servers', 't0', target_entry('nowhere'))
+    world.store.put('servers', 'x' * 5000, target_entry('127.0.0.1:9'))
+    for _ in range(4):
+        await feed._read()
+
+    unreadable = [line for line in lines if 'target_unreadable' in line]
+    assert len(unreadable) == 2
+    assert max(map(len, unreadable)) < 500
+
+
 def knows_exactly(
     world: World, *identities: str
 ) -> Callable[[], Awaitable[bool]]:
