--- a/packages/geranium-relay/src/geranium_relay/rate_limit_updates.py
+++ b/packages/geranium-relay/src/geranium_relay/rate_limit_updates.py
@@ -60,4 +60,4 @@
 def _encode_rate(per_s: float | None) -> int:
     if per_s is None:
         return _NO_LIMIT
-    return min(round(per_s * _PER_S), _NO_LIMIT - 1)
+    return round(min(per_s * _PER_S, _NO_LIMIT - 1))
