--- a/packages/geranium-relay/src/geranium_relay/store_http_client.py
+++ b/packages/geranium-relay/src/geranium_relay/store_http_client.py
@@ -8,6 +8,7 @@
 import asyncio
 import dataclasses
 import json
+import math
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -61,11 +62,15 @@
 
     @property
     def retry_after_s(self) -> float | None:
-        """The retry delay that the store asks for, in seconds."""
+        """The retry delay that the store asks for, in seconds.
+
+        ``None`` if it is negative or not finite.
+        """
         try:
-            return float(self.headers['Retry-After'])
+            delay_s = float(self.headers['Retry-After'])
         except (KeyError, ValueError):
             return None
+        return delay_s if 0 <= delay_s < math.inf else None
 
 
 class StoreHttpClient:
