Hosts: an odd entry of a host, or an address without a port, ends no updates

An entry of another writer among those of the hosts, with a number as a name, a text as its incarnation or a port out of range, raised TypeError, AttributeError or UnicodeEncodeError in the task that reads the list, so the hosts listed after it stayed unknown; an address like "x" or "127.0.0.1:99999" raised ValueError or OverflowError each time updates were due, so the host sent none to anybody.

An identity was built from whatever the entry held. Entries and hosts that peers tell of are now used only if their texts are printable and short, their numbers fit updates, and their address ends with a port from 1 to 65535.

--- a/packages/geranium-relay/src/geranium_relay/host_registry.py
+++ b/packages/geranium-relay/src/geranium_relay/host_registry.py
@@ -3,12 +3,11 @@
 import asyncio
 import contextlib
 import dataclasses
-from typing import Any
 
 from geranium_coordination import ObjectStore, StoreError, Unconditional
 
 from .decision_log import DecisionLog
-from .messages import PeerIdentity
+from .peer_identities import decode_identity
 from .peers import Peers
 from .topology import ZoneMember
 
@@ -100,7 +99,7 @@
 
     async def _read(self) -> None:
         for found in await self._store.read_prefix(HOSTS_PREFIX):
-            identity = _decode_identity(found.body)
+            identity = decode_identity(found.body)
             if identity is None:
                 self._log.record('host_entry_unreadable', key=found.key)
                 continue
@@ -129,10 +128,3 @@
             usable = near
         addresses = sorted({peer.front for peer in usable})
         return addresses[: self._settings.max_addresses]
-
-
-def _decode_identity(body: Any) -> PeerIdentity | None:
-    try:
-        return PeerIdentity(**body)
-    except TypeError:
-        return None
--- a/packages/geranium-relay/src/geranium_relay/peers.py
+++ b/packages/geranium-relay/src/geranium_relay/peers.py
@@ -7,6 +7,7 @@
 from .clock_offsets import ClockOffsets
 from .decision_log import DecisionLog
 from .messages import PeerIdentity
+from .peer_identities import is_usable
 from .peer_updates import PeerUpdate, name_hash
 from .topology import (
     FullMesh,
@@ -54,7 +55,10 @@
         self._heard_at = -math.inf
 
     def add(self, identity: PeerIdentity) -> None:
-        """Add a host, or replace it by a newer incarnation."""
+        """Add a host, or replace it by a newer incarnation.
+
+        Hosts to which no update can be sent are left out.
+        """
         if identity.host == self.own.host:
             return
         host_hash = name_hash(identity.host)
@@ -62,6 +66,9 @@
         if known is not None:
             if known.identity.incarnation >= identity.incarnation:
                 return
+        if not is_usable(identity):
+            self._log.record('host_entry_unreadable', key=identity.host)
+            return
         self._peers_by_hash[host_hash] = _Peer(identity, self._clock.now())
         self._usable_until = -math.inf
         if known is None:
