Peer updates: one without a valid address of its host is dropped

A host that got an update whose sender has no address, or a report that names such a host, sent no updates any more until it dropped that host after 30 s: the task that sends them ended with a ValueError at each start. A port above 65535 closed the socket for good. Builds in the future may send such updates, for example other datagrams on this port, whose fields are missing here.

Identities are now checked when updates are decoded. An update with an invalid sender is dropped with a log line (update_unreadable, which also tells of other malformed datagrams; log lines are limited in number), a new host that is invalid is left out of its report.

--- a/packages/geranium-relay/src/geranium_relay/host_registry.py
+++ b/packages/geranium-relay/src/geranium_relay/host_registry.py
@@ -7,7 +7,7 @@
 from geranium_coordination import ObjectStore, StoreError, Unconditional
 
 from .decision_log import DecisionLog
-from .peer_identities import decode_identity
+from .peer_identities import decode_stored_identity
 from .peers import Peers
 from .topology import ZoneMember
 
@@ -99,9 +99,12 @@
 
     async def _read(self) -> None:
         for found in await self._store.read_prefix(HOSTS_PREFIX):
-            identity = decode_identity(found.body)
-            if identity is None:
-                self._log.record('host_entry_unreadable', key=found.key)
+            try:
+                identity = decode_stored_identity(found.body)
+            except ValueError as error:
+                self._log.record(
+                    'host_entry_unreadable', key=found.key, error=str(error)
+                )
                 continue
             self._peers.add(identity)
 
--- a/packages/geranium-relay/src/geranium_relay/peer_exchange.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_exchange.py
@@ -7,6 +7,7 @@
 from typing import cast
 
 from .clock import BootClock, ClusterClock
+from .decision_log import DecisionLog
 from .messages import PeerIdentity
 from .peer_loads import PeerLoadRecorder
 from .peer_updates import (
@@ -31,6 +32,7 @@
         time: Cluster time.
         clock: Monotonic clock.
         on_update: Called with each update and with the target keys by hash.
+        log: Receives a record of each update that can't be read.
     """
 
     def __init__(
@@ -40,6 +42,7 @@
         time: ClusterClock,
         clock: BootClock,
         on_update: Callable[[PeerUpdate, KeysByHash], None],
+        log: DecisionLog,
     ) -> None:
         self._peers = peers
         self._sources = sources
@@ -47,6 +50,7 @@
         self._time = time
         self._clock = clock
         self._on_update = on_update
+        self._log = log
         self._transport: asyncio.DatagramTransport | None = None
         self._load_recorder = PeerLoadRecorder(peers, sources.loads)
         self._topology: Topology = FullMesh()
@@ -102,10 +106,12 @@
         data: bytes,
         addr: tuple[str | int, int],
     ) -> None:
-        """Apply a received update; ignore a malformed datagram."""
+        """Apply a received update; drop one that can't be read."""
         try:
             update = decode_peer_update(data)
-        except MalformedUpdateError:
+        except MalformedUpdateError as error:
+            reason = str(error).partition('\n')[0]
+            self._log.record('update_unreadable', address=addr[0], error=reason)
             return
         self._peers.handle_update(update, self._time.now())
         self._load_recorder.record(update, self._clock.now())
--- a/packages/geranium-relay/src/geranium_relay/peer_identities.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_identities.py
@@ -1,5 +1,6 @@
-"""Checks the identities of hosts, which are read from the store and updates."""
+"""Decodes the identities of other hosts, which may run another build."""
 
+from collections.abc import Mapping
 from typing import Any
 
 from .messages import PeerIdentity
@@ -10,42 +11,87 @@
 _MAX_UINT64 = 0xFFFFFFFFFFFFFFFF
 
 
-def decode_identity(body: Any) -> PeerIdentity | None:
-    """Return the identity in an entry, ``None`` if it can't be used."""
-    if not isinstance(body, dict):
-        return None
-    try:
-        identity = PeerIdentity(**body)
-    except TypeError:
-        return None
-    return identity if is_usable(identity) else None
-
-
-def is_usable(identity: PeerIdentity) -> bool:
-    """Return whether updates can be sent to a host and can tell of it."""
-    texts = (identity.host, identity.zone, identity.front, identity.address)
-    return (
-        all(map(_is_plain, texts))
-        and _has_port(identity.address)
-        and _is_in_range(identity.incarnation, _MAX_UINT64)
-        and _is_in_range(identity.capacity, _MAX_UINT32)
+def decode_identity(message: Any) -> PeerIdentity:
+    """Return the identity in a struct of a peer update.
+
+    Raises:
+        ValueError: If updates or callers can't be sent to the host.
+    """
+    return check_identity(
+        PeerIdentity(
+            message.host,
+            message.zone,
+            message.front,
+            message.address,
+            message.incarnation,
+            message.capacity,
+        )
     )
 
 
-def _is_plain(text: object) -> bool:
-    return (
-        isinstance(text, str)
-        and len(text) <= _MAX_LENGTH
-        and text.isprintable()
+def decode_stored_identity(body: Any) -> PeerIdentity:
+    """Return the identity in an entry of the store.
+
+    Fields that this build does not know are ignored.
+
+    Raises:
+        ValueError: If a field is missing or invalid.
+    """
+    if not isinstance(body, dict):
+        raise ValueError('not an object')
+    return check_identity(
+        PeerIdentity(
+            host=_get_text(body, 'host'),
+            zone=_get_text(body, 'zone'),
+            front=_get_text(body, 'front'),
+            address=_get_text(body, 'address'),
+            incarnation=_get_number(body, 'incarnation'),
+            capacity=_get_number({'capacity': 0, **body}, 'capacity'),
+        )
     )
 
 
-def _has_port(address: str) -> bool:
-    port = address.rpartition(':')[-1]
-    if not port.isascii() or not port.isdecimal():
-        return False
-    return 0 < int(port) <= _MAX_PORT
+def check_identity(identity: PeerIdentity) -> PeerIdentity:
+    """Return the identity of a host that updates can be sent to and tell of.
+
+    Raises:
+        ValueError: If a field is invalid.
+    """
+    if not identity.host:
+        raise ValueError('a host without a name')
+    for text in (identity.host, identity.zone):
+        if not _is_plain(text):
+            raise ValueError(f'{text[:_MAX_LENGTH]!r} is not a name')
+    for address in (identity.front, identity.address):
+        if not _is_plain(address) or not _is_address(address):
+            raise ValueError(f'{address[:_MAX_LENGTH]!r} is not an address')
+    if not 0 <= identity.incarnation <= _MAX_UINT64:
+        raise ValueError('incarnation out of range')
+    if not 0 <= identity.capacity <= _MAX_UINT32:
+        raise ValueError('capacity out of range')
+    return identity
 
 
-def _is_in_range(number: object, limit: int) -> bool:
-    return isinstance(number, int) and 0 <= number <= limit
+def _get_text(body: Mapping[str, object], name: str) -> str:
+    found = body.get(name)
+    if not isinstance(found, str):
+        raise ValueError(f'{name}: not a text')
+    return found
+
+
+def _get_number(body: Mapping[str, object], name: str) -> int:
+    found = body.get(name)
+    if not isinstance(found, int):
+        raise ValueError(f'{name}: not a whole number')
+    return found
+
+
+def _is_plain(text: str) -> bool:
+    return len(text) <= _MAX_LENGTH and text.isprintable()
+
+
+def _is_address(address: str) -> bool:
+    host, _, port = address.rpartition(':')
+    if not host or not port.isascii() or not port.isdecimal():
+        return False
+    return 0 < int(port) <= _MAX_PORT
--- a/packages/geranium-relay/src/geranium_relay/peer_updates.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_updates.py
@@ -15,6 +15,7 @@
 
 from .load_tracker import RANKS, TargetLoad
 from .messages import PeerIdentity, PromptPart
+from .peer_identities import decode_identity
 from .rate_limit_updates import (
     AdvertisedRateLimit,
     decode_rate_limits,
@@ -257,14 +258,7 @@
 
 def _decode(message: Any) -> PeerUpdate:
     return PeerUpdate(
-        sender=PeerIdentity(
-            message.host,
-            message.zone,
-            message.front,
-            message.address,
-            message.incarnation,
-            message.capacity,
-        ),
+        sender=decode_identity(message),
         ready=message.ready,
         leaving=message.leaving,
         unix_s=message.unixMs / 1000,
--- a/packages/geranium-relay/src/geranium_relay/peers.py
+++ b/packages/geranium-relay/src/geranium_relay/peers.py
@@ -7,7 +7,7 @@
 from .clock_offsets import ClockOffsets
 from .decision_log import DecisionLog
 from .messages import PeerIdentity
-from .peer_identities import is_usable
+from .peer_identities import check_identity
 from .peer_updates import PeerUpdate, name_hash
 from .topology import (
     FullMesh,
@@ -66,8 +66,12 @@
         if known is not None:
             if known.identity.incarnation >= identity.incarnation:
                 return
-        if not is_usable(identity):
-            self._log.record('host_entry_unreadable', key=identity.host)
+        try:
+            check_identity(identity)
+        except ValueError as error:
+            self._log.record(
+                'host_entry_unreadable', key=identity.host, error=str(error)
+            )
             return
         self._peers_by_hash[host_hash] = _Peer(identity, self._clock.now())
         self._usable_until = -math.inf
--- a/packages/geranium-relay/src/geranium_relay/zone_reports.py
+++ b/packages/geranium-relay/src/geranium_relay/zone_reports.py
@@ -1,5 +1,6 @@
 """Reports in which an aggregator passes on what the hosts of its zone sent."""
 
+import contextlib
 import dataclasses
 import itertools
 from collections.abc import Iterable, Iterator, Mapping, Sequence
@@ -7,6 +8,7 @@
 
 from .load_tracker import RANKS, TargetLoad
 from .messages import PeerIdentity
+from .peer_identities import decode_identity
 
 MS_IN_S = 1000
 _READY = 1
@@ -117,20 +119,17 @@
         hosts,
         _decode_host_loads(message, names),
         dict(_decode_loads(message.sum)),
-        tuple(
-            PeerIdentity(
-                identity.host,
-                identity.zone,
-                identity.front,
-                identity.address,
-                identity.incarnation,
-                identity.capacity,
-            )
-            for identity in message.newHosts
-        ),
+        tuple(_decode_new_hosts(message.newHosts)),
     )
 
 
+def _decode_new_hosts(listed: Iterable[Any]) -> Iterator[PeerIdentity]:
+    """Decode new hosts, without those that can't be reached."""
+    for identity in listed:
+        with contextlib.suppress(ValueError):
+            yield decode_identity(identity)
+
+
 def _encode_unreached(hosts: Sequence[HostReport]) -> dict[str, list[int]]:
     unreached = [
         (place, service)
--- a/packages/geranium-relay/tests/fleet.py
+++ b/packages/geranium-relay/tests/fleet.py
@@ -54,7 +54,9 @@
         self.status = relay.HostStatus(ready=True, leaving=False)
         self.crash_proofs: tuple[CrashNotice, ...] = ()
         self.usage: dict[int, dict[str, int]] = {}
-        log = relay.DecisionLog(relay.LogSettings(), str, clock.now)
+        log = relay.DecisionLog(
+            relay.LogSettings(), fleet.lines.append, clock.now
+        )
         self.peers = relay.Peers(relay.PeerSettings(), own, clock, log)
         self.loads = relay.LoadTracker(1.2, zone)
         self.outbox = relay.Outbox()
@@ -78,6 +80,7 @@
             relay.ClusterClock(clock),
             clock,
             self._record,
+            log,
         )
         self.exchange.set_target_keys(fleet.targets)
         self.exchange.connection_made(FakeTransport(fleet.send_from(self)))
@@ -108,6 +111,7 @@
         self, hosts: int, *, known: bool = True, strong: str = ''
     ) -> None:
         self.clock = Clock()
+        self.lines: list[str] = []
         numbers = range(hosts // 2)
         self.targets = frozenset(f't{number}@1' for number in numbers)
         self.nodes_by_name: dict[str, Node] = {}
