Peer updates: a target of an unknown stage does not make the update unreadable

An update that contained a target with a stage that this build does not know was dropped as a whole, so its sender counted as silent while the list of its targets changed. Such a target is now left out. The digest of the list then differs, so the host reads the list from the store.

--- a/packages/geranium-relay/src/geranium_relay/target_updates.py
+++ b/packages/geranium-relay/src/geranium_relay/target_updates.py
@@ -6,6 +6,8 @@
 from .targets import Stage, Target, TargetChange
 
 _NO_VERSION = -1
+_NO_STAGE = ''
+_STAGES = frozenset((_NO_STAGE, *(stage.value for stage in Stage)))
 
 
 def encode_changes(changes: Iterable[TargetChange]) -> list[dict[str, Any]]:
@@ -16,12 +18,14 @@
 def decode_changes(listed: Iterable[Any]) -> Iterator[TargetChange]:
     """Decode the changes of a message.
 
-    Raises:
-        ValueError: If a stage is unknown.
+    Those with a stage that this build does not know are left out. The list
+    then differs from the sender's, so this host reads it from the store.
     """
     for change in listed:
-        target = None if change.gone else _decode_target(change)
-        yield TargetChange(change.identity, target)
+        if change.gone:
+            yield TargetChange(change.identity, None)
+        elif change.stage in _STAGES:
+            yield TargetChange(change.identity, _decode_target(change))
 
 
 def _encode(change: TargetChange) -> dict[str, Any]:
@@ -38,7 +42,7 @@
         'slots': target.slots,
         'leaving': target.leaving,
         'reclaimable': target.reclaimable,
-        'stage': target.stage.value if target.stage else '',
+        'stage': target.stage.value if target.stage else _NO_STAGE,
         'weightsVersion': _NO_VERSION if version is None else version,
         'softwareVersion': target.software_version,
     }
