Membership: sessions and leases that can't be read don't stop all duties

One session or lease in the store whose body this build can't read ended each refresh with a KeyError or a TypeError, and with it the runner of all duties, on every host of this build, until somebody removed the object: no usage reports, no orders.

Such a session now counts for the common term, so the lease that it holds is not taken from a live holder, and it is swept when it does not change any more. Such a lease counts as held: its holder is unknown. A line is logged for each version of the object.

pytest packages/geranium-coordination/tests/test_unreadable_objects.py: 9 failed before (KeyError, TypeError), 9 passed.

--- a/packages/geranium-coordination/src/geranium_coordination/leases.py
+++ b/packages/geranium-coordination/src/geranium_coordination/leases.py
@@ -37,24 +37,37 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaseRecord:
-    """A lease as it is stored; vacant if ``session`` is ``None``."""
+    """A lease as it is stored; vacant if ``session`` is ``None``.
+
+    If it is not readable, another build has written it; who holds it is then
+    unknown.
+    """
 
     duty: str
     version: int
     epoch: int
     session: str | None
     host: str | None
+    is_readable: bool = True
 
 
 def read_lease(found: StoredObject, prefix: str) -> LeaseRecord:
-    """Return the lease record of a stored object."""
-    return LeaseRecord(
-        duty=found.key.removeprefix(prefix),
-        version=found.version,
-        epoch=found.body['epoch'],
-        session=found.body['session'],
-        host=found.body['host'],
-    )
+    """Return the lease record of a stored object.
+
+    Fields that this build does not know are ignored.
+    """
+    duty = found.key.removeprefix(prefix)
+    match found.body:
+        case {
+            'epoch': int() as epoch,
+            'session': str() | None as session,
+            'host': str() | None as host,
+        }:
+            return LeaseRecord(duty, found.version, epoch, session, host)
+        case _:
+            return LeaseRecord(
+                duty, found.version, 0, None, None, is_readable=False
+            )
 
 
 class Lease:
--- a/packages/geranium-coordination/src/geranium_coordination/membership.py
+++ b/packages/geranium-coordination/src/geranium_coordination/membership.py
@@ -8,7 +8,9 @@
 
 import asyncio
 import dataclasses
+import logging
 import math
+from typing import Any
 
 from .clock import Clock
 from .exceptions import StoreError
@@ -17,6 +19,8 @@
 from .store import IfVersion, ObjectStore, StoredObject
 from .timeouts import TimedStore
 
+_LOGGER = logging.getLogger(__name__)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SessionView:
@@ -101,7 +105,8 @@
     def is_free(self, lease: LeaseRecord | None) -> bool:
         """Return whether the lease may be acquired because nobody holds it.
 
-        ``None`` is a lease that does not exist yet.
+        ``None`` is a lease that does not exist yet. One that can't be read
+        counts as held.
 
         A session may also acquire a lease again that already names it, by
         the same conditional write. The lost response of an acquisition or a
@@ -112,6 +117,8 @@
         """
         if self._clock.now() < self._free_from:
             return False
+        if lease is not None and not lease.is_readable:
+            return False
         if lease is None or lease.session is None:
             return True
         holder = self.view.sessions_by_identity.get(lease.session)
@@ -139,7 +146,12 @@
             read_lease(found, prefix)
             for found in await self._store.read_prefix(prefix)
         )
-        return {record.duty: record for record in records}
+        leases_by_duty = {record.duty: record for record in records}
+        for duty, record in leases_by_duty.items():
+            known = self.view.leases_by_duty.get(duty)
+            if not record.is_readable and record != known:
+                _LOGGER.warning('the lease of %s is unreadable', duty)
+        return leases_by_duty
 
     async def _read_sessions(self) -> dict[str, SessionView]:
         sent_at = self._clock.now()
@@ -161,11 +173,25 @@
         known = self.view.sessions_by_identity.get(identity)
         if known and known.version == found.version:
             return dataclasses.replace(known, confirmed_at=sent_at)
+        host, term_s = self._read_body(identity, found.body)
         return SessionView(
             identity=identity,
-            host=found.body['host'],
+            host=host,
             version=found.version,
-            term_s=found.body['term_s'],
+            term_s=term_s,
             unchanged_since=received_at,
             confirmed_at=received_at,
         )
+
+    def _read_body(self, identity: str, body: Any) -> tuple[str, float]:
+        """Return the host and the term of a session.
+
+        The session of another build, whose body may be unreadable here, still
+        holds its leases for the common term.
+        """
+        match body:
+            case {'host': str() as host, 'term_s': float() | int() as term_s}:
+                return host, term_s
+            case _:
+                _LOGGER.warning('session %s is unreadable', identity)
+                return '', self._sessions.term_s
