--- a/packages/geranium-relay/src/geranium_relay/peer_identities.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_identities.py
@@ -57,21 +57,21 @@
     Raises:
         ValueError: If a field is invalid.
     """
-    if not identity.host:
-        raise ValueError('a host without a name')
-    for text in (identity.host, identity.zone):
-        if not _is_plain(text):
-            raise ValueError(f'{text[:_MAX_LENGTH]!r} is not a name')
-    for address in (identity.front, identity.address):
-        if not _is_plain(address) or not _is_address(address):
-            raise ValueError(f'{address[:_MAX_LENGTH]!r} is not an address')
-    if not 0 <= identity.incarnation <= _MAX_UINT64:
-        raise ValueError('incarnation out of range')
-    if not 0 <= identity.capacity <= _MAX_UINT32:
-        raise ValueError('capacity out of range')
+    names = (identity.host, identity.zone)
+    if not identity.host or not all(map(_is_plain, names)):
+        raise ValueError('a host or zone without a usable name')
+    if not all(map(_is_address, (identity.front, identity.address))):
+        raise ValueError('an address that nobody can connect to')
+    _check_range(identity.incarnation, _MAX_UINT64)
+    _check_range(identity.capacity, _MAX_UINT32)
     return identity
 
 
+def _check_range(number: int, limit: int) -> None:
+    if not 0 <= number <= limit:
+        raise ValueError('a number out of range')
+
+
 def _get_text(body: Mapping[str, object], name: str) -> str:
     found = body.get(name)
     if not isinstance(found, str):
@@ -92,6 +92,8 @@
 
 def _is_address(address: str) -> bool:
     host, _, port = address.rpartition(':')
-    if not host or not port.isascii() or not port.isdecimal():
+    if not _is_plain(address) or not host:
+        return False
+    if not port.isascii() or not port.isdecimal():
         return False
     return 0 < int(port) <= _MAX_PORT
