Target calls: a response counts only once it is known whose it is

Callers were told "not run" (503, 429, 421 or 408) for a request that its target ran: a target had sent an earlier refusal once more on a kept connection, where the answer to a later request was due. A refusal was believed before its id was compared, and also without an id. So were its pause, its departure and the handle of a prefilled prompt.

Now the id is compared first. An id proves nothing if the connection has carried a call with it before (a prefill call, then the run), so such a call takes another connection. Neither is a connection used again on which bytes arrived that no call waits for: such a copy costs no answer any more.

--- a/packages/geranium-relay/src/geranium_relay/__init__.py
+++ b/packages/geranium-relay/src/geranium_relay/__init__.py
@@ -29,7 +29,12 @@
 from .duty_tasks import DutyTasks
 from .event_framer import EventFramer
 from .host_registry import Directory, HostRegistry, RegistrySettings
-from .http_connections import ConnectionLostError, ResponseEnd, send_once
+from .http_connections import (
+    CallConnector,
+    ConnectionLostError,
+    ResponseEnd,
+    send_once,
+)
 from .load_tracker import Dispatch, LoadTracker, TargetLoad
 from .messages import (
     CacheHandle,
@@ -143,6 +148,7 @@
     'Audience',
     'BootClock',
     'CacheHandle',
+    'CallConnector',
     'CallObserver',
     'Catalogue',
     'CatalogueView',
--- a/packages/geranium-relay/src/geranium_relay/http_connections.py
+++ b/packages/geranium-relay/src/geranium_relay/http_connections.py
@@ -6,9 +6,21 @@
 
 It also takes any end of a connection, a reset too, for the end of a body that
 has neither a length nor chunks.
+
+A faulty server may send a response once more on a kept connection. The copy
+then stands where the response to a later call is expected. It may arrive
+while the connection is idle, or after the later call has been sent. Responses
+name their call by its id, so no two calls with one id may share a connection.
 """
 
+import dataclasses
+import weakref
+
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.tracing import Trace
+
+MAX_CALLS = 1000  # on one connection, whose ids are kept as long as it
 
 
 class ConnectionLostError(aiohttp.ClientConnectionError):
@@ -61,3 +73,134 @@
         if self._protocol is None or self.is_framed:
             return False
         return isinstance(self._protocol.exception(), OSError)
+
+
+@dataclasses.dataclass(slots=True)
+class _EarlierCalls:
+    """The calls that a connection has carried."""
+
+    count: int = 0
+    identities: set[str] = dataclasses.field(default_factory=set)
+
+
+class ConnectionUse:
+    """The use of a connection for one call.
+
+    Args:
+        protocol: The connection.
+        is_first: Whether the call is the first on its connection. Its
+            response can't be a copy of an earlier one.
+    """
+
+    def __init__(self, protocol: ResponseHandler, *, is_first: bool) -> None:
+        self._protocol = protocol
+        self.is_first = is_first
+
+    def discard(self) -> None:
+        """Use the connection for no further call.
+
+        The client keeps a connection for the next call as soon as a body is
+        complete, which may be before the head has been looked at.
+        """
+        self._protocol.close()
+
+    def names_call(self, echoed: str | None, identity: str) -> bool:
+        """Return whether a response belongs to the call.
+
+        Args:
+            echoed: The id in the response, if any.
+            identity: The id of the call.
+        """
+        return self.is_first if echoed is None else echoed == identity
+
+
+class CallConnector(aiohttp.TCPConnector):
+    """Keeps connections, but none with a response that no call waits for.
+
+    A connection with unread bytes is closed instead of being used again, and
+    so is one that has carried a call with the same id before.
+
+    Args:
+        identity_header: Name of the header with the id of a call.
+        keepalive_s: Time for which an idle connection is kept.
+        reuses_connections: Whether connections are kept at all.
+    """
+
+    def __init__(
+        self,
+        identity_header: str,
+        keepalive_s: float,
+        *,
+        reuses_connections: bool = True,
+    ) -> None:
+        if reuses_connections:
+            super().__init__(limit=0, keepalive_timeout=keepalive_s)
+        else:
+            super().__init__(limit=0, force_close=True)
+        self._identity_header = identity_header
+        self._earlier_calls: weakref.WeakKeyDictionary[
+            ResponseHandler, _EarlierCalls
+        ] = weakref.WeakKeyDictionary()
+        self._uses_by_request: weakref.WeakKeyDictionary[
+            aiohttp.ClientRequest, ConnectionUse
+        ] = weakref.WeakKeyDictionary()
+        self._uses_by_response: weakref.WeakKeyDictionary[
+            aiohttp.ClientResponse, ConnectionUse
+        ] = weakref.WeakKeyDictionary()
+
+    async def connect(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[Trace],
+        timeout: aiohttp.ClientTimeout,
+    ) -> aiohttp.connector.Connection:
+        """Return a connection that may carry the request."""
+        identity = req.headers.get(self._identity_header)
+        while True:
+            connection = await super().connect(req, traces, timeout)
+            protocol = connection.protocol
+            if protocol is None:
+                return connection
+            earlier = self._earlier_calls.setdefault(protocol, _EarlierCalls())
+            is_usable = (
+                not protocol.should_close and identity not in earlier.identities
+            )
+            if is_usable or not earlier.count:
+                self._record(req, protocol, earlier, identity)
+                return connection
+            connection.close()
+
+    async def send_once(
+        self,
+        request: aiohttp.ClientRequest,
+        handler: aiohttp.ClientHandlerType,
+    ) -> aiohttp.ClientResponse:
+        """Send a request and keep the use of its connection.
+
+        This is the middleware of the session.
+
+        Raises:
+            ConnectionLostError: If an established connection breaks.
+        """
+        response = await send_once(request, handler)
+        self._uses_by_response[response] = self._uses_by_request.pop(request)
+        return response
+
+    def use_for(self, response: aiohttp.ClientResponse) -> ConnectionUse:
+        """Return the use of the connection that brought a response."""
+        return self._uses_by_response[response]
+
+    def _record(
+        self,
+        req: aiohttp.ClientRequest,
+        protocol: ResponseHandler,
+        earlier: _EarlierCalls,
+        identity: str | None,
+    ) -> None:
+        use = ConnectionUse(protocol, is_first=not earlier.count)
+        self._uses_by_request[req] = use
+        earlier.count += 1
+        if identity is not None:
+            earlier.identities.add(identity)
+        if earlier.count >= MAX_CALLS:
+            protocol.force_close()
