Daemon: a late copy of a refusal is not the refusal of a later call

Callers were told "not run" for calls that a target ran, and calls that may run once at a target could go to a second one: the target had sent an earlier 503 "not-run" once more on a kept connection, and the daemon took it for the answer to the next call. Responses of targets and engines of the daemon need not name their call, so no id can tell.

Now a refusal is the last response on its connection, so a kept one can't bring a copy of it, and a connection on which bytes arrived that no call waits for is not used again. What is left: a copy of a 200 that arrives after the next call was sent.

--- a/packages/geranium-relay/src/geranium_relay/http_connections.py
+++ b/packages/geranium-relay/src/geranium_relay/http_connections.py
@@ -104,6 +104,14 @@
         """
         self._protocol.close()
 
+    def retire(self, response: aiohttp.ClientResponse) -> None:
+        """Use the connection for no further call after a response."""
+        if response.connection is None:
+            # The body is complete, so the client has the connection back.
+            self._protocol.close()
+        else:
+            self._protocol.force_close()
+
     def names_call(self, echoed: str | None, identity: str) -> bool:
         """Return whether a response belongs to the call.
 
@@ -121,14 +129,15 @@
     so is one that has carried a call with the same id before.
 
     Args:
-        identity_header: Name of the header with the id of a call.
+        identity_header: Name of the header with the id of a call; ``None`` if
+            responses don't name their calls.
         keepalive_s: Time for which an idle connection is kept.
         reuses_connections: Whether connections are kept at all.
     """
 
     def __init__(
         self,
-        identity_header: str,
+        identity_header: str | None,
         keepalive_s: float,
         *,
         reuses_connections: bool = True,
@@ -155,7 +164,7 @@
         timeout: aiohttp.ClientTimeout,
     ) -> aiohttp.connector.Connection:
         """Return a connection that may carry the request."""
-        identity = req.headers.get(self._identity_header)
+        identity = self._identity_of(req)
         while True:
             connection = await super().connect(req, traces, timeout)
             protocol = connection.protocol
@@ -190,6 +199,11 @@
         """Return the use of the connection that brought a response."""
         return self._uses_by_response[response]
 
+    def _identity_of(self, req: aiohttp.ClientRequest) -> str | None:
+        if self._identity_header is None:
+            return None
+        return req.headers.get(self._identity_header)
+
     def _record(
         self,
         req: aiohttp.ClientRequest,
@@ -202,5 +216,5 @@
         earlier.count += 1
         if identity is not None:
             earlier.identities.add(identity)
-        if earlier.count >= MAX_CALLS:
+        if len(earlier.identities) >= MAX_CALLS:
             protocol.force_close()
--- a/packages/geraniumd/src/geraniumd/backends/transport.py
+++ b/packages/geraniumd/src/geraniumd/backends/transport.py
@@ -5,9 +5,9 @@
 
 import aiohttp
 from geranium_relay.http_connections import (
+    CallConnector,
     ConnectionLostError,
     ResponseEnd,
-    send_once,
 )
 
 from ..process import (
@@ -30,6 +30,10 @@
     A failure to connect is a refusal: the call did not run. After any later
     failure, the call may have run.
 
+    Responses need not name their call. A refusal is therefore the last
+    response on its connection: a late copy of it would be taken for the
+    refusal of a later call.
+
     Args:
         settings: Time limits of the connections.
         reuses_connections: Whether a connection serves several calls. A
@@ -46,6 +50,7 @@
     ) -> None:
         self._settings = settings
         self._reuses_connections = reuses_connections
+        self._connector: CallConnector | None = None
         self._session: aiohttp.ClientSession | None = None
 
     async def close(self) -> None:
@@ -75,7 +80,7 @@
             sock_read=silence_timeout_s,
         )
         try:
-            return await self._open_session().request(
+            response = await self._open_session().request(
                 method,
                 url,
                 data=body,
@@ -92,25 +97,30 @@
             raise TargetSilentError('no answer in time') from None
         except (aiohttp.ClientError, ConnectionLostError) as error:
             raise TargetLostError(repr(error)) from error
+        if response.status == HTTPStatus.SERVICE_UNAVAILABLE:
+            self._open_connector().use_for(response).retire(response)
+        return response
 
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
+            connector = self._open_connector()
             self._session = aiohttp.ClientSession(
-                connector=self._connector(),
+                connector=connector,
                 read_bufsize=_READ_BYTES,
                 auto_decompress=False,
                 cookie_jar=aiohttp.DummyCookieJar(),
-                middlewares=(send_once,),
+                middlewares=(connector.send_once,),
             )
         return self._session
 
-    def _connector(self) -> aiohttp.TCPConnector:
-        if not self._reuses_connections:
-            return aiohttp.TCPConnector(limit=0, force_close=True)
-        return aiohttp.TCPConnector(
-            limit=0,
-            keepalive_timeout=self._settings.idle_connection_s,
-        )
+    def _open_connector(self) -> CallConnector:
+        if self._connector is None:
+            self._connector = CallConnector(
+                None,
+                self._settings.idle_connection_s,
+                reuses_connections=self._reuses_connections,
+            )
+        return self._connector
 
 
 async def read_body(response: aiohttp.ClientResponse) -> bytes:
