Streams: only events that continue the run reach the caller

Callers found the text of an error, at times a whole response head, in the middle of a stream, events twice or of another run, or a stream that ended as complete before its last event. A target had broken off, and what came next was no event of the run: an error inside a body without framing (its empty line ended an "event"), a stream that starts again instead of after the last event, blocks without an id, or nothing at all.

Each block of a stream is now checked before it is forwarded: its lines are fields of events with one kind of line end, the first event of a continuation has an id, and ids increase. If not, the complete events before it are forwarded, the answer counts as lost and another target may go on. A continuation without any event is not the end of the stream. Streams that may not be resumed are forwarded in whole events as well. A caller that takes a stream up with the id of its last event gets no event again.

--- a/packages/geranium-relay/src/geranium_relay/response_forwarder.py
+++ b/packages/geranium-relay/src/geranium_relay/response_forwarder.py
@@ -16,7 +16,6 @@
 
     Args:
         sink: Writes the response to the caller.
-        resumable: Whether another target may continue a stream.
         resume_after: Id of the last event that the caller already had when
             it sent the request.
     """
@@ -25,11 +24,9 @@
         self,
         sink: ResponseSink,
         *,
-        resumable: bool,
         resume_after: str | None,
     ) -> None:
         self._sink = sink
-        self._resumable = resumable
         self._resume_after = resume_after
         self._events = EventFramer()
         self._tail = StreamTail()
@@ -72,15 +69,19 @@
     ) -> Outcome:
         """Forward a stream as it arrives.
 
-        A stream that may be resumed must go on with complete events in time:
-        bytes that complete none are no progress. A stream that ends inside an
-        event has been cut, and so has one without framing and any event.
+        Only complete events are forwarded, and bytes that complete none are no
+        progress. A stream that ends inside an event has been cut, and so has
+        one without framing and any event. So has a stream that goes on without
+        any event: another target has sent it, which may have had nothing to
+        send for other reasons than the end of the stream.
 
         Raises:
             RelayError: If the stream is cut or exceeds a timeout.
         """
-        begun = False
+        continues = self.started
         self._tail = StreamTail()
+        self._events.begin(self.resume_after)
+        begun = False
         chunks = _TimedChunks(response, limit)
         async for chunk in chunks:
             if not begun:
@@ -92,9 +93,12 @@
             if events and not self.started:
                 record_first_event()
             await self._write(response.head, events)
+            self._events.check()
         if self._is_broken_off(response, begun=begun):
             raise AnswerLostError('stream ended inside an event', broken=True)
-        if not self.started:
+        if continues:
+            self._events.check_continued()
+        else:
             await self._start(response.head)
         await self._sink.finish()
         return Delivered(response.head.status)
@@ -104,7 +108,7 @@
         self._tail.feed(chunk)
         if self._tail.event_bytes > MAX_EVENT_BYTES:
             raise AnswerLostError('event without end')
-        return self._events.feed(chunk) if self._resumable else chunk
+        return self._events.feed(chunk)
 
     def _is_broken_off(self, response: TargetResponse, *, begun: bool) -> bool:
         if begun:
@@ -114,11 +118,12 @@
     async def _write(self, head: ResponseHead, data: bytes) -> None:
         if not data:
             return
-        if not self.started:
-            await self._start(head)
+        await self._start(head)
         await self._sink.write(data)
 
     async def _start(self, head: ResponseHead) -> None:
+        if self.started:
+            return
         self.started = True
         await self._sink.start(head, None)
 
--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -62,7 +62,6 @@
         self._settings = settings
         self._forwarder = ResponseForwarder(
             sink,
-            resumable=job.route.resumable,
             resume_after=job.arrival.resume_after,
         )
         self._recorder = RequestRecorder(job, context, counted=progress.counted)
--- a/tests/adapter/host_pair.py
+++ b/tests/adapter/host_pair.py
@@ -199,6 +199,7 @@
     return {
         'Request-Id': request.headers.get('Request-Id', ''),
         'Response-Signature': 'signed',
+        'Content-Type': 'text/event-stream',
     }
 
 
