Streams: an error of the next target need not end a stream that has begun

A stream that had begun and broke off ended at once if the next target answered with a signed 4xx, a redirect or another status below 500, although another attempt was allowed. And a success of another status or type than a stream of events was read as one.

Once the caller has the head of a stream, only a 200 that is a stream of events may go on with it; any other answer is a failed attempt, after which another may follow within the limits. So it is with the answers that other hosts pass on; that branch has no test of its own.

--- a/packages/geranium-relay/src/geranium_relay/peer_attempts.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_attempts.py
@@ -138,7 +138,8 @@
         head = response.head
         if head.succeeded and not head.signed:
             raise AnswerLostError('success without signature')
-        if job.route.kind is RouteKind.STREAM and head.succeeded:
+        is_stream = job.route.kind is RouteKind.STREAM
+        if is_stream and self._forwarder.is_stream(head):
             return await self._forwarder.forward_stream(
                 response,
                 # The other host continues silent streams.
@@ -146,6 +147,8 @@
                 lambda: None,
                 lambda: self._record_first_event(response),
             )
+        if self._forwarder.started:
+            raise AnswerLostError(f'status {head.status} in a stream')
         body = await response.read(self._settings.max_body_bytes)
         return await self._forwarder.forward_whole(head, body)
 
--- a/packages/geranium-relay/src/geranium_relay/response_forwarder.py
+++ b/packages/geranium-relay/src/geranium_relay/response_forwarder.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
+from http import HTTPStatus
 
 from .call_errors import AnswerLostError
 from .event_framer import MAX_EVENT_BYTES, EventFramer, StreamTail
@@ -10,6 +11,8 @@
 from .ports import ResponseSink, TargetResponse
 from .silence import SilenceLimit
 
+_EVENTS_TYPE = 'text/event-stream'
+
 
 class ResponseForwarder:
     """Forwards the responses of all attempts of one request.
@@ -42,6 +45,16 @@
         """Whether the last stream has ended inside an event."""
         return self._tail.is_inside_event
 
+    def is_stream(self, head: ResponseHead) -> bool:
+        """Return whether a response may bring the events that follow.
+
+        Before the first event, any success may. Once the caller has the head
+        of a stream, only another stream does.
+        """
+        if not self.started:
+            return head.succeeded
+        return head.status == HTTPStatus.OK and _has_events(head)
+
     def can_resume(self) -> bool:
         """Return whether another target can continue the stream."""
         return not self.started or self._events.last_event_id is not None
@@ -128,6 +141,14 @@
         await self._sink.start(head, None)
 
 
+def _has_events(head: ResponseHead) -> bool:
+    """Return whether the body of a response is a stream of events."""
+    for name, text in head.headers:
+        if name.lower() == 'content-type':
+            return text.partition(';')[0].strip().lower() == _EVENTS_TYPE
+    return True
+
+
 class _TimedChunks:
     """The chunks of a response, as long as the stream makes progress.
 
--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -273,10 +273,15 @@
         if head.succeeded and not head.signed:
             raise AnswerLostError('success without signature')
         self._recorder.count()
-        if self._job.route.kind is RouteKind.STREAM and head.succeeded:
+        is_stream = self._job.route.kind is RouteKind.STREAM
+        if is_stream and self._forwarder.is_stream(head):
             return await self._forward_stream(
                 response, attempt, dispatch, limit
             )
+        if self._forwarder.started:
+            self._recorder.record_begun(attempt, dispatch)
+            self._avoid.add(attempt.target.key)
+            return self._finish_failed_run(f'status {head.status} in a stream')
         body = await response.read(self._settings.max_body_bytes)
         self._recorder.record_begun(attempt, dispatch)
         if head.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
--- a/tests/adapter/test_broken_continuations.py
+++ b/tests/adapter/test_broken_continuations.py
@@ -62,9 +62,15 @@
 }
 UNSIGNED_REST = chunks(THIRD, FOURTH)
 ERRORS = {
+    'signed 400': whole('400 Bad', SIGNED),
+    'signed 404': whole('404 No', SIGNED),
     'signed 500': whole('500 Failed', SIGNED),
     'unsigned 500': whole('500 Failed', ''),
     'unsigned 502': whole('502 Failed', 'Content-Type: text/html\r\n'),
+    'signed 302': whole('302 Moved', f'{SIGNED}Location: /\r\n'),
+    '204': f'HTTP/1.1 204 No Content\r\n{SIGNED}\r\n',
+    '101': 'HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n',
+    'another type': whole('200 OK', f'{SIGNED}Content-Type: text/plain\r\n'),
     'unsigned stream': f'{STREAM_HEAD}{CHUNKED}\r\n{UNSIGNED_REST}',
     'refusal': whole('503 Full', 'Not-Executed: 1\r\n'),
     'first event again': stream(*EVENTS),
