Crash causes: a target that serves on has not crashed

Callers of all hosts were refused ("crashed targets") for up to 300 s, and a single request for 900 s, after links to some targets were lost under sound requests: a target that no host asked reaches at that moment counts as crashed, and nothing took the crash back once the target answered again.

A crash is now withdrawn when a target responds to a request that was sent 10 s after it or later, if the list, read as late, still holds the same start of the target.

--- a/packages/geranium-policy/src/geranium_policy/crash_causes.py
+++ b/packages/geranium-policy/src/geranium_policy/crash_causes.py
@@ -28,12 +28,16 @@
             a wrong conclusion does not last.
         max_sound_parts: Maximum number of parts known to be sound. The least
             recently completed are dropped first.
+        withdraw_after_s: A target that serves on this long after its crash
+            has not crashed. For a shorter time, another start of it may not
+            be listed yet.
     """
 
     min_crashes: int = 3
     moment_s: float = 0.25
     evidence_s: float = 300
     max_sound_parts: int = 8192
+    withdraw_after_s: float = 10
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -129,6 +133,23 @@
             for notice in self._register.clear(fingerprint, now)
         )
 
+    def record_response(
+        self, crash_id: str, served_at: float, now: float
+    ) -> tuple[CrashNotice, ...]:
+        """Record that a target responds, which disproves an earlier crash.
+
+        Args:
+            crash_id: The id under which its crash would be recorded.
+            served_at: Instant at which the same start of the target is known
+                to have served.
+            now: The current time.
+
+        Returns:
+            Notices to send to peers immediately.
+        """
+        before = served_at - self._settings.withdraw_after_s
+        return self._register.withdraw(crash_id, before, now)
+
     def proofs(self, now: float) -> tuple[CrashNotice, ...]:
         """Return the latest crashes of each cause, to be sent continuously.
 
--- a/packages/geranium-policy/src/geranium_policy/suspects.py
+++ b/packages/geranium-policy/src/geranium_policy/suspects.py
@@ -10,7 +10,7 @@
 import dataclasses
 import enum
 from collections.abc import Collection, Iterable, Iterator
-from typing import TypeAlias
+from typing import TypeAlias, TypeVar
 
 import xxhash
 
@@ -81,6 +81,7 @@
 
 
 _Key: TypeAlias = tuple[int, str]
+_Name = TypeVar('_Name', int, str)
 _CrashesByKey: TypeAlias = collections.OrderedDict[_Key, Crash]
 
 
@@ -95,6 +96,7 @@
         self._settings = settings
         self._crashes_by_key = _CrashesByKey()
         self._keys_by_fingerprint: dict[int, set[_Key]] = {}
+        self._keys_by_crash: dict[str, set[_Key]] = {}
 
     def record_crash(
         self,
@@ -124,6 +126,32 @@
         ]
         return self._merge_all(cleared, now)
 
+    def withdraw(
+        self, crash_id: str, before: float, now: float
+    ) -> tuple[CrashNotice, ...]:
+        """Clear a crash that has not taken place, for all requests.
+
+        Args:
+            crash_id: The crash.
+            before: Only what was recorded before this instant is cleared.
+            now: The current time.
+
+        Returns:
+            Notices to send to peers immediately.
+        """
+        crashes = [
+            self._crashes_by_key[key]
+            for key in self._keys_by_crash.get(crash_id, ())
+        ]
+        return self._merge_all(
+            [
+                dataclasses.replace(crash, cleared=True)
+                for crash in crashes
+                if crash.crashed_at < before and not crash.cleared
+            ],
+            now,
+        )
+
     def apply(
         self, notices: Iterable[CrashNotice], now: float
     ) -> tuple[CrashNotice, ...]:
@@ -241,15 +269,14 @@
         self._crashes_by_key[key] = crash
         keys = self._keys_by_fingerprint.setdefault(crash.fingerprint, set())
         keys.add(key)
+        self._keys_by_crash.setdefault(crash.crash_id, set()).add(key)
         while len(self._crashes_by_key) > self._settings.max_crashes_kept:
             self._drop_oldest()
 
     def _drop_oldest(self) -> None:
         key, crash = self._crashes_by_key.popitem(last=False)
-        keys = self._keys_by_fingerprint[crash.fingerprint]
-        keys.discard(key)
-        if not keys:
-            self._keys_by_fingerprint.pop(crash.fingerprint)
+        _discard(self._keys_by_fingerprint, crash.fingerprint, key)
+        _discard(self._keys_by_crash, crash.crash_id, key)
 
 
 def isolation_target(service: str, targets: Collection[str]) -> str | None:
@@ -266,6 +293,15 @@
     )
 
 
+def _discard(
+    keys_by_name: dict[_Name, set[_Key]], name: _Name, key: _Key
+) -> None:
+    keys = keys_by_name[name]
+    keys.discard(key)
+    if not keys:
+        keys_by_name.pop(name)
+
+
 def _to_notice(crash: Crash, now: float) -> CrashNotice:
     return CrashNotice(
         crash.fingerprint,
--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/service_reach.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/service_reach.py
@@ -1,6 +1,7 @@
 """Tracks which services this host reaches, by checks that cost no caller."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Sequence
 
@@ -104,6 +105,16 @@
                 return await self.judge(target)
         return TargetReach.UNREACHED
 
+    def listed_at(self, target: Target) -> float:
+        """Return when the list was last known to hold this start of a target.
+
+        It is ``-inf`` if it holds none or another one.
+        """
+        known = self._fleet.targets_by_identity.get(target.identity)
+        if known is None or known.key != target.key:
+            return -math.inf
+        return self._fleet.read_at
+
     async def cleanup(self) -> None:
         """Stop all checks."""
         tasks = (
--- a/packages/geranium-relay/src/geranium_relay/request_recorder.py
+++ b/packages/geranium-relay/src/geranium_relay/request_recorder.py
@@ -9,6 +9,7 @@
 from .load_tracker import Dispatch
 from .messages import CacheHandle, Job
 from .run_context import RunContext
+from .suspicion import record_life
 
 
 class RequestRecorder:
@@ -51,6 +52,7 @@
     def record_begun(self, attempt: Attempt, dispatch: Dispatch) -> None:
         """Record the first token or response: the target runs the request."""
         dispatch.started = True
+        record_life(self._context, self._job, attempt.target, dispatch.sent_at)
         self._context.telemetry.record_attempt('Begun')
         now = self._context.clock()
         if attempt.reader is None:
--- a/packages/geranium-relay/src/geranium_relay/suspicion.py
+++ b/packages/geranium-relay/src/geranium_relay/suspicion.py
@@ -74,5 +74,27 @@
     context.outbox.record_crashes(notices, now)
 
 
+def record_life(
+    context: RunContext, job: Job, target: Target, sent_at: float
+) -> None:
+    """Record that a target responds to a job, so that it has not crashed.
+
+    The list must hold this start of the target: another one may have the same
+    address.
+    """
+    now = context.clock()
+    served_at = min(sent_at, context.reach.listed_at(target))
+    notices = context.crash_causes.record_response(target.key, served_at, now)
+    if not notices:
+        return
+    context.outbox.record_crashes(notices, now)
+    context.log.record(
+        'crash_withdrawn',
+        request=job.arrival.identity,
+        target=target.key,
+        fingerprints=len(notices),
+    )
+
+
 def _part_names(job: Job) -> list[str]:
     return [part.identity for part in shared_parts(job.arrival)]
--- a/packages/geranium-relay/tests/world.py
+++ b/packages/geranium-relay/tests/world.py
@@ -220,6 +220,11 @@
     def origins(self) -> relay.StreamOrigins:
         return self._origins
 
+    @property
+    def outbox(self) -> relay.Outbox:
+        """What is sent to other hosts."""
+        return self._context.outbox
+
     @property
     def notices(self) -> relay.TargetNotices:
         return self._notices
--- a/packages/geranium-standins/src/geranium_standins/host_links.py
+++ b/packages/geranium-standins/src/geranium_standins/host_links.py
@@ -9,7 +9,7 @@
 import enum
 import functools
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from typing import Any, TypeAlias
 
 from .faults import RelayFaults, RelayMode
@@ -44,6 +44,7 @@
         self.local_ip = local_ip
         self._relays_by_port: dict[int, Relay] = {}
         self._cut: CutMode | None = None
+        self._cut_ports: frozenset[int] = frozenset()
         self._full_queues = contextlib.ExitStack()
 
     async def add(self, target: Address) -> None:
@@ -54,15 +55,28 @@
             if self._cut is None:
                 await self._relays_by_port[port].start(self.local_ip, port)
 
-    async def cut(self, mode: CutMode) -> None:
-        """Cut all links until :meth:`heal`."""
-        self._cut = mode
+    async def cut(
+        self, mode: CutMode, ports: Collection[int] | None = None
+    ) -> None:
+        """Cut links until :meth:`heal`.
+
+        Args:
+            mode: How they are cut.
+            ports: The ports of the targets; by default all, and those that
+                are added later.
+        """
+        if ports is None:
+            self._cut = mode
+        self._cut_ports = frozenset(
+            self._relays_by_port if ports is None else ports
+        )
         faults_by_mode = {
             CutMode.REFUSED: RelayFaults(),
             CutMode.RESET: RelayFaults(RelayMode.DROP),
             CutMode.HANGING: RelayFaults(RelayMode.HOLD),
         }
-        for port, relay in self._relays_by_port.items():
+        for port in self._cut_ports:
+            relay = self._relays_by_port[port]
             relay.stop_listening()
             relay.set_faults(faults_by_mode[mode])
             if mode is CutMode.HANGING:
@@ -70,9 +84,14 @@
 
     async def heal(self) -> None:
         """End the cut."""
-        self._cut = None
         self._full_queues.close()
-        for port, relay in self._relays_by_port.items():
+        ports = self._cut_ports
+        if self._cut is not None:
+            ports = frozenset(self._relays_by_port)
+        self._cut = None
+        self._cut_ports = frozenset()
+        for port in ports:
+            relay = self._relays_by_port[port]
             relay.set_faults(RelayFaults())
             await relay.start(self.local_ip, port)
 
--- a/tests/adapter/host_pair.py
+++ b/tests/adapter/host_pair.py
@@ -92,6 +92,7 @@
     targets: list[StandinTarget]
     hosts: list[LinkedHost]
     caller: ClientSession
+    ports: Sequence[int] = ()
 
     async def restart_all(self) -> None:
         """Stop all hosts at once and start them again."""
@@ -116,6 +117,19 @@
         """Cut a host from all targets."""
         await self.hosts[number].links.cut(mode)
 
+    async def cut_some(
+        self, targets: Sequence[StandinTarget], mode: CutMode
+    ) -> None:
+        """Cut all hosts from some targets."""
+        ports = [self.ports[self.targets.index(target)] for target in targets]
+        for linked in self.hosts:
+            await linked.links.cut(mode, ports)
+
+    async def heal_all(self) -> None:
+        """End the cuts of all hosts."""
+        for linked in self.hosts:
+            await linked.links.heal()
+
     async def request(
         self,
         number: int,
@@ -162,6 +176,7 @@
         caller = await stack.enter_async_context(ClientSession())
         pair = Pair(store, [], [], caller)
         ports = free_ports(TARGET_COUNT, TARGETS_IP)
+        pair.ports = ports
         cloud = StandinCloud().application()
         cloud_address = await _serve(stack, cloud, 0)
         for number, port in enumerate(ports):
