Runs: a whole response clears its request of crashes, like a stream

A caller whose safe or unsafe request ran on two targets as they ended, and was served whole between and after, got "crashed targets" for up to 900 s: only the end of a stream cleared a request and the parts of its prompt.

A successful response whose length or chunks show that it is whole clears them now, too.

--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -284,6 +284,8 @@
             return self._finish_failed_run(f'status {head.status} in a stream')
         body = await response.read(self._settings.max_body_bytes)
         self._recorder.record_begun(attempt, dispatch)
+        if head.succeeded and response.framed:
+            clear_request(self._context, self._job)
         if head.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
             self._failure = head, body
             if self._may_repeat():
--- a/packages/geranium-relay/tests/test_wrong_causes.py
+++ b/packages/geranium-relay/tests/test_wrong_causes.py
@@ -7,7 +7,7 @@
 import geranium_relay as relay
 import pytest
 
-from .world import EVENTS, OK_HEAD, FakeAnswer, World, answer
+from .world import EVENTS, OK_HEAD, FakeAnswer, World, answer, cut
 
 TARGETS = 8
 NEW_PART = 'new'
@@ -133,3 +133,16 @@
     outcome = await hosts.serve(hosts.second, NEW_PART)
 
     assert isinstance(outcome, relay.Refused)
+
+
+@pytest.mark.parametrize('route', ['unsafe', 'stream'])
+async def test_request_that_completed_between_crashes_is_served(
+    route: str,
+) -> None:
+    world = World()
+    world.targets.reachable = False
+    for _ in range(3):
+        world.targets.add_scripts(cut(), answer(*EVENTS))
+        await world.serve(route)
+        outcome, _ = await world.serve(route)
+        assert outcome == relay.Delivered(200)
