Soak: check the retry budget from what targets see

No check of the soak counted arrivals, and its targets did not say which of them are prefill calls.

Simulated targets now tell their observer of prefill calls, and the check slides a window over all arrivals that are not the first of their request. The first prefill call that a target accepts is no retry; refused and further ones are.

--- a/soak/src/geranium_soak/checks/__init__.py
+++ b/soak/src/geranium_soak/checks/__init__.py
@@ -2,7 +2,15 @@
 
 from ..bounds import Bounds
 from ..observations import Ledger
-from . import calm, configuration, cut_hosts, duties, notices, outcomes
+from . import (
+    calm,
+    configuration,
+    cut_hosts,
+    duties,
+    notices,
+    outcomes,
+    retries,
+)
 from .violation import Check, Violation
 
 # Guarantees that hold at all times, whatever faults are active.
@@ -32,6 +40,7 @@
     calm.work_ends_when_caller_leaves,
     calm.service_recovers,
     cut_hosts.cut_hosts_serve,
+    retries.retries_keep_to_the_budget,
 )
 
 
--- a/soak/src/geranium_soak/checks/outcomes.py
+++ b/soak/src/geranium_soak/checks/outcomes.py
@@ -28,6 +28,11 @@
 MAX_DETAIL_BYTES = 80  # of a response body in a report
 
 
+def service_of(sent: SentRequest) -> str:
+    """Return the service of a request's route."""
+    return PROMPT_SERVICE if sent.kind in STREAM_KINDS else CALL_SERVICE
+
+
 def requests_run_at_most_once(
     ledger: Ledger, bounds: Bounds
 ) -> Iterator[Violation]:
@@ -150,7 +155,7 @@
 ) -> Iterator[Violation]:
     """Check that requests only run at the service of their route."""
     for identity, sent in ledger.sent_by_id.items():
-        wanted = PROMPT_SERVICE if sent.kind in STREAM_KINDS else CALL_SERVICE
+        wanted = service_of(sent)
         for run in ledger.runs(identity):
             if run.taken.service != wanted:
                 yield Violation('own service', identity, run.taken.service)
--- a/soak/src/geranium_soak/observations.py
+++ b/soak/src/geranium_soak/observations.py
@@ -113,6 +113,13 @@
 Outcome: TypeAlias = Response | ConnectionCut | Unreachable | CallerLeft
 
 
+class Prefill(enum.Enum):
+    """The result of a call that only has a prompt prefilled."""
+
+    ACCEPTED = 'accepted'
+    REFUSED = 'refused'
+
+
 @dataclasses.dataclass(slots=True)
 class TargetRequest:
     """A request at a target.
@@ -124,6 +131,7 @@
         ended_at: End of its execution; ``None`` if it has not ended.
         paused_until: Until when the target wants no requests from the host;
             ``None`` if it did not reject the request with a pause.
+        prefill: The result of a prefill call; ``None`` for other requests.
         responses: Response bodies of the target, by signature.
     """
 
@@ -132,6 +140,7 @@
     ran_at: float | None = None
     ended_at: float | None = None
     paused_until: float | None = None
+    prefill: Prefill | None = None
     responses: dict[str, bytes] = dataclasses.field(default_factory=dict)
 
 
--- a/soak/src/geranium_soak/recorders.py
+++ b/soak/src/geranium_soak/recorders.py
@@ -2,7 +2,7 @@
 
 from geranium_platform_standins import DutyCall, ReceivedRequest
 
-from .observations import Ledger, ProviderCall, TargetRequest, now
+from .observations import Ledger, Prefill, ProviderCall, TargetRequest, now
 
 USAGE_PATH = 'usage'
 
@@ -21,6 +21,12 @@
         self._ledger.target_requests_by_id[taken.identity].append(request)
         return len(self._requests) - 1
 
+    def record_prefill(self, number: int, *, accepted: bool) -> None:
+        """Record that a request is a prefill call."""
+        self._requests[number].prefill = (
+            Prefill.ACCEPTED if accepted else Prefill.REFUSED
+        )
+
     def record_pause(self, number: int, pause_s: float) -> None:
         """Record that a request was rejected with a pause."""
         self._requests[number].paused_until = now() + pause_s
