Soak: targets that fall silent, targets that are full, slow prefill

Users saw requests lost beside targets that were silent for a second and engines that refused prefill calls for some seconds. The soak's targets could only be silent for good, and never refused or delayed a prefill call.

New faults, of one target or of several of a service at once: all responses stop for 1 to 3 s and then go on; runs and prefill calls are refused; prefill calls take longer. They are drawn from a source of their own, so the other steps of a seed's plan stay as they were.

pytest soak/tests/test_plans.py: 4 passed (21 types of faults are drawn).

--- a/soak/src/geranium_soak/faults.py
+++ b/soak/src/geranium_soak/faults.py
@@ -4,6 +4,7 @@
 import enum
 from typing import TypeAlias
 
+from .service_faults import ServiceFault
 from .target_links import CutHosts
 
 
@@ -173,7 +174,12 @@
 
 
 RareFault: TypeAlias = (
-    RestoreStore | AnnounceDeparture | AskForPause | NameLimit | CutHosts
+    RestoreStore
+    | AnnounceDeparture
+    | AskForPause
+    | NameLimit
+    | CutHosts
+    | ServiceFault
 )
 Fault: TypeAlias = (
     KillHosts
--- a/soak/src/geranium_soak/injector.py
+++ b/soak/src/geranium_soak/injector.py
@@ -11,6 +11,8 @@
 from .fleet import simulated_target_faults
 from .observations import now
 from .plans import Step
+from .service_fault_injector import ServiceFaultInjector
+from .service_faults import FillTargets, SilenceTargets, SlowPrefill
 from .target_links import CutHosts
 
 SETTINGS_LINE = 'extraField{number} = {number}'  # hosts ignore unknown fields
@@ -27,6 +29,7 @@
     def __init__(self, environment: Environment, source: random.Random) -> None:
         self._environment = environment
         self._source = source
+        self._service_faults = ServiceFaultInjector(environment, source)
         self._reloads = 0
 
     async def run(self, steps: tuple[Step, ...]) -> None:
@@ -61,7 +64,7 @@
             case faults.WithdrawKey():
                 self._environment.withdraw_key()
             case _:
-                await self._inject_target_fault(fault)
+                await self._inject_target_or_service_fault(fault)
 
     async def _cut_hosts(self, fault: CutHosts) -> None:
         chosen = self._source.choice(self._environment.hosts)
@@ -92,6 +95,15 @@
             case faults.CutStoreLink(fault=link, for_s=for_s):
                 await self._environment.cut_store_link(host, link, for_s)
 
+    async def _inject_target_or_service_fault(
+        self, fault: faults.Fault
+    ) -> None:
+        match fault:
+            case SilenceTargets() | FillTargets() | SlowPrefill():
+                await self._service_faults.inject(fault)
+            case _:
+                await self._inject_target_fault(fault)
+
     async def _inject_target_fault(self, fault: faults.Fault) -> None:
         fleet = self._environment.fleet
         active = fleet.active()
--- a/soak/src/geranium_soak/plans.py
+++ b/soak/src/geranium_soak/plans.py
@@ -11,6 +11,7 @@
     CUT_WEIGHT_BY_MAKER,
     LIMIT_WEIGHT_BY_MAKER,
     RARE_WEIGHT_BY_MAKER,
+    SERVICE_WEIGHT_BY_MAKER,
 )
 
 SERIES_SHARE = 0.35  # of the draws are repeated, like rolling operator work
@@ -29,6 +30,7 @@
 RARE_FACTOR = 2  # these faults are drawn in the first part of a plan
 LIMIT_FACTOR = 4  # likewise; a few limits leave targets for the callers
 MEAN_CUT_INTERVAL_S = 10.0  # cut hosts have others beside them
+MEAN_SERVICE_INTERVAL_S = 4.0  # of faults of several targets of a service
 ADDRESS_REUSE_SHARE = 0.4  # of the crashed targets
 
 
@@ -70,6 +72,13 @@
             CUT_WEIGHT_BY_MAKER,
             MEAN_CUT_INTERVAL_S,
         ),
+        _draw_steps(
+            random.Random(f'{seed} services'),
+            length_s,
+            hosts,
+            SERVICE_WEIGHT_BY_MAKER,
+            MEAN_SERVICE_INTERVAL_S,
+        ),
     )
     return tuple(sorted(steps, key=lambda step: step.at_s))
 
--- a/soak/src/geranium_soak/rare_faults.py
+++ b/soak/src/geranium_soak/rare_faults.py
@@ -7,6 +7,7 @@
 from geranium_standins.host_links import CutMode
 
 from . import faults
+from .service_faults import FillTargets, SilenceTargets, SlowPrefill
 from .target_links import CutHosts
 
 LOST_S = (0.4, 2.5)  # age of the copy that the store is restored from
@@ -19,6 +20,11 @@
 WHOLE_ZONE_SHARE = 0.5  # of the cuts of hosts
 CUT_S = (4.0, 9.0)  # longer than hosts may take to notice a cut
 LIMITED_S = (6.0, 14.0)  # hosts have some seconds to learn of a limit
+SHARES_OF_SERVICE = (0.2, 0.5, 0.8)  # of its targets, at least one
+SILENCE_S = (1.0, 3.0)
+FULL_S = (2.0, 8.0)
+SLOW_PREFILL_S = (3.0, 9.0)
+PREFILL_DELAYS_S = (0.3, 2.0)
 
 
 def _draw_restore(source: random.Random, hosts: int) -> faults.Fault:
@@ -53,6 +59,26 @@
     )
 
 
+def _draw_silence(source: random.Random, hosts: int) -> faults.Fault:
+    return SilenceTargets(
+        source.choice(SHARES_OF_SERVICE), source.uniform(*SILENCE_S)
+    )
+
+
+def _draw_full_targets(source: random.Random, hosts: int) -> faults.Fault:
+    return FillTargets(
+        source.choice(SHARES_OF_SERVICE), source.uniform(*FULL_S)
+    )
+
+
+def _draw_slow_prefill(source: random.Random, hosts: int) -> faults.Fault:
+    return SlowPrefill(
+        source.choice(SHARES_OF_SERVICE),
+        source.uniform(*SLOW_PREFILL_S),
+        source.uniform(*PREFILL_DELAYS_S),
+    )
+
+
 RARE_WEIGHT_BY_MAKER: Mapping[
     Callable[[random.Random, int], faults.Fault], int
 ] = MappingProxyType(
@@ -69,3 +95,12 @@
 CUT_WEIGHT_BY_MAKER: Mapping[
     Callable[[random.Random, int], faults.Fault], int
 ] = MappingProxyType({_draw_host_cut: 1})
+SERVICE_WEIGHT_BY_MAKER: Mapping[
+    Callable[[random.Random, int], faults.Fault], int
+] = MappingProxyType(
+    {
+        _draw_silence: 2,
+        _draw_full_targets: 2,
+        _draw_slow_prefill: 1,
+    },
+)
--- a/soak/tests/test_plans.py
+++ b/soak/tests/test_plans.py
@@ -33,4 +33,4 @@
         for step in draw_plan(seed, 60, 4)
     }
 
-    assert len(kinds) == 18
+    assert len(kinds) == 21
