Soak: let targets see which host sent a request

The checks of paused, departed and limited targets took the host that the caller had asked for the sender.

The links of each host now connect to targets from a loopback address of that host, and the relay before a target keeps that address. So the ledger knows the sender of each request and the number of its process, and these checks judge that process: what it was told, and whether it had a fault itself. They are as strict as before for requests that were not passed on, and stricter for the others, as a fault of the caller's host no longer excuses the sender.

pytest soak/tests/test_checks.py: for each of the three checks a ledger with forwarded requests that violates it and one that does not; pytest packages/geranium-standins/tests/test_relay.py: the target sees the address of the first of two relays.

--- a/packages/geranium-standins/src/geranium_standins/host_links.py
+++ b/packages/geranium-standins/src/geranium_standins/host_links.py
@@ -38,10 +38,13 @@
 
     Args:
         local_ip: Loopback address of this host's relays.
+        source_ip: Loopback address from which they connect to the targets, which
+            thereby know the host; ``None`` for the system's choice.
     """
 
-    def __init__(self, local_ip: str) -> None:
+    def __init__(self, local_ip: str, source_ip: str | None = None) -> None:
         self.local_ip = local_ip
+        self._source_ip = source_ip
         self._relays_by_port: dict[int, Relay] = {}
         self._cut: CutMode | None = None
         self._cut_ports: frozenset[int] = frozenset()
@@ -51,7 +54,9 @@
         """Add the link to a target; the relay listens on the same port."""
         port = target[1]
         if port not in self._relays_by_port:
-            self._relays_by_port[port] = Relay(*target)
+            self._relays_by_port[port] = Relay(
+                *target, source_ip=self._source_ip
+            )
             if self._cut is None:
                 await self._relays_by_port[port].start(self.local_ip, port)
 
--- a/packages/geranium-standins/src/geranium_standins/relay_server.py
+++ b/packages/geranium-standins/src/geranium_standins/relay_server.py
@@ -23,11 +23,24 @@
     Args:
         host: The target's host.
         port: The target's port.
+        source_ip: Local address of the connections to the target; ``None``
+            for the system's choice.
+        keeps_source: Whether these connections come from the address of the
+            caller instead.
     """
 
-    def __init__(self, host: str, port: int) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        *,
+        source_ip: str | None = None,
+        keeps_source: bool = False,
+    ) -> None:
         self._host = host
         self._port = port
+        self._source_ip = source_ip
+        self._keeps_source = keeps_source
         self._fault_state = RelayFaultState()
         self._connections: set[RelayedConnection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -93,7 +106,9 @@
     async def _connect(self, caller: Endpoint) -> None:
         if self._fault_state.faults.mode is RelayMode.DROP:
             return
-        streams = await asyncio.open_connection(self._host, self._port)
+        streams = await asyncio.open_connection(
+            self._host, self._port, local_addr=self._local_address(caller)
+        )
         connection = RelayedConnection(
             caller, Endpoint(*streams), self._fault_state
         )
@@ -104,6 +119,13 @@
             self._connections.discard(connection)
             connection.reset()
 
+    def _local_address(self, caller: Endpoint) -> tuple[str, int] | None:
+        """Return the address of a connection to the target, with any port."""
+        source_ip = self._source_ip
+        if self._keeps_source:
+            source_ip = caller.writer.get_extra_info('peername')[0]
+        return None if source_ip is None else (source_ip, 0)
+
     def _reset_connections(self) -> None:
         for task in self._tasks:
             task.cancel()
--- a/packages/geranium-standins/tests/test_relay.py
+++ b/packages/geranium-standins/tests/test_relay.py
@@ -126,3 +126,22 @@
         assert await caller.send_line(b'one\n') == b'one\n'
         assert ':' in process.addresses['control']
         assert await process.stop() == 0
+
+
+async def name_caller(reader, writer):
+    address, _ = writer.get_extra_info('peername')
+    writer.write(f'{address}\n'.encode())
+    writer.close()
+
+
+async def test_target_knows_the_first_of_two_relays():
+    server = await asyncio.start_server(name_caller, '127.0.0.1', 0)
+    second = Relay(*server.sockets[0].getsockname(), keeps_source=True)
+    host, port = (await second.start('127.0.0.1', 0)).split(':')
+    first = Relay(host, int(port), source_ip='127.0.4.7')
+    caller = await Caller.connect(await first.start('127.0.0.1', 0))
+
+    with contextlib.closing(server):
+        assert await caller.send_line(b'') == b'127.0.4.7\n'
+        await first.stop()
+        await second.stop()
--- a/soak/src/geranium_soak/checks/notices.py
+++ b/soak/src/geranium_soak/checks/notices.py
@@ -7,7 +7,13 @@
 from typing import TypeAlias
 
 from ..bounds import Bounds
-from ..observations import Ledger, Response, SentRequest, TargetRequest
+from ..observations import (
+    Ledger,
+    Response,
+    Sender,
+    SentRequest,
+    TargetRequest,
+)
 from .violation import Violation
 
 PAUSE_NOTICE_S = 0.5  # from a refusal until its pause counts
@@ -16,21 +22,25 @@
 LIMIT_TOLERANCE = 1.5  # of what a limit allows in a window
 LIMIT_SLACK = 5  # requests
 
-_Pair: TypeAlias = tuple[str, int, str]  # host, incarnation, target
+_Pair: TypeAlias = tuple[Sender, str]  # the sender and the target
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Send:
-    """A request that a host sent to a target."""
+    """A request that a host sent to a target for a caller."""
 
     sent: SentRequest
     request: TargetRequest
 
     @property
     def pair(self) -> _Pair:
-        """The process of the host, and the target."""
-        sent = self.sent
-        return sent.host, sent.incarnation, self.request.taken.target
+        """The process that sent it to the target, and the target."""
+        return self.request.sender, self.request.taken.target
+
+    @property
+    def subjects(self) -> frozenset[str]:
+        """The host that sent it to the target, for the search for faults."""
+        return frozenset((self.request.sender.host,))
 
     @property
     def limit_per_s(self) -> float:
@@ -43,16 +53,15 @@
 ) -> Iterator[Violation]:
     """Check that a host sends nothing to a target that announced its stop.
 
-    The bound counts from a response with the announcement that the host passed
-    on, to the sending of a caller's request. A paused host is excused.
+    The bound counts from a response with the announcement that a caller got of
+    the host, directly or through another one, to the sending of a caller's request. A paused host is excused.
     """
     told_at_by_pair = _announcements(ledger)
     for send in _sends(ledger):
         told_at = told_at_by_pair.get(send.pair, math.inf)
         late_s = send.sent.at - told_at - bounds.leaving_s
-        subjects = frozenset((send.sent.host,))
         until = send.request.at
-        if late_s > 0 and ledger.was_calm(subjects, told_at, until):
+        if late_s > 0 and ledger.was_calm(send.subjects, told_at, until):
             target = send.request.taken.target
             detail = f'{target}, {late_s:.2f} s too late'
             yield Violation('departed target', send.sent.identity, detail)
@@ -71,8 +80,8 @@
         for refused in sends:
             late = _sends_in_pause(ledger, refused.request, sends)
             if late > MAX_REQUESTS_IN_PAUSE:
-                host, _, target = refused.pair
-                detail = f'{late} requests of {host}'
+                sender, target = refused.pair
+                detail = f'{late} requests of {sender.host}'
                 yield Violation('paused target', target, detail)
 
 
@@ -110,7 +119,7 @@
         for send in sends
         if send.request.at > named_at + bounds.reconnect_s
         and ledger.was_calm(
-            frozenset((send.sent.host,)),
+            send.subjects,
             send.request.at - bounds.reconnect_s,
             send.request.at,
         )
@@ -154,8 +163,7 @@
     until = refused.paused_until
     if until is None:
         return 0
-    host = sends[0].sent.host
-    if not ledger.was_calm(frozenset((host,)), refused.at, until):
+    if not ledger.was_calm(sends[0].subjects, refused.at, until):
         return 0
     since = refused.at + PAUSE_NOTICE_S
     return sum(since < send.request.at < until for send in sends)
--- a/soak/src/geranium_soak/environment.py
+++ b/soak/src/geranium_soak/environment.py
@@ -225,6 +225,7 @@
         )
         self.hosts.append(host)
         self._target_links_by_host[host.name] = links
+        self.ledger.host_by_address[links.source_ip] = host.name
         for endpoint in self.fleet.endpoints:
             await links.add(split_address(endpoint.address))
         await host.start(
--- a/soak/src/geranium_soak/fleet.py
+++ b/soak/src/geranium_soak/fleet.py
@@ -68,7 +68,7 @@
         # Outgoing connections use another local address, so they can't take
         # the port while no target listens on it.
         port = free_ports(1, TARGETS_ADDRESS)[0]
-        relay = Relay(TARGETS_ADDRESS, port)
+        relay = Relay(TARGETS_ADDRESS, port, keeps_source=True)
         address = await relay.start(TARGETS_IP, 0)
         await self._on_add(TARGETS_IP, int(address.rpartition(':')[2]))
         endpoint = TargetEndpoint(zone, stage, service, relay, address, port)
--- a/soak/src/geranium_soak/host_process.py
+++ b/soak/src/geranium_soak/host_process.py
@@ -199,6 +199,7 @@
                 env=environment,
             )
         self.incarnation += 1
+        self._ledger.incarnation_by_host[self.name] = self.incarnation
 
     def _replace_settings(self, text: str) -> None:
         temporary = self.settings_path.with_suffix('.new')
--- a/soak/src/geranium_soak/observations.py
+++ b/soak/src/geranium_soak/observations.py
@@ -120,12 +120,24 @@
     REFUSED = 'refused'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sender:
+    """The host that sent a request to a target, and the number of its process.
+
+    It is not the host that the caller sent it to if that passed it on.
+    """
+
+    host: str
+    incarnation: int
+
+
 @dataclasses.dataclass(slots=True)
 class TargetRequest:
     """A request at a target.
 
     Args:
         taken: The request as the target received it.
+        sender: The host that sent it.
         at: Time of arrival.
         ran_at: Start of its execution; ``None`` if it did not run.
         ended_at: End of its execution; ``None`` if it has not ended.
@@ -136,6 +148,7 @@
     """
 
     taken: ReceivedRequest
+    sender: Sender
     at: float
     ran_at: float | None = None
     ended_at: float | None = None
@@ -206,10 +219,11 @@
     return isinstance(outcome, Response) and outcome.status == HTTPStatus.OK
 
 
+@dataclasses.dataclass(slots=True)
 class Ledger:
     """Collects the observations of one run.
 
-    Attributes:
+    Args:
         sent_by_id: Requests that callers sent.
         outcome_by_id: Outcomes of these requests for their callers.
         target_requests_by_id: Requests that targets received.
@@ -217,24 +231,33 @@
         changes: Catalogue changes in the order of acknowledgement.
         disruptions: Faults and planned operations that are over.
         left_at_by_target: Times at which targets were marked as leaving.
+        host_by_address: Hosts by the address that targets see.
+        incarnation_by_host: Number of each host's present process.
         mismatched_prompts: Requests that continued from another one's prompt.
         calm: Span without faults, in which the service must work fully.
         unix_offset_s: Difference of Unix time to the clock of observations.
     """
 
-    def __init__(self) -> None:
-        self.sent_by_id: dict[str, SentRequest] = {}
-        self.outcome_by_id: dict[str, Outcome] = {}
-        self.target_requests_by_id: collections.defaultdict[
-            str, list[TargetRequest]
-        ] = collections.defaultdict(list)
-        self.provider_calls: list[ProviderCall] = []
-        self.changes: list[Change] = []
-        self.disruptions: list[Disruption] = []
-        self.left_at_by_target: dict[str, float] = {}
-        self.mismatched_prompts: list[str] = []
-        self.calm = Span(math.inf, math.inf)
-        self.unix_offset_s = time.time() - now()
+    sent_by_id: dict[str, SentRequest] = dataclasses.field(default_factory=dict)
+    outcome_by_id: dict[str, Outcome] = dataclasses.field(default_factory=dict)
+    target_requests_by_id: collections.defaultdict[str, list[TargetRequest]] = (
+        dataclasses.field(default_factory=lambda: collections.defaultdict(list))
+    )
+    provider_calls: list[ProviderCall] = dataclasses.field(default_factory=list)
+    changes: list[Change] = dataclasses.field(default_factory=list)
+    disruptions: list[Disruption] = dataclasses.field(default_factory=list)
+    left_at_by_target: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+    host_by_address: dict[str, str] = dataclasses.field(default_factory=dict)
+    incarnation_by_host: dict[str, int] = dataclasses.field(
+        default_factory=dict
+    )
+    mismatched_prompts: list[str] = dataclasses.field(default_factory=list)
+    calm: Span = Span(math.inf, math.inf)
+    unix_offset_s: float = dataclasses.field(
+        default_factory=lambda: time.time() - now()
+    )
 
     def record_disruption(
         self,
@@ -249,6 +272,11 @@
             Disruption(what, frozenset((subject,)), planned, began_at, now()),
         )
 
+    def sender(self, address: str) -> Sender:
+        """Return the host that has an address, and its present process."""
+        host = self.host_by_address.get(address, address)
+        return Sender(host, self.incarnation_by_host.get(host, 0))
+
     def runs(self, identity: str) -> list[TargetRequest]:
         """Return the executions of a request at targets."""
         return [
--- a/soak/src/geranium_soak/recorders.py
+++ b/soak/src/geranium_soak/recorders.py
@@ -16,7 +16,8 @@
 
     def record_received(self, taken: ReceivedRequest) -> int:
         """Record the arrival of a request and return its number."""
-        request = TargetRequest(taken, now())
+        sender = self._ledger.sender(taken.sender)
+        request = TargetRequest(taken, sender, now())
         self._requests.append(request)
         self._ledger.target_requests_by_id[taken.identity].append(request)
         return len(self._requests) - 1
--- a/soak/src/geranium_soak/target_links.py
+++ b/soak/src/geranium_soak/target_links.py
@@ -8,6 +8,8 @@
 from .observations import Ledger, now
 
 LINKS_ADDRESS_PREFIX = '127.0.3'  # of the loopback, for up to 254 hosts
+# Another one, so that outgoing connections take no port of a link.
+SENDERS_ADDRESS_PREFIX = '127.0.4'
 CUT_FROM_TARGETS = 'cut from targets'
 
 
@@ -32,13 +34,18 @@
     Args:
         number: Number of the host.
         ledger: Records the cuts.
+
+    ``source_ip`` is the address by which targets know the host.
     """
 
     def __init__(self, number: int, ledger: Ledger) -> None:
         last_byte = number + 1
         self._name = f'host-{number}'
         self._ledger = ledger
-        self._links = HostLinks(f'{LINKS_ADDRESS_PREFIX}.{last_byte}')
+        self.source_ip = f'{SENDERS_ADDRESS_PREFIX}.{last_byte}'
+        self._links = HostLinks(
+            f'{LINKS_ADDRESS_PREFIX}.{last_byte}', self.source_ip
+        )
         self._is_cut = False
 
     @property
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -19,6 +19,7 @@
     ProviderCall,
     RequestKind,
     Response,
+    Sender,
     SentRequest,
     Span,
     TargetRequest,
@@ -29,8 +30,10 @@
     '1', RequestKind.UNSAFE, '/unsafe/1', b'b', 'key', 'team', 'h', 1, 100
 )
 TAKEN = ReceivedRequest('1', 'i-1', 'app', '/unsafe/1', b'b', 'team', ())
+SENDER = Sender('h', 1)
 TARGET_REQUEST = TargetRequest(
     TAKEN,
+    SENDER,
     100.1,
     ran_at=100.1,
     ended_at=100.2,
@@ -157,27 +160,85 @@
 
 def test_restarted_host_may_not_know_of_a_departure(ledger) -> None:
     change_taken(ledger, announced=True)
-    record_later(ledger, 104)
-    ledger.sent_by_id['2'] = dataclasses.replace(
-        ledger.sent_by_id['2'], incarnation=2
-    )
+    record_later(ledger, 104, sender=Sender('h', 2))
 
     assert not violated(ledger)
 
 
 @pytest.mark.parametrize(
-    ('requests', 'expected'),
-    [(2, set()), (3, {'paused target'})],
+    ('sender', 'expected'),
+    [(SENDER, {'departed target'}), (Sender('other', 1), set())],
 )
-def test_requests_in_a_pause(ledger, requests, expected) -> None:
-    change_target_request(ledger, paused_until=105, ran_at=None, responses={})
+def test_forwarded_request_to_a_departed_target(
+    ledger, sender, expected
+) -> None:
+    change_taken(ledger, announced=True)
+    record_later(ledger, 104, sender=sender)
+    ledger.sent_by_id['2'] = dataclasses.replace(
+        ledger.sent_by_id['2'], host='third'
+    )
+
+    assert violated(ledger) == expected
+
+
+def ask_for_pause(ledger, **changes) -> None:
+    """Let the target refuse the request and ask its sender for a pause."""
+    change_target_request(
+        ledger, paused_until=105, ran_at=None, responses={}, **changes
+    )
     ledger.outcome_by_id['1'] = Response(503, None, b'', 100.2)
+
+
+def record_in_pause(ledger, requests, **changes) -> None:
     for number in range(requests):
         identity = f'later-{number}'
         sent = dataclasses.replace(SENT, identity=identity, at=102)
-        later = target_request_of(identity, at=102.1)
+        later = target_request_of(identity, at=102.1, **changes)
         record(ledger, sent, [later], RESPONSE)
 
+
+@pytest.mark.parametrize(
+    ('requests', 'expected'),
+    [(2, set()), (3, {'paused target'})],
+)
+def test_requests_in_a_pause(ledger, requests, expected) -> None:
+    ask_for_pause(ledger)
+    record_in_pause(ledger, requests)
+
+    assert violated(ledger) == expected
+
+
+@pytest.mark.parametrize(
+    ('sender', 'expected'),
+    [(SENDER, {'paused target'}), (Sender('other', 1), set())],
+)
+def test_forwarded_requests_in_a_pause(ledger, sender, expected) -> None:
+    """Seed 4013: other hosts sent what the host had passed on."""
+    ask_for_pause(ledger)
+    record_in_pause(ledger, 3, sender=sender)
+
+    assert violated(ledger) == expected
+
+
+def test_pause_that_a_host_learned_with_a_forwarded_request(ledger) -> None:
+    ask_for_pause(ledger, sender=Sender('other', 1))
+    record_in_pause(ledger, 3)
+    assert not violated(ledger)
+
+    for arrivals in ledger.target_requests_by_id.values():
+        arrivals[0].sender = Sender('other', 1)
+    assert violated(ledger) == {'paused target'}
+
+
+@pytest.mark.parametrize(
+    ('paused', 'expected'), [('h', {'paused target'}), ('other', set())]
+)
+def test_fault_of_the_sender_in_a_pause(ledger, paused, expected) -> None:
+    """A fault of the host that passed requests on excuses nothing."""
+    ask_for_pause(ledger, sender=Sender('other', 1))
+    record_in_pause(ledger, 3, sender=Sender('other', 1))
+    disrupt(ledger, paused, 100.5)
+
     assert violated(ledger) == expected
 
 
@@ -463,3 +524,16 @@
     record_later(ledger, 104)
 
     assert 'named limit' not in violated(ledger)
+
+
+@pytest.mark.parametrize(
+    ('disrupted', 'expected'), [('h', {'named limit'}), ('other', set())]
+)
+def test_forwarded_requests_beyond_a_limit(ledger, disrupted, expected) -> None:
+    """A fault of the host that passed requests on excuses nothing."""
+    test_requests_beyond_a_named_limit(ledger, 12, {'named limit'})
+    for arrivals in ledger.target_requests_by_id.values():
+        arrivals[0].sender = Sender('other', 1)
+    disrupt(ledger, disrupted, 100.5)
+
+    assert violated(ledger) == expected
