Soak: judge requests to leaving targets by their sender

The check of leaving targets asked whether the caller's host had a fault, not whether the host that sent the request had one. A request that was passed on was excused by a fault of the host that had passed it on, and blamed on a sender that could not know of the target's leaving.

pytest soak/tests/test_checks.py::test_forwarded_request_to_a_leaving_target: 2 failed before, 2 passed now. The other checks that use the caller's host (versions, keys, cut hosts, recovery) judge what that host does for its callers; usage counts what ran, whoever sent it.

--- a/soak/src/geranium_soak/checks/calm.py
+++ b/soak/src/geranium_soak/checks/calm.py
@@ -35,10 +35,10 @@
     Hosts may do so for ``leaving_s`` after the target's entry says that it
     leaves, or while they or the store are affected by a fault.
     """
-    for identity, sent in ledger.sent_by_id.items():
+    for identity in ledger.sent_by_id:
         for request in ledger.target_requests_by_id.get(identity, ()):
             late_s = _lateness_s(ledger, request, bounds)
-            subjects = frozenset((sent.host, STORE))
+            subjects = frozenset((request.sender.host, STORE))
             since = request.at - bounds.reconnect_s
             if late_s > 0 and ledger.was_calm(subjects, since, request.at):
                 target = request.taken.target
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -413,6 +413,20 @@
     assert violated(ledger) == expected
 
 
+@pytest.mark.parametrize(
+    ('disrupted', 'expected'), [('h', {'leaving target'}), ('other', set())]
+)
+def test_forwarded_request_to_a_leaving_target(
+    ledger, disrupted, expected
+) -> None:
+    """A fault of the host that passed a request on excuses nothing."""
+    ledger.left_at_by_target['i-1'] = 98
+    change_target_request(ledger, sender=Sender('other', 1))
+    disrupt(ledger, disrupted, 99)
+
+    assert violated(ledger) == expected
+
+
 @pytest.mark.parametrize(
     ('planned', 'expected'),
     [(True, {'planned work'}), (False, set())],
