--- a/soak/src/geranium_soak/checks/__init__.py
+++ b/soak/src/geranium_soak/checks/__init__.py
@@ -10,6 +10,7 @@
     notices,
     outcomes,
     retries,
+    silences,
 )
 from .violation import Check, Violation
 
@@ -41,6 +42,7 @@
     calm.service_recovers,
     cut_hosts.cut_hosts_serve,
     retries.retries_keep_to_the_budget,
+    silences.silent_targets_are_waited_for,
 )
 
 
--- a/soak/src/geranium_soak/fleet.py
+++ b/soak/src/geranium_soak/fleet.py
@@ -203,6 +203,7 @@
         endpoint.runner = await _bind(application, endpoint.port)
         endpoint.born_ms = int(time.time() * MS_PER_S)
         endpoint.target = target
+        self._ledger.endpoint_by_target[target.identity] = endpoint.name
         self._entries.publish(endpoint, target)
 
     async def _stop_target(self, endpoint: TargetEndpoint) -> None:
--- a/soak/src/geranium_soak/observations.py
+++ b/soak/src/geranium_soak/observations.py
@@ -144,6 +144,7 @@
         paused_until: Until when the target wants no requests from the host;
             ``None`` if it did not reject the request with a pause.
         prefill: The result of a prefill call; ``None`` for other requests.
+        abandoned: Whether its connection closed while the target worked on it.
         responses: Response bodies of the target, by signature.
     """
 
@@ -154,6 +155,7 @@
     ended_at: float | None = None
     paused_until: float | None = None
     prefill: Prefill | None = None
+    abandoned: bool = False
     responses: dict[str, bytes] = dataclasses.field(default_factory=dict)
 
 
@@ -231,6 +233,7 @@
         changes: Catalogue changes in the order of acknowledgement.
         disruptions: Faults and planned operations that are over.
         left_at_by_target: Times at which targets were marked as leaving.
+        endpoint_by_target: Names of the endpoints at which targets listen.
         host_by_address: Hosts by the address that targets see.
         incarnation_by_host: Number of each host's present process.
         mismatched_prompts: Requests that continued from another one's prompt.
@@ -249,6 +252,7 @@
     left_at_by_target: dict[str, float] = dataclasses.field(
         default_factory=dict
     )
+    endpoint_by_target: dict[str, str] = dataclasses.field(default_factory=dict)
     host_by_address: dict[str, str] = dataclasses.field(default_factory=dict)
     incarnation_by_host: dict[str, int] = dataclasses.field(
         default_factory=dict
--- a/soak/src/geranium_soak/recorders.py
+++ b/soak/src/geranium_soak/recorders.py
@@ -44,6 +44,10 @@
         """Record the end of a request's execution."""
         self._requests[number].ended_at = now()
 
+    def record_abandoned(self, number: int) -> None:
+        """Record that the connection of a request closed during its run."""
+        self._requests[number].abandoned = True
+
     def record_mismatched_prompt(self, identity: str) -> None:
         """Record that a request continued from another one's prompt."""
         self._ledger.mismatched_prompts.append(identity)
--- a/soak/src/geranium_soak/service_fault_injector.py
+++ b/soak/src/geranium_soak/service_fault_injector.py
@@ -9,14 +9,15 @@
 from .environment import Environment
 from .observations import now
 from .service_faults import (
+    FELL_SILENT,
+    FULL,
+    SLOW_PREFILL,
     FillTargets,
     ServiceFault,
     SilenceTargets,
     SlowPrefill,
 )
 
-FELL_SILENT = 'target fell silent'
-
 
 class ServiceFaultInjector:
     """Injects faults of services.
@@ -58,10 +59,10 @@
                 return
             case FillTargets():
                 switches = SimulatedTargetFaults(full=True)
-                what = 'full'
+                what = FULL
             case SlowPrefill(delay_s=delay_s):
                 switches = SimulatedTargetFaults(prefill_delay_s=delay_s)
-                what = 'slow'
+                what = SLOW_PREFILL
         await self._environment.fleet.inject_fault(
             endpoint, switches, what, fault.for_s
         )
@@ -72,5 +73,5 @@
         began_at = now()
         await endpoint.target.fall_silent(for_s)
         self._environment.ledger.record_disruption(
-            FELL_SILENT, endpoint.name, began_at
+            f'target {FELL_SILENT}', endpoint.name, began_at
         )
--- a/soak/src/geranium_soak/service_faults.py
+++ b/soak/src/geranium_soak/service_faults.py
@@ -3,6 +3,10 @@
 import dataclasses
 from typing import TypeAlias
 
+FELL_SILENT = 'fell silent'
+FULL = 'full'
+SLOW_PREFILL = 'slow prefill'
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SilenceTargets:
