--- a/soak/tests/mutated_host.py
+++ b/soak/tests/mutated_host.py
@@ -5,7 +5,6 @@
 A soak with this file as `geranium-soak --program` must detect each mutant.
 """
 
-import contextvars
 import dataclasses
 import pathlib
 import runpy
@@ -14,12 +13,9 @@
 import geranium_relay as relay
 from geranium_coordination import Lease
 from geranium_policy.crash_evidence import CrashEvidence
-from geranium_policy.retry_share import RetryShare
-from geranium_relay.call_errors import TargetSilentError
-from geranium_relay.outcomes import CutOff, Failed
-from geranium_relay.prefill_runner import PrefillRunner
+from geranium_relay.alternative_attempt import AlternativeAttempt
+from geranium_relay.prefill_permits import PrefillPermits
 from geranium_relay.response_forwarder import ResponseForwarder
-from geranium_relay.run_context import RetryShares
 from geranium_relay.runs import Run
 from geranium_relay.sealed_windows import NotSealed, SealedWindows
 
@@ -140,39 +136,14 @@
 
 def forget_prefill_calls() -> None:
     """Count no prefill call against the retry budget."""
-    read = PrefillRunner.read
-    share = RetryShares._share
-    reads = contextvars.ContextVar('reads', default=False)
-
-    async def read_uncounted(*arguments, **named):
-        token = reads.set(True)
-        try:
-            return await read(*arguments, **named)
-        finally:
-            reads.reset(token)
-
-    def choose_share(shares, service):
-        if reads.get():
-            return RetryShare(shares._settings)
-        return share(shares, service)
-
-    PrefillRunner.read = read_uncounted
-    RetryShares._share = choose_share
+    PrefillPermits.are_left = lambda *_: True
+    PrefillPermits.take = lambda *_: True
 
 
 def give_up_silent_targets() -> None:
-    """End requests at silent targets that another target could run."""
-    handle_failure = Run._handle_failure
-
-    async def handle_or_give_up(run, attempt, error):
-        outcome = await handle_failure(run, attempt, error)
-        if outcome is not None or not isinstance(error, TargetSilentError):
-            return outcome
-        if run._forwarder.started:
-            return CutOff(str(error))
-        return Failed(str(error))
-
-    Run._handle_failure = handle_or_give_up
+    """Give silent targets up whether another attempt is left or not."""
+    Run._reserve_other = lambda *_: True
+    AlternativeAttempt.release = lambda _: None
 
 
 MUTANTS = {
