--- a/tests/adapter/test_broken_continuations.py
+++ b/tests/adapter/test_broken_continuations.py
@@ -141,14 +141,19 @@
 
 
 async def request(
-    world, answers: Sequence[str], targets: ScriptedTargets, *lines: str
+    world,
+    answers: Sequence[str],
+    targets: ScriptedTargets,
+    *lines: str,
+    version: str = '1.1',
+    pause_s: float = 0,
 ) -> tuple[int, bytes, bool]:
     """Return the status, the body and whether it is complete."""
     targets.answers = list(answers)
     host, port = world.settings.listen.front.split(':')
     reader, writer = await asyncio.open_connection(host, int(port))
     head = (
-        'POST /streaming/x HTTP/1.1',
+        f'POST /streaming/x HTTP/{version}',
         'Host: example',
         'Authorization: Bearer key',
         'Request-Id: r1',
@@ -157,6 +162,7 @@
         *lines,
     )
     writer.write('\r\n'.join((*head, '', '')).encode())
+    await asyncio.sleep(pause_s)
     async with asyncio.timeout(10):
         response = await read_response(reader)
     writer.close()
@@ -168,17 +174,33 @@
 ) -> tuple[int, bytes, bool]:
     head = (await reader.readuntil(b'\r\n\r\n')).decode()
     status = int(head.split()[1])
-    if 'chunked' not in head.lower():
-        return status, b'', True
+    if 'chunked' in head.lower():
+        return status, *await read_chunks(reader)
+    return status, *await read_until_end(reader)
+
+
+async def read_until_end(reader: asyncio.StreamReader) -> tuple[bytes, bool]:
+    """Return a body that ends with its connection, by a close or a reset."""
+    body = b''
+    try:
+        while block := await reader.read(65536):
+            body += block
+    except ConnectionError:
+        return body, False
+    return body, True
+
+
+async def read_chunks(reader: asyncio.StreamReader) -> tuple[bytes, bool]:
     body = b''
     try:
         while True:
             size = int(await reader.readuntil(b'\r\n'), 16)
-            body += (await reader.readexactly(size + 2))[:-2]
+            chunk = await reader.readexactly(size + 2)
+            body += chunk[:-2]
             if not size:
-                return status, body, True
+                return body, True
     except (asyncio.IncompleteReadError, ConnectionError):
-        return status, body, False
+        return body, False
 
 
 PAIRS = (
@@ -222,3 +244,48 @@
     response = await request(world, answers, targets, 'Last-Event-Id: 2')
 
     assert response == (200, REST, True)
+
+
+@pytest.mark.parametrize('version', ['1.0', '1.1'])
+async def test_stream_of_a_caller_that_closes_ends_whole(
+    world, targets: ScriptedTargets, version: str
+) -> None:
+    answers = (CUT_STREAMS['inside an event'], stream(*EVENTS[2:]))
+
+    response = await request(
+        world, answers, targets, 'Connection: close', version=version
+    )
+
+    assert response == (200, WHOLE, True)
+
+
+@pytest.mark.parametrize('version', ['1.0', '1.1'])
+async def test_cut_stream_of_a_caller_that_closes_does_not_look_complete(
+    world, targets: ScriptedTargets, version: str
+) -> None:
+    errors = itertools.repeat(ERRORS['signed 500'], TARGETS)
+    answers = (CUT_STREAMS['inside an event'], *errors)
+
+    status, _, is_complete = await request(
+        world, answers, targets, 'Connection: close', version=version
+    )
+
+    assert status == 200
+    assert not is_complete
+
+
+async def test_cut_stream_of_a_slow_caller_does_not_look_complete(
+    world, targets: ScriptedTargets
+) -> None:
+    line = 'x' * 65536
+    events = [f'id: {number}\ndata: {line}\n\n' for number in range(1, 65)]
+    errors = itertools.repeat(ERRORS['signed 500'], TARGETS)
+    answers = (stream(*events, end=''), *errors)
+
+    status, body, is_complete = await request(
+        world, answers, targets, pause_s=0.5
+    )
+
+    assert status == 200
+    assert ''.join(events).encode().startswith(body)
+    assert not is_complete
