--- a/soak/src/geranium_soak/service_fault_injector.py
+++ b/soak/src/geranium_soak/service_fault_injector.py
@@ -71,7 +71,7 @@
         if endpoint.target is None:
             return
         began_at = now()
-        await endpoint.target.fall_silent(for_s)
+        await endpoint.target.silence.last(for_s)
         self._environment.ledger.record_disruption(
             f'target {FELL_SILENT}', endpoint.name, began_at
         )
