Known red: what a host did for a request that another passes on again

When a host that took a request refuses it or fails, the host that had passed it on gives it to another one and knows nothing of what the first has sent:

- progress.sends is 0 although the first host sent it, so the first send of the next host takes no retry.
- A safe request whose two runs failed at the first host runs a third time, where its route allows two.
- Both hosts count it for usage.

--- a/packages/geranium-relay/tests/test_peer_forwarding.py
+++ b/packages/geranium-relay/tests/test_peer_forwarding.py
@@ -232,6 +232,58 @@
         assert other.taken[0].progress.sends == 1
 
 
+@dataclasses.dataclass(frozen=True)
+class TwoHosts:
+    """What two hosts did for one request that both may have got."""
+
+    calls: tuple[int, int]
+    counts: tuple[dict[str, int], ...]
+    sends_told: tuple[int, ...]
+
+
+async def pass_on_twice(*scripts: Callable) -> TwoHosts:
+    """Let one host send a safe request and fail, and a second one take it."""
+    world, first, other = make_cut_world(), Taker('h2'), Taker('h3')
+    first.world.targets.add_scripts(*scripts)
+    targets = tuple(first.world.fleet.targets_by_identity.values())
+    first.world.fleet.replace(targets[:2], world.clock.now())
+    other.world.targets.add_scripts(answer(b'a'))
+    async with run_hosts(world, first, other):
+        prefer(world, first)
+        await world.serve('safe')
+    next_window = int(time.time() // 5) + 1
+    return TwoHosts(
+        (len(first.world.targets.calls), len(other.world.targets.calls)),
+        tuple(
+            count
+            for host in (first, other)
+            for count in host.world.usage.recent(next_window).values()
+        ),
+        tuple(taken.progress.sends for taken in other.taken),
+    )
+
+
+async def test_sends_of_a_host_that_refused_count_at_the_next() -> None:
+    """Otherwise the first send of the next host takes no retry."""
+    rejected = failing(relay.NotRunError('status 503'))
+    seen = await pass_on_twice(UNREACHED, rejected)
+
+    assert seen.sends_told == (1,)
+
+
+async def test_runs_at_another_host_count_against_the_route() -> None:
+    """The route allows two runs; the first host has had both."""
+    seen = await pass_on_twice(cut(), cut())
+
+    assert seen.calls == (2, 0)
+
+
+async def test_request_that_two_hosts_sent_is_counted_once() -> None:
+    seen = await pass_on_twice(cut(), cut())
+
+    assert seen.counts == ({'team': 1},)
+
+
 async def test_host_that_is_gone_has_not_taken_the_request() -> None:
     world, gone, other = make_cut_world(), Taker('h2'), Taker('h3')
     other.world.targets.add_scripts(answer(b'a'))
