Version records: one that can't be read does not end the duty

A record of the versions of a service with another form than this build writes ended the reading with a KeyError or a TypeError. On the holder of the duty it ended usage reports and orders with it, at each new start; on other hosts, each request that took up a stream.

Such a record now counts as one that may name any version: streams of its service are not assumed to have begun at the only version. It is logged.

pytest packages/geranium-relay/tests/test_stream_versions.py -k unreadable: 5 failed before (KeyError, TypeError, a task that had ended), 5 passed.

--- a/packages/geranium-relay/src/geranium_relay/version_records.py
+++ b/packages/geranium-relay/src/geranium_relay/version_records.py
@@ -14,6 +14,7 @@
 from geranium_coordination import (
     Lease,
     ObjectStore,
+    StoredObject,
     StoreError,
     Unconditional,
 )
@@ -22,6 +23,7 @@
 from .targets import Fleet
 
 RECORDS_PREFIX = 'target-versions/'
+UNKNOWN_VERSION = '(unknown)'  # no target has it
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -103,12 +105,23 @@
             self._log.record('versions_not_read', error=repr(error))
             return None
         return {
-            record.key.removeprefix(RECORDS_PREFIX): frozenset(
-                map(str, record.body['versions'])
-            )
+            record.key.removeprefix(RECORDS_PREFIX): self._decode(record)
             for record in found
         }
 
+    def _decode(self, record: StoredObject) -> frozenset[str]:
+        """Return the versions in a record.
+
+        One that can't be read, since another build has written it, may name
+        any version.
+        """
+        match record.body:
+            case {'versions': list() as versions}:
+                return frozenset(map(str, versions))
+            case _:
+                self._log.record('version_record_unreadable', key=record.key)
+                return frozenset((UNKNOWN_VERSION,))
+
     async def _update(self, recorded: dict[str, frozenset[str]]) -> None:
         """Write or remove the records that differ from the list of targets."""
         now = self._clock()
--- a/packages/geranium-relay/tests/test_stream_versions.py
+++ b/packages/geranium-relay/tests/test_stream_versions.py
@@ -6,7 +6,8 @@
 from collections.abc import AsyncIterator
 
 import geranium_relay as relay
-from geranium_coordination import MemoryStore, UnavailableError
+import pytest
+from geranium_coordination import MemoryStore, UnavailableError, Unconditional
 from geranium_relay.peer_updates import name_hash
 
 from . import origins
@@ -267,3 +268,33 @@
     found = await make_origins(fleet, clock, AbsentStore()).find('x', 's')
 
     assert found is None
+
+
+@pytest.mark.parametrize('body', [None, [], {}, {'versions': 7}])
+async def test_unreadable_record_of_another_build_is_no_proof(
+    body: object,
+) -> None:
+    clock, store = Clock(), MemoryStore()
+    await store.write('target-versions/s', body, Unconditional())
+    await store.write(
+        'target-versions/other',
+        {'versions': ['v1', 'v2'], 'later': 1},
+        Unconditional(),
+    )
+    fleet = relay.Fleet(0, LIFETIME_S)
+    fleet.replace(make_targets('v1'), clock.now())
+    records = origins.make_records(fleet, clock.now, store)
+
+    assert await records.may_have_begun_elsewhere('s', 'v1')
+    assert await records.may_have_begun_elsewhere('other', 'v1')
+    assert not await records.may_have_begun_elsewhere('third', 'v1')
+
+
+async def test_unreadable_record_does_not_end_the_records() -> None:
+    clock, store = Clock(), MemoryStore()
+    await store.write('target-versions/s', None, Unconditional())
+    fleet = relay.Fleet(0, LIFETIME_S)
+    fleet.replace(make_targets('v1', 'v2'), clock.now())
+    async with asyncio.timeout(5), recording(fleet, clock, store) as lines:
+        assert 'version_record_unreadable' in await lines.get()
+        assert 'versions_recorded' in await lines.get()
