Forwarded requests: kinds and values of a later build are survived

A frame with an enum value that the schema of this build lacks ended the request of the caller with a RuntimeError from pycapnp, so its connection closed without an answer; in an answer to a question of reach it ended the judgement of the target. A frame of an unknown kind counted as a lost answer, so the request failed though the other host had served it. A call of an unknown kind was closed without an answer, so the sender had to assume that it ran.

Unknown frames are now left out, an unknown outcome counts as one that may have run, an unknown judgement says nothing, and an unknown call is refused as not carried out.

This does not help the builds before: what a host sends to them must stay within their schema.

--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/call_codec.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/call_codec.py
@@ -14,6 +14,7 @@
     decode_text,
     encode_headers,
     encode_text,
+    member_of,
     milliseconds,
     schema,
 )
@@ -42,6 +43,7 @@
     """Decode a call that has arrived at ``now``.
 
     Raises:
+        UnknownMessageError: If it is a call that a later build has added.
         MalformedMessageError: If the bytes are not a call.
     """
     try:
@@ -85,7 +87,7 @@
 
 
 def _decode_call(call: Any, now: float) -> ForwardedRequest | ReachQuestion:
-    if str(call.which()) == 'question':
+    if member_of(call) == 'question':
         return ReachQuestion(call.question)
     return _decode_request(call.request, now)
 
--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/encoding.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/encoding.py
@@ -16,6 +16,10 @@
     """Bytes that are not a message between hosts."""
 
 
+class UnknownMessageError(MalformedMessageError):
+    """A message of a kind that this build does not know."""
+
+
 @functools.cache
 def schema() -> Any:
     """Return the schema; it is loaded with the first call."""
@@ -23,6 +27,27 @@
     return capnp.load(str(path))
 
 
+def member_of(message: Any) -> str:
+    """Return the name of the member that a union holds.
+
+    Raises:
+        UnknownMessageError: If a later build has added the member.
+    """
+    try:
+        return str(message.which())
+    except capnp.KjException as error:
+        raise UnknownMessageError('unknown kind of message') from error
+
+
+def name_of(enumerant: Any) -> str:
+    """Return the name of an enum value; empty if a later build added it."""
+    try:
+        return str(enumerant)
+    except RuntimeError:
+        # pycapnp raises it for numbers that the schema does not name.
+        return ''
+
+
 def encode_headers(headers: Headers) -> list[dict[str, bytes]]:
     """Encode headers."""
     return [
--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/frame_codec.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/frame_codec.py
@@ -19,7 +19,9 @@
     MalformedMessageError,
     decode_headers,
     encode_headers,
+    member_of,
     milliseconds,
+    name_of,
     schema,
 )
 from .messages import (
@@ -42,6 +44,7 @@
     """Decode a frame.
 
     Raises:
+        UnknownMessageError: If it is a frame that a later build has added.
         MalformedMessageError: If the bytes are not a frame.
     """
     try:
@@ -74,7 +77,7 @@
 
 
 def _decode_frame(message: Any) -> Frame:
-    match str(message.which()):
+    match member_of(message):
         case 'head':
             head = message.head
             decoded = ResponseHead(
@@ -86,7 +89,7 @@
         case 'end':
             return _decode_end(message.end)
         case 'reach':
-            return ReachFrame(TargetReach(str(message.reach)))
+            return ReachFrame(TargetReach(name_of(message.reach)))
         case _:
             return AliveFrame()
 
@@ -114,7 +117,7 @@
 
 
 def _decode_end(end: Any) -> EndFrame:
-    match str(end.outcome):
+    match name_of(end.outcome):
         case 'delivered':
             return EndFrame(Delivered(end.status))
         case 'refused':
--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/peer_client.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/peer_client.py
@@ -27,7 +27,7 @@
 from ..targets import Target
 from .call_codec import encode_question, encode_request
 from .connections import ConnectionEndedError, MessageConnection
-from .encoding import MalformedMessageError
+from .encoding import MalformedMessageError, UnknownMessageError
 from .frame_codec import decode_frame
 from .messages import (
     AliveFrame,
@@ -197,7 +197,7 @@
             AnswerLostError: If it may have run.
             TargetSilentError: If it may have run and the host is silent.
         """
-        frames = _Frames(await self._connect(peer), self._settings.silence_s)
+        frames = await self._open(peer)
         self._sent_by_host[peer.host] += 1
         try:
             return await self._send(peer, frames, request)
@@ -222,9 +222,7 @@
     async def _ask(self, peer: PeerIdentity, target: Target) -> TargetReach:
         frames: _Frames | None = None
         try:
-            frames = _Frames(
-                await self._connect(peer), self._settings.silence_s
-            )
+            frames = await self._open(peer)
             await frames.send(encode_question(ReachQuestion(target.key)))
             frame = await frames.next()
         except RelayError as error:
@@ -258,6 +256,10 @@
             case frame:
                 raise AnswerLostError(f'peer: {frame}')
 
+    async def _open(self, peer: PeerIdentity) -> '_Frames':
+        connection = await self._connect(peer)
+        return _Frames(connection, self._settings.silence_s, self._log)
+
     async def _connect(self, peer: PeerIdentity) -> MessageConnection:
         host, _, port = peer.address.rpartition(':')
         try:
@@ -272,11 +274,17 @@
 
 
 class _Frames:
-    """The frames of one response, as long as the host is alive."""
+    """The frames of one response, as long as the host is alive.
 
-    def __init__(self, connection: MessageConnection, silence_s: float) -> None:
+    Frames of unknown kinds are left out.
+    """
+
+    def __init__(
+        self, connection: MessageConnection, silence_s: float, log: DecisionLog
+    ) -> None:
         self._connection = connection
         self._silence_s = silence_s
+        self._log = log
 
     async def send(self, message: bytes) -> None:
         self._connection.write(message)
@@ -291,15 +299,27 @@
     async def next(self) -> Frame:
         """Return the next frame that says more than that the host is alive."""
         while True:
-            try:
-                async with asyncio.timeout(self._silence_s):
-                    frame = decode_frame(await self._connection.read())
-            except TimeoutError:
-                raise TargetSilentError('peer is silent') from None
-            except (ConnectionEndedError, MalformedMessageError) as error:
-                raise AnswerLostError(f'peer: {error}') from error
+            frame = self._decode(await self._read())
             if not isinstance(frame, AliveFrame):
                 return frame
 
     def close(self) -> None:
         self._connection.abort()
+
+    async def _read(self) -> bytes:
+        try:
+            async with asyncio.timeout(self._silence_s):
+                return await self._connection.read()
+        except TimeoutError:
+            raise TargetSilentError('peer is silent') from None
+        except ConnectionEndedError as error:
+            raise AnswerLostError(f'peer: {error}') from error
+
+    def _decode(self, message: bytes) -> Frame:
+        try:
+            return decode_frame(message)
+        except UnknownMessageError:
+            self._log.record('peer_frame_unknown')
+            return AliveFrame()
+        except MalformedMessageError as error:
+            raise AnswerLostError(f'peer: {error}') from error
--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/peer_server.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/peer_server.py
@@ -16,7 +16,7 @@
 from ..stream_origins import StreamOrigins
 from .call_codec import decode_call
 from .connections import ConnectionEndedError, MessageConnection
-from .encoding import schema
+from .encoding import UnknownMessageError, schema
 from .frame_codec import encode_frame
 from .messages import (
     AliveFrame,
@@ -122,7 +122,12 @@
     async def _serve_connection(self, connection: MessageConnection) -> None:
         async with asyncio.timeout(self._settings.read_timeout_s):
             message = await connection.read()
-        match decode_call(message, self._clock()):
+        try:
+            call = decode_call(message, self._clock())
+        except UnknownMessageError:
+            await self._refuse_unknown(connection)
+            return
+        match call:
             case ForwardedRequest() as request:
                 await self._serve_request(connection, request)
             case ReachQuestion(target=target):
@@ -130,6 +135,13 @@
                 connection.write(encode_frame(ReachFrame(reach)))
                 await connection.drain()
 
+    async def _refuse_unknown(self, connection: MessageConnection) -> None:
+        """Tell a host of a later build that its call was not carried out."""
+        self._log.record('peer_call_unknown')
+        refusal = Refused('unknown call', UNKNOWN_RETRY_S, elsewhere=True)
+        connection.write(encode_frame(EndFrame(refusal)))
+        await connection.drain()
+
     async def _serve_request(
         self, connection: MessageConnection, request: ForwardedRequest
     ) -> None:
