--- a/packages/geranium-relay/src/geranium_relay/usage.py
+++ b/packages/geranium-relay/src/geranium_relay/usage.py
@@ -29,6 +29,8 @@
 
 COUNTS_PREFIX = 'usage/counts/'
 SEALS_PREFIX = 'usage/seals/'
+_MAX_WINDOW_DIGITS = 18
+_MAX_COUNT = 0xFFFFFFFF  # of a team in a window, as updates carry it
 MIN_SLEEP_S = 0.01  # avoids a busy loop when the clock steps back
 
 
@@ -352,13 +354,18 @@
 
 
 def _window(key: str) -> int:
-    return int(key) if key.isdecimal() else 0
+    is_number = key.isdecimal() and len(key) <= _MAX_WINDOW_DIGITS
+    return int(key) if is_number else 0
 
 
 def _counts(body: Any) -> dict[str, int]:
     """Return the valid counts in a stored body."""
     if not isinstance(body, dict):
         return {}
-    return {
-        team: count for team, count in body.items() if isinstance(count, int)
-    }
+    return {team: count for team, count in body.items() if _is_count(count)}
+
+
+def _is_count(count: object) -> bool:
+    if not isinstance(count, int) or isinstance(count, bool):
+        return False
+    return 0 <= count <= _MAX_COUNT
