Coordination: an odd lease or session in the store hides no others

An object among the leases or sessions without the expected fields raised KeyError, TypeError or OverflowError in the refresh of the view, which ended the task of the duties: the holder released them and nobody took them over. The session of a lease with an infinite term never ended.

Bodies were indexed as if only this product wrote them. A lease whose object is odd stays without a holder until the object is removed, as before: to write over it could make two holders.

--- a/packages/geranium-coordination/src/geranium_coordination/membership.py
+++ b/packages/geranium-coordination/src/geranium_coordination/membership.py
@@ -20,6 +20,7 @@
 from .timeouts import TimedStore
 
 _LOGGER = logging.getLogger(__name__)
+_MAX_TERM_S = 3600  # of a session
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -190,7 +191,10 @@
         holds its leases for the common term.
         """
         match body:
-            case {'host': str() as host, 'term_s': float() | int() as term_s}:
+            case {
+                'host': str() as host,
+                'term_s': float() | int() as term_s,
+            } if 0 <= term_s <= _MAX_TERM_S:
                 return host, term_s
             case _:
                 _LOGGER.warning('session %s is unreadable', identity)
--- a/packages/geranium-coordination/src/geranium_coordination/operations.py
+++ b/packages/geranium-coordination/src/geranium_coordination/operations.py
@@ -25,7 +25,7 @@
 
 def get_operation_id(found: StoredObject | None) -> str | None:
     """Return the identifier of the operation that wrote the object."""
-    if found is None:
+    if found is None or not isinstance(found.body, dict):
         return None
     operation: str | None = found.body.get(OPERATION_FIELD)
     return operation
