geraniumd: an odd row of the platform's lists hides no others

A row with a state that is not known, a field of another type, a lone surrogate or deep nesting made the whole list of hosts or targets invalid. The error was no StoreError, so the task that polls the lists ended, and was started again after up to 30 s, with the same result: no target was added or removed as long as the row stayed.

The lists were validated as a whole. They still are, which costs the same; if that fails, the rows are validated one by one, and the number of those left out is logged when it changes ("list_rows_left_out").

--- a/packages/geraniumd/src/geraniumd/platform/client.py
+++ b/packages/geraniumd/src/geraniumd/platform/client.py
@@ -19,7 +19,7 @@
 from geranium_model import Host, TargetOrder, Usage
 from geranium_relay import StoreHttpClient, StoreResponse, StoreSettings
 
-from ..process import PlatformSettings
+from ..process import PlatformSettings, get_logger
 from .listings import ListedTarget, parse_hosts, parse_targets
 
 MS_PER_S = 1000
@@ -37,6 +37,8 @@
             StoreSettings(settings.address, settings.call_timeout_s),
         )
         self._last_watched_by_key: dict[str, StoredObject] = {}
+        self._left_out_by_list: dict[str, int] = {}
+        self._log = get_logger()
         self.calls_by_kind = {'read': 0, 'write': 0, 'watch': 0}
 
     async def close(self) -> None:
@@ -127,13 +129,17 @@
         """Return the platform's list of hosts, which may be out of date."""
         self.calls_by_kind['read'] += 1
         response = await self._read('hosts')
-        return parse_hosts(response.raw)
+        return parse_hosts(
+            response.raw, lambda count: self._record_left_out('hosts', count)
+        )
 
     async def targets(self) -> tuple[ListedTarget, ...]:
         """Return the platform's list of targets, which may be out of date."""
         self.calls_by_kind['read'] += 1
         response = await self._read('targets')
-        return parse_targets(response.raw)
+        return parse_targets(
+            response.raw, lambda count: self._record_left_out('targets', count)
+        )
 
     async def order_targets(
         self,
@@ -173,6 +179,12 @@
         body = {'report_id': report_id, 'epoch': epoch, 'figures': figures}
         await self._write('PUT', f'usage-reports/{quote(window)}', body)
 
+    def _record_left_out(self, listed: str, count: int) -> None:
+        """Log that a list begins to lack rows, or lacks another number."""
+        if count != self._left_out_by_list.get(listed, 0):
+            self._left_out_by_list[listed] = count
+            self._log.warning('list_rows_left_out', list=listed, count=count)
+
     async def _read_unchanged(
         self,
         key: str,
