geraniumd: odd responses of the platform are errors of its store

An object without a readable version or a list of objects in another form raised TypeError, KeyError or ValueError, none of which is a StoreError: the task that made the call ended instead of trying again, and one odd object hid all others of its prefix.

The client indexed bodies and headers as if they were always complete. Reading them is a module of its own now. A missing version is UnavailableError for a read and AnswerLostError for a write, which may have taken effect; malformed objects of a list are left out and counted in "list_rows_left_out".

--- a/packages/geraniumd/src/geraniumd/platform/client.py
+++ b/packages/geraniumd/src/geraniumd/platform/client.py
@@ -21,6 +21,7 @@
 
 from ..process import PlatformSettings, get_logger
 from .listings import ListedTarget, parse_hosts, parse_targets
+from .stored_objects import read_object, read_objects, read_version
 
 MS_PER_S = 1000
 
@@ -56,17 +57,15 @@
         response = await self._read(_object_path(key))
         if response.status == HTTPStatus.NOT_FOUND:
             return None
-        return _stored_object(key, response)
+        return read_object(key, response)
 
     async def read_prefix(self, prefix: str) -> tuple[StoredObject, ...]:
         """Return the objects whose keys start with a prefix, sorted by key."""
         self.calls_by_kind['read'] += 1
         response = await self._read(f'objects?prefix={quote(prefix)}')
-        listing = response.document
-        return tuple(
-            StoredObject(row['key'], row['version'], row['value'])
-            for row in listing['objects']
-        )
+        found, left_out = read_objects(response)
+        self._record_left_out(prefix, left_out)
+        return found
 
     async def write(self, key: str, body: Any, condition: Condition) -> int:
         """Write the object and return its new version.
@@ -82,7 +81,10 @@
             _condition_headers(condition),
         )
         _raise_conflict(key, response)
-        return _version(response)
+        version = read_version(response)
+        if version is None:
+            raise AnswerLostError(f'{key}: no version')
+        return version
 
     async def delete(self, key: str, condition: Condition) -> None:
         """Delete the object; a missing object is a conflict.
@@ -120,7 +122,7 @@
         if response.status == HTTPStatus.NOT_FOUND:
             return None
         if response.status == HTTPStatus.OK:
-            seen = _stored_object(key, response)
+            seen = read_object(key, response)
             self._last_watched_by_key[key] = seen
             return seen
         return await self._read_unchanged(key, seen_version)
@@ -227,19 +229,11 @@
             return {}
 
 
-def _version(response: StoreResponse) -> int:
-    return int(response.headers['ETag'].strip('"'))
-
-
-def _stored_object(key: str, response: StoreResponse) -> StoredObject:
-    return StoredObject(key, _version(response), response.document)
-
-
 def _raise_conflict(key: str, response: StoreResponse) -> None:
     if response.status == HTTPStatus.PRECONDITION_FAILED:
-        present = ABSENT_VERSION
+        present: int | None = ABSENT_VERSION
         if 'ETag' in response.headers:
-            present = _version(response)
+            present = read_version(response)
         raise ConflictError(key, present)
 
 
