Passed-on requests: what a host has done for a request it could not finish counts at the first host

A host that took a request from another, ran it twice in vain and failed told the first host only that it failed. A failure and a cut now say, like a refusal, how often the request was sent and may have run, and whether it was counted.

--- a/packages/geranium-relay/src/geranium_relay/attempt_selection.py
+++ b/packages/geranium-relay/src/geranium_relay/attempt_selection.py
@@ -143,5 +143,4 @@
             max(free_in_s, self._settings.retry_after_s),
             elsewhere=self._send_limit.has_unreached or bool(hosts),
             hosts=hosts,
-            calls=self._send_limit.refused_calls,
         )
--- a/packages/geranium-relay/src/geranium_relay/outcomes.py
+++ b/packages/geranium-relay/src/geranium_relay/outcomes.py
@@ -12,18 +12,25 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class RefusedCalls:
-    """The calls for a request that targets have refused.
+class CallsMade:
+    """The calls to targets that were made for a request.
 
     Args:
         sends: How often it was sent to be run.
+        runs: How often it may have run.
         first_recorded: Whether its first send counts in the retry budget.
         prefilled: Whether an engine has accepted a prefill call for it.
+        counted: Whether it was counted for usage.
     """
 
     sends: int = 0
+    runs: int = 0
     first_recorded: bool = False
     prefilled: bool = False
+    counted: bool = False
+
+
+_NO_CALLS = CallsMade()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -31,14 +38,14 @@
     """The request did not run; the caller may retry after a delay.
 
     ``elsewhere`` says that another host may be able to serve it now, ``hosts``
-    which ones, if that is known. ``calls`` is what was sent for it.
+    which ones, if that is known. ``calls`` is what was sent for it in vain.
     """
 
     reason: str
     retry_after_s: float
     elsewhere: bool = False
     hosts: frozenset[str] = frozenset()
-    calls: RefusedCalls = RefusedCalls()
+    calls: CallsMade = dataclasses.field(default=_NO_CALLS, compare=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,9 +60,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Failed:
-    """The request may have run; there is no complete response."""
+    """The request may have run; there is no complete response.
+
+    ``calls`` is what was sent for it.
+    """
 
     reason: str
+    calls: CallsMade = dataclasses.field(default=_NO_CALLS, compare=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,11 +76,24 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CutOff:
-    """The response had started and can't be completed."""
+    """The response had started and can't be completed.
+
+    ``calls`` is what was sent for it.
+    """
 
     reason: str
+    calls: CallsMade = dataclasses.field(default=_NO_CALLS, compare=False)
 
 
 Outcome: TypeAlias = (
     Delivered | Refused | UnknownRoute | UnknownKey | Failed | TimedOut | CutOff
 )
+
+
+def with_calls(outcome: Outcome, calls: CallsMade) -> Outcome:
+    """Return the outcome of a request with what was sent for it."""
+    match outcome:
+        case Refused() | Failed() | CutOff():
+            return dataclasses.replace(outcome, calls=calls)
+        case _:
+            return outcome
--- a/packages/geranium-relay/src/geranium_relay/peer_attempts.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_attempts.py
@@ -8,6 +8,7 @@
 from .outcomes import CutOff, Failed, Outcome, Refused
 from .peer_forwarding import (
     ForwardedRequest,
+    PeerFailedError,
     PeerRefusedError,
     PeerResponse,
     RunProgress,
@@ -105,7 +106,7 @@
         except (NotSentError, PeerRefusedError) as error:
             self._send_limit.remove_forwarded_run()
             if isinstance(error, PeerRefusedError):
-                self._send_limit.add_refused(error.refusal.calls)
+                self._send_limit.add_calls(error.refusal.calls)
             self._record_failure(job, context, error)
             return self._outcome_untaken(error)
         except RelayError as error:
@@ -195,6 +196,9 @@
     ) -> Outcome | None:
         """Return the outcome unless the request may be sent again."""
         self._record_failure(job, context, error)
+        if isinstance(error, PeerFailedError):
+            self._send_limit.add_calls(error.calls)
+            self._recorder.counted |= error.calls.counted
         self._forwarder.drop_partial_event()
         may_repeat = self._send_limit.may_run_again(job.route)
         if may_repeat and self._forwarder.can_resume():
--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/__init__.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/__init__.py
@@ -13,6 +13,7 @@
 from .peer_client import (
     PeerClient,
     PeerClientSettings,
+    PeerFailedError,
     PeerRefusedError,
     PeerResponse,
 )
@@ -24,6 +25,7 @@
     'ForwardedRequest',
     'PeerClient',
     'PeerClientSettings',
+    'PeerFailedError',
     'PeerHandlers',
     'PeerRefusedError',
     'PeerResponse',
--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/forwarding.capnp
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/forwarding.capnp
@@ -77,10 +77,12 @@
   retryAfterMs @2 :UInt32;
   elsewhere @3 :Bool;
   status @4 :UInt16;
-  # What was done for a refused request; hosts of older versions leave it out.
+  # What was done for an unfinished request; older builds leave it out.
   sends @5 :UInt16;
   firstRecorded @6 :Bool;
   prefilled @7 :Bool;
+  runs @8 :UInt16;
+  counted @9 :Bool;
 }
 
 enum Outcome {
--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/frame_codec.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/frame_codec.py
@@ -7,11 +7,11 @@
 
 from ..messages import ResponseHead
 from ..outcomes import (
+    CallsMade,
     CutOff,
     Delivered,
     Failed,
     Refused,
-    RefusedCalls,
     TimedOut,
 )
 from ..zone_reports import MS_IN_S
@@ -104,16 +104,22 @@
                 'reason': refusal.reason,
                 'retryAfterMs': milliseconds(refusal.retry_after_s),
                 'elsewhere': refusal.elsewhere,
-                'sends': refusal.calls.sends,
-                'firstRecorded': refusal.calls.first_recorded,
-                'prefilled': refusal.calls.prefilled,
+                **_encode_calls(refusal.calls),
+            }
+        case Failed(reason=reason, calls=calls):
+            return {
+                'outcome': 'failed',
+                'reason': reason,
+                **_encode_calls(calls),
             }
-        case Failed(reason=reason):
-            return {'outcome': 'failed', 'reason': reason}
         case TimedOut():
             return {'outcome': 'timedOut'}
-        case CutOff(reason=reason):
-            return {'outcome': 'cutOff', 'reason': reason}
+        case CutOff(reason=reason, calls=calls):
+            return {
+                'outcome': 'cutOff',
+                'reason': reason,
+                **_encode_calls(calls),
+            }
 
 
 def _decode_end(end: Any) -> EndFrame:
@@ -125,9 +131,9 @@
         case 'timedOut':
             return EndFrame(TimedOut())
         case 'cutOff':
-            return EndFrame(CutOff(end.reason))
+            return EndFrame(CutOff(end.reason, _decode_calls(end)))
         case _:
-            return EndFrame(Failed(end.reason))
+            return EndFrame(Failed(end.reason, _decode_calls(end)))
 
 
 def _decode_refusal(end: Any) -> Refused:
@@ -135,5 +141,21 @@
         end.reason,
         end.retryAfterMs / MS_IN_S,
         elsewhere=end.elsewhere,
-        calls=RefusedCalls(end.sends, end.firstRecorded, end.prefilled),
+        calls=_decode_calls(end),
+    )
+
+
+def _encode_calls(calls: CallsMade) -> dict[str, object]:
+    return {
+        'sends': calls.sends,
+        'runs': calls.runs,
+        'firstRecorded': calls.first_recorded,
+        'prefilled': calls.prefilled,
+        'counted': calls.counted,
+    }
+
+
+def _decode_calls(end: Any) -> CallsMade:
+    return CallsMade(
+        end.sends, end.runs, end.firstRecorded, end.prefilled, end.counted
     )
--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/peer_client.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/peer_client.py
@@ -22,7 +22,7 @@
 from ..decision_log import DecisionLog
 from ..load_tracker import LoadTracker
 from ..messages import PeerIdentity, ResponseHead
-from ..outcomes import Delivered, Refused
+from ..outcomes import CutOff, Delivered, Failed, Refused
 from ..peers import Peers
 from ..targets import Target
 from .call_codec import encode_question, encode_request
@@ -71,6 +71,17 @@
         self.refusal = refusal
 
 
+class PeerFailedError(AnswerLostError):
+    """A host could not finish a request that may have run.
+
+    ``calls`` is what it has sent for it.
+    """
+
+    def __init__(self, outcome: Failed | CutOff) -> None:
+        super().__init__(f'peer: {outcome.reason}')
+        self.calls = outcome.calls
+
+
 class PeerResponse:
     """A response that another host forwards; implements ``TargetResponse``.
 
@@ -99,7 +110,7 @@
                 case EndFrame(outcome=Delivered()):
                     return
                 case frame:
-                    raise AnswerLostError(f'peer: {frame}')
+                    raise _lost_response(frame)
 
     async def read(self, max_bytes: int) -> bytes:
         """Return the complete body."""
@@ -254,7 +265,7 @@
             case EndFrame(outcome=Refused() as refusal):
                 raise PeerRefusedError(refusal)
             case frame:
-                raise AnswerLostError(f'peer: {frame}')
+                raise _lost_response(frame)
 
     async def _open(self, peer: PeerIdentity) -> '_Frames':
         connection = await self._connect(peer)
@@ -323,3 +334,12 @@
             return AliveFrame()
         except MalformedMessageError as error:
             raise AnswerLostError(f'peer: {error}') from error
+
+
+def _lost_response(frame: Frame) -> AnswerLostError:
+    """Return the error for a frame that ends a response too early."""
+    match frame:
+        case EndFrame(outcome=(Failed() | CutOff()) as outcome):
+            return PeerFailedError(outcome)
+        case _:
+            return AnswerLostError(f'peer: {frame}')
--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -18,7 +18,14 @@
 from .catalogue import RouteKind, Service
 from .load_tracker import Dispatch
 from .messages import CacheHandle, Job, ResponseHead, TargetCall
-from .outcomes import CutOff, Failed, Outcome, Refused, TimedOut
+from .outcomes import (
+    CutOff,
+    Failed,
+    Outcome,
+    Refused,
+    TimedOut,
+    with_calls,
+)
 from .peer_attempts import NotTaken, PeerAttempts
 from .peer_forwarding import ForwardedRequest, RunProgress
 from .ports import ResponseSink, TargetResponse
@@ -114,7 +121,8 @@
                 outcome = await self._try_once()
         finally:
             self._send_limit.close()
-        return outcome
+        calls = self._send_limit.calls_made(counted=self._recorder.counted)
+        return with_calls(outcome, calls)
 
     def deadline_outcome(self) -> Outcome:
         """Return the outcome of a request that reached its deadline."""
--- a/packages/geranium-relay/src/geranium_relay/send_limit.py
+++ b/packages/geranium-relay/src/geranium_relay/send_limit.py
@@ -5,7 +5,7 @@
 from geranium_policy.retry_share import RetryKind, RetryPermit
 
 from .catalogue import Route
-from .outcomes import RefusedCalls
+from .outcomes import CallsMade
 from .peer_forwarding import RunProgress
 from .prefill_permits import PrefillPermits
 from .retry_shares import RetryShares
@@ -105,16 +105,27 @@
         self.sends -= 1
         self.runs -= 1
 
-    @property
-    def refused_calls(self) -> RefusedCalls:
-        """What was sent for the request, if it has not run."""
-        return RefusedCalls(
-            self.sends, self.first_recorded, self.prefill.accepted
+    def calls_made(self, *, counted: bool) -> CallsMade:
+        """Return what was sent for the request.
+
+        Args:
+            counted: Whether it was counted for usage.
+        """
+        return CallsMade(
+            self.sends,
+            self.runs,
+            self.first_recorded,
+            self.prefill.accepted,
+            counted,
         )
 
-    def add_refused(self, calls: RefusedCalls) -> None:
-        """Add the calls that another host has sent in vain."""
+    def add_calls(self, calls: CallsMade) -> None:
+        """Add what another host has sent, which began with what was sent here.
+
+        Hosts of older builds say nothing of it.
+        """
         self.sends = max(self.sends, calls.sends)
+        self.runs = max(self.runs, calls.runs)
         self.first_recorded |= calls.first_recorded
         self.prefill.accepted |= calls.prefilled
 
--- a/packages/geranium-relay/tests/test_other_builds.py
+++ b/packages/geranium-relay/tests/test_other_builds.py
@@ -172,7 +172,7 @@
         (
             ('cutOff @4;', '  later @5;'),
             ('question @1 :Text;', '    later @2 :Text;'),
-            ('sender @19 :Text;', '  later @21 :Text;'),
+            ('prefilled @21 :Bool;', '  later @22 :Text;'),
         ),
     )
     (tmp_path / FORWARDING.name).write_text(changed)
