Store: a late copy of an earlier answer is not the answer to a write

A store that sent an earlier answer once more on a kept connection made a host believe the opposite of what happened to its next write: a write that had taken effect was taken for one that conflicted (a copy of a 409 or 404), that was refused (429, 503, a list, which is no object) or that had another version (a copy of a read). Answers of the store name no call.

Now a failure is the last answer on its connection, and a connection on which bytes arrived that no call waits for is not used again. Open: copies of a success as the answer to a read, a delete, a creation or an unconditional write of the same object.

--- a/packages/geranium-relay/src/geranium_relay/store_http_client.py
+++ b/packages/geranium-relay/src/geranium_relay/store_http_client.py
@@ -15,7 +15,7 @@
 import aiohttp
 from geranium_coordination import AnswerLostError, UnavailableError
 
-from .http_connections import send_once
+from .http_connections import CallConnector
 from .json_bodies import decode_body
 
 CallObserver = Callable[[str, str], None]
@@ -76,6 +76,10 @@
 class StoreHttpClient:
     """Sends calls over persistent connections, each at most once.
 
+    Responses don't name their call. A failure is therefore the last response
+    on its connection: a late copy of it would be taken for that of a later
+    call. Copies of successes are for the users of the responses to tell.
+
     Args:
         settings: Address and timeouts of the store.
         observe: Called with each call's method and its status or error.
@@ -89,6 +93,7 @@
         self._settings = settings
         self._observe = observe
         self._base_url = f'http://{settings.address}/'
+        self._connector: CallConnector | None = None
         self._session: aiohttp.ClientSession | None = None
 
     async def cleanup(self) -> None:
@@ -179,21 +184,21 @@
             ) as response,
         ):
             raw = await response.read()
+            if not response.ok and self._connector is not None:
+                self._connector.use_for(response).retire(response)
             return StoreResponse(response.status, response.headers, raw)
 
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             settings = self._settings
+            self._connector = CallConnector(None, settings.idle_s)
             self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(
-                    limit=0,
-                    keepalive_timeout=settings.idle_s,
-                ),
+                connector=self._connector,
                 timeout=aiohttp.ClientTimeout(
                     sock_connect=settings.connect_timeout_s,
                 ),
                 headers={'Content-Type': 'application/json'},
                 cookie_jar=aiohttp.DummyCookieJar(),
-                middlewares=(send_once,),
+                middlewares=(self._connector.send_once,),
             )
         return self._session
--- a/tests/adapter/stale_target.py
+++ b/tests/adapter/stale_target.py
@@ -65,6 +65,11 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
 
+    def answer(self, identity: str) -> Answer:
+        """Return the answer to a request that is run."""
+        signed = ('Response-Signature: s',)
+        return Answer('200 OK', signed, identity, identity)
+
     async def _answer_first(self, writer: asyncio.StreamWriter) -> bytes:
         """Send the first answer; return what follows the next request."""
         self._first_sent = True
@@ -92,10 +97,7 @@
         writer.write(rest)
         await writer.drain()
         await asyncio.sleep(GAP_S)
-        answer = Answer(
-            '200 OK', ('Response-Signature: s',), identity, identity
-        )
-        writer.write(answer.encode())
+        writer.write(self.answer(identity).encode())
         await writer.drain()
 
 
