Crash causes: a cause is tried by one request at a time

Callers with a sound part of a prompt that was taken for a cause of crashes were refused at all hosts until the evidence lapsed after 300 s, and a single request for 900 s: nobody may send the part, so no completion can clear it. That holds also where the targets really ended, for example with their zone. When the evidence lapsed and the part was harmful, all requests with it ran.

Once no target has crashed under a cause for 10 s, one request with it is now sent, by a host that all hosts choose alike, at one target. Its completion clears the part everywhere; otherwise the next trial comes after 40 s, 160 s, and, once the cause has cost five targets, each 240 s.

Evidence, on the parent: the 8 tests of packages/geranium-relay/tests/test_cause_trials.py and test_request_is_served_after_one_trial_though_its_targets_are_gone in tests/adapter/test_wrong_crashes.py (503 at both hosts) fail; those of packages/geranium-policy/tests/test_cause_trials.py have no next_trial. All pass now, and the tests of the crash causes unchanged.

--- a/packages/geranium-policy/src/geranium_policy/crash_causes.py
+++ b/packages/geranium-policy/src/geranium_policy/crash_causes.py
@@ -13,6 +13,7 @@
 from collections.abc import Collection, Iterable, Mapping, Sequence, Set
 from typing import TypeAlias
 
+from .cause_trials import Cause, CauseTrials, CauseTrialSettings, Trial
 from .suspects import CrashNotice, SuspectRegister, Verdict
 
 
@@ -26,18 +27,25 @@
             as one: many targets may end at once for reasons of their own.
         evidence_s: Time after which a crash is no evidence any more, so that
             a wrong conclusion does not last.
+        confirmed_evidence_s: The same once a trial has failed, or as many
+            crashes have happened.
         max_sound_parts: Maximum number of parts known to be sound. The least
             recently completed are dropped first.
         withdraw_after_s: A target that serves on this long after its crash
             has not crashed. For a shorter time, another start of it may not
             be listed yet.
+        trials: When causes are tried.
     """
 
     min_crashes: int = 3
     moment_s: float = 0.25
     evidence_s: float = 300
+    confirmed_evidence_s: float = 900
     max_sound_parts: int = 8192
     withdraw_after_s: float = 10
+    trials: CauseTrialSettings = dataclasses.field(
+        default_factory=CauseTrialSettings
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,14 +64,6 @@
 _CrashedAtById: TypeAlias = Mapping[str, float]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Cause:
-    """What crashes targets, and the ids of the crashes that it explains."""
-
-    fingerprints: frozenset[int]
-    crash_ids: frozenset[str]
-
-
 class CrashCauses:
     """Finds the parts that crash targets, and rejects requests with them.
 
@@ -74,15 +74,18 @@
     Args:
         settings: When crashes are attributed.
         register: The crashes known to this host.
+
+    ``trials`` records the trials of causes.
     """
 
     def __init__(
         self, settings: CrashCauseSettings, register: SuspectRegister
     ) -> None:
+        self.trials = CauseTrials(settings.trials, register)
         self._settings = settings
         self._register = register
         self._sound_parts = collections.OrderedDict[int, None]()
-        self._causes: tuple[_Cause, ...] = ()
+        self._causes: tuple[Cause, ...] = ()
         self._revision = register.revision
         self._expires_at = math.inf
 
@@ -96,13 +99,34 @@
         A request that only ran on targets as they crashed under others is no
         suspect: their cause explains those crashes.
         """
-        known = frozenset(fingerprints.every)
-        explained: set[str] = set()
-        for cause in self._current_causes(now):
-            if cause.fingerprints <= known:
-                return Verdict.REJECT
-            explained |= cause.crash_ids
-        return self._register.verdict(fingerprints.request, now, explained)
+        if self._matching(fingerprints, now):
+            return Verdict.REJECT
+        return self._register.verdict(
+            fingerprints.request, now, self._explained(now)
+        )
+
+    def next_trial(
+        self, fingerprints: RequestFingerprints, now: float
+    ) -> Trial | None:
+        """Return the next trial for which a rejected request may be sent.
+
+        ``None`` means that there is none before the evidence has lapsed, or
+        that the request is rejected for several causes: its run would tell
+        nothing about one of them.
+        """
+        matching = self._matching(fingerprints, now)
+        if not matching:
+            request = fingerprints.request
+            crash_ids = self._register.unexplained(
+                request, now, self._explained(now)
+            )
+            matching = (Cause(frozenset((request,)), crash_ids),)
+        if len(matching) > 1:
+            return None
+        cause = matching[0]
+        return self.trials.next_trial(
+            cause, now, has_limit=fingerprints.request in cause.fingerprints
+        )
 
     def record_crash(
         self, fingerprints: RequestFingerprints, crash_id: str, now: float
@@ -151,12 +175,14 @@
         return self._register.withdraw(crash_id, before, now)
 
     def proofs(self, now: float) -> tuple[CrashNotice, ...]:
-        """Return the latest crashes of each cause, to be sent continuously.
+        """Return the latest crashes and the trials of each cause.
+
+        They are sent continuously.
 
         A host that was cut off or has just started learns the causes from
         them.
         """
-        most = self._settings.min_crashes
+        most = max(self._settings.min_crashes, self.trials.settings.max_crashes)
         notices: list[CrashNotice] = []
         causes = [cause.fingerprints for cause in self._current_causes(now)]
         for fingerprint in itertools.chain.from_iterable(causes):
@@ -164,14 +190,31 @@
             notices.extend(latest)
         return tuple(notices)
 
-    def _current_causes(self, now: float) -> tuple[_Cause, ...]:
+    def _matching(
+        self, fingerprints: RequestFingerprints, now: float
+    ) -> tuple[Cause, ...]:
+        """Return the causes that a request has in it."""
+        known = frozenset(fingerprints.every)
+        return tuple(
+            cause
+            for cause in self._current_causes(now)
+            if cause.fingerprints <= known
+        )
+
+    def _explained(self, now: float) -> frozenset[str]:
+        """Return the ids of the crashes that causes explain."""
+        return frozenset().union(
+            *(cause.crash_ids for cause in self._current_causes(now))
+        )
+
+    def _current_causes(self, now: float) -> tuple[Cause, ...]:
         revision = self._register.revision
         if revision != self._revision or now >= self._expires_at:
             self._revision = revision
             self._causes = tuple(self._find_causes(now))
         return self._causes
 
-    def _find_causes(self, now: float) -> Iterable[_Cause]:
+    def _find_causes(self, now: float) -> Iterable[Cause]:
         """Yield causes, each of crashes that no earlier one explains.
 
         Parts that are not known to be sound come first: they explain the
@@ -191,29 +234,42 @@
             ):
                 crash_ids = frozenset(crashes_by_fingerprint[next(iter(cause))])
                 explained.update(crash_ids)
-                yield _Cause(cause, crash_ids)
+                yield Cause(cause, crash_ids)
 
     def _evidence(self, now: float) -> dict[int, dict[str, float]]:
         """Return the recent crashes of what enough of them happened under."""
-        oldest = now - self._settings.evidence_s
         self._expires_at = math.inf
         crashes_by_fingerprint: dict[int, dict[str, float]] = {}
         for crash in self._register.active_crashes(now):
-            if crash.crashed_at > oldest:
-                crashes = crashes_by_fingerprint.setdefault(
-                    crash.fingerprint, {}
-                )
-                crashes[crash.crash_id] = crash.crashed_at
-                self._expires_at = min(
-                    self._expires_at,
-                    crash.crashed_at + self._settings.evidence_s,
-                )
+            crashes = crashes_by_fingerprint.setdefault(crash.fingerprint, {})
+            crashes[crash.crash_id] = crash.crashed_at
+        recent_by_fingerprint = {
+            fingerprint: self._recent(fingerprint, crashes, now)
+            for fingerprint, crashes in crashes_by_fingerprint.items()
+            if len(crashes) >= self._settings.min_crashes
+        }
         return {
             fingerprint: crashes
-            for fingerprint, crashes in crashes_by_fingerprint.items()
+            for fingerprint, crashes in recent_by_fingerprint.items()
             if len(crashes) >= self._settings.min_crashes
         }
 
+    def _recent(
+        self, fingerprint: int, crashes: _CrashedAtById, now: float
+    ) -> dict[str, float]:
+        evidence_s = self._settings.evidence_s
+        if self.trials.is_confirmed(fingerprint, crashes.values(), now):
+            evidence_s = self._settings.confirmed_evidence_s
+        recent = {
+            crash_id: at
+            for crash_id, at in crashes.items()
+            if at > now - evidence_s
+        }
+        self._expires_at = min(
+            self._expires_at, min(recent.values(), default=now) + evidence_s
+        )
+        return recent
+
     def _find_cause(
         self,
         suspects: Collection[int],
--- a/packages/geranium-relay/src/geranium_relay/attempt_selection.py
+++ b/packages/geranium-relay/src/geranium_relay/attempt_selection.py
@@ -1,9 +1,12 @@
 """Selects the next attempt of a request, within its limits."""
 
+import dataclasses
+
 from geranium_policy.retry_share import RetryKind
 
 from .attempts import Attempt
 from .catalogue import Service
+from .crash_check import CrashCheck
 from .messages import Job
 from .outcomes import Refused
 from .request_recorder import record_busy, record_repeat
@@ -11,7 +14,6 @@
 from .run_settings import RunSettings
 from .send_limit import SendLimit
 from .stream_origins import StreamVersion
-from .suspicion import crash_refusal
 from .target_selector import (
     NoEngine,
     Placement,
@@ -47,6 +49,7 @@
         self._settings = settings
         self._version = version
         self._send_limit = send_limit
+        self._crash_check = CrashCheck(job, context, settings, send_limit)
 
     def take(self, avoid: set[str]) -> Attempt | Refused:
         """Return the next attempt, counted against the limits.
@@ -68,13 +71,18 @@
             return self._refuse('no repeat left', avoid)
         if attempt.reader is not None:
             self._send_limit.prefill.take()
+        self._crash_check.begin_trial()
         return attempt
 
+    def crash_refusal(self) -> Refused | None:
+        """Return a refusal if the request is known to crash targets."""
+        return self._crash_check.refusal()
+
     def _next_attempt(self, avoid: set[str]) -> Attempt | Refused:
         now = self._context.clock()
         if self._job.deadline - now < self._settings.min_time_left_s:
             return Refused('no time left', self._settings.retry_after_s)
-        refusal = crash_refusal(self._context, self._job, self._settings)
+        refusal = self.crash_refusal()
         if refusal is not None:
             return refusal
         decision = self._select(avoid)
@@ -120,6 +128,9 @@
         target = selector.target(placement.generator)
         if target is None:
             return Refused('target gone', self._settings.retry_after_s)
+        if self._crash_check.trial is not None:
+            # A trial must not cost a second target.
+            placement = dataclasses.replace(placement, reader=None)
         reader = None
         if placement.reader is not None:
             reader = selector.target(placement.reader)
--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/peer_client.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/peer_client.py
@@ -166,6 +166,12 @@
         """Whether there are other hosts that serve callers."""
         return bool(self._peers.usable())
 
+    def hosts_reaching(self, service: str) -> frozenset[str]:
+        """Return the names of the other hosts that reach a service."""
+        return frozenset(
+            peer.host for peer in hosts_reaching(service, self._peers)
+        )
+
     def choose(
         self,
         service: str,
--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -38,7 +38,7 @@
 from .sending import open_response
 from .silence import SilenceLimit
 from .stream_origins import StreamVersion
-from .suspicion import clear_request, crash_refusal, suspect_request
+from .suspicion import clear_request, suspect_request
 
 
 class Run:
@@ -178,7 +178,7 @@
 
     async def _send(self, attempt: Attempt) -> Outcome | None:
         cache_handle = await self._prefill.read(self._job, attempt)
-        refusal = crash_refusal(self._context, self._job, self._settings)
+        refusal = self._selection.crash_refusal()
         if refusal is not None:
             if cache_handle is not None:
                 await self._context.targets.drop_prompt(cache_handle)
--- a/packages/geranium-relay/src/geranium_relay/suspicion.py
+++ b/packages/geranium-relay/src/geranium_relay/suspicion.py
@@ -1,29 +1,12 @@
-"""Records requests under which targets crashed, and rejects their like."""
+"""Records requests under which targets crashed."""
 
 from geranium_policy.crash_evidence import CrashEvidence, TargetReach
 
 from .messages import Job
-from .outcomes import Refused
 from .run_context import RunContext, shared_parts
-from .run_settings import RunSettings
 from .targets import Target
 
 
-def crash_refusal(
-    context: RunContext, job: Job, settings: RunSettings
-) -> Refused | None:
-    """Return a refusal if earlier crashes show that a job crashes targets."""
-    if not context.crash_causes.rejects(job.fingerprints, context.clock()):
-        return None
-    context.log.record(
-        'crash_cause_found',
-        request=job.arrival.identity,
-        fingerprint=job.fingerprints.request,
-        parts=_part_names(job),
-    )
-    return Refused('crashed targets', settings.crash_retry_s)
-
-
 async def suspect_request(
     context: RunContext, job: Job, target: Target
 ) -> None:
@@ -60,7 +43,7 @@
         request=job.arrival.identity,
         target=target.key,
         fingerprint=job.fingerprints.request,
-        parts=_part_names(job),
+        parts=part_names(job),
         listed=evidence.is_listed,
         own=own.value,
         peers=[answer.value for answer in evidence.peers],
@@ -96,5 +79,6 @@
     )
 
 
-def _part_names(job: Job) -> list[str]:
+def part_names(job: Job) -> list[str]:
+    """Return the names of the parts that other requests may have too."""
     return [part.identity for part in shared_parts(job.arrival)]
--- a/packages/geranium-relay/tests/test_wrong_causes.py
+++ b/packages/geranium-relay/tests/test_wrong_causes.py
@@ -92,9 +92,11 @@
     hosts.first.targets.add_scripts(
         *itertools.repeat(lambda _call: CutAnswer(links), TARGETS)
     )
+    hosts.first.place_once_each()
     await asyncio.gather(
         *(hosts.serve(hosts.first, NEW_PART) for _ in range(TARGETS))
     )
+    assert len(set(hosts.first.crashed_targets())) == TARGETS
     hosts.exchange()
     hosts.first.targets.reachable = True
     for world in hosts.every:
--- a/packages/geranium-relay/tests/world.py
+++ b/packages/geranium-relay/tests/world.py
@@ -265,6 +265,25 @@
         placement = Placement(reader.key, target.key, 10, 0, 0.01)
         self.selector.select_engines = lambda *_: placement
 
+    def place_once_each(self) -> None:
+        """Make the next prompts run on one engine after the other."""
+        select_engines = self.selector.select_engines
+        keys = [
+            target.key for target in self.fleet.targets_by_identity.values()
+        ]
+
+        def select(*demand: object) -> Placement:
+            if keys:
+                return Placement(None, keys.pop(), 10, 0, 0.01)
+            return select_engines(*demand)
+
+        self.selector.select_engines = select
+
+    def crashed_targets(self) -> list[str]:
+        """Return the targets whose crashes count, for each fingerprint."""
+        crashes = self.suspects.active_crashes(self.clock.now())
+        return [crash.crash_id for crash in crashes]
+
     async def serve(
         self,
         route: str,
--- a/packages/geraniumd/src/geraniumd/callers/suspects.py
+++ b/packages/geraniumd/src/geraniumd/callers/suspects.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import dataclasses
 from collections.abc import AsyncIterator, Collection
 from contextlib import asynccontextmanager
 from http import HTTPStatus
@@ -56,7 +57,14 @@
 
     def __init__(self, context: Context, engines: EngineClient) -> None:
         self._register = context.suspects
-        self._causes = CrashCauses(CrashCauseSettings(), context.suspects)
+        settings = CrashCauseSettings()
+        # No trial would end a wrong conclusion earlier.
+        self._causes = CrashCauses(
+            dataclasses.replace(
+                settings, confirmed_evidence_s=settings.evidence_s
+            ),
+            context.suspects,
+        )
         self._fleet = context.fleet
         self._gossip = context.gossip
         self._clock = context.clock
