Prompts: an engine that did not run a prompt is not believed to keep it

An engine that refused a prompt, or accepted no connection, counted as one that keeps its parts, at the sending host and, by the next update, at all others. Later prompts with the same parts went there and were prefilled anew, and their first tokens were expected too early.

Prompts are recorded when they are sent, since concurrent requests with the same prefix must find the same engine. The record is now taken back once the send is known not to have run: from the index, where parts that were sent otherwise stay, and from the notices that are still queued for other hosts. PrefixCaches is split from TargetSelector.

--- a/packages/geranium-emulator/src/geranium_emulator/hosts.py
+++ b/packages/geranium-emulator/src/geranium_emulator/hosts.py
@@ -158,7 +158,7 @@
         """Apply a peer's loads and the prompt parts that it dispatched."""
         self.loads.update_peer(sender, loads, self.simulation.now())
         for key, parts in sent:
-            self.selector.record_cached_parts(key, parts)
+            self.selector.prefix_caches.add(key, parts)
 
     def record_latency(self, key: str, dispatch: relay.Dispatch) -> None:
         """Record the latency of a dispatch."""
@@ -185,7 +185,7 @@
     def record_prompt(self, request: EmulatedRequest, key: str) -> None:
         """Record that an engine caches a prompt, and queue it for peers."""
         prompt = request.prompt
-        self.selector.record_cached_parts(key, prompt.parts)
+        self.selector.prefix_caches.add(key, prompt.parts)
         for sent in self._cached_parts_by_audience.values():
             sent.append((key, prompt.parts[:-1]))
 
--- a/packages/geranium-relay/src/geranium_relay/peer_updates.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_updates.py
@@ -154,6 +154,16 @@
             return
         self.forward_dispatches((DispatchNotice(name_hash(key), shared),))
 
+    def withdraw_dispatch(self, key: str, parts: Sequence[PromptPart]) -> None:
+        """Take back a prompt that its target has not run.
+
+        It stays known to the audiences that have been told already.
+        """
+        notice = DispatchNotice(name_hash(key), tuple(parts[:-1]))
+        for dispatches in self._dispatches_by_audience.values():
+            if notice in dispatches:
+                dispatches.remove(notice)
+
     def forward_dispatches(
         self,
         notices: Iterable[DispatchNotice],
--- a/packages/geranium-relay/src/geranium_relay/prefill_runner.py
+++ b/packages/geranium-relay/src/geranium_relay/prefill_runner.py
@@ -15,7 +15,7 @@
 from .load_tracker import Dispatch
 from .messages import CacheHandle, Job, TargetCall
 from .prefill_permits import PrefillPermits
-from .request_recorder import record_repeat
+from .request_recorder import record_repeat, withdraw_prompt
 from .run_context import RunContext
 from .run_settings import RunSettings
 from .targets import Target
@@ -56,6 +56,8 @@
                 kept = await self._prefill(job, reader, dispatch.expected_s)
         except (RelayError, TimeoutError) as error:
             self._record_failure(job, reader, error)
+            if isinstance(error, (NotSentError, NotRunError)):
+                withdraw_prompt(job, self._context, reader.key)
             return None
         finally:
             self._context.selector.observe_latency(reader, dispatch)
--- a/packages/geranium-relay/src/geranium_relay/prefix_cache_index.py
+++ b/packages/geranium-relay/src/geranium_relay/prefix_cache_index.py
@@ -1,16 +1,27 @@
 """Estimates which prompt prefixes engines have cached."""
 
 import collections
-from collections.abc import Sequence
+import dataclasses
+from collections.abc import Callable, Sequence
+from typing import TypeAlias
 
 import xxhash
 
 from .messages import PromptPart
 from .targets import Target
 
+_CachedParts: TypeAlias = collections.OrderedDict[str, '_CachedPart']
 CACHE_SHARE = 0.7  # of an engine's memory; running requests use the rest
 
 
+@dataclasses.dataclass(slots=True)
+class _CachedPart:
+    """A part, and how many of the prompts sent since it came contain it."""
+
+    tokens: int
+    prompts: int = 0
+
+
 class PrefixCacheIndex:
     """Tracks the prompt parts sent to each engine, with LRU eviction.
 
@@ -20,7 +31,7 @@
 
     def __init__(self, kv_tokens: int) -> None:
         self._limit = kv_tokens * CACHE_SHARE
-        self._parts_by_target: dict[str, collections.OrderedDict[str, int]] = {}
+        self._parts_by_target: dict[str, _CachedParts] = {}
         self._tokens_by_target: dict[str, int] = {}
 
     def cached_tokens(self, target: str, parts: Sequence[PromptPart]) -> int:
@@ -39,25 +50,85 @@
         """Record that a prompt was sent to an engine, which now caches it."""
         cached = self._parts_by_target.setdefault(
             target,
-            collections.OrderedDict(),
+            _CachedParts(),
         )
         tokens = self._tokens_by_target.get(target, 0)
         for part in parts:
-            if part.identity in cached:
-                cached.move_to_end(part.identity)
-                continue
-            cached[part.identity] = part.tokens
-            tokens += part.tokens
+            known = cached.get(part.identity)
+            if known is None:
+                known = _CachedPart(part.tokens)
+                cached[part.identity] = known
+                tokens += part.tokens
+            known.prompts += 1
+            cached.move_to_end(part.identity)
         while tokens > self._limit and cached:
-            tokens -= cached.popitem(last=False)[1]
+            tokens -= cached.popitem(last=False)[1].tokens
         self._tokens_by_target[target] = tokens
 
+    def withdraw(self, target: str, parts: Sequence[PromptPart]) -> None:
+        """Take back that a prompt was sent to an engine, which didn't run it.
+
+        Parts that were cached before, or have been sent since, stay.
+        """
+        cached = self._parts_by_target.get(target, _CachedParts())
+        for part in parts:
+            known = cached.get(part.identity)
+            if known is None:
+                continue
+            known.prompts -= 1
+            if not known.prompts:
+                cached.pop(part.identity)
+                self._tokens_by_target[target] -= known.tokens
+
     def remove_target(self, target: str) -> None:
         """Remove all entries of an engine."""
         self._parts_by_target.pop(target, None)
         self._tokens_by_target.pop(target, None)
 
 
+class PrefixCaches:
+    """The prefix cache index of each service.
+
+    Args:
+        find_target: Returns the target with a key, if it is listed.
+    """
+
+    def __init__(self, find_target: Callable[[str], Target | None]) -> None:
+        self._find_target = find_target
+        self._index_by_service: dict[str, PrefixCacheIndex] = {}
+
+    def of_service(self, service: str, kv_tokens: int) -> PrefixCacheIndex:
+        """Return the index of a service's engines."""
+        index = self._index_by_service.get(service)
+        if index is None:
+            index = PrefixCacheIndex(kv_tokens)
+            self._index_by_service[service] = index
+        return index
+
+    def add(self, target: str, parts: Sequence[PromptPart]) -> None:
+        """Record that a target caches prompt parts that were sent to it."""
+        index = self._index_of(target)
+        if index is not None:
+            index.add(target, parts)
+
+    def withdraw(self, target: str, parts: Sequence[PromptPart]) -> None:
+        """Take back such a record: the target has not run the prompt."""
+        index = self._index_of(target)
+        if index is not None:
+            index.withdraw(target, parts)
+
+    def remove_target(self, target: str) -> None:
+        """Remove all entries of a target."""
+        for index in self._index_by_service.values():
+            index.remove_target(target)
+
+    def _index_of(self, target: str) -> PrefixCacheIndex | None:
+        found = self._find_target(target)
+        if found is None:
+            return None
+        return self._index_by_service.get(found.service)
+
+
 def home_engine(
     parts: Sequence[PromptPart],
     engines: Sequence[Target],
--- a/packages/geranium-relay/src/geranium_relay/request_recorder.py
+++ b/packages/geranium-relay/src/geranium_relay/request_recorder.py
@@ -6,6 +6,7 @@
 from geranium_policy.retry_share import RetryKind
 
 from .attempts import Attempt
+from .call_errors import NotRunError, NotSentError
 from .load_tracker import Dispatch
 from .messages import CacheHandle, Job
 from .run_context import RunContext
@@ -46,7 +47,7 @@
         if prompt is None:
             return
         for key in filter(None, (placement.reader, placement.generator)):
-            selector.record_cached_parts(key, prompt.parts)
+            selector.prefix_caches.add(key, prompt.parts)
             self._context.outbox.record_dispatch(key, prompt.parts)
 
     def record_begun(self, attempt: Attempt, dispatch: Dispatch) -> None:
@@ -90,6 +91,10 @@
             error=repr(error),
             started=started,
         )
+        if isinstance(error, (NotSentError, NotRunError)):
+            withdraw_prompt(
+                self._job, self._context, attempt.placement.generator
+            )
 
     def record_refusal(
         self, attempt: Attempt, cache_handle: CacheHandle | None
@@ -139,6 +144,14 @@
         self._context.usage.count(self._job.team.name)
 
 
+def withdraw_prompt(job: Job, context: RunContext, target: str) -> None:
+    """Take back that an engine keeps a prompt, which it has not run."""
+    prompt = job.arrival.prompt
+    if prompt is not None:
+        context.selector.prefix_caches.withdraw(target, prompt.parts)
+        context.outbox.withdraw_dispatch(target, prompt.parts)
+
+
 def record_busy(
     job: Job, context: RunContext, avoid: Collection[str], free_in_s: float
 ) -> None:
--- a/packages/geranium-relay/src/geranium_relay/target_selector.py
+++ b/packages/geranium-relay/src/geranium_relay/target_selector.py
@@ -33,8 +33,8 @@
 from .engine_loads import EngineLoads
 from .limit_probes import targets_beside_due
 from .load_tracker import IDLE, Dispatch, LoadTracker
-from .messages import Job, Prompt, PromptPart
-from .prefix_cache_index import PrefixCacheIndex, home_engine
+from .messages import Job, Prompt
+from .prefix_cache_index import PrefixCacheIndex, PrefixCaches, home_engine
 from .target_notices import TargetNotices
 from .targets import Fleet, Stage, Target
 
@@ -97,6 +97,8 @@
         settings: Settings of the policies.
         clock: Returns the current time in seconds.
         source: Random numbers that break ties.
+
+    ``prefix_caches`` is what the engines are believed to cache.
     """
 
     def __init__(
@@ -125,7 +127,7 @@
         self._health = HealthTracker(settings.health, source)
         self.refusals = RefusalBackoff(settings.refusals, source)
         self._corrections = LatencyCorrections(settings.corrections)
-        self._caches_by_service: dict[str, PrefixCacheIndex] = {}
+        self.prefix_caches = PrefixCaches(self.target)
 
     def select_engines(
         self,
@@ -270,34 +272,12 @@
         """Update the target's health with the result of a call."""
         self._health.observe(target.key, observation, self._clock())
 
-    def record_cached_parts(
-        self, target: str, parts: tuple[PromptPart, ...]
-    ) -> None:
-        """Record that a target caches prompt parts that were sent to it."""
-        found = self.target(target)
-        if found is None:
-            return
-        prefix_caches = self._caches_by_service.get(found.service)
-        if prefix_caches is not None:
-            prefix_caches.add(target, parts)
-
     def remove_target(self, target: str) -> None:
         """Remove the state of a target that no longer exists."""
         self._corrections.remove(target)
         self._health.remove(target)
         self.refusals.remove(target)
-        for prefix_caches in self._caches_by_service.values():
-            prefix_caches.remove_target(target)
-
-    def prefix_caches(
-        self, service: str, profile: EngineProfile
-    ) -> PrefixCacheIndex:
-        """Return the prefix cache index of a service's engines."""
-        prefix_caches = self._caches_by_service.get(service)
-        if prefix_caches is None:
-            prefix_caches = PrefixCacheIndex(profile.kv_tokens)
-            self._caches_by_service[service] = prefix_caches
-        return prefix_caches
+        self.prefix_caches.remove_target(target)
 
     def _application_targets(
         self, job: Job, avoid: frozenset[str]
@@ -335,7 +315,9 @@
         now = self._clock()
         targets_by_key = self._usable_targets(job.service, avoid)
         loads = self._engine_loads.ahead_of(job.rank, targets_by_key, now)
-        prefix_caches = self.prefix_caches(job.service, profile)
+        prefix_caches = self.prefix_caches.of_service(
+            job.service, profile.kv_tokens
+        )
         homes = _home_engines(prompt, tuple(targets_by_key.values()))
         for key, target in targets_by_key.items():
             yield EngineState(
