geraniumd: a presence with an unusable address ends no link but its own

The connection to a host whose presence names a port over 65535, a lone surrogate or a NUL raised OverflowError or ValueError, which are no PeerError. All links run in one task group, so the links to all other hosts were closed and opened again every half second or more. Both are PeerError now, like other failures to connect.

--- a/packages/geraniumd/src/geraniumd/hosts/links.py
+++ b/packages/geraniumd/src/geraniumd/hosts/links.py
@@ -103,8 +103,9 @@
                     self._telemetry,
                 )
                 await self._authenticate(channel)
-        except OSError as error:
-            # TimeoutError is an OSError too.
+        except (OSError, OverflowError, ValueError) as error:
+            # TimeoutError is an OSError too; the others are for a port that
+            # is out of range or no number.
             raise PeerError(repr(error)) from error
         return channel
 
