geraniumd: odd addresses and reports of engines are errors of their calls

A call to an address with a port out of range counted as lost after it was sent, so the request may have run and was not sent to another target. A load report with an infinite age, a negative count or a number of 400 digits was taken over: counts that don't fit a message to peers, and ages that calculations overflow.

Addresses that are no URL are refusals now, as failures to connect are. Counts of reports range from 0 to 2**32 - 1, ages are finite, and other reports are malformed, as ones with fields of another type.

--- a/packages/geraniumd/src/geraniumd/backends/engine_interface.py
+++ b/packages/geraniumd/src/geraniumd/backends/engine_interface.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+from typing import Annotated, TypeAlias
 
 import pydantic
 from geranium_model import (
@@ -24,6 +25,14 @@
 MS_PER_S = 1000
 _CALL_TIMEOUT_S = 2
 _LIVE = 'live'
+_MAX_COUNT = 0xFFFFFFFF  # fits messages to peers
+_MAX_HASH = 0xFFFFFFFFFFFFFFFF
+_MAX_AGE_MS = 1e9
+
+_Count: TypeAlias = Annotated[int, pydantic.Field(ge=0, le=_MAX_COUNT)]
+_Milliseconds: TypeAlias = Annotated[
+    float, pydantic.Field(ge=-_MAX_AGE_MS, le=_MAX_AGE_MS)
+]
 
 
 class _LoadReport(pydantic.BaseModel):
@@ -32,12 +41,12 @@
     version: str = ''
     role: Role
     state: str
-    running: int
-    waiting: int
-    kv_pieces_used: int
-    kv_pieces: int
-    prefill_tokens_waiting: int
-    sampled_ms_ago: float
+    running: _Count
+    waiting: _Count
+    kv_pieces_used: _Count
+    kv_pieces: _Count
+    prefill_tokens_waiting: _Count
+    sampled_ms_ago: _Milliseconds
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,12 +68,12 @@
 
 class _CacheEventRow(pydantic.BaseModel):
     kind: str
-    prefix: int
+    prefix: Annotated[int, pydantic.Field(ge=-_MAX_HASH, le=_MAX_HASH)]
 
 
 class _CacheEventPage(pydantic.BaseModel):
     events: tuple[_CacheEventRow, ...]
-    next: int
+    next: Annotated[int, pydantic.Field(le=_MAX_HASH)]
 
 
 class EngineClient:
--- a/packages/geraniumd/src/geraniumd/backends/transport.py
+++ b/packages/geraniumd/src/geraniumd/backends/transport.py
@@ -27,8 +27,8 @@
 class TargetTransport:
     """Sends HTTP calls to targets over pooled or single-use connections.
 
-    A failure to connect is a refusal: the call did not run. After any later
-    failure, the call may have run.
+    A failure to connect, or an address that is none, is a refusal: the call
+    did not run. After any later failure, the call may have run.
 
     Responses need not name their call. A refusal is therefore the last
     response on its connection: a late copy of it would be taken for the
@@ -91,6 +91,7 @@
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
+            aiohttp.InvalidURL,
         ) as error:
             raise TargetRefusedError(repr(error)) from error
         except TimeoutError:
