Configuration of geraniumd: numbers and ports out of range are rejected

Documents that are already stored are read as before: the check is not part of the model.

Before: pytest packages/geranium-model/tests/test_odd_documents.py: 11 failed, 14 passed. After: 25 passed, and 242 passed in geraniumctl, geranium-statements, test_configuration.py and test_configuration_repository.py.

--- a/packages/geranium-model/src/geranium_model/validation.py
+++ b/packages/geranium-model/src/geranium_model/validation.py
@@ -8,6 +8,18 @@
 from .documents import ConfigurationDocument
 from .exceptions import DocumentError
 
+_MAX_PORT = 65535
+_LEAST = 1e-6  # of a number other than 0
+_MOST = 1e12
+_NUMBERS = (
+    ('services', 'first_token_ms'),
+    ('services', 'between_tokens_ms'),
+    ('teams', 'weight'),
+    ('contracts', 'committed'),
+    ('contracts', 'maximum'),
+    ('contracts', 'hourly_price'),
+)
+
 
 def parse_document(raw: Any) -> ConfigurationDocument:
     """Validate a decoded JSON value as a configuration document.
@@ -58,6 +70,7 @@
         yield from self._check_keys()
         yield from self._check_routes()
         yield from self._check_contracts()
+        yield from self._check_numbers()
         for zone in self._document.cordoned_zones:
             yield from _check_reference(
                 'cordoned_zones', 'zone', zone, self._zones
@@ -85,6 +98,8 @@
             yield from _check_reference(
                 f'{path}.zone', 'zone', target.zone, self._zones
             )
+            if not _has_port(target.address):
+                yield f'{path}.address: the port is out of range'
 
     def _check_keys(self) -> Iterator[str]:
         for index, key in enumerate(self._document.keys):
@@ -111,6 +126,13 @@
             if contract.maximum < contract.committed:
                 yield f'{path}.maximum: is below committed'
 
+    def _check_numbers(self) -> Iterator[str]:
+        """Find numbers that calculations with them overflow."""
+        for field, name in _NUMBERS:
+            for index, record in enumerate(getattr(self._document, field)):
+                if not _is_in_range(getattr(record, name, 0)):
+                    yield f'{field}[{index}].{name}: is out of range'
+
     def _check_service(self, path: str, service: str) -> Iterator[str]:
         yield from _check_reference(
             f'{path}.service', 'service', service, self._kinds_by_service
@@ -127,6 +149,14 @@
         yield f'{path}: no {kind} {name!r}'
 
 
+def _has_port(address: str) -> bool:
+    return 0 < int(address.rpartition(':')[-1]) <= _MAX_PORT
+
+
+def _is_in_range(number: float) -> bool:
+    return number == 0 or _LEAST <= number <= _MOST
+
+
 def _duplicates(field: str, names: Iterable[str]) -> Iterator[str]:
     seen: set[str] = set()
     for index, name in enumerate(names):
