--- a/tests/adapter/test_object_store.py
+++ b/tests/adapter/test_object_store.py
@@ -273,3 +273,32 @@
 
     with pytest.raises(UnavailableError):
         await client.write(KEY, {}, IfAbsent())
+
+
+@pytest.mark.parametrize(
+    ('key', 'kind', 'name'),
+    [
+        ('hosts/h1', 'geranium-hosts', 'h1'),
+        ('usage/counts/h1.5', 'geranium-usage-counts', 'h1.5'),
+        ('usage/seals/359', 'geranium-usage-seals', '359'),
+        ('target-versions/s', 'geranium-target-versions', 's'),
+        (
+            'coordination/sessions/h1.f5',
+            'geranium-coordination-sessions',
+            'h1.f5',
+        ),
+        (
+            'coordination/leases/operations',
+            'geranium-coordination-leases',
+            'operations',
+        ),
+    ],
+)
+async def test_document_lies_where_other_builds_look_for_it(
+    store: PlatformStore, key: str, kind: str, name: str
+) -> None:
+    await store.write(key, {'a': 1}, Unconditional())
+
+    listing = await store.list_kind(kind)
+
+    assert [found.key for found in listing.entries] == [name]
