Daemon: an error that an engine sends inside an event reaches no caller

An engine that broke off inside an event and then wrote an error response on the same connection put the whole head of that response into the caller's stream: up to the next empty line it was taken for the rest of the event. An event now consists of its id and lines of data, without carriage returns; otherwise the stream is broken, and another engine may go on with it.

--- a/packages/geraniumd/src/geraniumd/callers/events.py
+++ b/packages/geraniumd/src/geraniumd/callers/events.py
@@ -4,6 +4,7 @@
 
 _EVENT_END = b'\n\n'
 _COMMENT = b':'
+_DATA = b'data:'
 _DONE = b'data: [DONE]'
 _MAX_OFFSET_DIGITS = 18  # fits 64 bits
 MAX_EVENT_BYTES = 262144  # an event contains a few tokens
@@ -28,6 +29,8 @@
     An event is accepted if it has the request's id and the next offset. Events
     of other requests, without an offset and at earlier offsets are dropped and
     counted. A skipped offset sets ``has_gap``, and no later event is accepted.
+    Nor is one after an event with other lines than its id and data: an engine
+    that breaks off inside an event may send an error response there.
     """
 
     def __init__(self, execution_id: str, next_offset: int = 0) -> None:
@@ -37,12 +40,15 @@
         self.dropped_count = 0
         self.has_gap = False
         self.last_payload = b''
+        self._is_broken = False
 
     @property
     def defect(self) -> str | None:
         """Why the stream can't be read on, ``None`` if it can."""
         if self.has_gap:
             return 'the stream skipped an offset'
+        if self._is_broken:
+            return 'bytes inside an event'
         if len(self._rest) > MAX_EVENT_BYTES:
             return 'event without end'
         return None
@@ -63,7 +69,7 @@
         return self._batch(accepted, done=False)
 
     def _accept(self, event: bytes) -> bool:
-        if self.has_gap:
+        if self.has_gap or self._is_broken:
             return False
         if not event.startswith(self._prefix):
             self.dropped_count += 1
@@ -76,6 +82,9 @@
         if offset > self.next_offset:
             self.has_gap = True
             return False
+        if not _is_data(payload):
+            self._is_broken = True
+            return False
         self.next_offset += 1
         if not payload.endswith(_DONE):
             self.last_payload = payload
@@ -88,6 +97,13 @@
         return Batch(joined, self.next_offset, done)
 
 
+def _is_data(payload: bytes) -> bool:
+    """Return whether the lines of an event after its id are data."""
+    if b'\r' in payload:
+        return False
+    return all(line.startswith(_DATA) for line in payload.split(b'\n'))
+
+
 def _parse_offset(digits: bytes) -> int | None:
     """Return the offset in an event's id, ``None`` if it is not a number."""
     if len(digits) > _MAX_OFFSET_DIGITS or not digits.isdigit():
--- a/packages/geraniumd/tests/test_broken_bodies.py
+++ b/packages/geraniumd/tests/test_broken_bodies.py
@@ -6,6 +6,7 @@
 from geranium_standins.connections import reset
 from geraniumd.backends import TargetTransport, read_body
 from geraniumd.callers.events import MAX_EVENT_BYTES, EventBuffer
+from geraniumd.callers.streams import EngineStream
 from geraniumd.process import TargetLostError, TargetSettings
 
 BODY = b'half'
@@ -13,6 +14,11 @@
 ANSWER = b'HTTP/1.1 200 OK\r\n\r\n%b' % BODY
 
 
+EVENT = b'id: r1:0\ndata: {"a": 1}\n\n'
+CUT_EVENT = b'id: r1:1\ndata: {"a"'
+ERROR = b'HTTP/1.1 500 Failed\r\nContent-Length: 7\r\n\r\nfailed\n\n'
+
+
 async def read_answer(
     *, is_reset: bool = False, is_endless: bool = False
 ) -> bytes:
@@ -89,3 +95,32 @@
     assert not batch.data
     assert buffer.dropped_count == 1
     assert not buffer.has_gap
+
+
+@pytest.mark.parametrize(
+    'cut',
+    [b'', CUT_EVENT, b'%b\n' % CUT_EVENT, b'id: r1:1\n'],
+    ids=['after an event', 'in data', 'after data', 'after an id'],
+)
+async def test_error_inside_a_stream_reaches_no_caller(cut: bytes) -> None:
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 200 OK\r\n\r\n%b%b%b' % (EVENT, cut, ERROR))
+        writer.close()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    transport = TargetTransport(TargetSettings())
+    response = await transport.send('GET', f'http://127.0.0.1:{port}/')
+    stream = EngineStream(response, EventBuffer('r1'))
+    received = []
+
+    with pytest.raises(TargetLostError):
+        async for batch in stream.batches():
+            received.append(batch.data)
+
+    assert received == [EVENT]
+    await transport.close()
+    server.close()
