Prefill: a call whose link fails is no measured prefill time

An engine that refuses connections, resets them or refuses prefill calls looked up to twice as fast as it is: the time to the failure was taken for that of a prefill, and lowered the estimate by which hosts choose engines. A host that is cut drew its next prompts to the engines that it had just lost; where connections hang they looked up to six times as slow. The same for prefills whose caller left.

Only prefills that end, or time out, are measured now.

Evidence: test_failed_link_to_a_reader_is_no_prefill_time in packages/geranium-relay/tests/test_unsent_prompts.py failed for refused connections, refusals and resets on the parent, and passes now; test_prefill_that_takes_too_long_counts_as_slow passes before and after.

--- a/packages/geranium-relay/src/geranium_relay/prefill_runner.py
+++ b/packages/geranium-relay/src/geranium_relay/prefill_runner.py
@@ -58,9 +58,10 @@
             self._record_failure(job, reader, error)
             if isinstance(error, (NotSentError, NotRunError)):
                 withdraw_prompt(job, self._context, reader.key)
+            if isinstance(error, (TimeoutError, TargetSilentError)):
+                self._context.selector.observe_latency(reader, dispatch)
             return None
-        finally:
-            self._context.selector.observe_latency(reader, dispatch)
+        self._context.selector.observe_latency(reader, dispatch)
         self._context.selector.refusals.record_accepted(reader.key)
         if not self._permits.record_accepted():
             record_repeat(job, self._context, RetryKind.PREFILL, taken=True)
--- a/packages/geranium-relay/tests/test_unsent_prompts.py
+++ b/packages/geranium-relay/tests/test_unsent_prompts.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Iterator
+from collections.abc import Awaitable, Callable, Iterator
 
 import geranium_relay as relay
 import pytest
@@ -109,3 +109,44 @@
     await serve(world, 0)
 
     assert [key for _, key in believed(world)] == [world.targets.chosen]
+
+
+@pytest.mark.parametrize(
+    'error', [*UNRUN, relay.AnswerLostError('reset', broken=True)]
+)
+async def test_failed_link_to_a_reader_is_no_prefill_time(
+    error: relay.RelayError,
+) -> None:
+    world = World(answer(*EVENTS), engines=True)
+    world.place_isolated()
+    world.targets.read_prompt = raising(error)
+    times = record_prefill_times(world)
+
+    await serve(world, 0)
+
+    assert not times
+
+
+async def test_prefill_that_takes_too_long_counts_as_slow() -> None:
+    world = World(answer(*EVENTS), engines=True)
+    world.place_isolated()
+    world.targets.read_prompt = raising(TimeoutError())
+    times = record_prefill_times(world)
+
+    await serve(world, 0)
+
+    assert len(times) == 1
+
+
+def raising(error: Exception) -> Callable[..., Awaitable[relay.CacheHandle]]:
+    async def read_prompt(_call: relay.TargetCall) -> relay.CacheHandle:
+        raise error
+
+    return read_prompt
+
+
+def record_prefill_times(world: World) -> list[relay.Target]:
+    """Return the list to which engines with measured prefills are added."""
+    times = []
+    world.selector.observe_latency = lambda target, _: times.append(target)
+    return times
