Daemon: an event that was cut is not joined with the next engine's first one

A stream that broke off inside an event went on at another engine with what was left of that event before the first event of the new one: the caller got both as one event, or, if the cut lay inside the id, lost an event, after which no engine could go on. A skipped offset also ended all later attempts, as the mark of it was never taken back. The buffer of a run now starts anew with each engine, at the offset after the last whole event.

--- a/packages/geraniumd/src/geraniumd/callers/events.py
+++ b/packages/geraniumd/src/geraniumd/callers/events.py
@@ -42,6 +42,15 @@
         self.last_payload = b''
         self._is_broken = False
 
+    def begin(self) -> None:
+        """Expect the stream of another engine at the next offset.
+
+        What the engine before has sent of an incomplete event is dropped.
+        """
+        self._rest = b''
+        self.has_gap = False
+        self._is_broken = False
+
     @property
     def defect(self) -> str | None:
         """Why the stream can't be read on, ``None`` if it can."""
--- a/packages/geraniumd/src/geraniumd/callers/streams.py
+++ b/packages/geraniumd/src/geraniumd/callers/streams.py
@@ -39,6 +39,7 @@
     ) -> None:
         self._response = response
         self._buffer = buffer
+        buffer.begin()
 
     async def batches(self) -> AsyncIterator[Batch]:
         """Yield batches until the ``[DONE]`` event.
--- a/packages/geraniumd/tests/test_broken_bodies.py
+++ b/packages/geraniumd/tests/test_broken_bodies.py
@@ -1,6 +1,7 @@
 """A target's body without framing is cut by a reset, or never ends."""
 
 import asyncio
+import contextlib
 
 import pytest
 from geranium_standins.connections import reset
@@ -124,3 +125,45 @@
     assert received == [EVENT]
     await transport.close()
     server.close()
+
+
+class Engines:
+    """Gives one body after the other, each on a connection of its own."""
+
+    def __init__(self, *bodies: bytes) -> None:
+        self._bodies = list(bodies)
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 200 OK\r\n\r\n%b' % self._bodies.pop(0))
+        writer.close()
+
+
+@pytest.mark.parametrize(
+    'broken',
+    [CUT_EVENT, CUT_EVENT[:4], b'id: r1:7\ndata: {}\n\n', ERROR],
+    ids=['in data', 'in an id', 'skipped', 'error'],
+)
+async def test_next_engine_goes_on_where_the_whole_events_end(
+    broken: bytes,
+) -> None:
+    rest = b'id: r1:1\ndata: {"b": 2}\n\n'
+    done = b'id: r1:2\ndata: [DONE]\n\n'
+    engines = Engines(EVENT + broken, rest + done)
+    server = await asyncio.start_server(engines.serve, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    transport = TargetTransport(TargetSettings())
+    buffer = EventBuffer('r1')
+    received = []
+
+    for _ in range(2):
+        response = await transport.send('GET', f'http://127.0.0.1:{port}/')
+        with contextlib.suppress(TargetLostError):
+            async for batch in EngineStream(response, buffer).batches():
+                received.append(batch.data)
+
+    assert b''.join(received) == EVENT + rest + done
+    await transport.close()
+    server.close()
