--- a/packages/geranium-policy/src/geranium_policy/refusals.py
+++ b/packages/geranium-policy/src/geranium_policy/refusals.py
@@ -47,9 +47,14 @@
         self._backoffs_by_target: dict[str, _Backoff] = {}
 
     def record_refused(self, target: str, now: float) -> None:
-        """Record that a target has refused a request."""
+        """Record that a target has refused a request.
+
+        Requests that are refused while it is left out were sent before.
+        """
         settings = self._settings
         known = self._backoffs_by_target.get(target)
+        if known is not None and now < known.until:
+            return
         backoff_s = settings.base_s if known is None else known.next_s
         jitter = 1 + self._source.uniform(0, settings.jitter_share)
         self._backoffs_by_target[target] = _Backoff(
--- a/packages/geranium-policy/src/geranium_policy/retry_share.py
+++ b/packages/geranium-policy/src/geranium_policy/retry_share.py
@@ -15,6 +15,7 @@
 import collections
 import dataclasses
 import enum
+import itertools
 import math
 from collections.abc import Mapping
 
@@ -36,9 +37,9 @@
         window_s: Length of a window.
         used_share: Share of the budget that is used, so that sends that
             cross the boundary of a window stay within its budget.
-        prefill_share: Share of the budget that prefill calls may use beside
-            runs. Most of them give their permits back, and without any, the
-            engines that prefill would be idle when runs have used theirs.
+        prefill_share: Share of the budget up to which prefill calls are made,
+            runs included. Most of them give their permits back; without any,
+            the engines that prefill would be idle when runs have used theirs.
     """
 
     ratio: float
@@ -54,17 +55,28 @@
 
     Args:
         used: Retries in the last window, and permits that are not used yet.
+        used_by_runs: Those of them that are runs.
         allowed_by_kind: Retries that the share allows in a window.
+        budget: The whole share of the budget.
         hosts: Number of hosts that share the allowance.
     """
 
     used: int
+    used_by_runs: int
     allowed_by_kind: Mapping[RetryKind, float]
+    budget: float
     hosts: int
 
     def has_left(self, kind: RetryKind, permits: int = 1) -> bool:
-        """Return whether a number of permits can be taken."""
-        return self.used + permits <= self.allowed_by_kind[kind]
+        """Return whether a number of permits can be taken.
+
+        Runs keep to their own part, so that prefill calls under way, most of
+        which give their permits back, leave them theirs.
+        """
+        if self.used + permits > self.budget:
+            return False
+        used = self.used_by_runs if kind is RetryKind.RUN else self.used
+        return used + permits <= self.allowed_by_kind[kind]
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -72,9 +84,11 @@
     """A permit for one call beyond the first of a request.
 
     Args:
+        kind: What the call is.
         sent_at: When the call was sent; ``None`` before.
     """
 
+    kind: RetryKind
     sent_at: float | None = None
 
 
@@ -115,7 +129,7 @@
         """
         if not self.state(hosts, now).has_left(kind):
             return None
-        permit = RetryPermit()
+        permit = RetryPermit(kind)
         self._open.add(permit)
         return permit
 
@@ -145,10 +159,15 @@
             allowed += settings.allowance / max(hosts, 1)
         return RetryShareState(
             self.recent_repeats,
+            sum(
+                permit.kind is RetryKind.RUN
+                for permit in itertools.chain(self._open, self._sent)
+            ),
             {
                 RetryKind.RUN: allowed * settings.used_share,
                 RetryKind.PREFILL: allowed * settings.prefill_share,
             },
+            allowed,
             hosts,
         )
 
--- a/packages/geranium-relay/src/geranium_relay/alternative_attempt.py
+++ b/packages/geranium-relay/src/geranium_relay/alternative_attempt.py
@@ -29,7 +29,7 @@
         """
         if not self._send_limit.has_repeat():
             return False
-        attempt = self._selection.take(avoid)
+        attempt = self._selection.take(avoid, may_be_refused=False)
         if isinstance(attempt, Refused):
             return False
         self._reserved = attempt
--- a/packages/geranium-relay/src/geranium_relay/attempt_selection.py
+++ b/packages/geranium-relay/src/geranium_relay/attempt_selection.py
@@ -50,16 +50,25 @@
         self._version = version
         self._send_limit = send_limit
         self._crash_check = CrashCheck(job, context, settings, send_limit)
+        self._refusing: frozenset[str] = frozenset()
+        self._may_be_refused = True
 
-    def take(self, avoid: set[str]) -> Attempt | Refused:
+    def take(
+        self, avoid: set[str], *, may_be_refused: bool = True
+    ) -> Attempt | Refused:
         """Return the next attempt, counted against the limits.
 
         Args:
             avoid: Keys of targets that have failed the request.
+            may_be_refused: Whether a target that has just refused requests is
+                better than none.
 
         Returns:
             The refusal if no attempt is possible.
         """
+        refusals = self._context.selector.refusals
+        self._refusing = refusals.refusing(self._context.clock())
+        self._may_be_refused = may_be_refused
         attempt = self._next_attempt(avoid)
         if isinstance(attempt, Refused):
             return attempt
@@ -69,8 +78,8 @@
             record_repeat(self._job, self._context, RetryKind.RUN, taken=taken)
         if not taken:
             return self._refuse('no repeat left', avoid)
-        if attempt.reader is not None:
-            self._send_limit.prefill.take()
+        if attempt.reader is not None and not self._send_limit.prefill.take():
+            attempt = dataclasses.replace(attempt, reader=None)
         self._crash_check.begin_trial()
         return attempt
 
@@ -96,19 +105,18 @@
                 return self._refuse('no target', avoid)
 
     def _select(self, failed: set[str]) -> PlacementDecision:
-        """Select targets, other than those that have just refused requests.
+        """Select targets, if possible beside those that just refused requests.
 
-        A first run costs no retry: it may try them if there are no others.
+        Prompts are prefilled by the engines that generate rather than by one
+        of those.
         """
-        refusals = self._context.selector.refusals
-        refusing = refusals.refusing(self._context.clock())
         avoid = self._version.excluded() | failed
-        decision = self._select_beside(avoid | refusing)
-        if isinstance(decision, Placement) or self._send_limit.sends:
+        decision = self._select_beside(avoid | self._refusing)
+        if isinstance(decision, Placement) or not self._may_be_refused:
             return decision
         fleet = self._context.selector.fleet
         readers = fleet.prefill_engines(self._job.service)
-        return self._select_beside(avoid | (refusing & readers))
+        return self._select_beside(avoid | (self._refusing & readers))
 
     def _select_beside(self, avoid: frozenset[str]) -> PlacementDecision:
         selector = self._context.selector
--- a/packages/geranium-relay/src/geranium_relay/peer_attempts.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_attempts.py
@@ -199,6 +199,9 @@
         if isinstance(error, PeerFailedError):
             self._send_limit.add_calls(error.calls)
             self._recorder.counted |= error.calls.counted
+        else:
+            # An engine may have accepted a prefill call of the other host.
+            self._send_limit.prefill.accepted = True
         self._forwarder.drop_partial_event()
         may_repeat = self._send_limit.may_run_again(job.route)
         if may_repeat and self._forwarder.can_resume():
--- a/packages/geranium-relay/tests/test_unsent_prompts.py
+++ b/packages/geranium-relay/tests/test_unsent_prompts.py
@@ -103,6 +103,7 @@
 
 async def test_reader_that_was_not_reached_keeps_no_prompt() -> None:
     world = World(answer(*EVENTS), engines=True)
+    world.targets.prefill_error = relay.NotSentError('no reader')
     world.place_isolated()
     assert not list(believed(world))
 
