Passed-on requests: a silent host is given up only for another one

The wait now ends only if the request may run again, its stream can be resumed and another host can be tried; the deadline ends it otherwise.

test_silent_host_without_an_alternative_is_not_given_up: 2 failed before (hosts silent for 1.9 s), pass. pytest packages/geranium-relay/tests/test_silent_hosts.py: 4 passed; test_peer_forwarding.py, test_cut_hosts.py and test_wrong_crashes.py: passed.

--- a/packages/geranium-relay/src/geranium_relay/peer_attempts.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_attempts.py
@@ -18,7 +18,7 @@
 from .run_context import RunContext
 from .run_settings import RunSettings
 from .send_limit import SendLimit
-from .silence import no_silence_limit
+from .silence import silence_limit
 from .stream_origins import StreamVersion
 
 
@@ -87,6 +87,14 @@
             return None
         return context.peer_client.choose(job.service, self._tried, hosts)
 
+    def _may_go_on(self, job: Job, context: RunContext) -> bool:
+        """Return whether the request may go on at a further host."""
+        if not self._send_limit.may_run_again(job.route):
+            return False
+        if not self._forwarder.can_resume():
+            return False
+        return self._next_peer(job, context, frozenset()) is not None
+
     async def _try_peer(
         self, job: Job, context: RunContext, peer: PeerIdentity
     ) -> Outcome | NotTaken | None:
@@ -102,7 +110,9 @@
         # It may have run as soon as it is sent.
         self._send_limit.record_forwarded_run()
         try:
-            response = await context.peer_client.send(peer, request)
+            response = await context.peer_client.send(
+                peer, request, lambda: self._may_go_on(job, context)
+            )
         except (NotSentError, PeerRefusedError) as error:
             self._send_limit.remove_forwarded_run()
             if isinstance(error, PeerRefusedError):
@@ -144,7 +154,7 @@
             return await self._forwarder.forward_stream(
                 response,
                 # The other host continues silent streams.
-                no_silence_limit(),
+                silence_limit(bool),
                 lambda: None,
                 lambda: self._record_first_event(response),
             )
--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/peer_client.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/peer_client.py
@@ -24,6 +24,7 @@
 from ..messages import PeerIdentity, ResponseHead
 from ..outcomes import CutOff, Delivered, Failed, Refused
 from ..peers import Peers
+from ..silence import SilenceLimit, silence_limit
 from ..targets import Target
 from .call_codec import encode_question, encode_request
 from .connections import ConnectionEndedError, MessageConnection
@@ -50,7 +51,8 @@
         connect_timeout_s: Timeout of a connection to a host, which takes one
             round trip if the host is alive.
         silence_s: A host that works on a request sends a frame at least every
-            ``ALIVE_INTERVAL_S``; after this time without one it is given up.
+            ``ALIVE_INTERVAL_S``; after this time without one it is given up
+            if the request may go on elsewhere.
         max_asked: Hosts that are asked about a target.
         choice: How a host is chosen.
     """
@@ -204,17 +206,25 @@
         return None if name is None else peers_by_host[name]
 
     async def send(
-        self, peer: PeerIdentity, request: ForwardedRequest
+        self,
+        peer: PeerIdentity,
+        request: ForwardedRequest,
+        may_give_up: Callable[[], bool],
     ) -> PeerResponse:
         """Send a request and return its response once the head has arrived.
 
+        Args:
+            peer: The host.
+            request: The request.
+            may_give_up: Returns whether a silent host is given up.
+
         Raises:
             NotSentError: If no byte of the request was sent.
             PeerRefusedError: If the request was not run.
             AnswerLostError: If it may have run.
             TargetSilentError: If it may have run and the host is silent.
         """
-        frames = await self._open(peer)
+        frames = await self._open(peer, may_give_up)
         self._sent_by_host[peer.host] += 1
         try:
             return await self._send(peer, frames, request)
@@ -239,7 +249,7 @@
     async def _ask(self, peer: PeerIdentity, target: Target) -> TargetReach:
         frames: _Frames | None = None
         try:
-            frames = await self._open(peer)
+            frames = await self._open(peer, lambda: True)
             await frames.send(encode_question(ReachQuestion(target.key)))
             frame = await frames.next()
         except RelayError as error:
@@ -273,9 +283,12 @@
             case frame:
                 raise _lost_response(frame)
 
-    async def _open(self, peer: PeerIdentity) -> '_Frames':
+    async def _open(
+        self, peer: PeerIdentity, may_give_up: Callable[[], bool]
+    ) -> '_Frames':
         connection = await self._connect(peer)
-        return _Frames(connection, self._settings.silence_s, self._log)
+        limit = silence_limit(may_give_up)
+        return _Frames(connection, self._settings.silence_s, limit, self._log)
 
     async def _connect(self, peer: PeerIdentity) -> MessageConnection:
         host, _, port = peer.address.rpartition(':')
@@ -297,10 +310,15 @@
     """
 
     def __init__(
-        self, connection: MessageConnection, silence_s: float, log: DecisionLog
+        self,
+        connection: MessageConnection,
+        silence_s: float,
+        limit: SilenceLimit,
+        log: DecisionLog,
     ) -> None:
         self._connection = connection
         self._silence_s = silence_s
+        self._limit = limit
         self._log = log
 
     async def send(self, message: bytes) -> None:
@@ -324,11 +342,10 @@
         self._connection.abort()
 
     async def _read(self) -> bytes:
+        deadline = asyncio.get_running_loop().time() + self._silence_s
         try:
-            async with asyncio.timeout(self._silence_s):
+            async with self._limit.until(deadline):
                 return await self._connection.read()
-        except TimeoutError:
-            raise TargetSilentError('peer is silent') from None
         except ConnectionEndedError as error:
             raise AnswerLostError(f'peer: {error}') from error
 
--- a/packages/geranium-relay/src/geranium_relay/silence.py
+++ b/packages/geranium-relay/src/geranium_relay/silence.py
@@ -49,13 +49,17 @@
         return _Wait(deadline, self._reserve, self._release)
 
 
-def no_silence_limit() -> SilenceLimit:
-    """Return a limit that never ends the wait."""
-    return SilenceLimit(ResponseTimeouts(), bool, _release_nothing)
+def silence_limit(may_give_up: Callable[[], bool]) -> SilenceLimit:
+    """Return a limit without reserved attempts.
+
+    Args:
+        may_give_up: Returns whether the wait for a silent target ends.
+    """
+    return SilenceLimit(ResponseTimeouts(), may_give_up, _release_nothing)
 
 
 def _release_nothing() -> None:
-    """Do nothing: no attempt is ever reserved."""
+    """Do nothing: no attempt is reserved."""
 
 
 class _Wait:
