Retry budget: a host that hears nobody, or knows others by reports only, counts them

A host that was cut off or frozen for more than five minutes counted itself alone and took the whole allowance; one that could not read the list of hosts counted only those whose addresses it knows. Silent hosts now age by the latest sign of any host, and hosts that aggregators report by a hash count too.

--- a/packages/geranium-policy/tests/test_retry_share.py
+++ b/packages/geranium-policy/tests/test_retry_share.py
@@ -122,3 +122,19 @@
     for _ in range(2):
         assert share.take(RetryKind.PREFILL, 1, 0)
     assert not share.take(RetryKind.PREFILL, 1, 0)
+
+
+def test_permits_stay_counted_when_the_window_grows() -> None:
+    """A window of 30 s that follows one of 10 s has its repeats, too."""
+    share = RetryShare(RetryShareSettings(0, 10, 10))
+    sent = 0
+    for now in (0, 10.5, 21):
+        while True:
+            permit = share.take(RetryKind.RUN, 1, now)
+            if permit is None:
+                break
+            share.use(permit, now)
+            sent += 1
+    share.settings = RetryShareSettings(0, 10, 30)
+
+    assert share.state(1, 21.5).used == sent
--- a/packages/geranium-relay/src/geranium_relay/peers.py
+++ b/packages/geranium-relay/src/geranium_relay/peers.py
@@ -50,6 +50,7 @@
         self._offsets = ClockOffsets(settings.min_correction_s)
         self._own_hash = name_hash(own.host)
         self._peers_by_hash: dict[int, _Peer] = {}
+        self._unlisted_at_by_hash: dict[int, float] = {}
         self._usable: tuple[PeerIdentity, ...] = ()
         self._usable_until = -math.inf
         self._heard_at = -math.inf
@@ -74,6 +75,7 @@
             )
             return
         self._peers_by_hash[host_hash] = _Peer(identity, self._clock.now())
+        self._unlisted_at_by_hash.pop(host_hash, None)
         self._usable_until = -math.inf
         if known is None:
             self.intervals.count(same_zone=identity.zone == self.own.zone)
@@ -143,17 +145,26 @@
         """Return the number of hosts that may still share a common budget.
 
         Unlike :meth:`alive_count`, it includes hosts that have become silent
-        and those that were never heard: they may be alive behind a partition.
+        and those that were never heard, which may be alive behind a partition,
+        and those that are known from the reports of others only.
         """
         now = self._clock.now()
+        signs = [_last_sign_at(peer) for peer in self._peers_by_hash.values()]
+        # A host that hears nobody may be the one that is cut off.
+        heard_at = min(now, max(signs, default=now))
         oldest_by_leaving = {
-            False: now - self._settings.budget_share_s,
+            False: heard_at - self._settings.budget_share_s,
             True: now - self._settings.prune_after_s,
         }
-        return 1 + sum(
+        listed = sum(
             _last_sign_at(peer) > oldest_by_leaving[peer.leaving]
             for peer in self._peers_by_hash.values()
         )
+        unlisted = sum(
+            reported_at > oldest_by_leaving[False]
+            for reported_at in self._unlisted_at_by_hash.values()
+        )
+        return 1 + listed + unlisted
 
     def rank_in_zone(self) -> int:
         """Return the number of usable hosts before this one in its zone."""
@@ -216,10 +227,12 @@
             self.add(identity)
         for reported in report.hosts:
             peer = self._peers_by_hash.get(reported.host)
-            if peer is not None:
-                self._apply_state(peer, reported, now - reported.age_s)
-            elif reported.host == self._own_hash:
+            if reported.host == self._own_hash:
                 self._apply_own_report(sender, reported)
+            elif peer is None:
+                self._unlisted_at_by_hash[reported.host] = now
+            else:
+                self._apply_state(peer, reported, now - reported.age_s)
 
     def _apply_own_report(
         self, sender: PeerIdentity, reported: HostReport
--- a/packages/geranium-relay/tests/test_retry_budget.py
+++ b/packages/geranium-relay/tests/test_retry_budget.py
@@ -171,3 +171,20 @@
     assert sink.data == b''.join(EVENTS)
     first, second = world.targets.calls
     assert first.target != second.target
+
+
+async def test_quiet_host_of_many_has_its_prompts_prefilled() -> None:
+    """The share of one of 195 hosts; no engine has refused anything."""
+    world = World(
+        *itertools.repeat(answer(*EVENTS), 4),
+        engines=True,
+        retry_budget=RetryShareSettings(0.2, 56 / 195, 10),
+    )
+    world.separate_prefill()
+
+    for number in range(4):
+        await world.serve(
+            'resumable', identity=f'r{number}', prompt=own_prompt(number)
+        )
+
+    assert len(world.targets.prefill_calls) == 4
