Placement: no second selection where no target has refused

When no target was left out for a refusal, a request that found none was selected for a second time with the same targets and the same result: work done twice, just under overload. It returns at once now.

--- a/packages/geranium-relay/src/geranium_relay/attempt_selection.py
+++ b/packages/geranium-relay/src/geranium_relay/attempt_selection.py
@@ -112,7 +112,9 @@
         """
         avoid = self._version.excluded() | failed
         decision = self._select_beside(avoid | self._refusing)
-        if isinstance(decision, Placement) or not self._may_be_refused:
+        if isinstance(decision, Placement):
+            return decision
+        if not self._refusing or not self._may_be_refused:
             return decision
         fleet = self._context.selector.fleet
         readers = fleet.prefill_engines(self._job.service)
