Review: show one entry with cut bytes that hides all servers

Cause: a list of the store is decoded as one text. Values that can't be read are replaced, but not an element whose quotes or brackets don't end, so the list is unavailable as a whole and the last one stays in use.

Change: review/3 lets another writer leave such an entry before a release.

--- a/review/harness.py
+++ b/review/harness.py
@@ -16,7 +16,7 @@
 import tempfile
 import time
 import tomllib
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from typing import Any
 
 from aiohttp import web
@@ -92,15 +92,16 @@
     being waited for is cut off then.
     """
 
-    def __init__(self, store: StandinStore) -> None:
+    def __init__(self, store: StandinStore, middlewares: Sequence[Any]) -> None:
         self.status: int | None = None
         self.address = ''
         self._store = store
+        self._middlewares = middlewares
 
     async def open(self, stack: contextlib.AsyncExitStack) -> None:
         """Listen on a free port."""
         application = self._store.application()
-        application.middlewares.append(self._check)
+        application.middlewares.extend((self._check, *self._middlewares))
         self.address = await serve(stack, application)
 
     @web.middleware
@@ -236,6 +237,8 @@
         self.cloud = StandinCloud()
         self.hosts: list[Host] = []
         self.doors: dict[str, Door] = {}
+        self.middlewares: list[Any] = []  # of the store
+        self._runners_by_target: dict[str, web.AppRunner] = {}
         self.stack = stack
         self.folder = folder
         self._cloud_address = ''
@@ -257,7 +260,7 @@
             host = Host(f'front-{zone}-{place}', zone, number, self.folder)
             self.hosts.append(host)
             self.stack.push_async_callback(host.stop)
-            self.doors[host.name] = Door(self.store)
+            self.doors[host.name] = Door(self.store, self.middlewares)
             await self.doors[host.name].open(self.stack)
 
     async def start_host(self, host: Host, *, bootstrap: bool = False) -> None:
@@ -290,10 +293,21 @@
 
         application = web.Application()
         application.router.add_route('*', '/{path:.*}', answer)
-        address = await serve(self.stack, application)
-        self.add_entry(service, zone, address, identity)
+        runner = await start_runner(self.stack, application)
+        self._runners_by_target[identity] = runner
+        self.add_entry(service, zone, address_of(runner), identity)
         return identity
 
+    def set_state(self, identity: str, state: str) -> None:
+        """Write the state of a target into its entry."""
+        entry = self.store.spec('servers', identity)
+        self.store.put('servers', identity, {**entry, 'state': state})
+
+    async def remove_target(self, identity: str) -> None:
+        """Let a target exit, and remove its entry."""
+        await self._runners_by_target.pop(identity).cleanup()
+        self.store.remove('servers', identity)
+
     def add_entry(
         self, service: str, zone: str, address: str, identity: str = 'i-1'
     ) -> None:
@@ -429,14 +443,26 @@
     stack: contextlib.AsyncExitStack, application: web.Application
 ) -> str:
     """Serve an application on a free port; return its address."""
+    return address_of(await start_runner(stack, application))
+
+
+def address_of(runner: web.AppRunner) -> str:
+    """Return the address that a runner serves."""
+    ip, port = runner.addresses[0][:2]
+    return f'{ip}:{port}'
+
+
+async def start_runner(
+    stack: contextlib.AsyncExitStack, application: web.Application
+) -> web.AppRunner:
+    """Serve an application on a free port; return its runner."""
     runner = web.AppRunner(
         application, shutdown_timeout=0, handler_cancellation=True
     )
     await runner.setup()
     stack.push_async_callback(runner.cleanup)
     await web.TCPSite(runner, '127.0.0.1', 0).start()
-    ip, port = runner.addresses[0][:2]
-    return f'{ip}:{port}'
+    return runner
 
 
 def free_ports(address: str, count: int) -> list[int]:
