--- a/review/harness.py
+++ b/review/harness.py
@@ -26,9 +26,8 @@
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 BROKEN, HELD, NOT_RUN = 1, 0, 2
 START_LIMIT_S = 30
-STOP_LIMIT_S = 12
+CASE_LIMIT_S = 110
 HOST_NAME = 'review.example'
-SOURCES = ('platform/src', 'packages/geranium-relay/src')
 BOUNDS = {  # those of panyard-rooms
     'seedLagS': 3,
     'reuseAfterS': 2,
@@ -491,9 +490,14 @@
                     path = pathlib.Path(keep or '') / f'{host.name}.log'
                     path.write_text(host.log())
 
+    async def run_in_time() -> bool:
+        async with asyncio.timeout(CASE_LIMIT_S):
+            return await run()
+
     try:
-        held = asyncio.run(run())
-    except (CannotRunError, OSError) as error:
+        held = asyncio.run(run_in_time())
+    except Exception as error:
+        # Whatever went wrong, it is no result of the case.
         record.write('not run', error=repr(error))
         return NOT_RUN
     record.write('held' if held else 'broken', trouble=TROUBLE)
