Review: let each run.sh write its record.txt

Cause: only the Python harness opened record.txt, after its imports, so a run that failed before left no record, and its exit status was that of a broken rule. Without HOME or LANG in the environment no case could run.

Change: run.sh begins record.txt, passes its path to the case and adds what the case prints to standard error; a case that fails otherwise than by its rule exits with 2. Variables that are not set are left out. Each case has its own part of the loopback network.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import pathlib
 import signal
 import sys
 
@@ -137,4 +136,4 @@
 
 
 if __name__ == '__main__':
-    sys.exit(run_case(pathlib.Path(__file__).parent, case))
+    sys.exit(run_case(case))
--- a/review/harness.py
+++ b/review/harness.py
@@ -13,6 +13,7 @@
 import pathlib
 import signal
 import socket
+import sys
 import tempfile
 import time
 import tomllib
@@ -24,9 +25,10 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
-BROKEN, HELD, NOT_RUN = 1, 0, 2
+BROKEN, HELD, NOT_RUN = 10, 0, 2  # as run.sh expects them
 START_LIMIT_S = 30
 CASE_LIMIT_S = 110
+FIRST_NETWORK = 70
 HOST_NAME = 'review.example'
 BOUNDS = {  # those of panyard-rooms
     'seedLagS': 3,
@@ -66,10 +68,15 @@
 
 
 class Record:
-    """Writes what happened to ``record.txt`` in the folder of a case."""
+    """Writes what happened to the ``record.txt`` of a case.
 
-    def __init__(self, folder: pathlib.Path) -> None:
-        self._file = (folder / 'record.txt').open('w', buffering=1)
+    Args:
+        path: The file, to which lines are added.
+    """
+
+    def __init__(self, path: pathlib.Path) -> None:
+        self.case = path.parent.name
+        self._file = path.open('a', buffering=1)
         self._start = time.monotonic()
 
     def now(self) -> float:
@@ -118,11 +125,11 @@
     """A process of the system, on an address of its own."""
 
     def __init__(
-        self, name: str, zone: str, number: int, folder: pathlib.Path
+        self, name: str, zone: str, ip: str, folder: pathlib.Path
     ) -> None:
         self.name = name
         self.zone = zone
-        self.ip = f'127.0.7.{number + 1}'
+        self.ip = ip
         ports = free_ports(self.ip, 5)
         self.front = f'{self.ip}:{ports[0]}'
         self.ready = f'{self.ip}:{ports[1]}'
@@ -141,7 +148,9 @@
         role = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
         command = role['roles']['host']['run'].split(' ')
         kept = ('PATH', 'HOME', 'LANG')
-        environment = {name: os.environ[name] for name in kept}
+        environment = {
+            name: os.environ[name] for name in kept if name in os.environ
+        }
         environment['PYTHONPATH'] = str(ROOT / 'target/deps')
         environment['GERANIUMDRUM_SETTINGS'] = str(path)
         with (self._folder / f'{self.name}.log').open('ab') as log:
@@ -256,7 +265,9 @@
         self._cloud_address = await serve(self.stack, self.cloud.application())
         for number, zone in enumerate(zones):
             place = zones[:number].count(zone) + 1
-            host = Host(f'front-{zone}-{place}', zone, number, self.folder)
+            # Cases may run at once, each in a part of the loopback network.
+            ip = f'127.0.{FIRST_NETWORK + int(self.record.case)}.{number + 1}'
+            host = Host(f'front-{zone}-{place}', zone, ip, self.folder)
             self.hosts.append(host)
             self.stack.push_async_callback(host.stop)
             self.doors[host.name] = Door(self.store, self.middlewares)
@@ -276,7 +287,7 @@
                 if self.record.now() > deadline:
                     raise CannotRunError(f'{host.name} is not ready')
                 await asyncio.sleep(0.1)
-        self.record.write('ready')
+            self.record.write('answered', path='/ready', host=host.name)
 
     async def add_target(
         self, service: str, zone: str, handler: Handler
@@ -474,11 +485,12 @@
         return [server.getsockname()[1] for server in sockets]
 
 
-def run_case(
-    folder: pathlib.Path, case: Callable[[Deployment], Awaitable[bool]]
-) -> int:
-    """Run a case, which returns whether the rule held; return the exit code."""
-    record = Record(folder)
+def run_case(case: Callable[[Deployment], Awaitable[bool]]) -> int:
+    """Run a case, which returns whether the rule held; return the exit code.
+
+    The program's argument is the path of ``record.txt``.
+    """
+    record = Record(pathlib.Path(sys.argv[1]))
 
     async def run() -> bool:
         async with deployment(record) as deployed:
