Planned stops: a stopping host begins only what it can complete

Cause: the end of the process was no input to any decision. Whether a request may begin was decided by its own deadline, its targets and the retry budget; only the drain knew when the host ends, and looked at it after the fact. So a first send, a further attempt, a prefilled prompt, a request passed on and one taken in from another host all began without regard to the time left. Besides, the logs called requests that the host cut at its end "CallerLeft", which hid the cause.

Ruled out: a caller that leaves (the record of the case shows all three connections open to the end); a slow cleanup (0.02 s from the last response to the exit).

Change: geranium_relay.Shutdown holds the end of the process. Before each step that another host could take, a request that has not run is judged by it: it begins if its deadline, or the time that recent requests to its path or on its route took, fits into the time left; else it is refused at once as not run. What is open at the end gets its outcome, in the log too, also a body that is still arriving.

--- a/packages/geranium-relay/src/geranium_relay/__init__.py
+++ b/packages/geranium-relay/src/geranium_relay/__init__.py
@@ -97,6 +97,7 @@
 from .run_context import (
     RetryShares,
     RunContext,
+    Shutdown,
     StreamOrigin,
     StreamOrigins,
     StreamOriginSettings,
@@ -229,6 +230,7 @@
     'Share',
     'SharedReadSettings',
     'SharedReads',
+    'Shutdown',
     'Stage',
     'StoreHttpClient',
     'StoreResponse',
--- a/packages/geranium-relay/src/geranium_relay/attempt_selection.py
+++ b/packages/geranium-relay/src/geranium_relay/attempt_selection.py
@@ -13,6 +13,7 @@
 from .run_context import RunContext
 from .run_settings import RunSettings
 from .send_limit import SendLimit
+from .stop_check import StopCheck
 from .stream_origins import StreamVersion
 from .target_selector import (
     NoEngine,
@@ -32,6 +33,8 @@
         settings: Limits.
         version: The version at which its stream may go on.
         send_limit: Counts its sends.
+
+    ``stop_check`` refuses the request if this host stops too soon.
     """
 
     def __init__(
@@ -50,6 +53,7 @@
         self._version = version
         self._send_limit = send_limit
         self._crash_check = CrashCheck(job, context, settings, send_limit)
+        self.stop_check = StopCheck(job, context, settings, send_limit)
         self._refusing: frozenset[str] = frozenset()
         self._may_be_refused = True
 
@@ -83,15 +87,29 @@
         self._crash_check.begin_trial()
         return attempt
 
-    def crash_refusal(self) -> Refused | None:
-        """Return a refusal if the request is known to crash targets."""
-        return self._crash_check.refusal()
+    def refusal(self, started_at: float) -> Refused | None:
+        """Return a refusal if the request must not be sent to any target.
+
+        It is known to crash targets, or outlives this host.
+
+        Args:
+            started_at: When the attempt begins or has begun.
+        """
+        refusal = self.stop_check.refusal(started_at)
+        return refusal or self._crash_check.refusal()
+
+    def refuse_unreached(self) -> Refused:
+        """Return the refusal of a request whose targets are not reached."""
+        refusal = self.stop_check.refusal(self._context.clock())
+        return refusal or Refused(
+            'targets not reached', self._settings.retry_after_s, elsewhere=True
+        )
 
     def _next_attempt(self, avoid: set[str]) -> Attempt | Refused:
         now = self._context.clock()
         if self._job.deadline - now < self._settings.min_time_left_s:
             return Refused('no time left', self._settings.retry_after_s)
-        refusal = self.crash_refusal()
+        refusal = self.refusal(now)
         if refusal is not None:
             return refusal
         decision = self._select(avoid)
--- a/packages/geranium-relay/src/geranium_relay/messages.py
+++ b/packages/geranium-relay/src/geranium_relay/messages.py
@@ -107,6 +107,7 @@
         due_at: When its first token is due, counted from the caller's first
             attempt; ``inf`` if unknown.
         key: The caller's key, if it sent one.
+        forwarded: Whether another host, which has the caller, passed it on.
     """
 
     arrival: IncomingRequest
@@ -117,6 +118,7 @@
     fingerprints: RequestFingerprints
     due_at: float = math.inf
     key: str | None = None
+    forwarded: bool = False
 
     @property
     def is_late(self) -> bool:
--- a/packages/geranium-relay/src/geranium_relay/peer_attempts.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_attempts.py
@@ -19,6 +19,7 @@
 from .run_settings import RunSettings
 from .send_limit import SendLimit
 from .silence import silence_limit
+from .stop_check import StopCheck
 from .stream_origins import StreamVersion
 
 
@@ -36,7 +37,7 @@
         version: The version at which its stream may go on.
         send_limit: Counts its sends and runs.
         settings: Limits.
-        may_pass_on: Whether other hosts may be tried at all.
+        stop_check: Refuses it if this host stops too soon.
     """
 
     def __init__(
@@ -46,15 +47,14 @@
         version: StreamVersion,
         send_limit: SendLimit,
         settings: RunSettings,
-        *,
-        may_pass_on: bool,
+        stop_check: StopCheck,
     ) -> None:
         self._forwarder = forwarder
         self._recorder = recorder
         self._version = version
         self._send_limit = send_limit
         self._settings = settings
-        self._max_peers = settings.max_peers if may_pass_on else 0
+        self._stop_check = stop_check
         self._tried: list[str] = []
 
     async def run(
@@ -72,6 +72,9 @@
         """
         outcome: Outcome | NotTaken | None = NotTaken()
         while isinstance(outcome, NotTaken):
+            stopping = self._stop_check.refusal(context.clock())
+            if stopping is not None:
+                return stopping
             peer = self._next_peer(job, context, refusal.hosts)
             if peer is None:
                 break
@@ -81,8 +84,11 @@
     def _next_peer(
         self, job: Job, context: RunContext, hosts: frozenset[str]
     ) -> PeerIdentity | None:
+        if job.forwarded:
+            # A request is passed on once.
+            return None
         # A host with a share of a limit knows when others could send.
-        max_peers = min(self._max_peers, 1) if hosts else self._max_peers
+        max_peers = 1 if hosts else self._settings.max_peers
         if len(self._tried) >= max_peers:
             return None
         return context.peer_client.choose(job.service, self._tried, hosts)
--- a/packages/geranium-relay/src/geranium_relay/request_recorder.py
+++ b/packages/geranium-relay/src/geranium_relay/request_recorder.py
@@ -29,6 +29,7 @@
         placement = attempt.placement
         selector = self._context.selector
         selector.record_dispatch(attempt.target, attempt.reader)
+        prompt = self._job.arrival.prompt
         self._context.log.record(
             'dispatched',
             request=self._job.arrival.identity,
@@ -39,11 +40,11 @@
             version=attempt.target.software_version,
             reader=placement.reader,
             fresh_tokens=placement.fresh_tokens,
+            max_generated=None if prompt is None else prompt.max_generated,
             wait_s=round(placement.wait_s, 4),
             first_s=round(placement.first_s, 4),
             began_as=self._job.arrival.began_as,
         )
-        prompt = self._job.arrival.prompt
         if prompt is None:
             return
         for key in filter(None, (placement.reader, placement.generator)):
--- a/packages/geranium-relay/src/geranium_relay/run_context.py
+++ b/packages/geranium-relay/src/geranium_relay/run_context.py
@@ -14,6 +14,7 @@
 from .peer_updates import Outbox
 from .ports import TargetPort
 from .retry_shares import RetryShares
+from .shutdown import Shutdown
 from .stream_origin_updates import StreamOrigin
 from .stream_origins import StreamOrigins, StreamOriginSettings
 from .target_selector import TargetSelector
@@ -39,6 +40,7 @@
     clock: Callable[[], float]
     reach: ServiceReach
     peer_client: PeerClient
+    shutdown: Shutdown
 
 
 def shared_parts(arrival: IncomingRequest) -> tuple[PromptPart, ...]:
@@ -67,6 +69,7 @@
 __all__ = [
     'RetryShares',
     'RunContext',
+    'Shutdown',
     'StreamOrigin',
     'StreamOriginSettings',
     'StreamOrigins',
--- a/packages/geranium-relay/src/geranium_relay/run_settings.py
+++ b/packages/geranium-relay/src/geranium_relay/run_settings.py
@@ -26,6 +26,8 @@
         prefill_timeout_factor: Timeout of a prefill as a multiple of its
             expected time, on top of ``stream_silence_s``.
         retry_after_s: Minimum delay before refused callers may retry.
+        stopping_retry_s: Delay before callers of a stopping host may retry at
+            another one, which can serve them at once.
         crash_retry_s: Delay before a caller may retry a request that would
             crash its target.
         max_body_bytes: Maximum size of a response that is not a stream.
@@ -43,6 +45,7 @@
     first_token_timeout_factor: float = 3
     prefill_timeout_factor: float = 3
     retry_after_s: float = 0.25
+    stopping_retry_s: float = 0.02
     crash_retry_s: float = 30
     max_body_bytes: int = 16777216
     min_time_left_s: float = 0.02
--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -23,7 +23,6 @@
     Failed,
     Outcome,
     Refused,
-    TimedOut,
     with_calls,
 )
 from .peer_attempts import NotTaken, PeerAttempts
@@ -103,8 +102,7 @@
             self._version,
             self._send_limit,
             settings,
-            # A request is passed on once.
-            may_pass_on=forwarded is None,
+            self._selection.stop_check,
         )
         self._failure: tuple[ResponseHead, bytes] | None = None
 
@@ -124,13 +122,18 @@
         calls = self._send_limit.calls_made(counted=self._recorder.counted)
         return with_calls(outcome, calls)
 
-    def deadline_outcome(self) -> Outcome:
-        """Return the outcome of a request that reached its deadline."""
+    def outcome_at_end(self, reason: str, unanswered: Outcome) -> Outcome:
+        """Return the outcome of a request whose time is over.
+
+        Args:
+            reason: What has ended it.
+            unanswered: Its outcome if it may have run without a response.
+        """
         if self._forwarder.started:
-            return CutOff('deadline')
+            return CutOff(reason)
         if self._send_limit.runs:
-            return TimedOut()
-        return Refused('deadline', self._settings.retry_after_s)
+            return unanswered
+        return Refused(reason, self._settings.retry_after_s)
 
     async def _try_once(self) -> Outcome | None:
         """Try a peer or a target; ``None`` means that another may follow."""
@@ -139,10 +142,10 @@
             return await self._run_attempt(alternative)
         service = self._job.service
         await self._context.reach.settle(service)
-        attempt: Attempt | Refused = Refused(
-            'targets not reached', self._settings.retry_after_s, elsewhere=True
-        )
-        if not self._context.reach.is_cut(service):
+        attempt: Attempt | Refused
+        if self._context.reach.is_cut(service):
+            attempt = self._selection.refuse_unreached()
+        else:
             attempt = self._selection.take(self._avoid)
         if isinstance(attempt, Refused) and attempt.elsewhere:
             outcome = await self._peers.run(self._job, self._context, attempt)
@@ -178,7 +181,7 @@
 
     async def _send(self, attempt: Attempt) -> Outcome | None:
         cache_handle = await self._prefill.read(self._job, attempt)
-        refusal = self._selection.crash_refusal()
+        refusal = self._selection.refusal(attempt.started_at)
         if refusal is not None:
             if cache_handle is not None:
                 await self._context.targets.drop_prompt(cache_handle)
@@ -268,6 +271,8 @@
         self._recorder.record_silence(attempt)
         if not self._may_repeat() or not self._forwarder.can_resume():
             return False
+        if not self._selection.stop_check.may_begin():
+            return False
         return self._alternative.reserve(self._avoid | {attempt.target.key})
 
     async def _forward(
--- /dev/null
+++ b/packages/geranium-relay/src/geranium_relay/stop_check.py
@@ -0,0 +1,74 @@
+"""Refuses requests that a stopping host can't complete."""
+
+from geranium_policy.stop_admission import Completes, CutShort, StopDecision
+
+from .messages import Job
+from .outcomes import Refused
+from .run_context import RunContext
+from .run_settings import RunSettings
+from .send_limit import SendLimit
+
+STOPPING = 'host is stopping'
+
+
+class StopCheck:
+    """Checks one request before each step that another host could take.
+
+    Args:
+        job: The request.
+        context: The components of the host.
+        settings: Limits.
+        send_limit: Counts its runs.
+    """
+
+    def __init__(
+        self,
+        job: Job,
+        context: RunContext,
+        settings: RunSettings,
+        send_limit: SendLimit,
+    ) -> None:
+        self._job = job
+        self._context = context
+        self._settings = settings
+        self._send_limit = send_limit
+
+    def refusal(self, started_at: float) -> Refused | None:
+        """Return a refusal if the request may outlive this host.
+
+        One that may have run is not refused: it is lost if it does not go on.
+
+        Args:
+            started_at: When the attempt begins or has begun.
+        """
+        if self._send_limit.runs:
+            return None
+        match self._judge(started_at):
+            case CutShort() as cut_short:
+                return self._refuse(cut_short)
+            case _:
+                return None
+
+    def may_begin(self) -> bool:
+        """Return whether an attempt that begins now ends before this host."""
+        return isinstance(self._judge(self._context.clock()), Completes)
+
+    def _judge(self, started_at: float) -> StopDecision:
+        return self._context.shutdown.judge(
+            self._job, started_at, self._settings.deadline_margin_s
+        )
+
+    def _refuse(self, cut_short: CutShort) -> Refused:
+        self._context.log.record(
+            'not_completable',
+            request=self._job.arrival.identity,
+            route=self._job.route.name,
+            needed_s=round(cut_short.needed_s, 3),
+            left_s=round(cut_short.left_s, 3),
+        )
+        retry_after_s = self._settings.stopping_retry_s
+        if not self._context.peer_client.has_peers:
+            retry_after_s = max(cut_short.left_s, self._settings.retry_after_s)
+        # The caller is lost with its host, wherever the request runs.
+        elsewhere = self._job.forwarded
+        return Refused(STOPPING, retry_after_s, elsewhere=elsewhere)
--- a/packages/geranium-relay/tests/world.py
+++ b/packages/geranium-relay/tests/world.py
@@ -7,6 +7,10 @@
 from collections.abc import AsyncIterator, Callable, Sequence
 
 import geranium_relay as relay
+from geranium_policy.completion_times import (
+    CompletionEstimator,
+    CompletionSettings,
+)
 from geranium_policy.crash_causes import CrashCauses, CrashCauseSettings
 from geranium_policy.prompt_placement import Placement
 from geranium_policy.retry_share import RetryShareSettings
@@ -225,6 +229,10 @@
         """What is sent to other hosts."""
         return self._context.outbox
 
+    @property
+    def shutdown(self) -> relay.Shutdown:
+        return self._context.shutdown
+
     @property
     def notices(self) -> relay.TargetNotices:
         return self._notices
@@ -390,6 +398,7 @@
             now,
             source,
         )
+        completions = CompletionEstimator(CompletionSettings())
         context = relay.RunContext(
             self.targets,
             self.selector,
@@ -406,6 +415,7 @@
                 relay.ReachSettings(), fleet, self.targets, now, source, log
             ),
             self._peer_client(make_peers(self.clock)),
+            relay.Shutdown(completions, now),
         )
         self._context = context
         return self.make_relay(relay.RunSettings())
--- a/tests/adapter/test_planned_stop.py
+++ b/tests/adapter/test_planned_stop.py
@@ -1,14 +1,37 @@
 """A host that is stopped under load answers what it has read."""
 
 import asyncio
+import json
+import pathlib
 
 import pytest
 from aiohttp import web
-from geranium_platform import host as host_module
-from geranium_platform_standins import StandinTarget
+from geranium_platform.host import Host
+from geranium_platform_standins import StandinStore, StandinTarget
+from geranium_standins.host_links import CutMode
+
+from .host_pair import respond_with_events, run_pair
+from .waits import ticks
 
 WORK_S = 0.4  # longer than the server waits for open requests at its end
 STORE_DELAY_S = 0.3
+SHORT_GRACE_S = 1.06  # leaves less than the timeout of a request
+SHORTEST_GRACE_S = 0.7  # ends before it
+KINDS = ('safe', 'unsafe', 'streaming')
+
+
+def stop(host: Host, grace_s: float) -> None:
+    """Begin a planned stop with a grace period."""
+    settings = host._settings
+    bounds = settings.bounds.model_copy(update={'grace_s': grace_s})
+    host._apply(settings.model_copy(update={'bounds': bounds}))
+    host._stop.set()
+
+
+async def wait_until_stopping(host: Host) -> None:
+    async for _ in ticks():
+        if not host.is_ready():
+            return
 
 
 @pytest.fixture
@@ -24,7 +47,7 @@
     world, monkeypatch
 ) -> None:
     """The host was idle, and writes its last counts to a slow store."""
-    monkeypatch.setattr(host_module, 'MIN_DRAIN_S', 0)
+    monkeypatch.setattr('geranium_platform.draining.MIN_DRAIN_S', 0)
     idle = asyncio.Event()
 
     async def write_slowly() -> None:
@@ -42,3 +65,101 @@
     async with world.caller.post(url, headers=world.headers()) as last:
         assert last.status == 200
         assert await last.text() == 'done'
+
+
+# review/1: streams were taken 3.2 s after SIGTERM and cut at the end of the
+# grace period, 7.4 s after it.
+@pytest.mark.parametrize('kind', KINDS)
+async def test_request_that_outlives_the_grace_period_is_refused(
+    world, kind: str
+) -> None:
+    world.target._handler = respond_with_events
+    url = world.url(f'/{kind}/x')
+    async with world.caller.post(url, headers=world.headers()) as first:
+        assert first.status == 200
+    stop(world.host, SHORT_GRACE_S)
+    await wait_until_stopping(world.host)
+
+    async with world.caller.post(url, headers=world.headers()) as last:
+        assert last.status == 503
+        assert float(last.headers['Retry-After']) > 0
+        assert last.headers['Connection'] == 'close'
+    assert len(world.target.requests) == 1
+
+
+# Another report: at the end of the grace period requests got no answer.
+@pytest.mark.parametrize('kind', KINDS)
+async def test_request_that_is_open_at_the_end_gets_an_answer(
+    capfd, world, kind: str
+) -> None:
+    async def never_respond(_request: web.Request) -> web.Response:
+        await asyncio.Event().wait()
+        raise AssertionError
+
+    world.target._handler = never_respond
+    url = world.url(f'/{kind}/x')
+    sending = asyncio.create_task(
+        world.caller.post(url, headers=world.headers())
+    )
+    async for _ in ticks():
+        if world.target.requests:
+            break
+    stop(world.host, SHORTEST_GRACE_S)
+
+    async with await sending as last:
+        assert last.status == 502
+    assert await outcomes_until_stopped(capfd) == ['Failed']
+
+
+async def test_request_whose_body_is_incomplete_at_the_end_is_refused(
+    world,
+) -> None:
+    listen = world.settings.listen.front
+    host, _, port = listen.rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    headers = {**world.headers(), 'Content-Length': '9'}
+    lines = [f'{name}: {text}' for name, text in headers.items()]
+    head = '\r\n'.join(('POST /unsafe/x HTTP/1.1', *lines, '', 'part'))
+    writer.write(head.encode())
+    async for _ in ticks():
+        if world.host._path.open_requests.count:
+            break
+    stop(world.host, SHORTEST_GRACE_S)
+
+    status = await reader.readline()
+
+    assert b' 503 ' in status
+    assert not world.target.requests
+    writer.close()
+
+
+# Another report: a host that is cut from the targets passed late requests on,
+# which were lost at the end of its grace period.
+async def test_stopping_host_passes_on_only_what_it_completes(
+    store_standin: StandinStore, store_address: str, tmp_path: pathlib.Path
+) -> None:
+    async with run_pair(store_address, store_standin, tmp_path) as pair:
+        await pair.cut(0, CutMode.REFUSED)
+        for number in range(20):
+            status, _ = await pair.request(0, 'unsafe', f'early-{number}')
+            assert status == 200
+        stopping = pair.hosts[0].host
+        stop(stopping, SHORT_GRACE_S)
+        await wait_until_stopping(stopping)
+
+        status, _ = await pair.request(0, 'streaming', 'long')
+        known, _ = await pair.request(0, 'unsafe', 'short')
+
+        assert (status, pair.runs_of('long')) == (503, 0)
+        assert (known, pair.runs_of('short')) == (200, 1)
+
+
+async def outcomes_until_stopped(capfd: pytest.CaptureFixture) -> list[str]:
+    """Return the outcomes of requests in the log of a host that stops."""
+    logged = ''
+    async for _ in ticks():
+        logged += capfd.readouterr().out
+        if '"stopped"' in logged:
+            break
+    lines = map(json.loads, logged.splitlines())
+    return [line['outcome'] for line in lines if line['event'] == 'ended']
