Stream versions: a host that was out of step confirms its list of targets

Cause: with no origin at hand, a host takes a stream for one of the version that all targets of its list have, however old the list is. A list that was followed for 30 s counted as proof, and a gap in between didn't end that. Updates of peers that waited in the socket during the stop confirm such a list as if they were new. A target that restarts under its id at another version was not seen either, so that a stream of known version could go on at it.

Change: ListReads knows when this host has read the list itself and since when it was followed without a gap. A version that is concluded from the list needs a read sent after the question, which is asked for at once; after a gap the records of versions and the age of the targets decide, as after a start. A stream of known version goes on only while the list is followed, or once it has been read again; else it is refused as not run. Origins that peers tell need neither.

Two steps of test_stream_versions.py let 30 s pass without a read and then concluded a version; they read the list now, and check the same.

--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -141,6 +141,10 @@
         if alternative is not None:
             return await self._run_attempt(alternative)
         service = self._job.service
+        if not await self._version.confirm():
+            return await self._final_outcome(
+                Refused('targets not confirmed', self._settings.retry_after_s)
+            )
         await self._context.reach.settle(service)
         attempt: Attempt | Refused
         if self._context.reach.is_cut(service):
--- a/packages/geranium-relay/src/geranium_relay/stream_origins.py
+++ b/packages/geranium-relay/src/geranium_relay/stream_origins.py
@@ -8,9 +8,8 @@
 
 import asyncio
 import collections
-import contextlib
 import dataclasses
-from collections.abc import Callable, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable
 
 from .catalogue import RouteKind
 from .messages import IncomingRequest, Job
@@ -46,6 +45,8 @@
         settings: How long origins matter.
         clock: Returns the current time in seconds.
         unix_time: Returns the cluster's Unix time in seconds.
+
+    ``request_read`` is called to have the list of targets read now.
     """
 
     def __init__(
@@ -56,7 +57,9 @@
         clock: Callable[[], float],
         unix_time: Callable[[], float],
     ) -> None:
+        self.request_read: Callable[[], None] = _request_nothing
         self._fleet = fleet
+        fleet.reads.on_listed = self._wake_waiters
         self.records = records
         self._settings = settings
         self._clock = clock
@@ -70,7 +73,7 @@
             )
             for audience in Audience
         }
-        self._waiters_by_stream: dict[int, asyncio.Event] = {}
+        self._waiters: set[asyncio.Event] = set()
 
     def record(self, identity: str, version: str) -> None:
         """Record the version at which an attempt began a stream."""
@@ -84,9 +87,7 @@
         for origin in origins:
             self._origins_by_stream[origin.stream] = origin.version, now
             self._origins_by_stream.move_to_end(origin.stream)
-            waiter = self._waiters_by_stream.get(origin.stream)
-            if waiter is not None:
-                waiter.set()
+        self._wake_waiters()
         self._prune(now)
 
     def forward(
@@ -108,21 +109,27 @@
     async def find(self, identity: str | None, service: str) -> str | None:
         """Return the version at which a stream of a service began.
 
-        If it is not known, waits for the next updates of peers. ``None`` if
-        none of them says it.
+        If it is not known, waits for the next updates of peers and for a list
+        of targets that is not older than this call. ``None`` if none of them
+        says it.
         """
-        version = await self._known(identity, service)
-        if version is not None or identity is None:
-            return version
-        stream = name_hash(identity)
-        waiter = self._waiters_by_stream.setdefault(stream, asyncio.Event())
-        try:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(self._settings.max_wait_s):
-                    await waiter.wait()
-        finally:
-            self._waiters_by_stream.pop(stream, None)
-        return await self._known(identity, service)
+        asked_at = self._clock()
+        async for _ in self._news():
+            version = await self._known(identity, service, asked_at)
+            if version is not None:
+                return version
+        return None
+
+    async def confirm_list(self) -> bool:
+        """Return whether the list shows the versions of all targets.
+
+        If it does not, since this host could not read it for a while, waits
+        until it is read.
+        """
+        async for _ in self._news():
+            if self._fleet.reads.is_followed(self._clock()):
+                return True
+        return False
 
     def version_of(self, arrival: IncomingRequest) -> str | None:
         """Return the version at which a request began its stream, if known."""
@@ -142,22 +149,59 @@
             and target.stage is not Stage.PREFILL
         )
 
-    async def _known(self, identity: str | None, service: str) -> str | None:
+    async def _news(self) -> AsyncIterator[None]:
+        """Yield at once, and when there is a new list or origin.
+
+        Ends after the maximum wait.
+        """
+        yield
+        waiter = asyncio.Event()
+        self._waiters.add(waiter)
+        self.request_read()
+        ends_at = self._clock() + self._settings.max_wait_s
+        try:
+            while await self._is_set(waiter, ends_at):
+                yield
+        finally:
+            self._waiters.discard(waiter)
+
+    async def _is_set(self, waiter: asyncio.Event, ends_at: float) -> bool:
+        try:
+            async with asyncio.timeout(max(ends_at - self._clock(), 0)):
+                await waiter.wait()
+        except TimeoutError:
+            return False
+        waiter.clear()
+        return True
+
+    def _wake_waiters(self) -> None:
+        for waiter in self._waiters:
+            waiter.set()
+
+    async def _known(
+        self, identity: str | None, service: str, asked_at: float
+    ) -> str | None:
         if identity is not None:
             origin = self._origins_by_stream.get(name_hash(identity))
             if origin is not None:
                 return origin[0]
-        return await self._only_version(service)
+        return await self._only_version(service, asked_at)
 
-    async def _only_version(self, service: str) -> str | None:
-        """Return the version of all targets, if there was no other lately."""
+    async def _only_version(self, service: str, asked_at: float) -> str | None:
+        """Return the version of all targets, if there was no other lately.
+
+        A list that is older than the question may lack targets that have
+        begun streams since.
+        """
+        if self._fleet.reads.listed_at < asked_at:
+            return None
         lifetime_s = self._settings.lifetime_s
         now = self._clock()
         versions = self._fleet.versions_since(service, now - lifetime_s)
         if len(versions) != 1:
             return None
         version = next(iter(versions))
-        known_s = now - self._fleet.first_read_at
+        known_s = now - self._fleet.reads.followed_since
         if known_s >= lifetime_s:
             return version
         if self._has_young_targets(service, known_s + lifetime_s):
@@ -182,6 +226,10 @@
             origins.popitem(last=False)
 
 
+def _request_nothing() -> None:
+    """Do nothing: the list is read at intervals only."""
+
+
 class StreamVersion:
     """The software version at which the stream of a request may go on.
 
@@ -219,6 +267,15 @@
         )
         return self._version is not None
 
+    async def confirm(self) -> bool:
+        """Return whether it is known which targets have the version.
+
+        A stream that has not begun may begin at any.
+        """
+        if self._version is None:
+            return True
+        return await self._origins.confirm_list()
+
     def record_first_event(self, target: Target) -> None:
         """Record that the caller gets the first event from a target."""
         self.record_version(target.software_version)
--- a/packages/geranium-relay/src/geranium_relay/targets.py
+++ b/packages/geranium-relay/src/geranium_relay/targets.py
@@ -7,6 +7,8 @@
 
 import xxhash
 
+from .list_reads import ListReads
+
 CHANGES_KEPT_S = 10  # well beyond the time for which they are sent
 
 
@@ -77,15 +79,12 @@
 
     During a store outage, entries of live targets may expire. After an
     outage, missing targets are therefore removed only once the list has been
-    readable for ``return_grace_s``. ``first_read_at`` is when the list was first
-    read, ``inf`` before.
+    readable for ``return_grace_s``. ``reads`` says when the list was read.
     """
 
     def __init__(self, return_grace_s: float, outage_s: float) -> None:
         self.return_grace_s = return_grace_s
-        self._outage_s = outage_s
-        self._read_at: float | None = None
-        self.first_read_at = math.inf
+        self.reads = ListReads(outage_s)
         self._removals_blocked_until = -math.inf
         self._targets_by_identity: dict[str, Target] = {}
         self._changed_at_by_identity: dict[str, float] = {}
@@ -95,12 +94,12 @@
     @property
     def read_at(self) -> float:
         """When the list was last read or confirmed."""
-        return -math.inf if self._read_at is None else self._read_at
+        return self.reads.read_at
 
     def confirm(self, at: float) -> None:
         """Record that the list was unchanged at a time."""
-        if self._read_at is not None:
-            self._read_at = max(self._read_at, at)
+        if math.isfinite(self.read_at):
+            self.reads.record(at)
 
     def keep_missing(self, now: float) -> None:
         """Keep missing targets for a while, as after an outage.
@@ -111,25 +110,9 @@
         self._removals_blocked_until = now + self.return_grace_s
 
     def replace(self, found: Iterable[Target], now: float) -> FleetChange:
-        """Replace the list by a complete read made at ``now``."""
-        self._record_outage(now)
-        self.first_read_at = min(self.first_read_at, now)
-        found_by_identity = {target.identity: target for target in found}
-        change = self._compare(found_by_identity, now)
-        for gone in change.gone:
-            self._targets_by_identity.pop(gone.identity)
-        self._record_versions(change, now)
-        self._targets_by_identity.update(found_by_identity)
-        changed = (*change.came, *change.gone, *change.leaving)
-        self._changed_at_by_identity = {
-            identity: at
-            for identity, at in self._changed_at_by_identity.items()
-            if at > now - CHANGES_KEPT_S
-        }
-        for target in changed:
-            self._changed_at_by_identity[target.identity] = now
-        if changed:
-            self.digest = _digest(self._targets_by_identity.values())
+        """Replace the list by a complete read of this host at ``now``."""
+        change = self._replace(found, now)
+        self.reads.record_listed(now)
         return change
 
     def changes_since(self, instant: float) -> tuple[TargetChange, ...]:
@@ -169,7 +152,7 @@
         found = tuple(found_by_identity.values())
         if now < self._removals_blocked_until or _digest(found) != digest:
             return None
-        return self.replace(found, now)
+        return self._replace(found, now)
 
     @property
     def targets_by_identity(self) -> Mapping[str, Target]:
@@ -212,6 +195,28 @@
         )
         return frozenset(versions)
 
+    def _replace(self, found: Iterable[Target], now: float) -> FleetChange:
+        if math.isfinite(self.read_at) and self.reads.is_outage(now):
+            self._removals_blocked_until = now + self.return_grace_s
+        self.reads.record(now)
+        found_by_identity = {target.identity: target for target in found}
+        change = self._compare(found_by_identity, now)
+        for gone in change.gone:
+            self._targets_by_identity.pop(gone.identity)
+        self._record_versions(change, now)
+        self._targets_by_identity.update(found_by_identity)
+        changed = (*change.came, *change.gone, *change.leaving)
+        self._changed_at_by_identity = {
+            identity: at
+            for identity, at in self._changed_at_by_identity.items()
+            if at > now - CHANGES_KEPT_S
+        }
+        for target in changed:
+            self._changed_at_by_identity[target.identity] = now
+        if changed:
+            self.digest = _digest(self._targets_by_identity.values())
+        return change
+
     def _record_versions(self, change: FleetChange, now: float) -> None:
         """Record when targets of a version were last replaced or removed."""
         replaced = (
@@ -221,12 +226,6 @@
             version = target.service, target.software_version
             self._gone_at_by_version[version] = now
 
-    def _record_outage(self, now: float) -> None:
-        last = self._read_at
-        self._read_at = now
-        if last is not None and now - last > self._outage_s:
-            self._removals_blocked_until = now + self.return_grace_s
-
     def _compare(
         self,
         found_by_identity: Mapping[str, Target],
--- a/packages/geranium-relay/src/geranium_relay/version_records.py
+++ b/packages/geranium-relay/src/geranium_relay/version_records.py
@@ -126,12 +126,12 @@
         """Write or remove the records that differ from the list of targets."""
         now = self._clock()
         oldest = now - self._settings.lifetime_s
-        is_settled = self._fleet.first_read_at <= oldest
+        is_settled = self._fleet.reads.followed_since <= oldest
         for service in self._fleet.services() | recorded.keys():
             versions = self._fleet.versions_since(service, oldest)
             known = recorded.get(service, frozenset())
             if not is_settled:
-                # What left before this host started is only in the record.
+                # What left while the list was not read is only in the record.
                 versions |= known
             wanted = versions if len(versions) > 1 else frozenset()
             if wanted != known and await self._write(service, wanted):
--- a/packages/geranium-relay/tests/test_stream_versions.py
+++ b/packages/geranium-relay/tests/test_stream_versions.py
@@ -179,6 +179,7 @@
     assert await known.find('attempt', 's') is None
 
     clock.instant += LIFETIME_S + 1
+    fleet.replace(make_targets('v2'), clock.now())
     assert await known.find('attempt', 's') == 'v2'
 
 
@@ -193,6 +194,7 @@
     assert await known.find('attempt', 's') is None
 
     clock.instant += LIFETIME_S
+    fleet.replace(make_targets('v2', born_ms=born_ms), clock.now())
     assert await known.find('attempt', 's') == 'v2'
 
 
