Cut heads: callers get nothing of what a target sent

None is taken for a response: the HTTP client hands the partial head over only inside its error.

That error was the fault: its text, with the target's raw headers and its signature, was the body of the 502. The body says now what happened to the connection.

--- a/packages/geranium-relay/src/geranium_relay/http_connections.py
+++ b/packages/geranium-relay/src/geranium_relay/http_connections.py
@@ -18,6 +18,7 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import RawResponseMessage
 from aiohttp.tracing import Trace
 
 MAX_CALLS = 1000  # on one connection, whose ids are kept as long as it
@@ -47,7 +48,20 @@
     except aiohttp.ClientConnectorError:
         raise
     except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise ConnectionLostError(repr(error)) from error
+        raise ConnectionLostError(_describe(error)) from error
+
+
+def _describe(
+    error: aiohttp.ClientOSError | aiohttp.ServerDisconnectedError,
+) -> str:
+    """Return what happened to a connection, without what the server sent."""
+    match error:
+        case aiohttp.ServerDisconnectedError(message=RawResponseMessage()):
+            return 'closed inside the head of a response'
+        case aiohttp.ServerDisconnectedError():
+            return 'closed before a response'
+        case _:
+            return repr(error)
 
 
 class ResponseEnd:
