Standing daemon: a stopping daemon takes no request that it may have to cut

Now the life cycle knows when open requests are cut, and a request whose deadline lies behind that is refused at once as not run, for another host to take.

--- a/packages/geraniumd/src/geraniumd/callers/incoming_requests.py
+++ b/packages/geraniumd/src/geraniumd/callers/incoming_requests.py
@@ -11,13 +11,19 @@
 from geranium_coordination import Clock
 from geranium_model import NotRun
 
-from ..process import GatewaySettings
+from ..process import GatewaySettings, Lifecycle
 
 HIGHEST_PRIORITY = 0
 LOWEST_PRIORITY = 9
 DEFAULT_PRIORITY = 5
 
 _MS_PER_S = 1000
+STOPPING = NotRun(
+    HTTPStatus.SERVICE_UNAVAILABLE,
+    'Host is stopping',
+    'The host may stop before the deadline of the request.',
+    retry_after_s=0,
+)
 _REQUEST_ID_PATTERN = re.compile(r'[!-~]{1,128}')
 
 
@@ -43,9 +49,12 @@
 class IncomingRequestReader:
     """Builds an ``IncomingRequest`` from a request's headers."""
 
-    def __init__(self, settings: GatewaySettings, clock: Clock) -> None:
+    def __init__(
+        self, settings: GatewaySettings, clock: Clock, lifecycle: Lifecycle
+    ) -> None:
         self._settings = settings
         self._clock = clock
+        self._lifecycle = lifecycle
         self._incarnation = uuid.uuid4().hex
         self._numbers = itertools.count(1)
 
@@ -66,6 +75,8 @@
             )
         if not HIGHEST_PRIORITY <= priority <= LOWEST_PRIORITY:
             return _malformed('Request-Priority: wants 0 to 9')
+        if now + wait_s > self._lifecycle.stops_at:
+            return STOPPING
         return IncomingRequest(
             request_id, execution_id, priority, now, now + wait_s
         )
--- a/packages/geraniumd/src/geraniumd/daemon.py
+++ b/packages/geraniumd/src/geraniumd/daemon.py
@@ -195,14 +195,16 @@
 
     async def _leave(self, presence: Presence) -> None:
         """Direct callers to other hosts until cached host lists expire."""
-        self._context.lifecycle.leave()
+        limits = self._context.settings.shutdown
+        stops_at = self._context.clock.now() + limits.linger_s + limits.drain_s
+        self._context.lifecycle.leave(stops_at)
         leaving = dataclasses.replace(presence, is_leaving=True)
         self._context.directory.join(leaving)
         try:
             await self._context.presences.announce(leaving)
         except StoreError as error:
             self._log.warning('presence_not_written', error=str(error))
-        await asyncio.sleep(self._context.settings.shutdown.linger_s)
+        await asyncio.sleep(limits.linger_s)
 
     async def _drain(self) -> None:
         """Finish running requests, for at most ``drain_s``."""
--- a/packages/geraniumd/src/geraniumd/process/lifecycle.py
+++ b/packages/geraniumd/src/geraniumd/process/lifecycle.py
@@ -1,6 +1,7 @@
 """Life cycle of a daemon, from start-up to graceful shutdown."""
 
 import enum
+import math
 
 import transitions
 
@@ -22,9 +23,13 @@
 
     Methods that change the stage raise ``transitions.MachineError`` if the
     transition is not allowed from the current stage.
+
+    ``stops_at`` is when requests that still run are cut, an instant of the
+    monotonic clock in seconds; ``inf`` before the shutdown.
     """
 
     def __init__(self) -> None:
+        self.stops_at = math.inf
         self._log = get_logger()
         self._machine = transitions.Machine(
             states=Stage,
@@ -58,8 +63,9 @@
         """Become ready: the configuration and the presence are in place."""
         self._machine.dispatch('join')
 
-    def leave(self) -> None:
+    def leave(self, stops_at: float) -> None:
         """Begin the shutdown; callers are directed to other hosts."""
+        self.stops_at = stops_at
         self._machine.dispatch('leave')
 
     def drain(self) -> None:
--- a/packages/geraniumd/src/geraniumd/wiring.py
+++ b/packages/geraniumd/src/geraniumd/wiring.py
@@ -58,7 +58,9 @@
     """Build the gateway for callers."""
     settings = context.settings.gateway
     access = callers.AccessControl(context.follower)
-    request_reader = callers.IncomingRequestReader(settings, context.clock)
+    request_reader = callers.IncomingRequestReader(
+        settings, context.clock, context.lifecycle
+    )
     accounting = callers.RequestAccounting(
         context.requests,
         context.meter,
