Stream versions: a silent target is kept while the list of targets is old

Found by reading: a stream whose target falls silent is moved to a reserved attempt, and that was reserved without a look at the age of the list, so that a host that was out of step could still move it to a target that restarted at another version. Now nothing is reserved until the list is followed again.

test_silent_target_is_kept_while_the_list_is_old[5-1] sent a second call before.

The waits for news leave asynchronous generators, whose ends the event loop would have had to clean up, for a class of their own. A stream without the id of its first attempt is refused as soon as the new list is there instead of after the longest wait.

--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -275,6 +275,8 @@
         self._recorder.record_silence(attempt)
         if not self._may_repeat() or not self._forwarder.can_resume():
             return False
+        if not self._version.is_confirmed():
+            return False
         if not self._selection.stop_check.may_begin():
             return False
         return self._alternative.reserve(self._avoid | {attempt.target.key})
--- a/packages/geranium-relay/src/geranium_relay/stream_origins.py
+++ b/packages/geranium-relay/src/geranium_relay/stream_origins.py
@@ -6,10 +6,10 @@
 that began it is gone. Hosts therefore tell each other where streams began.
 """
 
-import asyncio
 import collections
 import dataclasses
-from collections.abc import AsyncIterator, Callable, Iterable
+import functools
+from collections.abc import Callable, Iterable
 
 from .catalogue import RouteKind
 from .messages import IncomingRequest, Job
@@ -17,6 +17,7 @@
 from .stream_origin_updates import MAX_ORIGINS, StreamOrigin
 from .targets import Fleet, Stage, Target
 from .version_records import VersionRecords
+from .waiters import Waiters
 from .zone_reports import MS_IN_S
 
 MAX_KEPT_ORIGINS = 50_000  # bounds the memory; the oldest are dropped
@@ -59,7 +60,8 @@
     ) -> None:
         self.request_read: Callable[[], None] = _request_nothing
         self._fleet = fleet
-        fleet.reads.on_listed = self._wake_waiters
+        self._waiters = Waiters(clock)
+        fleet.reads.on_listed = self._waiters.wake
         self.records = records
         self._settings = settings
         self._clock = clock
@@ -73,7 +75,6 @@
             )
             for audience in Audience
         }
-        self._waiters: set[asyncio.Event] = set()
 
     def record(self, identity: str, version: str) -> None:
         """Record the version at which an attempt began a stream."""
@@ -87,7 +88,7 @@
         for origin in origins:
             self._origins_by_stream[origin.stream] = origin.version, now
             self._origins_by_stream.move_to_end(origin.stream)
-        self._wake_waiters()
+        self._waiters.wake()
         self._prune(now)
 
     def forward(
@@ -114,11 +115,18 @@
         says it.
         """
         asked_at = self._clock()
-        async for _ in self._news():
-            version = await self._known(identity, service, asked_at)
-            if version is not None:
+        ends_at = asked_at + self._settings.max_wait_s
+        reads = self._fleet.reads
+        is_known = functools.partial(self._is_known, identity)
+        await self._wait_until(
+            lambda: is_known() or reads.listed_at >= asked_at, ends_at
+        )
+        if not is_known():
+            version = await self._only_version(service, asked_at)
+            if version is not None or identity is None:
                 return version
-        return None
+            await self._wait_until(is_known, ends_at)
+        return self._known(identity)
 
     async def confirm_list(self) -> bool:
         """Return whether the list shows the versions of all targets.
@@ -126,16 +134,16 @@
         If it does not, since this host could not read it for a while, waits
         until it is read.
         """
-        async for _ in self._news():
-            if self._fleet.reads.is_followed(self._clock()):
-                return True
-        return False
+        ends_at = self._clock() + self._settings.max_wait_s
+        return await self._wait_until(self.is_list_followed, ends_at)
+
+    def is_list_followed(self) -> bool:
+        """Return whether the list shows the versions of all targets now."""
+        return self._fleet.reads.is_followed(self._clock())
 
     def version_of(self, arrival: IncomingRequest) -> str | None:
         """Return the version at which a request began its stream, if known."""
-        identity = arrival.began_as or arrival.identity
-        origin = self._origins_by_stream.get(name_hash(identity))
-        return None if origin is None else origin[0]
+        return self._known(arrival.began_as or arrival.identity)
 
     def other_versions(self, service: str, version: str) -> frozenset[str]:
         """Return the keys of targets at which a stream can't go on.
@@ -149,43 +157,24 @@
             and target.stage is not Stage.PREFILL
         )
 
-    async def _news(self) -> AsyncIterator[None]:
-        """Yield at once, and when there is a new list or origin.
-
-        Ends after the maximum wait.
-        """
-        yield
-        waiter = asyncio.Event()
-        self._waiters.add(waiter)
+    async def _wait_until(
+        self, condition: Callable[[], bool], ends_at: float
+    ) -> bool:
+        """Wait for origins and a new list, and return whether it holds."""
+        if condition():
+            return True
         self.request_read()
-        ends_at = self._clock() + self._settings.max_wait_s
-        try:
-            while await self._is_set(waiter, ends_at):
-                yield
-        finally:
-            self._waiters.discard(waiter)
-
-    async def _is_set(self, waiter: asyncio.Event, ends_at: float) -> bool:
-        try:
-            async with asyncio.timeout(max(ends_at - self._clock(), 0)):
-                await waiter.wait()
-        except TimeoutError:
-            return False
-        waiter.clear()
-        return True
-
-    def _wake_waiters(self) -> None:
-        for waiter in self._waiters:
-            waiter.set()
-
-    async def _known(
-        self, identity: str | None, service: str, asked_at: float
-    ) -> str | None:
-        if identity is not None:
-            origin = self._origins_by_stream.get(name_hash(identity))
-            if origin is not None:
-                return origin[0]
-        return await self._only_version(service, asked_at)
+        return await self._waiters.wait_until(condition, ends_at)
+
+    def _is_known(self, identity: str | None) -> bool:
+        return self._known(identity) is not None
+
+    def _known(self, identity: str | None) -> str | None:
+        """Return the version in the origin of a stream, if it is known."""
+        if identity is None:
+            return None
+        origin = self._origins_by_stream.get(name_hash(identity))
+        return None if origin is None else origin[0]
 
     async def _only_version(self, service: str, asked_at: float) -> str | None:
         """Return the version of all targets, if there was no other lately.
@@ -276,6 +265,10 @@
             return True
         return await self._origins.confirm_list()
 
+    def is_confirmed(self) -> bool:
+        """Return whether it is known now which targets have the version."""
+        return self._version is None or self._origins.is_list_followed()
+
     def record_first_event(self, target: Target) -> None:
         """Record that the caller gets the first event from a target."""
         self.record_version(target.software_version)
--- a/packages/geranium-relay/tests/test_unfollowed_lists.py
+++ b/packages/geranium-relay/tests/test_unfollowed_lists.py
@@ -5,6 +5,7 @@
 back to that host and went on at a target of another version.
 """
 
+import asyncio
 import dataclasses
 from collections.abc import Callable
 
@@ -14,8 +15,14 @@
 
 from .origins import make_origins
 from .test_peer_updates import Clock
-from .test_stream_versions import make_targets, make_world, versions_of_calls
-from .world import EVENTS, answer
+from .test_runs import QUICK
+from .test_stream_versions import (
+    RESUMED,
+    make_targets,
+    make_world,
+    versions_of_calls,
+)
+from .world import EVENTS, answer, trickling
 
 OUTAGE_S = 2.5
 CADENCE_S = 0.7
@@ -148,5 +155,21 @@
     assert outcome == relay.Delivered(200)
 
 
+@pytest.mark.parametrize(('age_s', 'calls'), [(0, 2), (STALL_S, 1)])
+async def test_silent_target_is_kept_while_the_list_is_old(
+    age_s: float, calls: int
+) -> None:
+    world = make_world('v1', 'v1')
+    world.relay = world.make_relay(QUICK)
+    world.targets.add_scripts(trickling(EVENTS[0]), RESUMED)
+    serving = asyncio.create_task(world.serve('resumable'))
+    await asyncio.sleep(0.1)
+    world.fleet.reads.read_at -= age_s
+
+    await serving
+
+    assert len(world.targets.calls) == calls
+
+
 async def _always(_service: str, _version: str) -> bool:
     return True
