Planned stops: log what a stopping host accepts, with the time that it may take

The incident planned-stop-lost leaves two hypotheses that the logs could not tell apart: a request that is cut at the end of the grace period was accepted by a wrong estimate, or its process ended for another reason. not_completable showed only what was refused. accepted_while_stopping has the same figures for what was accepted, once for a request.

--- a/packages/geranium-policy/src/geranium_policy/stop_admission.py
+++ b/packages/geranium-policy/src/geranium_policy/stop_admission.py
@@ -12,7 +12,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Completes:
-    """The request ends before the process does."""
+    """The request ends before the process does.
+
+    Args:
+        needed_s: The time that the request may take.
+        left_s: The time that is left for it; ``inf`` if the process runs on.
+    """
+
+    needed_s: float = dataclasses.field(default=0, compare=False)
+    left_s: float = dataclasses.field(default=math.inf, compare=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,5 +56,5 @@
     needed_s = min(estimate_s, ends_by - started_at)
     left_s = stops_at - started_at
     if needed_s <= left_s or math.isinf(left_s):
-        return Completes()
+        return Completes(needed_s, left_s)
     return CutShort(needed_s, left_s)
--- a/packages/geranium-relay/src/geranium_relay/stop_check.py
+++ b/packages/geranium-relay/src/geranium_relay/stop_check.py
@@ -1,5 +1,7 @@
 """Refuses requests that a stopping host can't complete."""
 
+import math
+
 from geranium_policy.stop_admission import Completes, CutShort, StopDecision
 
 from .messages import Job
@@ -32,6 +34,7 @@
         self._context = context
         self._settings = settings
         self._send_limit = send_limit
+        self._recorded = False
 
     def refusal(self, started_at: float) -> Refused | None:
         """Return a refusal if the request may outlive this host.
@@ -46,8 +49,9 @@
         match self._judge(started_at):
             case CutShort() as cut_short:
                 return self._refuse(cut_short)
-            case _:
-                return None
+            case Completes() as completes:
+                self._record_accepted(completes)
+        return None
 
     def may_begin(self) -> bool:
         """Return whether an attempt that begins now ends before this host."""
@@ -58,13 +62,27 @@
             self._job, started_at, self._settings.deadline_margin_s
         )
 
+    def _record_accepted(self, completes: Completes) -> None:
+        """Record, once, that a host that stops accepts the request."""
+        if self._recorded or math.isinf(completes.left_s):
+            return
+        self._recorded = True
+        self._context.log.record(
+            'accepted_while_stopping', **self._described(completes)
+        )
+
+    def _described(self, decision: StopDecision) -> dict[str, object]:
+        """Return the fields of a log record of a decision."""
+        return {
+            'request': self._job.arrival.identity,
+            'route': self._job.route.name,
+            'needed_s': round(decision.needed_s, 3),
+            'left_s': round(decision.left_s, 3),
+        }
+
     def _refuse(self, cut_short: CutShort) -> Refused:
         self._context.log.record(
-            'not_completable',
-            request=self._job.arrival.identity,
-            route=self._job.route.name,
-            needed_s=round(cut_short.needed_s, 3),
-            left_s=round(cut_short.left_s, 3),
+            'not_completable', **self._described(cut_short)
         )
         retry_after_s = self._settings.stopping_retry_s
         if not self._context.peer_client.has_peers:
