Planned stops: a test that does not measure the machine's own speed

test_short_requests_are_served_to_the_end served 30 requests in real time and then had to accept one within 0.2 s. The durations are now given to the estimator, and a second test shows that they are those of the requests served, which the first did by the way. Another new test reads accepted_while_stopping.

--- a/packages/geranium-relay/tests/test_stopping_host.py
+++ b/packages/geranium-relay/tests/test_stopping_host.py
@@ -3,10 +3,12 @@
 import asyncio
 import itertools
 import json
+import math
 from collections.abc import Callable
 
 import geranium_relay as relay
 import pytest
+from geranium_policy.completion_times import RequestKind
 
 from .world import (
     EVENTS,
@@ -22,7 +24,8 @@
 )
 
 TOO_SOON_S = 0.2  # less than the timeout of the routes
-SAMPLES = 30  # enough to bear a slow one
+SAMPLES = 30
+SHORT_S = 0.01  # much less than is left
 ALL_KINDS = ('safe', 'unsafe', 'stream', 'resumable')
 
 
@@ -76,6 +79,23 @@
     assert outcome.retry_after_s >= TOO_SOON_S / 2
 
 
+async def test_accepted_request_is_logged_with_the_time_it_may_take() -> None:
+    world = World(answer(*EVENTS))
+    left_s = 60
+    stop(world, left_s)
+
+    await world.serve('unsafe')
+
+    accepted = [
+        line
+        for line in map(json.loads, world.lines)
+        if line['event'] == 'accepted_while_stopping'
+    ]
+    assert len(accepted) == 1
+    assert 0 < accepted[0]['needed_s'] <= accepted[0]['left_s']
+    assert accepted[0]['left_s'] <= left_s
+
+
 @pytest.mark.parametrize('route', ALL_KINDS)
 async def test_request_that_ends_in_time_is_served(route: str) -> None:
     world = World(answer(*EVENTS))
@@ -88,9 +108,10 @@
 
 async def test_short_requests_are_served_to_the_end() -> None:
     """Their timeout alone would turn them away."""
-    world = World(*itertools.repeat(answer(b'yes'), SAMPLES + 1))
+    world = World(answer(b'yes'))
+    kind = RequestKind('unsafe', '/unsafe/x')
     for _ in range(SAMPLES):
-        await world.serve('unsafe')
+        world.completions.observe(kind, SHORT_S, world.clock.now())
     stop(world)
 
     outcome, _ = await world.serve('unsafe')
@@ -98,6 +119,18 @@
     assert outcome == relay.Delivered(200)
 
 
+async def test_estimate_comes_from_the_requests_that_were_served() -> None:
+    world = World(*itertools.repeat(answer(b'yes'), SAMPLES))
+    kind = RequestKind('unsafe', '/unsafe/x')
+    assert math.isinf(world.completions.estimate_s(kind, world.clock.now()))
+    for _ in range(SAMPLES):
+        await world.serve('unsafe')
+
+    estimate_s = world.completions.estimate_s(kind, world.clock.now())
+
+    assert math.isfinite(estimate_s)
+
+
 async def test_request_that_no_target_took_is_not_sent_again() -> None:
     world = World()
     full = failing(relay.NotRunError('full'))
--- a/packages/geranium-relay/tests/world.py
+++ b/packages/geranium-relay/tests/world.py
@@ -233,6 +233,11 @@
     def shutdown(self) -> relay.Shutdown:
         return self._context.shutdown
 
+    @property
+    def completions(self) -> CompletionEstimator:
+        """What the host knows of the durations of requests."""
+        return self._completions
+
     @property
     def notices(self) -> relay.TargetNotices:
         return self._notices
@@ -398,7 +403,7 @@
             now,
             source,
         )
-        completions = CompletionEstimator(CompletionSettings())
+        self._completions = CompletionEstimator(CompletionSettings())
         context = relay.RunContext(
             self.targets,
             self.selector,
@@ -415,7 +420,7 @@
                 relay.ReachSettings(), fleet, self.targets, now, source, log
             ),
             self._peer_client(make_peers(self.clock)),
-            relay.Shutdown(completions, now),
+            relay.Shutdown(self._completions, now),
         )
         self._context = context
         return self.make_relay(relay.RunSettings())
