Silent targets: a request leaves its target only for one that has accepted it

Callers got failures though their target would have answered: a request was given up at a silent target once a second attempt was reserved, which says nothing of the second target. If that one refused, failed or was silent too, what the first had done was lost.

Now the first call stays open until another target has accepted the request. Whichever answers first ends the other; a second attempt that is refused or lost leaves the first; none begins if all requests of its kind have taken longer than the time that is left. The retry budget counts the second attempt as before. A caller who leaves ends both.

Opening a call is now CallOpener's, so that two calls of a request are opened alike.

--- a/packages/geranium-policy/src/geranium_policy/completion_times.py
+++ b/packages/geranium-policy/src/geranium_policy/completion_times.py
@@ -105,12 +105,7 @@
         """
         settings = self._settings
         sizes = _Sizes(size, size * settings.size_ratio)
-        oldest = now - settings.lifetime_s
-        samples = [
-            sample.took_s
-            for sample in self._recent
-            if sample.ended_at >= oldest and sizes.include(sample.size)
-        ]
+        samples = self._durations_s(sizes, now)
         if len(samples) < min_samples:
             return math.inf
         ages = [
@@ -121,6 +116,23 @@
         longest_s = max(*samples, *ages, self._upper_limit_s(samples))
         return longest_s * (1 + settings.growth) + settings.margin_s
 
+    def shortest_s(self, size: float, min_samples: int, now: float) -> float:
+        """Return the shortest duration, 0 if there are too few samples.
+
+        Smaller requests are not comparable, but larger ones are.
+        """
+        sizes = _Sizes(size, size * self._settings.size_ratio)
+        samples = self._durations_s(sizes, now)
+        return 0 if len(samples) < min_samples else min(samples)
+
+    def _durations_s(self, sizes: '_Sizes', now: float) -> list[float]:
+        oldest = now - self._settings.lifetime_s
+        return [
+            sample.took_s
+            for sample in self._recent
+            if sample.ended_at >= oldest and sizes.include(sample.size)
+        ]
+
     def _upper_limit_s(self, samples: Sequence[float]) -> float:
         """Return the time that nearly no further request exceeds.
 
@@ -184,18 +196,33 @@
 
         Returns ``inf`` if too few requests of its kind are known.
         """
-        settings = self._settings
-        known = (
-            (self._by_path.get((kind.route, kind.path)), settings.min_of_path),
-            (self._by_route.get(kind.route), settings.min_of_route),
-        )
-        for samples, min_samples in known:
-            if samples is not None:
-                estimate_s = samples.estimate_s(kind.size, min_samples, now)
-                if math.isfinite(estimate_s):
-                    return estimate_s
+        for samples, min_samples in self._known(kind):
+            estimate_s = samples.estimate_s(kind.size, min_samples, now)
+            if math.isfinite(estimate_s):
+                return estimate_s
         return math.inf
 
+    def shortest_s(self, kind: RequestKind, now: float) -> float:
+        """Return the time that a request takes at least, in seconds.
+
+        Returns 0 if too few requests of its kind are known.
+        """
+        for samples, min_samples in self._known(kind):
+            shortest_s = samples.shortest_s(kind.size, min_samples, now)
+            if shortest_s:
+                return shortest_s
+        return 0
+
+    def _known(self, kind: RequestKind) -> Iterator[tuple[_Samples, int]]:
+        """Yield the samples of a request, and how many are enough."""
+        settings = self._settings
+        of_path = self._by_path.get((kind.route, kind.path))
+        if of_path is not None:
+            yield of_path, settings.min_of_path
+        of_route = self._by_route.get(kind.route)
+        if of_route is not None:
+            yield of_route, settings.min_of_route
+
     def _groups(self, kind: RequestKind) -> tuple[_Samples, _Samples]:
         """Return the samples of the route and of the path of a request."""
         settings = self._settings
--- a/packages/geranium-relay/src/geranium_relay/alternative_attempt.py
+++ b/packages/geranium-relay/src/geranium_relay/alternative_attempt.py
@@ -1,47 +1,130 @@
 """Another attempt for a request whose target is silent."""
 
-from .attempt_selection import AttemptSelection
-from .attempts import Attempt
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from .attempts import Attempt, response_timeouts
+from .messages import Job
+from .open_calls import OpenCall, RequestParts
 from .outcomes import Refused
-from .send_limit import SendLimit
+from .run_settings import RunSettings
+from .silence import SilenceLimit
 
 
 class AlternativeAttempt:
-    """Reserves another attempt of one request before one is given up.
+    """Runs one more attempt of a request beside that of a silent target.
 
     Args:
-        selection: Selects the attempts of the request.
-        send_limit: Counts its sends.
+        job: The request.
+        settings: Limits.
+        parts: What its calls share.
+        open_call: Opens the call of an attempt; returns ``None`` if no target
+            has accepted it.
     """
 
     def __init__(
-        self, selection: AttemptSelection, send_limit: SendLimit
+        self,
+        job: Job,
+        settings: RunSettings,
+        parts: RequestParts,
+        open_call: Callable[[Attempt], Awaitable[OpenCall | None]],
     ) -> None:
-        self._selection = selection
-        self._send_limit = send_limit
-        self._reserved: Attempt | None = None
+        self._job = job
+        self._settings = settings
+        self._parts = parts
+        self._open_call = open_call
+        self._opening: asyncio.Task[None] | None = None
+        self._accepted: OpenCall | None = None
+
+    @property
+    def is_accepted(self) -> bool:
+        """Whether a target has accepted the attempt."""
+        return self._accepted is not None
+
+    def limit_for(self, attempt: Attempt) -> SilenceLimit:
+        """Return how long the target of an attempt may be silent.
+
+        After that, another attempt begins as soon as one is possible.
+        """
+        repeats = self._parts.send_limit.may_run_again(self._job.route)
+        timeouts = response_timeouts(
+            self._job.route, attempt, self._settings, may_repeat=repeats
+        )
+        limit = SilenceLimit(
+            timeouts, lambda: self._is_given_up(attempt, limit), self.withdraw
+        )
+        return limit
+
+    async def wait(self) -> bool:
+        """Return whether a target has accepted the attempt, once it is known."""
+        if self._opening is not None:
+            await self._opening
+        return self.is_accepted
+
+    def take(self) -> OpenCall | None:
+        """Return the call that was accepted, which the caller now closes."""
+        accepted = self._accepted
+        self._accepted = None
+        return accepted
+
+    def withdraw(self) -> None:
+        """End the attempt: it is not needed."""
+        if self._opening is not None:
+            self._opening.cancel()
+        accepted = self.take()
+        if accepted is not None:
+            accepted.close()
 
-    def reserve(self, avoid: set[str]) -> bool:
-        """Reserve an attempt; return whether one is possible now.
+    async def close(self) -> None:
+        """End the attempt with the request, and wait for its end."""
+        opening = self._opening
+        self.withdraw()
+        if opening is not None:
+            await asyncio.wait((opening,))
 
-        Args:
-            avoid: Keys of the silent target and of those that have failed.
+    def _is_given_up(self, attempt: Attempt, limit: SilenceLimit) -> bool:
+        """Return whether the wait for the target of an attempt is over.
+
+        It is if another target has accepted the request. If no other attempt
+        is being made, one begins.
         """
-        if not self._send_limit.has_repeat():
+        parts = self._parts
+        has_begun = self._opening is not None or self.is_accepted
+        if not has_begun and parts.send_limit.may_run_again(self._job.route):
+            parts.recorder.record_silence(attempt)
+            if self._may_begin():
+                self._begin(parts.avoid | {attempt.target.key}, limit.check)
+        return self.is_accepted
+
+    def _may_begin(self) -> bool:
+        """Return whether a run that begins now may serve the caller."""
+        parts = self._parts
+        if not parts.forwarder.can_resume() or not parts.version.is_confirmed():
             return False
-        attempt = self._selection.take(avoid, may_be_refused=False)
-        if isinstance(attempt, Refused):
+        if not parts.forwarder.started and not parts.selection.may_complete():
+            return False
+        if not parts.selection.stop_check.may_begin():
             return False
-        self._reserved = attempt
-        return True
-
-    def release(self) -> None:
-        """Return the reserved attempt: it is not needed."""
-        self._reserved = None
-        self._send_limit.release()
-
-    def take(self) -> Attempt | None:
-        """Return the reserved attempt, if there is one, to be made now."""
-        reserved = self._reserved
-        self._reserved = None
-        return reserved
+        return parts.send_limit.has_repeat()
+
+    def _begin(self, avoid: set[str], on_accepted: Callable[[], None]) -> None:
+        attempt = self._parts.selection.take(avoid, may_be_refused=False)
+        if isinstance(attempt, Refused):
+            return
+        self._opening = asyncio.create_task(self._open(attempt, on_accepted))
+
+    async def _open(
+        self, attempt: Attempt, on_accepted: Callable[[], None]
+    ) -> None:
+        runs = self._parts.send_limit.runs
+        try:
+            self._accepted = await self._open_call(attempt)
+        except asyncio.CancelledError:
+            if self._parts.send_limit.runs == runs:
+                # The request was not sent.
+                self._parts.send_limit.release()
+            raise
+        finally:
+            self._opening = None
+        if self.is_accepted:
+            on_accepted()
--- a/packages/geranium-relay/src/geranium_relay/attempt_selection.py
+++ b/packages/geranium-relay/src/geranium_relay/attempt_selection.py
@@ -87,6 +87,10 @@
         self._crash_check.begin_trial()
         return attempt
 
+    def may_complete(self) -> bool:
+        """Return whether a run that begins now may end by the deadline."""
+        return self._context.shutdown.may_complete(self._job)
+
     def refusal(self, started_at: float) -> Refused | None:
         """Return a refusal if the request must not be sent to any target.
 
--- a/packages/geranium-relay/src/geranium_relay/response_forwarder.py
+++ b/packages/geranium-relay/src/geranium_relay/response_forwarder.py
@@ -172,7 +172,8 @@
             return await anext(self._chunks)
 
     def restart_timeout(self) -> None:
-        """Allow a whole pause from now on."""
+        """Allow a whole pause from now on: the target has sent an event."""
+        self._limit.release()
         self._set_deadline(self._limit.timeouts.pause_s)
 
     def _set_deadline(self, limit_s: float | None) -> None:
--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -1,13 +1,12 @@
 """Runs one admitted request until it has an outcome."""
 
-import dataclasses
 from http import HTTPStatus
 
 from geranium_policy.health import Unreachable
 
 from .alternative_attempt import AlternativeAttempt
 from .attempt_selection import AttemptSelection
-from .attempts import Attempt, response_timeouts
+from .attempts import Attempt
 from .call_errors import (
     AnswerLostError,
     NotRunError,
@@ -16,8 +15,8 @@
     TargetSilentError,
 )
 from .catalogue import RouteKind, Service
-from .load_tracker import Dispatch
-from .messages import CacheHandle, Job, ResponseHead, TargetCall
+from .messages import Job, ResponseHead
+from .open_calls import CallOpener, OpenCall, RequestParts
 from .outcomes import (
     CutOff,
     Failed,
@@ -27,15 +26,13 @@
 )
 from .peer_attempts import NotTaken, PeerAttempts
 from .peer_forwarding import ForwardedRequest, RunProgress
-from .ports import ResponseSink, TargetResponse
+from .ports import ResponseSink
 from .prefill_runner import PrefillRunner
 from .request_recorder import RequestRecorder
 from .response_forwarder import ResponseForwarder
 from .run_context import RunContext
 from .run_settings import RunSettings
 from .send_limit import SendLimit
-from .sending import open_response
-from .silence import SilenceLimit
 from .stream_origins import StreamVersion
 from .suspicion import clear_request, suspect_request
 
@@ -82,9 +79,6 @@
             context.clock,
             progress,
         )
-        self._prefill = PrefillRunner(
-            context, settings, self._send_limit.prefill
-        )
         self._selection = AttemptSelection(
             job,
             service,
@@ -93,8 +87,23 @@
             self._version,
             self._send_limit,
         )
+        parts = RequestParts(
+            self._selection,
+            self._send_limit,
+            self._recorder,
+            self._version,
+            self._forwarder,
+            self._avoid,
+        )
+        self._opener = CallOpener(
+            job,
+            service,
+            context,
+            PrefillRunner(context, settings, self._send_limit.prefill),
+            parts,
+        )
         self._alternative = AlternativeAttempt(
-            self._selection, self._send_limit
+            job, settings, parts, self._open_alternative
         )
         self._peers = PeerAttempts(
             self._forwarder,
@@ -118,6 +127,7 @@
             while outcome is None:
                 outcome = await self._try_once()
         finally:
+            await self._alternative.close()
             self._send_limit.close()
         calls = self._send_limit.calls_made(counted=self._recorder.counted)
         return with_calls(outcome, calls)
@@ -139,7 +149,7 @@
         """Try a peer or a target; ``None`` means that another may follow."""
         alternative = self._alternative.take()
         if alternative is not None:
-            return await self._run_attempt(alternative)
+            return await self._forward_call(alternative)
         service = self._job.service
         if not await self._version.confirm():
             return await self._final_outcome(
@@ -175,160 +185,92 @@
         """Run one attempt; ``None`` means that another may follow."""
         self._recorder.record_dispatch(attempt, self._send_limit.sends)
         try:
-            return await self._send(attempt)
+            opened = await self._opener.open(
+                attempt, self._alternative.limit_for
+            )
         except RelayError as error:
             return await self._handle_failure(attempt, error)
+        if isinstance(opened, Refused):
+            return await self._final_outcome(opened)
+        return await self._forward_call(opened)
 
-    def _may_repeat(self) -> bool:
-        """Return whether the request may run again after this run."""
-        return self._send_limit.may_run_again(self._job.route)
-
-    async def _send(self, attempt: Attempt) -> Outcome | None:
-        cache_handle = await self._prefill.read(self._job, attempt)
-        refusal = self._selection.refusal(attempt.started_at)
-        if refusal is not None:
-            if cache_handle is not None:
-                await self._context.targets.drop_prompt(cache_handle)
-            return await self._final_outcome(refusal)
-        if not self._context.selector.accepts_requests(
-            attempt.target, attempt.started_at
-        ):
-            attempt = await self._reselect_target(attempt, cache_handle)
-        dispatch = Dispatch(
-            attempt.target.key,
-            self._job.rank,
-            0 if cache_handle else attempt.placement.fresh_tokens,
-            self._context.clock(),
-            attempt.placement.first_s,
-        )
-        with self._context.loads.counted(dispatch):
-            return await self._call(attempt, cache_handle, dispatch)
-
-    async def _reselect_target(
-        self,
-        attempt: Attempt,
-        cache_handle: CacheHandle | None,
-    ) -> Attempt:
-        """Replace a target that stopped accepting requests in the prefill.
-
-        Raises:
-            NotRunError: If no other target is available.
-        """
-        selected = None
-        if self._service.engine is not None:
-            selected = self._context.selector.select_generator(
-                self._job,
-                self._service.engine,
-                self._version.excluded() | self._avoid | {attempt.target.key},
+    async def _open_alternative(self, attempt: Attempt) -> OpenCall | None:
+        """Open the call of an attempt beside that of a silent target."""
+        self._recorder.record_dispatch(attempt, self._send_limit.sends)
+        try:
+            opened = await self._opener.open(
+                attempt, self._alternative.limit_for, beside_another=True
             )
-        if selected is None:
-            if cache_handle is not None:
-                await self._context.targets.drop_prompt(cache_handle)
-            raise NotRunError('no target accepts the prefilled prompt')
-        self._context.selector.record_dispatch(selected)
-        return dataclasses.replace(attempt, target=selected)
+        except RelayError as error:
+            await self._record_failure(attempt, error)
+            return None
+        if isinstance(opened, Refused):
+            return None
+        head = opened.response.head
+        if head.succeeded and head.signed:
+            return opened
+        with opened:
+            lost = AnswerLostError(f'status {head.status}')
+            await self._record_failure(opened.attempt, lost)
+        return None
 
-    async def _call(
-        self,
-        attempt: Attempt,
-        cache_handle: CacheHandle | None,
-        dispatch: Dispatch,
-    ) -> Outcome | None:
-        call = TargetCall(
-            self._job,
-            attempt.target,
-            self._job.deadline,
-            cache_handle,
-            self._forwarder.resume_after,
-        )
-        self._send_limit.record_run()
-        limit = self._silence_limit(attempt)
-        try:
-            response = await open_response(self._context, call, limit)
-        except NotSentError:
-            self._send_limit.runs -= 1
-            raise
-        except NotRunError:
-            self._send_limit.runs -= 1
-            self._recorder.record_refusal(attempt, cache_handle)
-            raise
+    async def _forward_call(self, opened: OpenCall) -> Outcome | None:
         try:
-            return await self._forward(response, attempt, dispatch, limit)
-        finally:
-            response.close()
-
-    def _silence_limit(self, attempt: Attempt) -> SilenceLimit:
-        timeouts = response_timeouts(
-            self._job.route,
-            attempt,
-            self._settings,
-            may_repeat=self._may_repeat(),
-        )
-        return SilenceLimit(
-            timeouts,
-            lambda: self._reserve_other(attempt),
-            self._alternative.release,
-        )
+            with opened:
+                return await self._forward(opened)
+        except RelayError as error:
+            return await self._handle_failure(opened.attempt, error)
 
-    def _reserve_other(self, attempt: Attempt) -> bool:
-        """Reserve an attempt at another target than a silent one."""
-        self._recorder.record_silence(attempt)
-        if not self._may_repeat() or not self._forwarder.can_resume():
-            return False
-        if not self._version.is_confirmed():
-            return False
-        if not self._selection.stop_check.may_begin():
-            return False
-        return self._alternative.reserve(self._avoid | {attempt.target.key})
+    def _may_repeat(self) -> bool:
+        """Return whether the request may run again after this run."""
+        return self._send_limit.may_run_again(self._job.route)
 
-    async def _forward(
-        self,
-        response: TargetResponse,
-        attempt: Attempt,
-        dispatch: Dispatch,
-        limit: SilenceLimit,
-    ) -> Outcome | None:
+    async def _forward(self, opened: OpenCall) -> Outcome | None:
+        response = opened.response
         head = response.head
         if head.succeeded and not head.signed:
             raise AnswerLostError('success without signature')
         self._recorder.count()
         is_stream = self._job.route.kind is RouteKind.STREAM
         if is_stream and self._forwarder.is_stream(head):
-            return await self._forward_stream(
-                response, attempt, dispatch, limit
-            )
+            return await self._forward_stream(opened)
         if self._forwarder.started:
-            self._recorder.record_begun(attempt, dispatch)
-            self._avoid.add(attempt.target.key)
-            return self._finish_failed_run(f'status {head.status} in a stream')
+            self._recorder.record_begun(opened.attempt, opened.dispatch)
+            self._avoid.add(opened.attempt.target.key)
+            return await self._finish_failed_run(
+                f'status {head.status} in a stream'
+            )
+        return await self._forward_whole(opened)
+
+    async def _forward_whole(self, opened: OpenCall) -> Outcome | None:
+        response = opened.response
+        head = response.head
         body = await response.read(self._settings.max_body_bytes)
-        self._recorder.record_begun(attempt, dispatch)
+        self._recorder.record_begun(opened.attempt, opened.dispatch)
         if head.succeeded and response.framed:
             clear_request(self._context, self._job)
         if head.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
             self._failure = head, body
-            if self._may_repeat():
-                self._avoid.add(attempt.target.key)
+            if await self._alternative.wait() or self._may_repeat():
+                self._avoid.add(opened.attempt.target.key)
                 return None
+        opened.limit.release()
         return await self._forwarder.forward_whole(head, body)
 
-    async def _forward_stream(
-        self,
-        response: TargetResponse,
-        attempt: Attempt,
-        dispatch: Dispatch,
-        limit: SilenceLimit,
-    ) -> Outcome:
+    async def _forward_stream(self, opened: OpenCall) -> Outcome:
+        response = opened.response
         try:
             outcome = await self._forwarder.forward_stream(
                 response,
-                limit,
-                lambda: self._recorder.record_begun(attempt, dispatch),
-                lambda: self._version.record_first_event(attempt.target),
+                opened.limit,
+                lambda: self._recorder.record_begun(
+                    opened.attempt, opened.dispatch
+                ),
+                lambda: self._version.record_first_event(opened.attempt.target),
             )
         finally:
             self._recorder.record_stream_end(
-                attempt,
+                opened.attempt,
                 framed=response.framed,
                 inside_event=self._forwarder.is_inside_event,
             )
@@ -338,14 +280,22 @@
         return outcome
 
     async def _handle_failure(
-        self,
-        attempt: Attempt,
-        error: RelayError,
+        self, attempt: Attempt, error: RelayError
     ) -> Outcome | None:
         """Record a failed attempt and return the outcome if it was the last.
 
         ``None`` means that the request may be sent again.
         """
+        await self._record_failure(attempt, error)
+        match error:
+            case NotRunError() | NotSentError():
+                return None
+            case _:
+                return await self._finish_failed_run(str(error))
+
+    async def _record_failure(
+        self, attempt: Attempt, error: RelayError
+    ) -> None:
         target = attempt.target
         self._avoid.add(target.key)
         self._recorder.record_failure(
@@ -357,23 +307,23 @@
             self._context.reach.suspect(target.service)
         match error:
             case NotRunError():
-                return None
+                return
             case NotSentError():
                 self._send_limit.refund()
                 self._context.selector.observe(target, Unreachable())
-                return None
             case TargetSilentError():
                 self._recorder.record_silence(attempt)
             case _:
                 self._context.selector.observe(target, Unreachable())
         if isinstance(error, AnswerLostError) and error.broken:
             await suspect_request(self._context, self._job, target)
-        return self._finish_failed_run(str(error))
 
-    def _finish_failed_run(self, reason: str) -> Outcome | None:
+    async def _finish_failed_run(self, reason: str) -> Outcome | None:
         self._forwarder.drop_partial_event()
         if self._service.engine is None:
             self._recorder.count()
+        if await self._alternative.wait():
+            return None
         if self._may_repeat() and self._forwarder.can_resume():
             return None
         if self._forwarder.started:
--- a/packages/geranium-relay/src/geranium_relay/shutdown.py
+++ b/packages/geranium-relay/src/geranium_relay/shutdown.py
@@ -78,6 +78,15 @@
         took_s = now - job.arrival.arrived_at
         self._completions.observe(_kind_of(job), took_s, now)
 
+    def may_complete(self, job: Job) -> bool:
+        """Return whether a job that begins now may end by its deadline.
+
+        It may not if all like it have taken longer than is left.
+        """
+        now = self._clock()
+        shortest_s = self._completions.shortest_s(_kind_of(job), now)
+        return now + shortest_s <= job.deadline
+
     def judge(
         self, job: Job, started_at: float, margin_s: float
     ) -> StopDecision:
--- a/packages/geranium-relay/tests/test_silence.py
+++ b/packages/geranium-relay/tests/test_silence.py
@@ -1,4 +1,4 @@
-"""The wait for a silent target ends only for a reserved attempt."""
+"""The wait for a silent target ends only for an accepted attempt."""
 
 import asyncio
 
@@ -33,7 +33,7 @@
     return asyncio.get_running_loop().time() + 0.01
 
 
-async def test_wait_ends_once_an_attempt_is_reserved() -> None:
+async def test_wait_ends_once_an_attempt_is_accepted() -> None:
     reservations = Reservations(granted_at=3)
 
     with pytest.raises(relay.TargetSilentError):
@@ -65,23 +65,7 @@
     limit = SilenceLimit(ResponseTimeouts(), reserve, reservations.release)
     async with limit.until(soon()):
         await answered.wait()
+    limit.release()
 
     assert reservations.asked == 1
     assert reservations.reserved == 0
-
-
-async def test_attempt_is_released_if_the_caller_leaves() -> None:
-    reservations = Reservations(granted_at=1)
-
-    async def wait() -> None:
-        async with reservations.limit().until(soon()):
-            try:
-                await asyncio.Event().wait()
-            finally:
-                task.cancel()
-
-    task = asyncio.create_task(wait())
-    with pytest.raises(asyncio.CancelledError):
-        await task
-
-    assert reservations.reserved == 0
