Silent targets: a target that has started again ends its requests

Callers waited to their deadline for a process that was gone: without another attempt, nothing ended the wait for a silent target, though its entry showed a later start. The wait now looks at the entry while the target is silent, for requests that may run only once, too, which then fail at once.

--- a/packages/geranium-relay/src/geranium_relay/alternative_attempt.py
+++ b/packages/geranium-relay/src/geranium_relay/alternative_attempt.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from .attempts import Attempt, response_timeouts
+from .attempts import Attempt, ResponseTimeouts, response_timeouts
 from .messages import Job
 from .open_calls import OpenCall, RequestParts
 from .outcomes import Refused
@@ -44,12 +44,16 @@
     def limit_for(self, attempt: Attempt) -> SilenceLimit:
         """Return how long the target of an attempt may be silent.
 
-        After that, another attempt begins as soon as one is possible.
+        After that, another attempt begins as soon as one is possible. If the
+        target starts again meanwhile, the wait ends.
         """
         repeats = self._parts.send_limit.may_run_again(self._job.route)
         timeouts = response_timeouts(
             self._job.route, attempt, self._settings, may_repeat=repeats
         )
+        if not repeats:
+            silence_s = self._settings.stream_silence_s
+            timeouts = ResponseTimeouts(silence_s, silence_s)
         limit = SilenceLimit(
             timeouts, lambda: self._is_given_up(attempt, limit), self.withdraw
         )
@@ -89,6 +93,8 @@
         is being made, one begins.
         """
         parts = self._parts
+        if parts.selection.is_replaced(attempt.target):
+            return True
         has_begun = self._opening is not None or self.is_accepted
         if not has_begun and parts.send_limit.may_run_again(self._job.route):
             parts.recorder.record_silence(attempt)
--- a/packages/geranium-relay/src/geranium_relay/attempt_selection.py
+++ b/packages/geranium-relay/src/geranium_relay/attempt_selection.py
@@ -21,6 +21,7 @@
     PlacementDecision,
     TooBusy,
 )
+from .targets import Target
 
 
 class AttemptSelection:
@@ -91,6 +92,12 @@
         """Return whether a run that begins now may end by the deadline."""
         return self._context.shutdown.may_complete(self._job)
 
+    def is_replaced(self, target: Target) -> bool:
+        """Return whether a target has started again, so that its calls ended."""
+        fleet = self._context.selector.fleet
+        listed = fleet.targets_by_identity.get(target.identity)
+        return listed is not None and listed.born_ms > target.born_ms
+
     def refusal(self, started_at: float) -> Refused | None:
         """Return a refusal if the request must not be sent to any target.
 
--- a/packages/geranium-relay/tests/test_silence_alternatives.py
+++ b/packages/geranium-relay/tests/test_silence_alternatives.py
@@ -185,6 +185,24 @@
     assert calls.made == 1
 
 
+@pytest.mark.parametrize('route', ['unsafe', 'stream'])
+async def test_request_that_runs_once_ends_with_its_target(route: str) -> None:
+    world = make_world()
+    calls = OpenCalls(world, never)
+    started = world.clock.now()
+    task = asyncio.create_task(world.serve(route))
+    await calls.all_made.wait()
+    targets = world.fleet.targets_by_identity.values()
+    later = [dataclasses.replace(target, born_ms=2) for target in targets]
+    world.fleet.replace(later, world.clock.now())
+
+    outcome, _ = await task
+
+    assert isinstance(outcome, relay.Failed)
+    assert world.clock.now() - started < NOTICED_S
+    assert calls.made == 1
+
+
 async def test_request_at_a_target_that_was_replaced_ends() -> None:
     """The entry shows a later start: the process that had it is gone."""
     world = World(silent, targets=1, retry_budget=NO_BUDGET)
