Hold signals from the first moment of a process until it can act on them

Cause: handlers were installed after all imports, and the loop and the interpreter give them up as they end.

A host that was asked to stop meanwhile does not listen at all. When the work is done, the signals are blocked again. The entry points are modules beside the packages, because `__init__` of a package imports the rest of it. `python -m geranium_platform` and `python -m geraniumd` hold signals only after their imports. What comes before the interpreter runs the first line of a program can't be held by it.

--- a/packages/geranium-standins/src/geranium_standins/deployment_launch.py
+++ b/packages/geranium-standins/src/geranium_standins/deployment_launch.py
@@ -82,7 +82,7 @@
         'GERANIUM_PEER_SECRET': PEER_SECRET,
     }
     await process.start(
-        ('geraniumd', str(path), '--log-level', settings.log_level),
+        ('geraniumd_start', str(path), '--log-level', settings.log_level),
         environment,
     )
 
--- a/packages/geraniumd/src/geraniumd/cli.py
+++ b/packages/geraniumd/src/geraniumd/cli.py
@@ -8,6 +8,7 @@
 from typing import NoReturn
 
 import click
+from geraniumd_start import act_on_signals, hold_signals
 
 from .daemon import Daemon
 from .process import (
@@ -73,6 +74,7 @@
         return
     secrets = _load_secrets_or_exit(settings)
     configure_logs(log_level, settings.host)
+    hold_signals()
     asyncio.run(_run(settings, secrets))
 
 
@@ -102,4 +104,9 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, daemon.stop)
     loop.add_signal_handler(signal.SIGUSR1, daemon.dump)
-    await daemon.run()
+    act_on_signals()
+    try:
+        await daemon.run()
+    finally:
+        # The loop and the interpreter give the handlers up as they end.
+        hold_signals()
