Logs: name the connection that broke under a request

A request failed as "Server disconnected" at a host that was not being stopped, and its log did not say what had broken. attempt_failed and forwarding_failed now have both ends of the connection, its age, how many calls it has carried, how long it had the failed one, and whether a request that may have run may run again; the error says who ended it and whether a part of a head had arrived.

--- a/packages/geranium-relay/src/geranium_relay/__init__.py
+++ b/packages/geranium-relay/src/geranium_relay/__init__.py
@@ -32,6 +32,7 @@
 from .http_connections import (
     CallConnector,
     ConnectionLostError,
+    ConnectionUse,
     ResponseEnd,
     send_once,
 )
@@ -155,6 +156,7 @@
     'CatalogueView',
     'ClusterClock',
     'ConnectionLostError',
+    'ConnectionUse',
     'CutOff',
     'DecisionLog',
     'Delivered',
--- a/packages/geranium-relay/src/geranium_relay/call_errors.py
+++ b/packages/geranium-relay/src/geranium_relay/call_errors.py
@@ -1,5 +1,7 @@
 """Errors of calls to targets, by whether the call may have run."""
 
+from .broken_connections import BrokenConnection
+
 
 class RelayError(Exception):
     """Base class of the errors of calls to targets."""
@@ -33,12 +35,19 @@
     """The call was sent, but its response is lost or invalid.
 
     The call may have run. ``broken`` is set if the connection closed, which
-    also happens when the target crashes.
+    also happens when the target crashes. ``connection`` says which one it was.
     """
 
-    def __init__(self, detail: str, *, broken: bool = False) -> None:
+    def __init__(
+        self,
+        detail: str,
+        *,
+        broken: bool = False,
+        connection: BrokenConnection | None = None,
+    ) -> None:
         super().__init__(detail)
         self.broken = broken
+        self.connection = connection
 
 
 class TargetSilentError(RelayError):
--- a/packages/geranium-relay/src/geranium_relay/http_connections.py
+++ b/packages/geranium-relay/src/geranium_relay/http_connections.py
@@ -21,6 +21,8 @@
 from aiohttp.http import RawResponseMessage
 from aiohttp.tracing import Trace
 
+from .broken_connections import BrokenConnection, ConnectionHistory
+
 MAX_CALLS = 1000  # on one connection, whose ids are kept as long as it
 
 
@@ -28,9 +30,11 @@
     """An established connection broke; the call may have run.
 
     aiohttp retries a call after subclasses of this base class, but not after
-    the base class itself.
+    the base class itself. ``connection`` says which connection it was.
     """
 
+    connection: BrokenConnection | None = None
+
 
 async def send_once(
     request: aiohttp.ClientRequest,
@@ -93,7 +97,7 @@
 class _EarlierCalls:
     """The calls that a connection has carried."""
 
-    count: int = 0
+    history: ConnectionHistory
     identities: set[str] = dataclasses.field(default_factory=set)
 
 
@@ -102,13 +106,20 @@
 
     Args:
         protocol: The connection.
-        is_first: Whether the call is the first on its connection. Its
-            response can't be a copy of an earlier one.
+        history: What the connection has carried, this call included. The
+            response to its first call can't be a copy of an earlier one.
     """
 
-    def __init__(self, protocol: ResponseHandler, *, is_first: bool) -> None:
+    def __init__(
+        self, protocol: ResponseHandler, history: ConnectionHistory
+    ) -> None:
         self._protocol = protocol
-        self.is_first = is_first
+        self._history = history
+        self.is_first = history.calls == 1
+
+    def broken(self) -> BrokenConnection:
+        """Return what is known of the connection, which broke now."""
+        return self._history.broken()
 
     def discard(self) -> None:
         """Use the connection for no further call.
@@ -184,11 +195,14 @@
             protocol = connection.protocol
             if protocol is None:
                 return connection
-            earlier = self._earlier_calls.setdefault(protocol, _EarlierCalls())
+            earlier = self._earlier_calls.get(protocol)
+            if earlier is None:
+                earlier = _EarlierCalls(ConnectionHistory(protocol.transport))
+                self._earlier_calls[protocol] = earlier
             is_usable = (
                 not protocol.should_close and identity not in earlier.identities
             )
-            if is_usable or not earlier.count:
+            if is_usable or not earlier.history.calls:
                 self._record(req, protocol, earlier, identity)
                 return connection
             connection.close()
@@ -205,7 +219,12 @@
         Raises:
             ConnectionLostError: If an established connection breaks.
         """
-        response = await send_once(request, handler)
+        try:
+            response = await send_once(request, handler)
+        except ConnectionLostError as error:
+            use = self._uses_by_request.pop(request, None)
+            error.connection = None if use is None else use.broken()
+            raise
         self._uses_by_response[response] = self._uses_by_request.pop(request)
         return response
 
@@ -225,9 +244,8 @@
         earlier: _EarlierCalls,
         identity: str | None,
     ) -> None:
-        use = ConnectionUse(protocol, is_first=not earlier.count)
-        self._uses_by_request[req] = use
-        earlier.count += 1
+        earlier.history.count_call()
+        self._uses_by_request[req] = ConnectionUse(protocol, earlier.history)
         if identity is not None:
             earlier.identities.add(identity)
         if len(earlier.identities) >= MAX_CALLS:
--- a/packages/geranium-relay/src/geranium_relay/peer_attempts.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_attempts.py
@@ -13,7 +13,7 @@
     PeerResponse,
     RunProgress,
 )
-from .request_recorder import RequestRecorder
+from .request_recorder import RequestRecorder, broken_connection_fields
 from .response_forwarder import ResponseForwarder
 from .run_context import RunContext
 from .run_settings import RunSettings
@@ -236,4 +236,7 @@
             peer=self._tried[-1],
             error=repr(error),
             started=self._forwarder.started,
+            may_repeat=self._send_limit.may_run_again(job.route)
+            and self._forwarder.can_resume(),
+            connection=broken_connection_fields(error),
         )
--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/connections.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/connections.py
@@ -3,12 +3,23 @@
 import asyncio
 import struct
 
+from ..broken_connections import BrokenConnection, ConnectionHistory
+
 MAX_MESSAGE_BYTES = 33_554_432  # twice the largest body
 _LENGTH = struct.Struct('<I')
 
 
 class ConnectionEndedError(Exception):
-    """The connection broke or ended, or its next message is too large."""
+    """The connection broke or ended, or its next message is too large.
+
+    ``connection`` says which one it was.
+    """
+
+    def __init__(
+        self, detail: str, connection: BrokenConnection | None = None
+    ) -> None:
+        super().__init__(detail)
+        self.connection = connection
 
 
 class MessageConnection:
@@ -19,6 +30,8 @@
     ) -> None:
         self._reader = reader
         self._writer = writer
+        self._history = ConnectionHistory(writer)
+        self._history.count_call()
 
     def write(self, message: bytes) -> None:
         """Queue a message."""
@@ -33,7 +46,7 @@
         try:
             await self._writer.drain()
         except OSError as error:
-            raise ConnectionEndedError(repr(error)) from error
+            raise self._ended(repr(error)) from error
 
     async def read(self) -> bytes:
         """Return the next message.
@@ -46,10 +59,10 @@
                 await self._reader.readexactly(_LENGTH.size)
             )[0]
             if length > MAX_MESSAGE_BYTES:
-                raise ConnectionEndedError(f'message of {length} bytes')
+                raise self._ended(f'message of {length} bytes')
             return await self._reader.readexactly(length)
         except (OSError, asyncio.IncompleteReadError) as error:
-            raise ConnectionEndedError(repr(error)) from error
+            raise self._ended(repr(error)) from error
 
     async def wait_for_end(self) -> None:
         """Return when the peer has closed the connection."""
@@ -66,3 +79,6 @@
     def abort(self) -> None:
         """Close the connection at once."""
         self._writer.transport.abort()
+
+    def _ended(self, detail: str) -> ConnectionEndedError:
+        return ConnectionEndedError(detail, self._history.broken())
--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/peer_client.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/peer_client.py
@@ -329,7 +329,9 @@
         except TimeoutError:
             raise TargetSilentError('peer is silent') from None
         except ConnectionEndedError as error:
-            raise AnswerLostError(f'peer: {error}') from error
+            raise AnswerLostError(
+                f'peer: {error}', connection=error.connection
+            ) from error
 
     async def next(self) -> Frame:
         """Return the next frame that says more than that the host is alive."""
@@ -347,7 +349,9 @@
             async with self._limit.until(deadline):
                 return await self._connection.read()
         except ConnectionEndedError as error:
-            raise AnswerLostError(f'peer: {error}') from error
+            raise AnswerLostError(
+                f'peer: {error}', connection=error.connection
+            ) from error
 
     def _decode(self, message: bytes) -> Frame:
         try:
--- a/packages/geranium-relay/src/geranium_relay/request_recorder.py
+++ b/packages/geranium-relay/src/geranium_relay/request_recorder.py
@@ -6,7 +6,8 @@
 from geranium_policy.retry_share import RetryKind
 
 from .attempts import Attempt
-from .call_errors import NotRunError, NotSentError
+from .broken_connections import BrokenConnection
+from .call_errors import AnswerLostError, NotRunError, NotSentError
 from .load_tracker import Dispatch
 from .messages import CacheHandle, Job
 from .run_context import RunContext
@@ -82,8 +83,16 @@
         error: Exception,
         *,
         started: bool,
+        may_repeat: bool,
     ) -> None:
-        """Record a failed attempt."""
+        """Record a failed attempt.
+
+        Args:
+            attempt: The attempt.
+            error: Why it failed.
+            started: Whether the caller has a part of the response.
+            may_repeat: Whether its route and its runs allow another attempt.
+        """
         self._context.telemetry.record_attempt(type(error).__name__)
         self._context.log.record(
             'attempt_failed',
@@ -91,6 +100,8 @@
             target=attempt.target.key,
             error=repr(error),
             started=started,
+            may_repeat=may_repeat,
+            connection=broken_connection_fields(error),
         )
         if isinstance(error, (NotSentError, NotRunError)):
             withdraw_prompt(
@@ -145,6 +156,15 @@
         self._context.usage.count(self._job.team.name)
 
 
+def broken_connection_fields(error: Exception) -> dict[str, object] | None:
+    """Return what the log says of the connection that broke, if one did."""
+    match error:
+        case AnswerLostError(connection=BrokenConnection() as broken):
+            return broken.fields()
+        case _:
+            return None
+
+
 def withdraw_prompt(job: Job, context: RunContext, target: str) -> None:
     """Take back that an engine keeps a prompt, which it has not run."""
     prompt = job.arrival.prompt
--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -352,6 +352,7 @@
             attempt,
             error,
             started=self._forwarder.started,
+            may_repeat=self._may_repeat() and self._forwarder.can_resume(),
         )
         if not isinstance(error, NotRunError):
             self._context.reach.suspect(target.service)
--- /dev/null
+++ b/tests/adapter/test_broken_connections.py
@@ -0,0 +1,63 @@
+"""Connections to targets that break: what the log says, what callers get."""
+
+import asyncio
+import contextlib
+import json
+
+import pytest
+
+from .conftest import only_target
+from .waits import ticks
+
+ANSWER = (
+    b'HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: s\r\n'
+    b'Content-Length: 2\r\n\r\nok'
+)
+
+
+async def read_identity(reader: asyncio.StreamReader) -> bytes:
+    """Read a request and return its id."""
+    head = await reader.readuntil(b'\r\n\r\n')
+    return head.lower().partition(b'request-id: ')[2].split()[0]
+
+
+async def serve_once(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Answer the first request of a connection and close at the second."""
+    with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+        writer.write(ANSWER % await read_identity(reader))
+        await read_identity(reader)
+    writer.close()
+
+
+async def failures(capfd: pytest.CaptureFixture) -> list[dict[str, object]]:
+    """Return the records of failed attempts once there is one."""
+    logged = ''
+    async for _ in ticks():
+        logged += capfd.readouterr().out
+        if '"attempt_failed"' in logged:
+            break
+    lines = map(json.loads, logged.splitlines())
+    return [line for line in lines if line['event'] == 'attempt_failed']
+
+
+# A request failed as "Server disconnected", and the log did not say on what
+# connection: a kept one that its target had closed, or a new one.
+async def test_log_names_the_connection_that_broke(capfd, world) -> None:
+    async with only_target(world, serve_once):
+        for number in (1, 2):
+            async with world.caller.get(
+                world.url('/safe/x'),
+                headers=world.headers(Request_Id=f'r{number}'),
+            ) as response:
+                await response.read()
+
+    failed = (await failures(capfd))[0]
+    connection = failed['connection']
+    assert failed['error'].count('closed before a response')
+    assert failed['may_repeat']
+    assert connection['calls'] == 2
+    assert 0 <= connection['call_s'] <= connection['age_s']
+    assert connection['remote'].startswith('127.0.0.1:')
+    assert connection['local'] != connection['remote']
