Targets: a last attempt uses no kept connection

Callers got 502 ("closed before a response") for safe requests and resumable streams whose route allows one attempt, or whose other attempts were used up: they went over kept connections like all repeatable requests, and failed when the target closed an idle one just as they were sent.

--- a/packages/geranium-relay/src/geranium_relay/messages.py
+++ b/packages/geranium-relay/src/geranium_relay/messages.py
@@ -157,6 +157,7 @@
         deadline: When the target stops.
         fetch_from: A prefilled prompt to fetch instead of prefilling it.
         resume_after: Id of the last event that is not sent again.
+        may_repeat: Whether the job may run again if the response is lost.
     """
 
     job: Job
@@ -164,6 +165,7 @@
     deadline: float
     fetch_from: CacheHandle | None = None
     resume_after: str | None = None
+    may_repeat: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -234,14 +234,15 @@
         cache_handle: CacheHandle | None,
         dispatch: Dispatch,
     ) -> Outcome | None:
+        self._send_limit.record_run()
         call = TargetCall(
             self._job,
             attempt.target,
             self._job.deadline,
             cache_handle,
             self._forwarder.resume_after,
+            self._may_repeat(),
         )
-        self._send_limit.record_run()
         limit = self._silence_limit(attempt)
         try:
             response = await open_response(self._context, call, limit)
--- a/tests/adapter/odd_hosts.py
+++ b/tests/adapter/odd_hosts.py
@@ -51,7 +51,13 @@
 
     def call(self, target: relay.Target) -> relay.TargetCall:
         """Return a call with a prompt to a target."""
-        return relay.TargetCall(self.job(), target, self.clock.now() + 1)
+        job = self.job()
+        return relay.TargetCall(
+            job,
+            target,
+            self.clock.now() + 1,
+            may_repeat=job.route.repeatable,
+        )
 
     def job(self, prompt: relay.Prompt | None = PROMPT) -> relay.Job:
         """Return a job of the service of targets."""
--- a/tests/adapter/target_caller.py
+++ b/tests/adapter/target_caller.py
@@ -79,7 +79,12 @@
             now + 2,
             RequestFingerprints(1),
         )
-        return relay.TargetCall(job, self.target, now + 2)
+        return relay.TargetCall(
+            job,
+            self.target,
+            now + 2,
+            may_repeat=kind is not relay.RouteKind.UNSAFE,
+        )
 
     async def send(
         self, identity: str, kind: relay.RouteKind = relay.RouteKind.SAFE
--- a/tests/adapter/test_broken_connections.py
+++ b/tests/adapter/test_broken_connections.py
@@ -6,12 +6,13 @@
 
 import pytest
 
-from .conftest import only_target
+from .conftest import CONFIGURATION, only_target
 from .waits import ticks
 
 ANSWER = (
     b'HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: s\r\n'
-    b'Content-Length: 2\r\n\r\nok'
+    b'Content-Type: text/event-stream\r\nContent-Length: 17\r\n\r\n'
+    b'id: 1\ndata: abc\n\n'
 )
 
 
@@ -61,3 +62,36 @@
     assert 0 <= connection['call_s'] <= connection['age_s']
     assert connection['remote'].startswith('127.0.0.1:')
     assert connection['local'] != connection['remote']
+
+
+async def change_routes(world, **changes: object) -> None:
+    """Change all routes in a version that is in force on return."""
+    routes = [{**route, **changes} for route in CONFIGURATION['routes']]
+    changed = {**CONFIGURATION, 'version': 2, 'routes': routes}
+    world.store.put('config', 'main', changed)
+    view = world.host.state.view
+    async for _ in ticks():
+        if view.catalogue.version == 2:
+            return
+
+
+async def statuses(world, kind: str) -> set[int]:
+    """Send requests one after the other and return their statuses."""
+    found = set()
+    for number in range(4):
+        async with world.caller.post(
+            world.url(f'/{kind}/x'),
+            headers=world.headers(Request_Id=f'r{number}'),
+        ) as response:
+            await response.read()
+            found.add(response.status)
+    return found
+
+
+# Requests that no other attempt could save were sent on kept connections, and
+# failed when their target closed one just then.
+@pytest.mark.parametrize('kind', ['safe', 'streaming'])
+async def test_last_attempt_uses_no_kept_connection(world, kind: str) -> None:
+    await change_routes(world, maxAttempts=1, resumable=True)
+    async with only_target(world, serve_once):
+        assert await statuses(world, kind) == {200}
