--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -234,14 +234,15 @@
         cache_handle: CacheHandle | None,
         dispatch: Dispatch,
     ) -> Outcome | None:
+        self._send_limit.record_run()
         call = TargetCall(
             self._job,
             attempt.target,
             self._job.deadline,
             cache_handle,
             self._forwarder.resume_after,
+            self._may_repeat(),
         )
-        self._send_limit.record_run()
         limit = self._silence_limit(attempt)
         try:
             response = await open_response(self._context, call, limit)
@@ -352,6 +353,7 @@
             attempt,
             error,
             started=self._forwarder.started,
+            may_repeat=self._may_repeat() and self._forwarder.can_resume(),
         )
         if not isinstance(error, NotRunError):
             self._context.reach.suspect(target.service)
