--- a/soak/src/geranium_soak/environment.py
+++ b/soak/src/geranium_soak/environment.py
@@ -56,6 +56,7 @@
         program: Arguments with which the interpreter runs a host.
         skews_s: Wall clock offsets, assigned to the hosts in turn.
         bounds: Bounds in the hosts' settings.
+        timeouts_ms: Timeouts of further routes, each with one of each kind.
     """
 
     hosts: int
@@ -65,6 +66,7 @@
     program: Sequence[str]
     skews_s: tuple[float, ...]
     bounds: Bounds = BOUNDS
+    timeouts_ms: tuple[int, ...] = ()
 
 
 class Environment:
@@ -120,6 +122,7 @@
             self.version,
             {team: (key,) for team, key in self.key_by_team.items()},
             ZONES,
+            self.settings.timeouts_ms,
         )
         self._store.put(CATALOGUE_KIND, 'main', draft.document())
         change = Change(self.version, now(), frozenset(withdrawn))
--- a/soak/src/geranium_soak/host_process.py
+++ b/soak/src/geranium_soak/host_process.py
@@ -135,6 +135,14 @@
         self._expected_exits += 1
         self._signal(signal.SIGTERM)
 
+    def signal_stopping(self, number: signal.Signals) -> bool:
+        """Send a further signal to a process that is being stopped.
+
+        Returns:
+            Whether it was still there.
+        """
+        return self._signal(number)
+
     def reload(self) -> None:
         """Send SIGHUP, on which the process reloads its settings."""
         self._signal(signal.SIGHUP)
@@ -206,9 +214,12 @@
         temporary.write_text(text)
         temporary.replace(self.settings_path)
 
-    def _signal(self, number: signal.Signals) -> None:
-        if self._process is not None and self._process.returncode is None:
-            self._process.send_signal(number)
+    def _signal(self, number: signal.Signals) -> bool:
+        """Send a signal and return whether a process was there."""
+        if self._process is None or self._process.returncode is not None:
+            return False
+        self._process.send_signal(number)
+        return True
 
     def _begin_disruption(self, what: str, *, planned: bool) -> None:
         self._ongoing_disruptions.append((what, planned, now()))
--- a/soak/src/geranium_soak/mixed_host.py
+++ b/soak/src/geranium_soak/mixed_host.py
@@ -4,7 +4,8 @@
 
 The first process of a host runs the product code of an older checkout, the
 second that of this one, the third the older one again, so that restarts lead
-to the newer build and back. The other options are those of ``skewed_host.py``.
+to the newer build and back. With ``--always`` before CHECKOUT, all are of the
+older one. The other options are those of ``skewed_host.py``.
 """
 
 import json
@@ -14,6 +15,7 @@
 
 SKEWED_HOST = pathlib.Path(__file__).with_name('skewed_host.py')
 SETTINGS_OPTION = '--settings'
+ALWAYS_OPTION = '--always'
 SOURCES = (
     'platform/src',
     'packages/geranium-coordination/src',
@@ -43,9 +45,12 @@
 
 def main() -> None:
     """Run the host."""
+    always = ALWAYS_OPTION in sys.argv
+    if always:
+        sys.argv.remove(ALWAYS_OPTION)
     older = pathlib.Path(sys.argv.pop(1))
     position = sys.argv.index(SETTINGS_OPTION) + 1
-    is_older = next_is_older(pathlib.Path(sys.argv[position]))
+    is_older = always or next_is_older(pathlib.Path(sys.argv[position]))
     if is_older:
         use_checkout(older)
     started = json.dumps({'event': 'build_started', 'older': is_older})
--- a/soak/src/geranium_soak/observations.py
+++ b/soak/src/geranium_soak/observations.py
@@ -58,6 +58,7 @@
         began_as: The id of the request that began the stream, if the caller takes
             one up.
         resume_after: The last event of it that the caller has.
+        expires_at: When its deadline or its route's timeout is reached.
     """
 
     identity: str
@@ -72,6 +73,7 @@
     probed_version: int | None = None
     began_as: str | None = None
     resume_after: int = 0
+    expires_at: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -227,6 +229,7 @@
 
     Args:
         sent_by_id: Requests that callers sent.
+        whole_at_by_id: Times at which their last bytes were sent, if known.
         outcome_by_id: Outcomes of these requests for their callers.
         target_requests_by_id: Requests that targets received.
         provider_calls: Calls in the order in which they were acknowledged.
@@ -242,6 +245,7 @@
     """
 
     sent_by_id: dict[str, SentRequest] = dataclasses.field(default_factory=dict)
+    whole_at_by_id: dict[str, float] = dataclasses.field(default_factory=dict)
     outcome_by_id: dict[str, Outcome] = dataclasses.field(default_factory=dict)
     target_requests_by_id: collections.defaultdict[str, list[TargetRequest]] = (
         dataclasses.field(default_factory=lambda: collections.defaultdict(list))
--- a/soak/src/geranium_soak/runs.py
+++ b/soak/src/geranium_soak/runs.py
@@ -3,12 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
-import functools
 import random
-from http import HTTPStatus
-
-import aiohttp
-from geranium_standins.managed_process import wait_until
 
 from .checks import ALL_CHECKS, INVARIANTS, Check, Violation, find_violations
 from .environment import Environment, EnvironmentSettings
@@ -16,9 +11,9 @@
 from .injector import Injector
 from .observations import Span, now, was_served
 from .plans import Step, draw_plan
+from .readiness import wait_until_ready
 from .traffic import Traffic
 
-READY_TIMEOUT_S = 60  # per host, for the start on a loaded machine
 WARM_UP_S = 4
 CHECK_INTERVAL_S = 5  # between checks of the invariants during a run
 
@@ -75,7 +70,7 @@
         settings.environment.hosts,
     )
     async with environment.open():
-        await _wait_until_ready(environment)
+        await wait_until_ready(environment.hosts)
         traffic = asyncio.create_task(
             Traffic(environment, settings.seed).run(settings.callers),
         )
@@ -132,21 +127,6 @@
         await task
 
 
-async def _wait_until_ready(environment: Environment) -> None:
-    async with aiohttp.ClientSession() as client:
-        for host in environment.hosts:
-            ready = functools.partial(_is_ready, client, host.spec.ready)
-            await wait_until(ready, READY_TIMEOUT_S)
-
-
-async def _is_ready(client: aiohttp.ClientSession, address: str) -> bool:
-    try:
-        async with client.get(f'http://{address}/ready') as response:
-            return response.status == HTTPStatus.OK
-    except aiohttp.ClientError:
-        return False
-
-
 def _exit_violations(
     hosts: list[HostProcess],
     codes: list[int | None],
--- a/soak/src/geranium_soak/traffic.py
+++ b/soak/src/geranium_soak/traffic.py
@@ -68,7 +68,10 @@
             hosts: list[HostProcess] = []
             for turn in itertools.count():
                 if turn % REQUESTS_PER_RESOLVE == 0 or not hosts:
-                    hosts = await self._resolve(client, source) or hosts
+                    found = await resolve_hosts(
+                        client, self._environment.hosts, source
+                    )
+                    hosts = found or hosts
                 await asyncio.sleep(source.uniform(*THINK_TIME_S))
                 if hosts:
                     sent = self._draw_request(source, source.choice(hosts))
@@ -78,31 +81,6 @@
                     )
                     await self._take_up(client, sent, outcome, source, hosts)
 
-    async def _resolve(
-        self,
-        client: aiohttp.ClientSession,
-        source: random.Random,
-    ) -> list[HostProcess]:
-        """Query a host's directory; return no hosts if the query fails."""
-        asked = source.choice(self._environment.hosts).spec.directory
-        try:
-            async with (
-                asyncio.timeout(1),
-                client.get(
-                    f'http://{asked}/resolve',
-                    params={'name': 'soak.example', 'zone': 'a'},
-                ) as response,
-            ):
-                document = await response.json(content_type=None)
-        except (aiohttp.ClientError, OSError, ValueError):
-            return []
-        addresses = set((document or {}).get('addresses', ()))
-        return [
-            host
-            for host in self._environment.hosts
-            if host.spec.front in addresses
-        ]
-
     async def _probe(self, host: HostProcess) -> None:
         """Request the routes of the current and of the previous version."""
         source = random.Random(f'{self._seed}/{host.name}')
@@ -215,6 +193,28 @@
         )
 
 
+async def resolve_hosts(
+    client: aiohttp.ClientSession,
+    hosts: list[HostProcess],
+    source: random.Random,
+) -> list[HostProcess]:
+    """Query a host's directory; return no hosts if the query fails."""
+    asked = source.choice(hosts).spec.directory
+    try:
+        async with (
+            asyncio.timeout(1),
+            client.get(
+                f'http://{asked}/resolve',
+                params={'name': 'soak.example', 'zone': 'a'},
+            ) as response,
+        ):
+            document = await response.json(content_type=None)
+    except (aiohttp.ClientError, OSError, ValueError):
+        return []
+    addresses = set((document or {}).get('addresses', ()))
+    return [host for host in hosts if host.spec.front in addresses]
+
+
 async def _fetch_outcome(
     client: aiohttp.ClientSession,
     address: str,
--- a/soak/src/geranium_soak/upgrades.py
+++ b/soak/src/geranium_soak/upgrades.py
@@ -9,21 +9,15 @@
 """
 
 import asyncio
-import contextlib
-import functools
 import itertools
 import logging
 import pathlib
 import random
 import sys
-from collections.abc import AsyncIterator, Coroutine, Iterator
-from http import HTTPStatus
-from typing import Any
+from collections.abc import Iterator
 
-import aiohttp
 import click
 from geranium_standins.host_links import CutMode
-from geranium_standins.managed_process import wait_until
 
 from . import faults
 from .checks import Violation, find_violations
@@ -32,12 +26,12 @@
 from .injector import Injector
 from .observations import Span, now, was_served
 from .plans import Step
+from .readiness import running, wait_until_ready, wait_until_replaced
 from .target_links import CutHosts
 from .traffic import Traffic
 
 MIXED_HOST = pathlib.Path(__file__).with_name('mixed_host.py')
 SKEWS_S = (0, 0.6, -0.4)
-READY_TIMEOUT_S = 60.0
 REPLACEMENT_GAP_S = 2.0  # from one ready host to the next stop
 FAULTS_INTERVAL_S = 3.0
 CUT_S = 6.0
@@ -89,11 +83,10 @@
     source = random.Random(seed)
     environment = Environment(settings, source)
     async with environment.open():
-        for host in environment.hosts:
-            await _wait_until_ready(host)
+        await wait_until_ready(environment.hosts)
         callers = Traffic(environment, seed).run(CALLERS)
-        async with _running(callers):
-            async with _running(_inject_faults(environment, source)):
+        async with running(callers):
+            async with running(_inject_faults(environment, source)):
                 await _replace_hosts(environment.hosts, kills=kills)
                 await _replace_hosts(environment.hosts, kills=kills)
             await asyncio.sleep(SETTLE_S + CUT_S)
@@ -114,17 +107,6 @@
             yield Violation('stays up', host.name, f'ended with {code}')
 
 
-@contextlib.asynccontextmanager
-async def _running(work: Coroutine[Any, Any, None]) -> AsyncIterator[None]:
-    """Run a task until the end of the context."""
-    task = asyncio.create_task(work)
-    try:
-        yield
-    finally:
-        task.cancel()
-        await asyncio.wait((task,))
-
-
 async def _replace_hosts(hosts: list[HostProcess], *, kills: bool) -> None:
     for host in hosts:
         incarnation = host.incarnation
@@ -132,9 +114,7 @@
             host.kill()
         else:
             host.terminate()
-        await wait_until(
-            functools.partial(_is_replaced, host, incarnation), READY_TIMEOUT_S
-        )
+        await wait_until_replaced(host, incarnation)
         await asyncio.sleep(REPLACEMENT_GAP_S)
 
 
@@ -162,23 +142,5 @@
         yield faults.CrashTarget(TARGET_FAULT_S, reused=False)
 
 
-async def _wait_until_ready(host: HostProcess) -> None:
-    await wait_until(functools.partial(_is_ready, host), READY_TIMEOUT_S)
-
-
-async def _is_replaced(host: HostProcess, incarnation: int) -> bool:
-    return host.incarnation > incarnation and await _is_ready(host)
-
-
-async def _is_ready(host: HostProcess) -> bool:
-    address = host.spec.ready
-    try:
-        async with aiohttp.ClientSession() as client:
-            async with client.get(f'http://{address}/ready') as response:
-                return response.status == HTTPStatus.OK
-    except aiohttp.ClientError:
-        return False
-
-
 if __name__ == '__main__':
     main()
