Soak: runs beside each other share no addresses

All runs used 127.0.1 to 127.0.4. A target gets a free port of 127.0.2.2, and each host's link the same port of 127.0.3.N, which nobody asked to be free: a run that closes gives the first back before the second, and the adapter's tests use both addresses too. Ports of 127.0.1.N and 127.0.2.1 were chosen free and taken later, so they had the same race between runs. Which of these it was that time is not known.

A run now claims a /16 of the loopback for all of these, by the name of an abstract socket, which ends with its process. Two environments beside each other shared the address of their targets before; the links of two runs to targets with the same port could not both be opened. The adapter's tests keep 127.0.2 to 127.0.4.

--- a/soak/src/geranium_soak/environment.py
+++ b/soak/src/geranium_soak/environment.py
@@ -22,12 +22,13 @@
 )
 from geranium_standins.faults import RelayFaults, RelayMode
 from geranium_standins.host_links import CutMode
+from geranium_standins.loopback_networks import LoopbackNetwork
 from geranium_standins.relay_server import Relay
 
 from .bounds import Bounds
 from .fault_stack import FaultStack
 from .faults import LinkFault, StoreFault
-from .fleet import TargetFleet
+from .fleet import TargetFleet, targets_ip
 from .host_process import HostProcess, allocate_host
 from .observations import STORE, Change, Ledger, now
 from .recorders import TargetRecorder, provider_call
@@ -35,6 +36,7 @@
 
 ZONES = ('a', 'b', 'c')
 CATALOGUE_KIND = 'config'
+HOSTS_PART = 1  # of the run's network, for up to 254 hosts
 RESTORE_OUTAGE_S = 0.3
 SLOW_RESPONSE_S = 0.4  # longer than a host waits for a read of the store
 LATE_WRITE_S = (1.0, 6.0)  # until a write takes effect whose response is lost
@@ -88,6 +90,7 @@
         self.version = 0
         self._source = source
         self._store = StandinStore()
+        self._network = LoopbackNetwork()
         self._provider = _RecordingProvider(self.ledger)
         self.fleet = TargetFleet(
             self._store,
@@ -95,6 +98,7 @@
             self.ledger,
             source,
             self._link_target,
+            self._network,
         )
         self._store_faults = FaultStack(self._apply_to_store, Faults())
         self._link_faults_by_host: dict[str, FaultStack[RelayFaults]] = {}
@@ -106,6 +110,7 @@
     async def open(self) -> AsyncIterator[None]:
         """Start the environment and stop it at the end of the context."""
         async with contextlib.AsyncExitStack() as stack:
+            stack.enter_context(self._network)
             stack.push_async_callback(self._close)
             store = await _serve(stack, self._store.application())
             provider = await _serve(stack, self._provider.application())
@@ -210,15 +215,22 @@
 
     async def _add_host(self, number: int, store: str, provider: str) -> None:
         skews = self.settings.skews_s
-        links = TargetLinks(number, self.ledger)
+        links = TargetLinks(number, self.ledger, self._network)
         options = '--clock-offset', str(skews[number % len(skews)])
         program = (
             *self.settings.program,
             *options,
             '--links',
             links.local_ip,
+            '--targets',
+            targets_ip(self._network),
+        )
+        spec = allocate_host(
+            number,
+            ZONES[number % len(ZONES)],
+            self._network.address(HOSTS_PART, number + 1),
+            program,
         )
-        spec = allocate_host(number, ZONES[number % len(ZONES)], program)
         host = HostProcess(spec, self.settings.folder, self.ledger)
         link = Relay(*split_address(store))
         self._links.append(link)
--- a/soak/src/geranium_soak/fleet.py
+++ b/soak/src/geranium_soak/fleet.py
@@ -16,7 +16,7 @@
     free_ports,
 )
 from geranium_standins.faults import RelayFaults, RelayMode
-from geranium_standins.host_links import TARGETS_IP
+from geranium_standins.loopback_networks import LoopbackNetwork
 from geranium_standins.relay_server import Relay
 from geranium_standins.settings import MS_PER_S
 
@@ -25,7 +25,7 @@
 from .faults import LinkFault, TargetFault
 from .observations import Ledger, now
 
-TARGETS_ADDRESS = '127.0.2.1'
+TARGETS_PART = 2  # of the run's network
 ENTRY_TTL_S = 1.5  # time that an entry outlives a crashed target
 VERSIONS = ('v1', 'v2')  # of the software of successive targets, by pairs
 LEAVING_STEP_S = 3.5  # a leaving target keeps, then lacks, its entry
@@ -41,6 +41,7 @@
         source: Source of the targets' random behaviour.
         on_add: Called with the address of each endpoint before its target
             starts.
+        network: The addresses of the run, claimed before targets are added.
     """
 
     def __init__(
@@ -50,10 +51,12 @@
         ledger: Ledger,
         source: random.Random,
         on_add: Callable[[str, int], Awaitable[None]],
+        network: LoopbackNetwork,
     ) -> None:
         self.endpoints: list[TargetEndpoint] = []
         self._entries = EndpointEntries(store)
         self._on_add = on_add
+        self._network = network
         self._observer = observer
         self._ledger = ledger
         self._source = source
@@ -67,10 +70,11 @@
         """Start a target at an address of its own."""
         # Outgoing connections use another local address, so they can't take
         # the port while no target listens on it.
-        port = free_ports(1, TARGETS_ADDRESS)[0]
-        relay = Relay(TARGETS_ADDRESS, port, keeps_source=True)
-        address = await relay.start(TARGETS_IP, 0)
-        await self._on_add(TARGETS_IP, int(address.rpartition(':')[2]))
+        own_ip, relays_ip = _own_ip(self._network), targets_ip(self._network)
+        port = free_ports(1, own_ip)[0]
+        relay = Relay(own_ip, port, keeps_source=True)
+        address = await relay.start(relays_ip, 0)
+        await self._on_add(relays_ip, int(address.rpartition(':')[2]))
         endpoint = TargetEndpoint(zone, stage, service, relay, address, port)
         self.endpoints.append(endpoint)
         self._link_faults_by_endpoint[endpoint.name] = FaultStack(
@@ -200,7 +204,9 @@
             VERSIONS[number // len(VERSIONS) % len(VERSIONS)],
         )
         application = target.application(streams=endpoint.stage is not None)
-        endpoint.runner = await _bind(application, endpoint.port)
+        endpoint.runner = await _bind(
+            application, _own_ip(self._network), endpoint.port
+        )
         endpoint.born_ms = int(time.time() * MS_PER_S)
         endpoint.target = target
         self._ledger.endpoint_by_target[target.identity] = endpoint.name
@@ -230,6 +236,16 @@
         )
 
 
+def targets_ip(network: LoopbackNetwork) -> str:
+    """Return the address at which the hosts of a run reach all targets."""
+    return network.address(TARGETS_PART, 2)
+
+
+def _own_ip(network: LoopbackNetwork) -> str:
+    """Return the address of the targets behind their relays."""
+    return network.address(TARGETS_PART, 1)
+
+
 def simulated_target_faults(
     fault: TargetFault, share: float
 ) -> SimulatedTargetFaults:
@@ -245,13 +261,15 @@
     )
 
 
-async def _bind(application: web.Application, port: int) -> web.AppRunner:
+async def _bind(
+    application: web.Application, ip: str, port: int
+) -> web.AppRunner:
     runner = web.AppRunner(
         application,
         shutdown_timeout=0,
         handler_cancellation=True,
     )
     await runner.setup()
-    site = web.TCPSite(runner, TARGETS_ADDRESS, port, reuse_address=True)
+    site = web.TCPSite(runner, ip, port, reuse_address=True)
     await site.start()
     return runner
--- a/soak/src/geranium_soak/host_process.py
+++ b/soak/src/geranium_soak/host_process.py
@@ -17,7 +17,6 @@
 
 from .observations import Ledger, now
 
-HOST_ADDRESS_PREFIX = '127.0.1'  # of the loopback, for up to 254 hosts
 RESTART_DELAY_S = 0.3  # from the exit of a process to the start of the next
 STOP_TIMEOUT_S = 15  # beyond the hosts' grace period, for slow machines
 FIRST_START = 'bootstrap = true'
@@ -55,15 +54,14 @@
 def allocate_host(
     number: int,
     zone: str,
+    address: str,
     program: Sequence[str],
 ) -> HostSpec:
-    """Return the spec of a host, with a loopback address of its own.
+    """Return the spec of a host at an address that nothing else uses.
 
-    No outgoing connection uses that address, so none can take the ports while
-    the host is down.
+    No outgoing connection uses it either, so none can take the ports while the
+    host is down.
     """
-    last_byte = number + 1
-    address = f'{HOST_ADDRESS_PREFIX}.{last_byte}'
     ports = free_ports(5, address)
     return HostSpec(
         f'host-{number}',
--- a/soak/src/geranium_soak/target_links.py
+++ b/soak/src/geranium_soak/target_links.py
@@ -4,12 +4,13 @@
 import dataclasses
 
 from geranium_standins.host_links import Address, CutMode, HostLinks
+from geranium_standins.loopback_networks import LoopbackNetwork
 
 from .observations import Ledger, now
 
-LINKS_ADDRESS_PREFIX = '127.0.3'  # of the loopback, for up to 254 hosts
+LINKS_PART = 3  # of the run's network, for up to 254 hosts
 # Another one, so that outgoing connections take no port of a link.
-SENDERS_ADDRESS_PREFIX = '127.0.4'
+SENDERS_PART = 4
 CUT_FROM_TARGETS = 'cut from targets'
 
 
@@ -34,17 +35,20 @@
     Args:
         number: Number of the host.
         ledger: Records the cuts.
+        network: The addresses of the run.
 
     ``source_ip`` is the address by which targets know the host.
     """
 
-    def __init__(self, number: int, ledger: Ledger) -> None:
+    def __init__(
+        self, number: int, ledger: Ledger, network: LoopbackNetwork
+    ) -> None:
         last_byte = number + 1
         self._name = f'host-{number}'
         self._ledger = ledger
-        self.source_ip = f'{SENDERS_ADDRESS_PREFIX}.{last_byte}'
+        self.source_ip = network.address(SENDERS_PART, last_byte)
         self._links = HostLinks(
-            f'{LINKS_ADDRESS_PREFIX}.{last_byte}', self.source_ip
+            network.address(LINKS_PART, last_byte), self.source_ip
         )
         self._is_cut = False
 
