--- a/soak/src/geranium_soak/host_process.py
+++ b/soak/src/geranium_soak/host_process.py
@@ -17,7 +17,6 @@
 
 from .observations import Ledger, now
 
-HOST_ADDRESS_PREFIX = '127.0.1'  # of the loopback, for up to 254 hosts
 RESTART_DELAY_S = 0.3  # from the exit of a process to the start of the next
 STOP_TIMEOUT_S = 15  # beyond the hosts' grace period, for slow machines
 FIRST_START = 'bootstrap = true'
@@ -55,15 +54,14 @@
 def allocate_host(
     number: int,
     zone: str,
+    address: str,
     program: Sequence[str],
 ) -> HostSpec:
-    """Return the spec of a host, with a loopback address of its own.
+    """Return the spec of a host at an address that nothing else uses.
 
-    No outgoing connection uses that address, so none can take the ports while
-    the host is down.
+    No outgoing connection uses it either, so none can take the ports while the
+    host is down.
     """
-    last_byte = number + 1
-    address = f'{HOST_ADDRESS_PREFIX}.{last_byte}'
     ports = free_ports(5, address)
     return HostSpec(
         f'host-{number}',
@@ -135,6 +133,14 @@
         self._expected_exits += 1
         self._signal(signal.SIGTERM)
 
+    def signal_stopping(self, number: signal.Signals) -> bool:
+        """Send a further signal to a process that is being stopped.
+
+        Returns:
+            Whether it was still there.
+        """
+        return self._signal(number)
+
     def reload(self) -> None:
         """Send SIGHUP, on which the process reloads its settings."""
         self._signal(signal.SIGHUP)
@@ -206,9 +212,12 @@
         temporary.write_text(text)
         temporary.replace(self.settings_path)
 
-    def _signal(self, number: signal.Signals) -> None:
-        if self._process is not None and self._process.returncode is None:
-            self._process.send_signal(number)
+    def _signal(self, number: signal.Signals) -> bool:
+        """Send a signal and return whether a process was there."""
+        if self._process is None or self._process.returncode is not None:
+            return False
+        self._process.send_signal(number)
+        return True
 
     def _begin_disruption(self, what: str, *, planned: bool) -> None:
         self._ongoing_disruptions.append((what, planned, now()))
