--- a/packages/geranium-relay/src/geranium_relay/open_calls.py
+++ b/packages/geranium-relay/src/geranium_relay/open_calls.py
@@ -162,6 +162,7 @@
             self._job.deadline,
             cache_handle,
             self._parts.forwarder.resume_after,
+            self._parts.send_limit.may_run_again(self._job.route),
         )
         try:
             return await open_response(self._context, call, limit)
