Silent targets: a host that is cut passes its silent requests on at once

Once this host is found to reach no target of the service, the wait ends, and the request goes to a host that reaches one.

--- a/packages/geranium-relay/src/geranium_relay/alternative_attempt.py
+++ b/packages/geranium-relay/src/geranium_relay/alternative_attempt.py
@@ -89,8 +89,8 @@
     def _is_given_up(self, attempt: Attempt, limit: SilenceLimit) -> bool:
         """Return whether the wait for the target of an attempt is over.
 
-        It is if another target has accepted the request. If no other attempt
-        is being made, one begins.
+        It is if another target has accepted the request, or if another host
+        may. If no other attempt is being made, one begins.
         """
         parts = self._parts
         if parts.selection.is_replaced(attempt.target):
@@ -98,6 +98,8 @@
         has_begun = self._opening is not None or self.is_accepted
         if not has_begun and parts.send_limit.may_run_again(self._job.route):
             parts.recorder.record_silence(attempt)
+            if parts.selection.is_unreached():
+                return parts.forwarder.can_resume()
             if self._may_begin():
                 self._begin(parts.avoid | {attempt.target.key}, limit.check)
         return self.is_accepted
--- a/packages/geranium-relay/src/geranium_relay/attempt_selection.py
+++ b/packages/geranium-relay/src/geranium_relay/attempt_selection.py
@@ -92,6 +92,10 @@
         """Return whether a run that begins now may end by the deadline."""
         return self._context.shutdown.may_complete(self._job)
 
+    def is_unreached(self) -> bool:
+        """Return whether this host reaches no target, so that others may."""
+        return self._context.reach.is_cut(self._job.service)
+
     def is_replaced(self, target: Target) -> bool:
         """Return whether a target has started again, so that its calls ended."""
         fleet = self._context.selector.fleet
