--- a/tests/adapter/test_planned_stop.py
+++ b/tests/adapter/test_planned_stop.py
@@ -6,7 +6,8 @@
 
 import pytest
 from aiohttp import web
-from geranium_platform.host import Host
+from geranium_platform.draining import LAST_RESPONSES_S, STOP_MARGIN_S
+from geranium_platform.host import SERVER_SHUTDOWN_S, Host
 from geranium_platform_standins import StandinStore, StandinTarget
 from geranium_standins.host_links import CutMode
 
@@ -150,6 +151,12 @@
     writer.close()
 
 
+# A host to which a body was still being sent was killed 8 s after SIGTERM.
+def test_last_steps_of_a_stop_fit_into_its_margin() -> None:
+    # The server waits for handlers, then for their connections.
+    assert LAST_RESPONSES_S + 2 * SERVER_SHUTDOWN_S < STOP_MARGIN_S
+
+
 # Another report: a host that is cut from the targets passed late requests on,
 # which were lost at the end of its grace period.
 async def test_stopping_host_passes_on_only_what_it_completes(
