Hosts: a response to another host is open until it has been sent

A stopping host counted a request that another host had passed on as ended once its response was queued, and its process could end with the rest unsent: the caller of the first host, which did not stop, got a part of a stream or 502. The connection was only told to close, and up to 64 KiB may be queued behind a slow caller. The wait ends with the request's deadline or with the connection, so that a host that is gone holds nothing.

--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/connections.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/connections.py
@@ -76,6 +76,20 @@
         """Close the connection once what is queued has been sent."""
         self._writer.close()
 
+    async def finish(self, limit_s: float) -> None:
+        """Close the connection and return once what is queued has been sent.
+
+        Args:
+            limit_s: The time after which the rest is given up.
+        """
+        self._writer.close()
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._writer.wait_closed()
+        except OSError:
+            # This includes the timeout; a lost connection is closed already.
+            self.abort()
+
     def abort(self) -> None:
         """Close the connection at once."""
         self._writer.transport.abort()
--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/peer_server.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/peer_server.py
@@ -112,28 +112,33 @@
         connection = MessageConnection(reader, writer)
         with self._open.counted():
             try:
-                await self._serve_connection(connection)
+                read_until = await self._serve_connection(connection)
             except Exception as error:
                 self._log.record('forwarded_request_lost', error=repr(error))
                 connection.abort()
-            else:
-                connection.close()
+                return
+            # A stopping host waits for it, or the rest is lost at its end.
+            await connection.finish(max(read_until - self._clock(), 0))
 
-    async def _serve_connection(self, connection: MessageConnection) -> None:
+    async def _serve_connection(self, connection: MessageConnection) -> float:
+        """Serve a call and return until when the other host may read."""
+        read_until = self._clock() + self._settings.read_timeout_s
         async with asyncio.timeout(self._settings.read_timeout_s):
             message = await connection.read()
         try:
             call = decode_call(message, self._clock())
         except UnknownMessageError:
             await self._refuse_unknown(connection)
-            return
+            return read_until
         match call:
             case ForwardedRequest() as request:
                 await self._serve_request(connection, request)
+                read_until = max(read_until, request.arrival.caller_deadline)
             case ReachQuestion(target=target):
                 reach = await self._handlers.judge(target)
                 connection.write(encode_frame(ReachFrame(reach)))
                 await connection.drain()
+        return read_until
 
     async def _refuse_unknown(self, connection: MessageConnection) -> None:
         """Tell a host of a later build that its call was not carried out."""
