Stand-ins: a link that is added while all are cut is cut, and can be healed

A relay that is still starting when its host is cut can't be stopped. If the cut lets connections hang, it has taken the port, and add fails; else the link is open during the cut, and heal fails. A busy machine makes the start longer, so that runs side by side meet it.

Changes of links now follow one another.

--- a/packages/geranium-standins/src/geranium_standins/host_links.py
+++ b/packages/geranium-standins/src/geranium_standins/host_links.py
@@ -49,16 +49,18 @@
         self._cut: CutMode | None = None
         self._cut_ports: frozenset[int] = frozenset()
         self._full_queues = contextlib.ExitStack()
+        # A relay that is still starting can't be stopped, and its port is taken.
+        self._changes = asyncio.Lock()
 
     async def add(self, target: Address) -> None:
         """Add the link to a target; the relay listens on the same port."""
         port = target[1]
-        if port not in self._relays_by_port:
-            self._relays_by_port[port] = Relay(
-                *target, source_ip=self._source_ip
-            )
-            if self._cut is None:
-                await self._relays_by_port[port].start(self.local_ip, port)
+        async with self._changes:
+            if port not in self._relays_by_port:
+                relay = Relay(*target, source_ip=self._source_ip)
+                self._relays_by_port[port] = relay
+                if self._cut is None:
+                    await relay.start(self.local_ip, port)
 
     async def cut(
         self, mode: CutMode, ports: Collection[int] | None = None
@@ -70,6 +72,21 @@
             ports: The ports of the targets; by default all, and those that
                 are added later.
         """
+        async with self._changes:
+            self._cut_links(mode, ports)
+
+    async def heal(self) -> None:
+        """End the cut."""
+        async with self._changes:
+            await self._heal_links()
+
+    async def close(self) -> None:
+        """Stop all relays."""
+        self._full_queues.close()
+        for relay in self._relays_by_port.values():
+            await relay.stop()
+
+    def _cut_links(self, mode: CutMode, ports: Collection[int] | None) -> None:
         if ports is None:
             self._cut = mode
         self._cut_ports = frozenset(
@@ -87,8 +104,7 @@
             if mode is CutMode.HANGING:
                 self._fill_queue(port)
 
-    async def heal(self) -> None:
-        """End the cut."""
+    async def _heal_links(self) -> None:
         self._full_queues.close()
         ports = self._cut_ports
         if self._cut is not None:
@@ -100,12 +116,6 @@
             relay.set_faults(RelayFaults())
             await relay.start(self.local_ip, port)
 
-    async def close(self) -> None:
-        """Stop all relays."""
-        self._full_queues.close()
-        for relay in self._relays_by_port.values():
-            await relay.stop()
-
     def _fill_queue(self, port: int) -> None:
         """Listen so that connections hang: the queue for them is full."""
         listener = self._full_queues.enter_context(socket.socket())
--- a/packages/geranium-standins/tests/test_host_links.py
+++ b/packages/geranium-standins/tests/test_host_links.py
@@ -44,3 +44,27 @@
 
     _, writer = await asyncio.open_connection(LINKS_IP, added[1])
     writer.close()
+
+
+@pytest.mark.parametrize('mode', CutMode)
+async def test_link_that_is_added_while_all_are_cut(serving_links, mode):
+    links, stack = serving_links
+    await links.add(await make_target(stack))
+    added = await make_target(stack)
+
+    await asyncio.gather(links.add(added), links.cut(mode))
+    await links.heal()
+
+    _, writer = await asyncio.open_connection(LINKS_IP, added[1])
+    writer.close()
+
+
+async def test_link_that_is_added_while_all_are_cut_is_cut(serving_links):
+    links, stack = serving_links
+    added = await make_target(stack)
+
+    await asyncio.gather(links.add(added), links.cut(CutMode.REFUSED))
+
+    with pytest.raises(ConnectionRefusedError):
+        await asyncio.open_connection(LINKS_IP, added[1])
+    await links.heal()
