--- a/tests/adapter/test_simulated_faults.py
+++ b/tests/adapter/test_simulated_faults.py
@@ -19,15 +19,21 @@
 from .conftest import Serve
 from .target_caller import TargetCaller, calling
 
+# The length of a silence, and who asked for a pause; the caller leaves a long one.
+SILENCES = ((0.1, ['r1']), (60, []))
+
 
 class Observer:
-    """Keeps which requests have run."""
+    """Keeps which requests have run, and which were refused with a pause."""
 
     def __init__(self) -> None:
         self.ran: list[str] = []
+        self.paused: list[str] = []
+        self.received = asyncio.Event()
         self._received: list[str] = []
 
     def record_received(self, taken: ReceivedRequest) -> int:
+        self.received.set()
         self._received.append(taken.identity)
         return len(self._received) - 1
 
@@ -35,6 +41,9 @@
         self.ran.append(self._received[number])
 
     def record_pause(self, number: int, pause_s: float) -> None:
+        self.paused.append(self._received[number])
+
+    def record_abandoned(self, number: int) -> None:
         """Keep nothing."""
 
     def record_response(self, number: int, signature: str, body: bytes) -> None:
@@ -125,3 +134,29 @@
     numbers = range(1, count_events('r1') + 1)
     assert status == 200
     assert body == b''.join(format_event('r1', number) for number in numbers)
+
+
+@pytest.mark.parametrize(('silence_s', 'paused'), SILENCES)
+async def test_silent_target_asks_for_a_pause_when_it_sends(
+    simulated: SimulatedTarget,
+    observer: Observer,
+    serve: Serve,
+    silence_s: float,
+    paused: list[str],
+) -> None:
+    address = await serve(simulated.application(streams=False))
+    simulated.faults = SimulatedTargetFaults(share=1, refuses=True, pause_s=5)
+    headers = {'Expect-Instance': 't1', 'Request-Id': 'r1'}
+    silence = asyncio.create_task(simulated.silence.last(silence_s))
+    await asyncio.sleep(0)
+    async with ClientSession() as session:
+        posting = asyncio.create_task(
+            session.post(f'http://{address}/x', headers=headers)
+        )
+        await observer.received.wait()
+        if not paused:
+            posting.cancel()
+        await asyncio.wait((posting,))
+    silence.cancel()
+
+    assert observer.paused == paused
