Keep counts of usage that can't be read

Operators would miss requests in the usage of a window: counts in the store that can't be read were taken for those of a process that has ended, and the holder of the duty removed them.

Cause: an odd body became an empty one, whose newest window is long ago.

Why it works: only a body with windows can be outdated; another one is left out of the window, logged and kept.

--- a/packages/geranium-relay/src/geranium_relay/usage.py
+++ b/packages/geranium-relay/src/geranium_relay/usage.py
@@ -328,7 +328,10 @@
         written = set()
         total: collections.Counter[str] = collections.Counter()
         for found in await self._store.read_prefix(COUNTS_PREFIX):
-            body = found.body if isinstance(found.body, dict) else {}
+            body = found.body
+            if not isinstance(body, dict):
+                self._log.record('usage_unreadable', key=found.key)
+                continue
             counted = body.get(str(window))
             if counted is not None:
                 written.add(found.key.removeprefix(COUNTS_PREFIX))
--- a/packages/geranium-relay/tests/test_odd_records.py
+++ b/packages/geranium-relay/tests/test_odd_records.py
@@ -6,6 +6,7 @@
 import geranium_relay as relay
 import pytest
 from geranium_coordination import MemoryStore, Unconditional
+from geranium_relay.json_bodies import Unreadable
 
 from . import origins
 from .test_duties import WINDOW, FakeCloud, report
@@ -46,6 +47,21 @@
     return relay.DecisionLog(relay.LogSettings(), print, clock.now)
 
 
+@pytest.mark.parametrize('odd', [Unreadable.VALUE, None, 3, 'text', []])
+async def test_unreadable_counts_are_not_removed(
+    odd: Any, log: relay.DecisionLog
+) -> None:
+    # They were taken for those of a process that has ended.
+    store = MemoryStore()
+    body = {str(WINDOW): {'team': 2}}
+    await store.write('usage/counts/h0', odd, Unconditional())
+    await store.write('usage/counts/h1', body, Unconditional())
+
+    await report(store, FakeCloud(), log)
+
+    assert await store.read('usage/counts/h0') is not None
+
+
 @pytest.mark.parametrize('odd', ODD_BODIES)
 async def test_odd_counts_hide_no_other(
     odd: Any, log: relay.DecisionLog
