Pass request targets on as they were sent

A request for /slots/room-7? reached its target as /slots/room-7 (rule UNASKED, query changed).

Cause: the request target was parsed as a URL, which has no empty query, and written from that again.

--- a/tests/adapter/test_unchanged_requests.py
+++ b/tests/adapter/test_unchanged_requests.py
@@ -26,6 +26,8 @@
 from .waits import wait_for
 
 EXAMPLES = 400
+METHODS = strategies.sampled_from(['DELETE', 'GET', 'PATCH', 'POST', 'PUT'])
+ROUTES = strategies.sampled_from(['safe', 'unsafe'])
 OWN_LINES = (
     ('Host', 'example'),
     ('Authorization', 'Bearer key'),
@@ -44,6 +46,7 @@
     )
 )
 SET_IN_ANSWERS = frozenset(('content-type', 'date', 'server'))
+PASSED_PATH = '/safe//a/../%2f.?'
 PARTS = ('5c1e07a2:800', '91bd3f06:410', 'e4402b7d:250')
 VISIBLE = ''.join(map(chr, range(0x21, 0x7F)))
 SPACED = f'{VISIBLE} \t'
@@ -109,6 +112,49 @@
     await asyncio.to_thread(check)
 
 
+SEGMENTS = strategies.sampled_from(
+    (
+        *('', '.', '..', 'a', 'room-7', '%2F', '%2e%2E', '%41', '%', '%zz'),
+        *("~!$&'()*+,;=:@", '%00', '%C3%BC', '_', '%3F', '%23', '\\', '[]'),
+    )
+)
+ROOMS = strategies.lists(SEGMENTS, max_size=5).map('/'.join)
+QUERIES = strategies.sampled_from(
+    ['', '?', '??', '?a=1&a=2', '?&&=', '?a=/../b', '?a=%2f%20+c', "?q='~|^`"]
+)
+PATHS = strategies.builds('/{}/{}{}'.format, ROUTES, ROOMS, QUERIES)
+
+
+async def test_empty_query_reaches_the_target(
+    world: World, bare_target: BareTarget
+) -> None:
+    # The target got /safe/room-7.
+    await exchange(front_of(world), 'POST', '/safe/room-7?', ())
+
+    sent = bare_target.requests[-1]
+    assert sent.start == 'POST /safe/room-7? HTTP/1.1'
+
+
+async def test_all_paths_and_bodies_pass(
+    world: World, bare_target: BareTarget
+) -> None:
+    loop = asyncio.get_running_loop()
+    front = front_of(world)
+
+    @given(METHODS, PATHS, strategies.binary(max_size=40))
+    @settings(derandomize=True, max_examples=EXAMPLES, deadline=None)
+    def check(method: str, path: str, body: bytes) -> None:
+        answer = asyncio.run_coroutine_threadsafe(
+            exchange(front, method, path, (), body), loop
+        ).result()
+        assert answer.start == 'HTTP/1.1 200 OK'
+        request = bare_target.requests[-1]
+        assert request.start == f'{method} {path} HTTP/1.1'
+        assert request.body == body
+
+    await asyncio.to_thread(check)
+
+
 async def test_reserved_headers_are_never_those_of_a_caller(
     world: World, bare_target: BareTarget
 ) -> None:
@@ -167,10 +213,11 @@
         await pair.cut(0, CutMode.RESET)
         await wait_for(lambda: is_served(pair))
         listen = pair.hosts[0].settings.listen
-        answer = await exchange(listen.front, 'POST', '/safe/a', lines)
+        answer = await exchange(listen.front, 'POST', PASSED_PATH, lines)
 
     assert answer.start == 'HTTP/1.1 200 OK'
     assert answer.texts_by_name()['set-cookie'] == ['a=1', 'b=2']
+    assert received[-1].raw_path == PASSED_PATH
     headers = received[-1].headers
     assert headers.getall('Prompt-Prefix') == list(PARTS)
     assert headers.getall('Tenant') == ['team']
