Silent targets: a second call ends with its request, and is waited for

- A second call that was withdrawn before its task began left the task behind: no other attempt began, and the next break of the stream ended the request without an outcome.
The task is now forgotten when it ends, however it ends, and returns a send that did not take place.
- A first target that refused at last, or could not be reached, did not wait for the open second call: a third began beside it, or the request failed.
- A host that is cut gave its silent target up also where no other host could take the request.

Older, and found with them: the end of a drain raised an error if a request expired in the same turn of the loop, so that the process ended with all its requests; a request that came after the end of all requests had no end itself; a stopping host began a request of another host that had run there, although that one can still go elsewhere.

--- a/packages/geranium-relay/src/geranium_relay/alternative_attempt.py
+++ b/packages/geranium-relay/src/geranium_relay/alternative_attempt.py
@@ -62,7 +62,7 @@
     async def wait(self) -> bool:
         """Return whether a target has accepted the attempt, once it is known."""
         if self._opening is not None:
-            await self._opening
+            await asyncio.wait((self._opening,))
         return self.is_accepted
 
     def take(self) -> OpenCall | None:
@@ -98,41 +98,59 @@
         has_begun = self._opening is not None or self.is_accepted
         if not has_begun and parts.send_limit.may_run_again(self._job.route):
             parts.recorder.record_silence(attempt)
-            if parts.selection.is_unreached():
-                return parts.forwarder.can_resume()
+            if self._may_be_passed_on():
+                return True
             if self._may_begin():
                 self._begin(parts.avoid | {attempt.target.key}, limit.check)
         return self.is_accepted
 
+    def _may_be_passed_on(self) -> bool:
+        """Return whether only other hosts reach the service."""
+        return self._may_go_on() and self._parts.selection.may_be_passed_on()
+
     def _may_begin(self) -> bool:
         """Return whether a run that begins now may serve the caller."""
         parts = self._parts
-        if not parts.forwarder.can_resume() or not parts.version.is_confirmed():
-            return False
         if not parts.forwarder.started and not parts.selection.may_complete():
             return False
-        if not parts.selection.stop_check.may_begin():
-            return False
-        return parts.send_limit.has_repeat()
+        return self._may_go_on() and parts.send_limit.has_repeat()
+
+    def _may_go_on(self) -> bool:
+        """Return whether another target may take the request over."""
+        parts = self._parts
+        return (
+            parts.forwarder.can_resume()
+            and parts.version.is_confirmed()
+            and parts.selection.stop_check.may_begin()
+        )
 
     def _begin(self, avoid: set[str], on_accepted: Callable[[], None]) -> None:
         attempt = self._parts.selection.take(avoid, may_be_refused=False)
         if isinstance(attempt, Refused):
             return
-        self._opening = asyncio.create_task(self._open(attempt, on_accepted))
+        recorded = self._parts.send_limit.recorded_runs
+        opening = asyncio.create_task(self._open(attempt, on_accepted))
+        opening.add_done_callback(
+            lambda _ended: self._forget(opening, recorded)
+        )
+        self._opening = opening
+
+    def _forget(self, opening: asyncio.Task[None], recorded: int) -> None:
+        """Note the end of an attempt, also of one that was never begun.
+
+        Args:
+            opening: The task of the attempt.
+            recorded: How many runs of the request were recorded before it.
+        """
+        self._opening = None
+        send_limit = self._parts.send_limit
+        if opening.cancelled() and send_limit.recorded_runs == recorded:
+            # The request was not sent.
+            send_limit.release()
 
     async def _open(
         self, attempt: Attempt, on_accepted: Callable[[], None]
     ) -> None:
-        runs = self._parts.send_limit.runs
-        try:
-            self._accepted = await self._open_call(attempt)
-        except asyncio.CancelledError:
-            if self._parts.send_limit.runs == runs:
-                # The request was not sent.
-                self._parts.send_limit.release()
-            raise
-        finally:
-            self._opening = None
+        self._accepted = await self._open_call(attempt)
         if self.is_accepted:
             on_accepted()
--- a/packages/geranium-relay/src/geranium_relay/attempt_selection.py
+++ b/packages/geranium-relay/src/geranium_relay/attempt_selection.py
@@ -92,9 +92,12 @@
         """Return whether a run that begins now may end by the deadline."""
         return self._context.shutdown.may_complete(self._job)
 
-    def is_unreached(self) -> bool:
-        """Return whether this host reaches no target, so that others may."""
-        return self._context.reach.is_cut(self._job.service)
+    def may_be_passed_on(self) -> bool:
+        """Return whether another host, and not this one, reaches targets."""
+        service = self._job.service
+        if self._job.forwarded or not self._context.reach.is_cut(service):
+            return False
+        return self._context.peer_client.choose(service, ()) is not None
 
     def is_replaced(self, target: Target) -> bool:
         """Return whether a target has started again, so that its calls ended."""
--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -289,6 +289,7 @@
         await self._record_failure(attempt, error)
         match error:
             case NotRunError() | NotSentError():
+                await self._alternative.wait()
                 return None
             case _:
                 return await self._finish_failed_run(str(error))
--- a/packages/geranium-relay/src/geranium_relay/send_limit.py
+++ b/packages/geranium-relay/src/geranium_relay/send_limit.py
@@ -28,7 +28,9 @@
         clock: Returns the current time in seconds.
         progress: What another host has done for the request.
 
-    ``runs`` is how often the request may have run.
+    ``runs`` is how often the request may have run, ``recorded_runs`` how often
+    this host has begun to send it, ``runs_before`` how often it may have run
+    when this host got it.
     """
 
     def __init__(
@@ -41,7 +43,9 @@
     ) -> None:
         self.sends = progress.sends
         self.runs = progress.runs
+        self.recorded_runs = 0
         self.first_recorded = progress.first_recorded
+        self.runs_before = progress.runs
         self.prefill = PrefillPermits(
             service, retries, clock, accepted=progress.prefilled
         )
@@ -92,6 +96,7 @@
     def record_run(self) -> None:
         """Record that the request is sent to be run now."""
         self.runs += 1
+        self.recorded_runs += 1
         if self._run_permit is not None:
             self._retries.use(self._service, self._run_permit, self._clock())
 
--- a/packages/geranium-relay/src/geranium_relay/shutdown.py
+++ b/packages/geranium-relay/src/geranium_relay/shutdown.py
@@ -50,7 +50,8 @@
         self.has_ended = True
         now = asyncio.get_running_loop().time()
         for timeout in self._timeouts:
-            timeout.reschedule(now)
+            if not timeout.expired():
+                timeout.reschedule(now)
 
     @contextlib.asynccontextmanager
     async def limit(self, limit_s: float | None = None) -> AsyncIterator[None]:
@@ -61,6 +62,8 @@
         """
         async with asyncio.timeout(limit_s) as timeout:
             self._timeouts.add(timeout)
+            if self.has_ended:
+                timeout.reschedule(asyncio.get_running_loop().time())
             try:
                 yield
             finally:
--- a/packages/geranium-relay/src/geranium_relay/stop_check.py
+++ b/packages/geranium-relay/src/geranium_relay/stop_check.py
@@ -40,11 +40,13 @@
         """Return a refusal if the request may outlive this host.
 
         One that may have run is not refused: it is lost if it does not go on.
+        If it has run at the host that passed it on, that one can still try
+        others.
 
         Args:
             started_at: When the attempt begins or has begun.
         """
-        if self._send_limit.runs:
+        if self._send_limit.runs > self._send_limit.runs_before:
             return None
         match self._judge(started_at):
             case CutShort() as cut_short:
