--- a/tests/adapter/test_planned_stop.py
+++ b/tests/adapter/test_planned_stop.py
@@ -7,7 +7,8 @@
 import pytest
 from aiohttp import web
 from geranium_platform.draining import LAST_RESPONSES_S, STOP_MARGIN_S
-from geranium_platform.host import SERVER_SHUTDOWN_S, Host
+from geranium_platform.host import Host
+from geranium_platform.listener import SERVER_SHUTDOWN_S
 from geranium_platform_standins import StandinStore, StandinTarget
 from geranium_standins.host_links import CutMode
 
