--- a/tests/adapter/test_planned_stop.py
+++ b/tests/adapter/test_planned_stop.py
@@ -152,6 +152,28 @@
     writer.close()
 
 
+# The connection was closed with the first answer, the others were read in vain.
+async def test_requests_that_were_sent_at_once_are_all_answered(world) -> None:
+    stop(world.host, GRACE_S)
+    await wait_until_stopping(world.host)
+    host, _, port = world.settings.listen.front.rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    lines = [f'{name}: {text}' for name, text in world.headers().items()]
+    head = '\r\n'.join(
+        ('POST /safe/x HTTP/1.1', *lines, 'Content-Length: 0', '', '')
+    )
+    writer.write(head.encode() * 3)
+
+    received = await reader.read()
+
+    *others, last = received.split(b'HTTP/1.1 ')[1:]
+    assert len(others) == 2
+    assert all(answer.startswith(b'200 ') for answer in (*others, last))
+    assert not any(b'Connection: close' in answer for answer in others)
+    assert b'Connection: close' in last
+    writer.close()
+
+
 # A host to which a body was still being sent was killed 8 s after SIGTERM.
 def test_last_steps_of_a_stop_fit_into_its_margin() -> None:
     # The server waits for handlers, then for their connections.
