--- a/tests/adapter/test_planned_stop.py
+++ b/tests/adapter/test_planned_stop.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import pathlib
+import socket
 
 import pytest
 from aiohttp import web
@@ -21,6 +22,7 @@
 LONG_MS = 4000  # timeout of long requests
 GRACE_S = 4  # less than that is left of it
 SHORT_GRACE_S = 0.7
+LARGE = 100_000  # bytes, more than a caller takes that does not read
 KINDS = ('safe', 'unsafe', 'streaming')
 
 
@@ -174,6 +176,40 @@
     writer.close()
 
 
+# Bytes that arrive after the close reset the connection, with what is unsent.
+async def test_answer_is_complete_for_a_caller_that_sends_on(world) -> None:
+    async def respond(_request: web.Request) -> web.Response:
+        return web.Response(
+            text='end'.rjust(LARGE, 'x'), headers={'Response-Signature': 's'}
+        )
+
+    world.target._handler = respond
+    stop(world.host, GRACE_S)
+    await wait_until_stopping(world.host)
+    host, _, port = world.settings.listen.front.rpartition(':')
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    caller.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(caller, (host, int(port)))
+    lines = [f'{name}: {text}' for name, text in world.headers().items()]
+    head = '\r\n'.join(
+        ('POST /safe/x HTTP/1.1', *lines, 'Content-Length: 0', '', '')
+    )
+    await loop.sock_sendall(caller, head.encode())
+    async for _ in ticks():
+        if world.target.requests and not world.host._path.open_requests.count:
+            break
+    await loop.sock_sendall(caller, b'POST /safe/x HTTP/1.1\r\n')
+
+    received = b''
+    while not received.endswith(b'end'):
+        part = await loop.sock_recv(caller, LARGE)
+        assert part
+        received += part
+    caller.close()
+
+
 # A host to which a body was still being sent was killed 8 s after SIGTERM.
 def test_last_steps_of_a_stop_fit_into_its_margin() -> None:
     # The server waits for handlers, then for their connections.
