End the process of a host before it is killed, whatever still waits

A stopped host that held a duty released its lease before it exited.

Cause: `Host.run` waited for its cancelled tasks and for its cleanup without an end. One that failed, or that waited on, ended or held up the others.

A task that waits anew when it is cancelled is cancelled again. Failures of the cleanup are logged as `cleanup_failed`.

--- a/tests/adapter/test_stop_faults.py
+++ b/tests/adapter/test_stop_faults.py
@@ -1,13 +1,21 @@
 """A stop whose steps fail or hang ends no request and comes to its end."""
 
 import asyncio
+import contextlib
 import json
+from collections.abc import AsyncIterator, Awaitable, Callable
 
+import geranium_relay as relay
 import pytest
 from aiohttp import web
 from geranium_platform_standins import StandinTarget
 
-from .test_planned_stop import LONG_MS, allow_long_requests
+from .test_planned_stop import (
+    LONG_MS,
+    SHORT_GRACE_S,
+    allow_long_requests,
+    stop,
+)
 from .waits import ticks
 
 WORK_S = 0.4
@@ -75,3 +83,51 @@
         assert await response.text() == 'done'
     events = await events_until_stopped(capfd)
     assert any('step of a stop' in str(event) for event in events)
+
+
+@contextlib.asynccontextmanager
+async def hanging_end() -> AsyncIterator[None]:
+    try:
+        yield
+    finally:
+        await asyncio.Event().wait()
+
+
+async def hang_as_it_ends() -> None:
+    """Wait, and wait anew each of the first times that it is cancelled."""
+    async with hanging_end(), hanging_end():
+        await asyncio.Event().wait()
+
+
+@pytest.fixture
+def hanging_task(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def run(_writer: relay.UsageWriter) -> None:
+        await hang_as_it_ends()
+
+    monkeypatch.setattr(relay.UsageWriter, 'run', run)
+
+
+# The lease of a duty was released to a silent store for 2.4 s, and the
+# process was killed.
+async def test_process_ends_while_a_task_waits(
+    capfd, monkeypatch, hanging_task, world
+) -> None:
+    monkeypatch.setattr('geranium_platform.draining.MIN_DRAIN_S', 0)
+    stop(world.host, SHORT_GRACE_S)
+
+    events = await events_until_stopped(capfd)
+
+    assert events[-1]['event'] == 'stopped'
+
+
+@pytest.mark.parametrize('cleanup', [fail, hang_as_it_ends])
+async def test_process_ends_if_a_cleanup_fails(
+    capfd, world, cleanup: Callable[[], Awaitable[None]]
+) -> None:
+    world.host._path.cleanup = cleanup
+    stop(world.host, SHORT_GRACE_S)
+
+    events = await events_until_stopped(capfd)
+
+    names = [event['event'] for event in events]
+    assert names[-2:] == ['cleanup_failed', 'stopped']
