Tests of signals: let only the event loop reap the process

One run of the whole adapter suite failed with exit status 255 in test_no_signal_ends_a_process_that_is_stopping[command], and asyncio's warning "Unknown child process pid, will report returncode 255": `send_signal` of a process polls it first, and so took the exit status that the event loop was about to read.

--- a/packages/geraniumd/tests/test_signals.py
+++ b/packages/geraniumd/tests/test_signals.py
@@ -78,8 +78,9 @@
     waiting = asyncio.create_task(process.communicate())
     async with asyncio.timeout(WAIT_S):
         while not waiting.done():
+            # `send_signal` would reap the process, unseen by the event loop.
             with contextlib.suppress(ProcessLookupError):
-                process.send_signal(signal.SIGTERM)
-                process.send_signal(signal.SIGINT)
+                os.kill(process.pid, signal.SIGTERM)
+                os.kill(process.pid, signal.SIGINT)
             await asyncio.sleep(0.002)
     assert process.returncode == 0
--- a/tests/adapter/test_process_signals.py
+++ b/tests/adapter/test_process_signals.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import os
 import pathlib
 import signal
 import sys
@@ -48,8 +49,9 @@
         raise AssertionError(f'{event} was not logged')
 
     def send(self, *numbers: signal.Signals) -> None:
+        # The method of the process would reap it, unseen by the event loop.
         for number in numbers:
-            self.process.send_signal(number)
+            os.kill(self.process.pid, number)
 
     async def wait(self) -> tuple[int | None, str]:
         """Return the exit status and the rest of the log."""
