Hosts: the test of unsent frames waits until the kernel takes no more

Beside other tests, once of one run, the kernel took what the test had queued after all, since its reader had begun to read: nothing was left unsent, and the request had ended rightly. The connection is now one that nobody reads, and it is full when it has stayed full. What is asserted is the same; the test fails as before without the fix.

--- a/packages/geranium-relay/tests/test_unsent_frames.py
+++ b/packages/geranium-relay/tests/test_unsent_frames.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import math
+import socket
+import struct
 import time
 
 import geranium_relay as relay
@@ -27,6 +29,7 @@
 DELIVERED = EndFrame(relay.Delivered(200))
 PIECE = bytes(4096)  # less than what a connection queues without a pause
 LIMIT_S = 30
+SETTLE_S = 0.05
 
 
 def make_request(deadline: float) -> ForwardedRequest:
@@ -60,15 +63,18 @@
         transport = sink._connection._writer.transport
         while not transport.get_write_buffer_size():
             await sink.write(PIECE)
+            if transport.get_write_buffer_size():
+                # The kernel may take it after all.
+                await asyncio.sleep(SETTLE_S)
         self.has_filled.set()
         return DELIVERED.outcome
 
-    async def pass_on(self, deadline: float) -> MessageConnection:
+    async def pass_on(self, limit_s: float) -> socket.socket:
         """Send it a request; return the connection once it is full."""
-        streams = await asyncio.open_connection('127.0.0.1', self.port)
-        connection = MessageConnection(*streams)
+        connection = socket.create_connection(('127.0.0.1', self.port))
         now = self.world.clock.now()
-        connection.write(encode_request(make_request(now + deadline), now))
+        request = encode_request(make_request(now + limit_s), now)
+        connection.sendall(struct.pack('<I', len(request)) + request)
         await self.has_filled.wait()
         return connection
 
@@ -77,7 +83,8 @@
         await self.open_requests.wait_until_idle(deadline)
 
 
-async def read_frames(connection: MessageConnection) -> list[Frame]:
+async def read_frames(unread: socket.socket) -> list[Frame]:
+    connection = MessageConnection(*await asyncio.open_connection(sock=unread))
     frames = []
     try:
         while True:
