Known failures: requests that a closing connection costs though they may be sent again

A request whose only target closed a kept connection ends as "no target"; a call that found its new connection closed counts as one that may have run.

--- a/tests/adapter/test_broken_connections.py
+++ b/tests/adapter/test_broken_connections.py
@@ -4,9 +4,11 @@
 import contextlib
 import json
 
+import geranium_relay as relay
 import pytest
 
 from .conftest import CONFIGURATION, only_target
+from .target_caller import calling
 from .waits import ticks
 
 ANSWER = (
@@ -95,3 +97,38 @@
     await change_routes(world, maxAttempts=1, resumable=True)
     async with only_target(world, serve_once):
         assert await statuses(world, kind) == {200}
+
+
+# The only target of a service closed kept connections, and requests that might
+# be sent again failed for want of another target.
+@pytest.mark.parametrize('kind', ['safe', 'streaming'])
+async def test_request_of_a_closed_kept_connection_is_sent_again(
+    world, kind: str
+) -> None:
+    await change_routes(world, resumable=True)
+    async with only_target(world, serve_once):
+        assert await statuses(world, kind) == {200}
+
+
+# A target reset new connections at its limit; calls of which no byte had been
+# written yet counted as calls that may have run, and were not sent elsewhere.
+async def test_call_on_a_connection_that_ended_before_it_was_not_sent(
+    monkeypatch,
+) -> None:
+    connect = relay.CallConnector.connect
+
+    async def connect_to_end(
+        connector: relay.CallConnector, request: object, **limits: object
+    ) -> object:
+        connection = await connect(connector, request, **limits)
+        connection.protocol.transport.abort()
+        return connection
+
+    monkeypatch.setattr(relay.CallConnector, 'connect', connect_to_end)
+    server = await asyncio.start_server(serve_once, '127.0.0.1', 0)
+    host, port = server.sockets[0].getsockname()[:2]
+    async with calling(f'{host}:{port}') as caller:
+        told = await caller.send('r1', relay.RouteKind.UNSAFE)
+    server.close()
+
+    assert told is relay.NotSentError
