--- a/tests/adapter/test_unchanged_requests.py
+++ b/tests/adapter/test_unchanged_requests.py
@@ -155,6 +155,21 @@
     await asyncio.to_thread(check)
 
 
+async def test_bytes_that_are_no_utf8_pass(
+    world: World, bare_target: BareTarget
+) -> None:
+    # The HTTP library leaves them out of header lines that it writes.
+    bare_target.answer_lines = (('X-B', 'a\xffb'),)
+
+    answer = await exchange(
+        front_of(world), 'POST', '/safe/a', [('X-A', 'a\xffb')]
+    )
+
+    received = bare_target.requests[-1].texts_by_name()
+    assert received['x-a'] == ['a\xffb']
+    assert answer.texts_by_name()['x-b'] == ['a\xffb']
+
+
 async def test_reserved_headers_are_never_those_of_a_caller(
     world: World, bare_target: BareTarget
 ) -> None:
