Lists of the store: parts of an odd entry are no entries

Behind an entry that is no JSON, parts of it that begin like an entry without a name were taken for entries of the list: three instead of one. They name nothing, so that no target or host came of them, but they were counted as unreadable. Seen once in a run of all tests (test_any_cut_leaves_all_others).

--- a/tests/adapter/test_cut_entries.py
+++ b/tests/adapter/test_cut_entries.py
@@ -268,3 +268,17 @@
 async def has_version(world: World, version: int) -> bool:
     catalogue = world.host.state.view.catalogue
     return catalogue is not None and catalogue.version == version
+
+
+# Parts of an odd entry that look like entries without a name were listed.
+def test_parts_of_a_cut_entry_are_no_entries() -> None:
+    metadata = '{"name": "n0", "revision": 1}'
+    spec = '[[], {"metadata": null}, {"metadata": null'
+    listed = f'{{"metadata": {metadata}, "spec": {spec}}}'
+    body = f'{{"items": [{listed}], "truncated": false, "storeRevision": 7}}'
+
+    decoded = decode_document(body.encode())
+
+    assert [entry['metadata'] for entry in decoded['items']] == [
+        {'name': 'n0', 'revision': 1}
+    ]
