--- a/packages/geranium-relay/tests/test_second_calls.py
+++ b/packages/geranium-relay/tests/test_second_calls.py
@@ -48,8 +48,10 @@
 
 async def test_no_third_call_begins_beside_an_open_second_one() -> None:
     world = make_world()
+    refusing = after(0.2, FULL)
+    second = after(0.25, whole())
     third = after(0.3, whole())
-    calls = OpenCalls(world, after(0.2, FULL), after(0.25, whole()), third)
+    calls = OpenCalls(world, refusing, second, third)
 
     outcome, _ = await world.serve('safe')
 
