Process exit: a test that waits for outcomes instead of a time

It now waits until the request has ended, counts only what was delivered, and asks for at least one caller; requests have 4 s. With the wait for the buffers switched off it fails.

--- a/tests/adapter/test_process_exit.py
+++ b/tests/adapter/test_process_exit.py
@@ -1,6 +1,7 @@
 """A host's process that exits leaves nothing behind that callers wait for."""
 
 import asyncio
+import json
 import pathlib
 import signal
 import socket
@@ -30,7 +31,7 @@
 SEGMENT_BYTES = 1200  # as in a network; the loopback takes megabytes at once
 SIZES = range(20_000, 400_000, 20_000)  # steps below the buffer of a transport
 EXITING_S = 0.5  # longer than an exit takes that waits for nothing
-ENDED_S = 0.5
+LONG_MS = 4000  # of a request that is held open
 
 
 class HostProcess:
@@ -108,7 +109,7 @@
             'Host: example',
             'Authorization: Bearer key',
             f'Request-Id: {identity}',
-            'Deadline-Ms: 700',
+            f'Deadline-Ms: {LONG_MS}',
             'Content-Length: 0',
         )
         request = '\r\n'.join((*lines, '', '')).encode()
@@ -145,7 +146,10 @@
         return web.Response(text=text, headers=headers)
 
     target = await serve(StandinTarget(respond).application())
-    store_standin.put('config', 'main', CONFIGURATION)
+    routes = [
+        {**route, 'timeoutMs': LONG_MS} for route in CONFIGURATION['routes']
+    ]
+    store_standin.put('config', 'main', {**CONFIGURATION, 'routes': routes})
     store_standin.put('servers', 't1', target_entry(target))
     settings = make_settings(
         platform={'address': store_address},
@@ -166,6 +170,7 @@
     process: HostProcess, kind: str
 ) -> None:
     callers = await fill_networks(process, kind)
+    assert callers
     process.process.send_signal(signal.SIGTERM)
     async for _ in ticks():
         late = Caller()
@@ -195,10 +200,17 @@
         caller = Caller()
         assert await caller.connects(process.front)
         await caller.send(kind, f'size-{size}', size)
-        await asyncio.sleep(ENDED_S)
-        ended = [line for line in process.log().splitlines() if 'ended' in line]
-        if not any(f'size-{size}"' in line for line in ended):
+        if await outcome_of(process, f'size-{size}') != 'Delivered':
             caller.close()
             return callers
         callers.append(caller)
     raise AssertionError('the network takes all')
+
+
+async def outcome_of(process: HostProcess, identity: str) -> str:
+    """Return the outcome that the host has logged for a request."""
+    async for _ in ticks():
+        for line in process.log().splitlines():
+            if '"ended"' in line and f'"{identity}"' in line:
+                return json.loads(line)['outcome']
+    raise AssertionError(f'{identity} has not ended')
