--- a/packages/geranium-relay/src/geranium_relay/alternative_attempt.py
+++ b/packages/geranium-relay/src/geranium_relay/alternative_attempt.py
@@ -89,8 +89,9 @@
     def _is_given_up(self, attempt: Attempt, limit: SilenceLimit) -> bool:
         """Return whether the wait for the target of an attempt is over.
 
-        It is if another target has accepted the request, or if another host
-        may. If no other attempt is being made, one begins.
+        It is if another target has accepted the request, if the silent one has
+        started again, or if only other hosts reach the service. If no other
+        attempt is being made, one begins.
         """
         parts = self._parts
         if parts.selection.is_replaced(attempt.target):
--- a/packages/geranium-relay/src/geranium_relay/silence.py
+++ b/packages/geranium-relay/src/geranium_relay/silence.py
@@ -38,14 +38,15 @@
         self._waiting: _Wait | None = None
         self._has_asked = False
 
-    def until(self, deadline: float | None, *, answers: bool = True) -> '_Wait':
+    def until(self, deadline: float | None) -> '_Wait':
         """Return a context that waits for the target.
 
+        Another attempt goes on after it, until :meth:`release`: what has
+        arrived may be no answer.
+
         Args:
             deadline: When the target counts as silent, by the clock of the
                 event loop; ``None`` if it may be silent without limit.
-            answers: Whether the target has answered if the block ends. If
-                not, the other attempt goes on until :meth:`release`.
 
         Raises:
             TargetSilentError: If the target is silent, and another one has
