Silent targets: calls beside another have a limit of their own

They shared one SilenceLimit, which keeps the wait of the last call that used it; no decision went by that. silence_limit(bool), as for other hosts, serves them.

--- a/packages/geranium-relay/src/geranium_relay/open_calls.py
+++ b/packages/geranium-relay/src/geranium_relay/open_calls.py
@@ -20,7 +20,7 @@
 from .run_context import RunContext
 from .send_limit import SendLimit
 from .sending import open_response
-from .silence import NO_LIMIT, SilenceLimit
+from .silence import SilenceLimit, silence_limit
 from .stream_origins import StreamVersion
 
 
@@ -145,7 +145,9 @@
             self._parts.send_limit.record_run()
             limit = limit_for(attempt)
             response = await self._send(
-                attempt, cache_handle, NO_LIMIT if beside_another else limit
+                attempt,
+                cache_handle,
+                silence_limit(bool) if beside_another else limit,
             )
             stack.callback(response.close)
             return OpenCall(attempt, dispatch, response, limit, stack.pop_all())
--- a/packages/geranium-relay/src/geranium_relay/silence.py
+++ b/packages/geranium-relay/src/geranium_relay/silence.py
@@ -85,14 +85,6 @@
     """Do nothing: no attempt is reserved."""
 
 
-def _has_none() -> bool:
-    """Return that there is no other attempt."""
-    return False
-
-
-NO_LIMIT = silence_limit(_has_none)
-
-
 class _Wait:
     def __init__(
         self,
