Calls of which no byte was written were not sent

Cause: aiohttp refuses to write to a closing transport, and asyncio drops the bytes that the kernel refuses on a connection that was reset. Both errors were raised as those of an established connection, so the call counted as one that may have run: an unsafe request was given up as 502 and a safe one used an attempt, though no byte had left the process.

Change: CallConnector passes the writes of plain connections through CallTransport, which notes for each call whether a write may have reached the kernel. It has not if the transport was closed with an empty buffer, before the write or by it: asyncio closes the transport inside write() only after an error of send(), which takes no byte. If a connection ends without such a write, the call fails with NotWrittenError, which target calls raise as NotSentError. It isn't counted as a run, its permit returns, and the log names the connection. All other cases, and connections with TLS, count as before. ClientConnectionResetError, raised for calls without a body, becomes a ConnectionLostError like the others.

Weighed: the text of aiohttp's error. It also comes up when a later part of a body is written, after bytes have left.

Why it works: what may have left is noted where bytes go to the kernel, not derived from the error, so the call is either known to be unsent or counts as sent.

--- a/packages/geranium-relay/src/geranium_relay/__init__.py
+++ b/packages/geranium-relay/src/geranium_relay/__init__.py
@@ -33,6 +33,7 @@
     CallConnector,
     ConnectionLostError,
     ConnectionUse,
+    NotWrittenError,
     ResponseEnd,
     send_once,
 )
@@ -182,6 +183,7 @@
     'NoneAvailable',
     'NotRunError',
     'NotSentError',
+    'NotWrittenError',
     'OpenRequests',
     'OrderFailed',
     'OrderResult',
--- a/packages/geranium-relay/src/geranium_relay/call_errors.py
+++ b/packages/geranium-relay/src/geranium_relay/call_errors.py
@@ -8,7 +8,16 @@
 
 
 class NotSentError(RelayError):
-    """No byte of the call reached the target."""
+    """No byte of the call reached the target.
+
+    ``connection`` says which one had ended before the call was written.
+    """
+
+    def __init__(
+        self, detail: str, *, connection: BrokenConnection | None = None
+    ) -> None:
+        super().__init__(detail)
+        self.connection = connection
 
 
 class NotRunError(RelayError):
--- a/packages/geranium-relay/src/geranium_relay/http_connections.py
+++ b/packages/geranium-relay/src/geranium_relay/http_connections.py
@@ -13,8 +13,10 @@
 name their call by its id, so no two calls with one id may share a connection.
 """
 
+import asyncio
 import dataclasses
 import weakref
+from typing import cast
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -22,6 +24,7 @@
 from aiohttp.tracing import Trace
 
 from .broken_connections import BrokenConnection, ConnectionHistory
+from .call_writes import CallTransport, CallWrites
 
 MAX_CALLS = 1000  # on one connection, whose ids are kept as long as it
 
@@ -36,6 +39,10 @@
     connection: BrokenConnection | None = None
 
 
+class NotWrittenError(ConnectionLostError):
+    """A connection had ended before a byte of the call was written."""
+
+
 async def send_once(
     request: aiohttp.ClientRequest,
     handler: aiohttp.ClientHandlerType,
@@ -51,12 +58,16 @@
         return await handler(request)
     except aiohttp.ClientConnectorError:
         raise
-    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+    except (
+        aiohttp.ClientOSError,
+        aiohttp.ServerDisconnectedError,
+        aiohttp.ClientConnectionResetError,
+    ) as error:
         raise ConnectionLostError(_describe(error)) from error
 
 
 def _describe(
-    error: aiohttp.ClientOSError | aiohttp.ServerDisconnectedError,
+    error: aiohttp.ClientConnectionError,
 ) -> str:
     """Return what happened to a connection, without what the server sent."""
     match error:
@@ -95,9 +106,13 @@
 
 @dataclasses.dataclass(slots=True)
 class _EarlierCalls:
-    """The calls that a connection has carried."""
+    """The calls that a connection has carried.
+
+    ``writes`` is ``None`` if what the connection has written isn't known.
+    """
 
     history: ConnectionHistory
+    writes: CallWrites | None
     identities: set[str] = dataclasses.field(default_factory=set)
 
 
@@ -108,15 +123,25 @@
         protocol: The connection.
         history: What the connection has carried, this call included. The
             response to its first call can't be a copy of an earlier one.
+        writes: What the call has written, if that is known.
     """
 
     def __init__(
-        self, protocol: ResponseHandler, history: ConnectionHistory
+        self,
+        protocol: ResponseHandler,
+        history: ConnectionHistory,
+        writes: CallWrites | None,
     ) -> None:
         self._protocol = protocol
         self._history = history
+        self._writes = writes
         self.is_first = history.calls == 1
 
+    @property
+    def has_written(self) -> bool:
+        """Whether a byte of the call may have left the process."""
+        return self._writes is None or self._writes.has_written
+
     def broken(self) -> BrokenConnection:
         """Return what is known of the connection, which broke now."""
         return self._history.broken()
@@ -197,7 +222,7 @@
                 return connection
             earlier = self._earlier_calls.get(protocol)
             if earlier is None:
-                earlier = _EarlierCalls(ConnectionHistory(protocol.transport))
+                earlier = _observe(protocol)
                 self._earlier_calls[protocol] = earlier
             is_usable = (
                 not protocol.should_close and identity not in earlier.identities
@@ -217,14 +242,21 @@
         This is the middleware of the session.
 
         Raises:
+            NotWrittenError: If the connection ended before a byte was written.
             ConnectionLostError: If an established connection breaks.
         """
         try:
             response = await send_once(request, handler)
         except ConnectionLostError as error:
             use = self._uses_by_request.pop(request, None)
-            error.connection = None if use is None else use.broken()
-            raise
+            if use is None:
+                raise
+            error.connection = use.broken()
+            if use.has_written:
+                raise
+            unwritten = NotWrittenError(str(error))
+            unwritten.connection = error.connection
+            raise unwritten from error
         self._uses_by_response[response] = self._uses_by_request.pop(request)
         return response
 
@@ -245,8 +277,29 @@
         identity: str | None,
     ) -> None:
         earlier.history.count_call()
-        self._uses_by_request[req] = ConnectionUse(protocol, earlier.history)
+        if earlier.writes is not None:
+            earlier.writes.has_written = False
+        self._uses_by_request[req] = ConnectionUse(
+            protocol, earlier.history, earlier.writes
+        )
         if identity is not None:
             earlier.identities.add(identity)
         if len(earlier.identities) >= MAX_CALLS:
             protocol.force_close()
+
+
+def _observe(protocol: ResponseHandler) -> _EarlierCalls:
+    """Return the record of a new connection, whose writes are noted if plain.
+
+    A connection that has ended already has no transport and writes nothing.
+    """
+    transport = protocol.transport
+    history = ConnectionHistory(transport)
+    writes = CallWrites()
+    if transport is None:
+        return _EarlierCalls(history, writes)
+    if transport.get_extra_info('sslcontext') is not None:
+        return _EarlierCalls(history, None)
+    observed = CallTransport(transport, writes)
+    protocol.transport = cast(asyncio.Transport, observed)
+    return _EarlierCalls(history, writes)
--- a/packages/geranium-relay/src/geranium_relay/request_recorder.py
+++ b/packages/geranium-relay/src/geranium_relay/request_recorder.py
@@ -161,6 +161,8 @@
     match error:
         case AnswerLostError(connection=BrokenConnection() as broken):
             return broken.fields()
+        case NotSentError(connection=BrokenConnection() as broken):
+            return broken.fields()
         case _:
             return None
 
