Stale connections: send again to the same target, on a new connection

Cause: a target that closes a kept connection as a request is sent on it was avoided by that request like one that has crashed. If it was the only target of its service, the request ended as 502 "no target", though it may be sent again and the target was serving.

Change: an error has stale_connection set if its connection had carried earlier calls and closed before a byte of the response is known to have arrived. If the target still accepts connections, it isn't avoided, and the request goes to it on a new connection only. Whether it does is known without another call: the check whether the target has crashed connects to it anyway. A call that was not sent at all on such a connection is treated alike, without that check. A new connection can't be stale, so a target gets one more call at most. A crashed target is avoided as before, and the suspicion against the request and the health of the target are weighed as before.

The request counts as run, takes one of maxAttempts and a permit of the retry budget, unless no byte of it was written.

Weighed: not avoiding such a target at all (calls to crashed targets would connect to them once more), and only if the connection closed soon after the call (it needs a constant that depends on the load of the host).

Why it works: the close of an idle connection can cross a request; a new connection has no such close ahead of it, so a second break there says something of the target or the request and is handled as before.

--- a/packages/geranium-relay/src/geranium_relay/broken_connections.py
+++ b/packages/geranium-relay/src/geranium_relay/broken_connections.py
@@ -23,6 +23,11 @@
     calls: int
     call_s: float
 
+    @property
+    def is_reused(self) -> bool:
+        """Whether it had carried other calls before the failed one."""
+        return self.calls > 1
+
     def fields(self) -> dict[str, object]:
         """Return the fields for a log record."""
         return dataclasses.asdict(self)
--- a/packages/geranium-relay/src/geranium_relay/call_errors.py
+++ b/packages/geranium-relay/src/geranium_relay/call_errors.py
@@ -4,7 +4,14 @@
 
 
 class RelayError(Exception):
-    """Base class of the errors of calls to targets."""
+    """Base class of the errors of calls to targets.
+
+    ``stale_connection`` is set if a connection that earlier calls had used
+    closed, and no part of the response is known to have arrived. A new
+    connection may serve the call.
+    """
+
+    stale_connection = False
 
 
 class NotSentError(RelayError):
@@ -18,6 +25,7 @@
     ) -> None:
         super().__init__(detail)
         self.connection = connection
+        self.stale_connection = connection is not None and connection.is_reused
 
 
 class NotRunError(RelayError):
@@ -45,6 +53,8 @@
 
     The call may have run. ``broken`` is set if the connection closed, which
     also happens when the target crashes. ``connection`` says which one it was.
+    ``response_began`` is unset if no part of the response is known to have
+    arrived.
     """
 
     def __init__(
@@ -53,10 +63,13 @@
         *,
         broken: bool = False,
         connection: BrokenConnection | None = None,
+        response_began: bool = True,
     ) -> None:
         super().__init__(detail)
         self.broken = broken
         self.connection = connection
+        is_reused = connection is not None and connection.is_reused
+        self.stale_connection = is_reused and not response_began
 
 
 class TargetSilentError(RelayError):
--- a/packages/geranium-relay/src/geranium_relay/http_connections.py
+++ b/packages/geranium-relay/src/geranium_relay/http_connections.py
@@ -33,10 +33,12 @@
     """An established connection broke; the call may have run.
 
     aiohttp retries a call after subclasses of this base class, but not after
-    the base class itself. ``connection`` says which connection it was.
+    the base class itself. ``connection`` says which connection it was, and
+    ``response_began`` whether a part of the response is known to have arrived.
     """
 
     connection: BrokenConnection | None = None
+    response_began = False
 
 
 class NotWrittenError(ConnectionLostError):
@@ -63,20 +65,22 @@
         aiohttp.ServerDisconnectedError,
         aiohttp.ClientConnectionResetError,
     ) as error:
-        raise ConnectionLostError(_describe(error)) from error
+        raise _lost_connection(error) from error
 
 
-def _describe(
+def _lost_connection(
     error: aiohttp.ClientConnectionError,
-) -> str:
+) -> ConnectionLostError:
     """Return what happened to a connection, without what the server sent."""
     match error:
         case aiohttp.ServerDisconnectedError(message=RawResponseMessage()):
-            return 'closed inside the head of a response'
+            lost = ConnectionLostError('closed inside the head of a response')
+            lost.response_began = True
+            return lost
         case aiohttp.ServerDisconnectedError():
-            return 'closed before a response'
+            return ConnectionLostError('closed before a response')
         case _:
-            return repr(error)
+            return ConnectionLostError(repr(error))
 
 
 class ResponseEnd:
--- a/packages/geranium-relay/src/geranium_relay/messages.py
+++ b/packages/geranium-relay/src/geranium_relay/messages.py
@@ -158,6 +158,7 @@
         fetch_from: A prefilled prompt to fetch instead of prefilling it.
         resume_after: Id of the last event that is not sent again.
         may_repeat: Whether the job may run again if the response is lost.
+        new_connection: Whether it is sent on a connection of its own.
     """
 
     job: Job
@@ -166,6 +167,7 @@
     fetch_from: CacheHandle | None = None
     resume_after: str | None = None
     may_repeat: bool = False
+    new_connection: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/geranium-relay/src/geranium_relay/open_calls.py
+++ b/packages/geranium-relay/src/geranium_relay/open_calls.py
@@ -69,6 +69,7 @@
         version: The version at which the stream may go on.
         forwarder: Knows what the caller has received.
         avoid: Keys of the targets that have failed it.
+        reconnect: Keys of the targets that get it on new connections only.
     """
 
     selection: AttemptSelection
@@ -77,6 +78,7 @@
     version: StreamVersion
     forwarder: ResponseForwarder
     avoid: set[str]
+    reconnect: set[str]
 
 
 class CallOpener:
@@ -165,6 +167,7 @@
             cache_handle,
             self._parts.forwarder.resume_after,
             self._parts.send_limit.may_run_again(self._job.route),
+            attempt.target.key in self._parts.reconnect,
         )
         try:
             return await open_response(self._context, call, limit)
--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -72,6 +72,7 @@
             job, context.origins, version=progress.version
         )
         self._avoid: set[str] = set()
+        self._reconnect: set[str] = set()
         self._send_limit = SendLimit(
             job.service,
             context.retries,
@@ -94,6 +95,7 @@
             self._version,
             self._forwarder,
             self._avoid,
+            self._reconnect,
         )
         self._opener = CallOpener(
             job,
@@ -317,8 +319,14 @@
                 self._recorder.record_silence(attempt)
             case _:
                 self._context.selector.observe(target, Unreachable())
+        may_reconnect = error.stale_connection
         if isinstance(error, AnswerLostError) and error.broken:
-            await suspect_request(self._context, self._job, target)
+            may_reconnect &= await suspect_request(
+                self._context, self._job, target
+            )
+        if may_reconnect:
+            self._avoid.discard(target.key)
+            self._reconnect.add(target.key)
 
     async def _finish_failed_run(self, reason: str) -> Outcome | None:
         self._forwarder.drop_partial_event()
--- a/packages/geranium-relay/src/geranium_relay/suspicion.py
+++ b/packages/geranium-relay/src/geranium_relay/suspicion.py
@@ -9,15 +9,18 @@
 
 async def suspect_request(
     context: RunContext, job: Job, target: Target
-) -> None:
+) -> bool:
     """Record a job as a suspect if its target has crashed.
 
     If the target still accepts connections, only the response was lost. If
     other hosts reach it, this host has lost its link.
+
+    Returns:
+        Whether the target still accepts connections.
     """
     own = await context.reach.judge(target)
     if own is TargetReach.REACHED:
-        return
+        return True
     evidence = CrashEvidence(
         is_listed=context.selector.target(target.key) is not None,
         own=own,
@@ -32,7 +35,7 @@
             own=own.value,
             peers=[answer.value for answer in evidence.peers],
         )
-        return
+        return False
     now = context.clock()
     notices = context.crash_causes.record_crash(
         job.fingerprints, target.key, now
@@ -48,6 +51,7 @@
         own=own.value,
         peers=[answer.value for answer in evidence.peers],
     )
+    return False
 
 
 def clear_request(context: RunContext, job: Job) -> None:
