Team quotas: messages between hosts, charge before sending, 429 and 400

Cause: teams of a configuration may have a limit that holds over all hosts.

What ends as refused gives its tokens back, and requests that other hosts passed on aren't charged again. An ask that isn't answered refuses all requests that wait for the same broker, so that none waits for a second time-out; the test of the order of waiting requests follows that.

--- a/packages/geranium-policy/src/geranium_policy/team_quotas/account.py
+++ b/packages/geranium-policy/src/geranium_policy/team_quotas/account.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import math
+from collections.abc import Iterator
 
 from .limits import QuotaSettings
 
@@ -25,6 +26,9 @@
     lapsed: float = 0
 
 
+_NOTHING = QuotaCounts()
+
+
 class QuotaAccount:
     """Granted tokens, each usable until its grant ends.
 
@@ -45,6 +49,16 @@
         self.granted_at = -math.inf
         self.counts = QuotaCounts()
 
+    def take_counts(self) -> Iterator[tuple[str, float]]:
+        """Yield what was counted since the last call, unless it is 0."""
+        counts = self.counts
+        if counts == _NOTHING:
+            return
+        self.counts = QuotaCounts()
+        for kind, amount in dataclasses.asdict(counts).items():
+            if amount:
+                yield kind, amount
+
     def is_free(self, now: float) -> bool:
         """Return whether the team isn't limited yet."""
         return now < self._free_until
--- a/packages/geranium-policy/src/geranium_policy/team_quotas/asking.py
+++ b/packages/geranium-policy/src/geranium_policy/team_quotas/asking.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import math
 from collections.abc import Callable
 from typing import Generic, TypeAlias, TypeVar
 
@@ -99,15 +100,26 @@
         self._ask(now)
         return None
 
+    def awaits(self, number: int) -> bool:
+        """Return whether an ask with a number is open."""
+        return self._open is not None and self._open.ask.number == number
+
+    def close(self) -> None:
+        """Admit all requests: the team has no limit any more."""
+        self._open = None
+        while self._waiting:
+            _, waiter = self._waiting.popleft()
+            self._decide(waiter, Debit(0, math.inf))
+
     def accept(self, broker: str, answer: QuotaAnswer, now: float) -> None:
         """Decide the requests of the open ask by the answer to it."""
         opened = self._open
-        if opened is None or opened.ask.number != answer.number:
+        if opened is None or opened.broker != broker:
             return
-        if opened.broker != broker:
+        if opened.ask.number != answer.number:
             return
         self._open = None
-        self._member.choice.record_heard(now)
+        self._member.choice.record_heard(broker, now)
         self._member.accept(opened.ask, opened.asked_at, answer, now)
         self._decide_asked(opened.ask, answer, now)
         self._ask(now)
@@ -124,9 +136,13 @@
             return
         self._open = None
         choice = self._member.choice
-        choice.record_unanswered(opened.asked_at, now)
+        choice.record_unanswered(opened.broker, opened.asked_at, now)
         wait_s = max(choice.delegated_until - now, NO_ANSWER_RETRY_S)
-        for _ in opened.ask.costs:
+        count = len(opened.ask.costs)
+        if opened.broker == choice.broker:
+            # Those that came later would wait for the same broker as long.
+            count = len(self._waiting)
+        for _ in range(count):
             cost, waiter = self._waiting.popleft()
             self._refuse(
                 waiter, cost, OverLimit(wait_s, 2 * wait_s, 'no answer')
@@ -149,7 +165,7 @@
     def _ask_own(self, cost: int, now: float) -> Decision:
         member = self._member
         ask = member.make_ask(self._team, (cost,), now)
-        answer = member.broker.answer(member, ask, now)
+        answer = member.broker.grant(ask, now)
         member.accept(ask, now, answer, now)
         account = member.accounts_by_team[self._team]
         debit = account.take(cost, now)
--- a/packages/geranium-policy/src/geranium_policy/team_quotas/broker.py
+++ b/packages/geranium-policy/src/geranium_policy/team_quotas/broker.py
@@ -84,15 +84,15 @@
         stored = self._answers.get((sender, ask.number))
         if stored is not None:
             return stored
-        self._advance(now)
-        answer = self._grant(ask, now)
+        answer = self.grant(ask, now)
         self._answers[sender, ask.number] = answer
         if len(self._answers) > MAX_STORED_ANSWERS:
             self._answers.popitem(last=False)
         return answer
 
-    def _grant(self, ask: QuotaAsk, now: float) -> QuotaAnswer:
+    def grant(self, ask: QuotaAsk, now: float) -> QuotaAnswer:
         """Grant the requests that the bucket has tokens for, and a reserve."""
+        self._advance(now)
         bucket = self._buckets_by_team.get(ask.team)
         if bucket is None:
             wait_s = self._settings.reserve_s
--- a/packages/geranium-policy/src/geranium_policy/team_quotas/broker_choice.py
+++ b/packages/geranium-policy/src/geranium_policy/team_quotas/broker_choice.py
@@ -79,19 +79,21 @@
 
     def record_clock(self, incarnation: int, time_s: float, now: float) -> bool:
         """Apply an answer to a delegation; return whether it was the first."""
-        self.record_heard(now)
+        self.record_heard(self.broker, now)
         is_first = self._clock is None or self._clock.incarnation != incarnation
         self._clock = _BrokerClock(incarnation, time_s, now)
         return is_first
 
-    def record_heard(self, now: float) -> None:
-        """Record that the broker has answered."""
+    def record_heard(self, host: str, now: float) -> None:
+        """Record that a host has answered, which may have been the broker."""
+        if host != self.broker:
+            return
         self._heard_at = now
         self._renewals_unheard_since = math.inf
 
-    def record_unanswered(self, asked_at: float, now: float) -> None:
+    def record_unanswered(self, host: str, asked_at: float, now: float) -> None:
         """Record an ask without an answer, though it was repeated."""
-        if self._heard_at <= asked_at:
+        if host == self.broker and self._heard_at <= asked_at:
             self.mark_silent(now)
 
     def mark_silent(self, now: float) -> None:
--- a/packages/geranium-relay/src/geranium_relay/catalogue.py
+++ b/packages/geranium-relay/src/geranium_relay/catalogue.py
@@ -4,6 +4,8 @@
 import enum
 from collections.abc import Iterable, Mapping
 
+from geranium_policy.team_quotas import QuotaLimit
+
 
 class RouteKind(enum.Enum):
     """Whether a route's requests may be repeated, and how it responds."""
@@ -118,10 +120,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Team:
-    """A team; its ``priority``, if set, overrides the route's."""
+    """A team.
+
+    Args:
+        name: Unique in the catalogue.
+        priority: Overrides the route's, if it is set.
+        quota: What all hosts together may have run for it; ``None`` for any
+            amount.
+    """
 
     name: str
     priority: int | None
+    quota: QuotaLimit | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/geranium-relay/src/geranium_relay/host_registry.py
+++ b/packages/geranium-relay/src/geranium_relay/host_registry.py
@@ -35,7 +35,10 @@
 
 
 class HostRegistry:
-    """Registers this host in the store and reads the other hosts."""
+    """Registers this host in the store and reads the other hosts.
+
+    ``has_read`` says that it has read them at least once.
+    """
 
     def __init__(
         self,
@@ -49,6 +52,7 @@
         self._peers = peers
         self._log = log
         self._registration_requested = asyncio.Event()
+        self.has_read = False
 
     def request_registration(self) -> None:
         """Register this host again: a restored store may lack its entry."""
@@ -107,6 +111,7 @@
                 )
                 continue
             self._peers.add(identity)
+        self.has_read = True
 
 
 class Directory:
--- a/packages/geranium-relay/src/geranium_relay/messages.py
+++ b/packages/geranium-relay/src/geranium_relay/messages.py
@@ -79,6 +79,9 @@
         began_as: The id of the attempt that brought the caller the first event
             of the stream that it resumes.
         prompt: ``None`` if the request has none.
+        tokens: Tokens of the prompt and of the response, as the caller has
+            named them; ``None`` if it named none.
+        malformed_size: Whether it has named them in an invalid form.
     """
 
     identity: str
@@ -91,6 +94,8 @@
     resume_after: str | None
     prompt: Prompt | None
     began_as: str | None = None
+    tokens: int | None = None
+    malformed_size: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/geranium-relay/src/geranium_relay/outcomes.py
+++ b/packages/geranium-relay/src/geranium_relay/outcomes.py
@@ -48,6 +48,21 @@
     calls: CallsMade = dataclasses.field(default=_NO_CALLS, compare=False)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OverQuota:
+    """The request did not run: its team is over its quota.
+
+    The caller may retry after a delay.
+    """
+
+    retry_after_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MalformedSize:
+    """The request names its tokens, which its team's quota counts, wrongly."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UnknownRoute:
     """No route matches the request."""
@@ -86,7 +101,15 @@
 
 
 Outcome: TypeAlias = (
-    Delivered | Refused | UnknownRoute | UnknownKey | Failed | TimedOut | CutOff
+    Delivered
+    | Refused
+    | OverQuota
+    | MalformedSize
+    | UnknownRoute
+    | UnknownKey
+    | Failed
+    | TimedOut
+    | CutOff
 )
 
 
--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/peer_server.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/peer_server.py
@@ -11,7 +11,14 @@
 from ..decision_log import DecisionLog
 from ..messages import ResponseHead
 from ..open_requests import OpenRequests
-from ..outcomes import Outcome, Refused, UnknownKey, UnknownRoute
+from ..outcomes import (
+    MalformedSize,
+    Outcome,
+    OverQuota,
+    Refused,
+    UnknownKey,
+    UnknownRoute,
+)
 from ..ports import ResponseSink
 from ..stream_origins import StreamOrigins
 from .call_codec import decode_call
@@ -235,7 +242,7 @@
     That host knows the route and the key, so this one may lag behind.
     """
     match outcome:
-        case UnknownRoute() | UnknownKey():
+        case UnknownRoute() | UnknownKey() | OverQuota() | MalformedSize():
             return Refused(
                 'unknown to the other host', UNKNOWN_RETRY_S, elsewhere=True
             )
--- a/packages/geranium-relay/src/geranium_relay/relay.py
+++ b/packages/geranium-relay/src/geranium_relay/relay.py
@@ -11,7 +11,9 @@
 from .outcomes import (
     Delivered,
     Failed,
+    MalformedSize,
     Outcome,
+    OverQuota,
     Refused,
     TimedOut,
 )
@@ -70,7 +72,7 @@
         admitted = self._admission.admit(host, key, arrival)
         match admitted:
             case Job():
-                return await self._run_to_end(admitted, sink)
+                return await self._run_by_quota(admitted, sink)
             case _:
                 self._record_rejection(arrival.identity, admitted)
                 return admitted
@@ -100,6 +102,28 @@
             case _:
                 return admitted
 
+    async def _run_by_quota(self, job: Job, sink: ResponseSink) -> Outcome:
+        """Run a job within the quota of its team.
+
+        The tokens of a request that has not run go back to the quota.
+        """
+        quotas = self._context.quotas
+        if quotas is None:
+            return await self._run_to_end(job, sink)
+        if job.arrival.malformed_size and _counts_tokens(job):
+            return self._end_unsent(job, MalformedSize())
+        grant = await quotas.take(job)
+        if isinstance(grant, OverQuota):
+            return self._end_unsent(job, grant)
+        outcome = await self._run_to_end(job, sink)
+        if isinstance(outcome, Refused):
+            quotas.give_back(grant)
+        return outcome
+
+    def _end_unsent(self, job: Job, outcome: Outcome) -> Outcome:
+        self._record_end(job, type(outcome).__name__, _detail(outcome))
+        return outcome
+
     async def _run_to_end(
         self,
         job: Job,
@@ -189,10 +213,18 @@
             return False
 
 
+def _counts_tokens(job: Job) -> bool:
+    """Return whether the quota of a job's team is in tokens."""
+    quota = None if job.team is None else job.team.quota
+    return quota is not None and quota.in_tokens
+
+
 def _detail(outcome: Outcome) -> object:
     match outcome:
         case Refused(reason=reason, retry_after_s=retry_after_s):
             return [reason, round(retry_after_s, 3)]
+        case OverQuota(retry_after_s=retry_after_s):
+            return round(retry_after_s, 3)
         case _:
             status = getattr(outcome, 'status', None)
             return status or getattr(outcome, 'reason', None)
--- a/packages/geranium-relay/src/geranium_relay/run_context.py
+++ b/packages/geranium-relay/src/geranium_relay/run_context.py
@@ -18,6 +18,7 @@
 from .stream_origin_updates import StreamOrigin
 from .stream_origins import StreamOrigins, StreamOriginSettings
 from .target_selector import TargetSelector
+from .team_quotas import QuotaGrant, QuotaSources, TeamQuotas
 from .telemetry import Telemetry
 from .usage import UsageCounter
 from .version_records import VersionRecords, VersionRecordSettings
@@ -41,6 +42,7 @@
     reach: ServiceReach
     peer_client: PeerClient
     shutdown: Shutdown
+    quotas: TeamQuotas | None = None
 
 
 def shared_parts(arrival: IncomingRequest) -> tuple[PromptPart, ...]:
@@ -67,12 +69,15 @@
 
 
 __all__ = [
+    'QuotaGrant',
+    'QuotaSources',
     'RetryShares',
     'RunContext',
     'Shutdown',
     'StreamOrigin',
     'StreamOriginSettings',
     'StreamOrigins',
+    'TeamQuotas',
     'VersionRecordSettings',
     'VersionRecords',
     'fingerprints_of',
--- a/packages/geranium-relay/src/geranium_relay/telemetry.py
+++ b/packages/geranium-relay/src/geranium_relay/telemetry.py
@@ -13,6 +13,7 @@
     ('refusals', 'Refused requests by reason.'),
     ('repeats', 'Calls beyond the first of a request by kind and decision.'),
     ('forwards', 'Requests passed on to other hosts by outcome.'),
+    ('quota_tokens', 'Tokens or requests of quotas by team and kind.'),
     ('store_calls', 'Calls to the store by method and outcome.'),
 )
 _Recorder: TypeAlias = Callable[[float, dict[str, str]], None]
@@ -60,6 +61,10 @@
         """Record what came of passing a request on to another host."""
         self._record('forwards', 1, {'outcome': outcome})
 
+    def record_quota(self, team: str, kind: str, amount: float) -> None:
+        """Record what was asked, granted, refused or lapsed for a team."""
+        self._record('quota_tokens', amount, {'team': team, 'kind': kind})
+
     def record_store_call(self, method: str, outcome: str) -> None:
         """Record a call to the store by its HTTP method and outcome."""
         labels = {'method': method, 'outcome': outcome}
--- a/packages/geranium-relay/tests/world.py
+++ b/packages/geranium-relay/tests/world.py
@@ -15,6 +15,7 @@
 from geranium_policy.prompt_placement import Placement
 from geranium_policy.retry_share import RetryShareSettings
 from geranium_policy.suspects import SuspectRegister, SuspectSettings
+from geranium_policy.team_quotas import QuotaLimit
 
 from .origins import make_origins
 
@@ -325,6 +326,20 @@
         settings = relay.RelaySettings(run)
         return relay.Relay(settings, self.view, self._context, random.Random(1))
 
+    def use_quotas(self, quotas: relay.TeamQuotas) -> None:
+        """Charge requests to the quotas of their teams."""
+        self._context = dataclasses.replace(self._context, quotas=quotas)
+        self.relay = self.make_relay(relay.RunSettings())
+
+    def limit_team(self, quota: QuotaLimit | None) -> None:
+        """Apply a catalogue version in which the team has a quota."""
+        known = self.view.catalogue
+        team = relay.Team('team', None, quota)
+        changed = dataclasses.replace(
+            known, version=known.version + 1, teams_by_key={'key': team}
+        )
+        self.view.accept(changed, self.clock.now())
+
     def replace_peers(self, peers: relay.Peers) -> None:
         """Let the host know other hosts."""
         self._context = dataclasses.replace(
