--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -177,7 +177,8 @@
             'nodeName': 'host-1',
             'ip': HOST_IP,
             'zone': 'a',
-            'internalPorts': [ports[3], ports[3]],
+            # The second one is used only with quotas of teams.
+            'internalPorts': [ports[3], ports[3] + 1],
             'bootstrap': True,
             'listen': {
                 'front': f'{HOST_IP}:{ports[0]}',
--- a/tests/adapter/test_team_quotas.py
+++ b/tests/adapter/test_team_quotas.py
@@ -8,6 +8,7 @@
 from geranium_policy.team_quotas import QuotaLimit
 
 from .conftest import CONFIGURATION
+from .host_pair import run_pair
 from .waits import wait_for
 
 LIMITED = {'ratePerS': 100, 'burst': 100, 'unit': 'tokens', 'plainTokens': 60}
@@ -100,3 +101,28 @@
     assert second[2]['outcome'] == 'not-run'
     assert (status, malformed['outcome']) == (400, 'not-run')
     assert len(world.target.requests) == runs + 1
+
+
+async def test_hosts_share_a_limit(
+    store_standin, store_address, tmp_path
+) -> None:
+    """Each host has its own limit, or its share only."""
+    async with run_pair(store_address, store_standin, tmp_path, 'ab') as pair:
+        limited = configuration(2, ratePerS=10, burst=20)
+        store_standin.put('config', 'main', limited)
+        quotas = [linked.host.quotas for linked in pair.hosts]
+
+        async def is_shared() -> bool:
+            return quotas[0].member.broker.share == 1
+
+        await wait_for(is_shared)
+        # The limit applies after 2 s, and the burst has filled after as long.
+        await asyncio.sleep(2.5)
+        ended = await asyncio.gather(
+            *(pair.request(1, 'safe', f'r{number}') for number in range(80))
+        )
+
+    statuses = [status for status, _ in ended]
+    assert set(statuses) == {200, 429}
+    assert statuses.count(200) > 12
+    assert {one.member.choice.broker for one in quotas} == {'host-0'}
