Pass observed rates of engines on to all hosts

Cause: a host of a large fleet sees too few prefills of an engine to learn its rate; observations of all hosts together are enough.

Rates are sent instead of ratios to an expected time, since hosts would have to agree on the expected rate first. Nothing records observations yet.

--- a/packages/geranium-relay/src/geranium_relay/__init__.py
+++ b/packages/geranium-relay/src/geranium_relay/__init__.py
@@ -132,7 +132,7 @@
 )
 from .targets import Fleet, FleetChange, Stage, Target, TargetChange
 from .telemetry import Telemetry
-from .update_composer import HostStatus, PeerUpdateSources
+from .update_composer import HostStatus, ObservationQueue, PeerUpdateSources
 from .update_intervals import PeerSettings, UpdateIntervals
 from .usage import (
     PeerUsage,
@@ -182,6 +182,7 @@
     'NoneAvailable',
     'NotRunError',
     'NotSentError',
+    'ObservationQueue',
     'OpenRequests',
     'OrderFailed',
     'OrderResult',
--- a/packages/geranium-relay/src/geranium_relay/peer_exchange.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_exchange.py
@@ -191,6 +191,7 @@
         sources = self._sources
         sources.outbox.forward_dispatches(update.dispatches, audiences)
         sources.origins.forward(update.origins, audiences)
+        sources.observations.forward(update.rate_observations, audiences)
 
     def _dependents(self, update: PeerUpdate) -> tuple[Audience, ...]:
         """Return which hosts get the contents of an update only from here."""
@@ -203,7 +204,9 @@
 
 def _without_notices(update: PeerUpdate) -> PeerUpdate:
     """Return an update for hosts that don't pass on what is sent once."""
-    return dataclasses.replace(update, dispatches=(), origins=())
+    return dataclasses.replace(
+        update, dispatches=(), origins=(), rate_observations=()
+    )
 
 
 def _split_address(address: str) -> tuple[str, int]:
--- a/packages/geranium-relay/src/geranium_relay/peer_updates.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_updates.py
@@ -21,6 +21,11 @@
     decode_rate_limits,
     encode_rate_limits,
 )
+from .rate_observations import (
+    RateObservation,
+    decode_observations,
+    encode_observations,
+)
 from .stream_origin_updates import (
     StreamOrigin,
     decode_origins,
@@ -98,6 +103,7 @@
         origins: Streams that it has begun since the last update.
         sealed_through: The last window of usage known to be sealed.
         unreached: Hashes of the services of which it reaches no target.
+        rate_observations: Prefills that it has seen since the last update.
         report: What an aggregator passes on; ``None`` from other hosts.
     """
 
@@ -116,6 +122,7 @@
     origins: tuple[StreamOrigin, ...] = ()
     sealed_through: int = 0
     unreached: tuple[int, ...] = ()
+    rate_observations: tuple[RateObservation, ...] = ()
     report: ZoneReport | None = None
 
 
@@ -247,6 +254,7 @@
         storeEra=update.known.era,
         sealedThrough=update.sealed_through,
         unreached=update.unreached,
+        rateObservations=encode_observations(update.rate_observations),
     )
     if update.report is not None:
         message.report = encode_report(update.report)
@@ -303,6 +311,7 @@
         origins=tuple(decode_origins(message.origins)),
         sealed_through=message.sealedThrough,
         unreached=tuple(message.unreached),
+        rate_observations=tuple(decode_observations(message.rateObservations)),
         report=decode_report(message.report),
     )
 
--- a/packages/geranium-relay/src/geranium_relay/peers.capnp
+++ b/packages/geranium-relay/src/geranium_relay/peers.capnp
@@ -26,6 +26,7 @@
   rateLimits @22 :RateLimitTable;
   origins @23 :OriginTable;
   unreached @24 :List(UInt64);
+  rateObservations @25 :RateObservationTable;
 }
 
 # Tables are parallel lists, which are decoded faster than lists of structs.
@@ -101,6 +102,12 @@
   observedMs @2 :List(UInt64);
 }
 
+struct RateObservationTable {
+  targets @0 :List(UInt64);
+  tokensPerS @1 :List(UInt32);
+  weights @2 :List(UInt8);
+}
+
 struct OriginTable {
   versions @0 :List(Text);
   streams @1 :List(UInt64);
--- a/packages/geranium-relay/src/geranium_relay/update_composer.py
+++ b/packages/geranium-relay/src/geranium_relay/update_composer.py
@@ -9,6 +9,7 @@
 
 from .clock import BootClock, ClusterClock
 from .load_tracker import LoadTracker, TargetLoad
+from .observation_queue import ObservationQueue
 from .peer_updates import (
     AdvertisedStoreState,
     Audience,
@@ -52,6 +53,9 @@
     crash_proofs: Callable[[], tuple[CrashNotice, ...]]
     sealed_through: Callable[[], int]
     unreached: Callable[[], tuple[str, ...]]
+    observations: ObservationQueue = dataclasses.field(
+        default_factory=ObservationQueue
+    )
 
 
 class UpdateComposer:
@@ -106,6 +110,7 @@
             origins=sources.origins.take(audience),
             sealed_through=sources.sealed_through(),
             unreached=tuple(map(name_hash, sources.unreached())),
+            rate_observations=sources.observations.take(audience),
         )
 
     def zone_report(self) -> PeerUpdate:
@@ -151,3 +156,11 @@
     load_by_key: Mapping[str, TargetLoad],
 ) -> dict[int, TargetLoad]:
     return {name_hash(key): load for key, load in load_by_key.items()}
+
+
+__all__ = [
+    'HostStatus',
+    'ObservationQueue',
+    'PeerUpdateSources',
+    'UpdateComposer',
+]
--- a/packages/geranium-relay/tests/fleet.py
+++ b/packages/geranium-relay/tests/fleet.py
@@ -42,6 +42,7 @@
 
     rate_limits: tuple[relay.AdvertisedRateLimit, ...] = ()
     cut_services: tuple[str, ...] = ()
+    crash_proofs: tuple[CrashNotice, ...] = ()
 
     def __init__(self, name: str, zone: str, fleet: 'Fleet') -> None:
         clock = fleet.clock
@@ -52,7 +53,6 @@
         self.heard: list[relay.PeerUpdate] = []
         self.is_up = True
         self.status = relay.HostStatus(ready=True, leaving=False)
-        self.crash_proofs: tuple[CrashNotice, ...] = ()
         self.usage: dict[int, dict[str, int]] = {}
         log = relay.DecisionLog(
             relay.LogSettings(), fleet.lines.append, clock.now
@@ -60,6 +60,7 @@
         self.peers = relay.Peers(relay.PeerSettings(), own, clock, log)
         self.loads = relay.LoadTracker(1.2, zone)
         self.outbox = relay.Outbox()
+        self.observations = relay.ObservationQueue()
         self.exchange = relay.PeerExchange(
             self.peers,
             relay.PeerUpdateSources(
@@ -76,6 +77,7 @@
                 lambda: self.crash_proofs,
                 int,
                 lambda: self.cut_services,
+                self.observations,
             ),
             relay.ClusterClock(clock),
             clock,
