Use the rates that all hosts have learned in large fleets

Cause: expected times came from a constant rate, with corrections that a host of a large fleet never learns from its own few requests.

Change: SharedRates records each prefill (tokens to be prefilled and the queue that the host assumed, over the time taken), queues it for the other hosts and learns from theirs. In fleets of more than 16 hosts the selector uses the learned rates and factors in place of the constant and of the host's own corrections; below that nothing changes. The line engine_rates names the learned rates of a service and its fastest and slowest engines each 30 s.

--- a/packages/geranium-policy/src/geranium_policy/learned_rates.py
+++ b/packages/geranium-policy/src/geranium_policy/learned_rates.py
@@ -151,14 +151,17 @@
     def factors(self, group: Hashable, now: float) -> dict[str, float]:
         """Return the ratios of the engines' times to those of the group.
 
-        Engines without observations are left out; their factor is 1.
+        Engines without observations are left out; their factor is 1. So are
+        all engines while the rate of the group is not known.
         """
         computed_at, factors = self._factors_by_group.get(
             group, (-math.inf, {})
         )
         if now - computed_at >= self.settings.refresh_s:
             known = self._log_rate(group)
-            engines = self._engines_by_group.get(group, {})
+            engines: dict[str, _Mean] = {}
+            if self.rate(group) is not None:
+                engines = self._engines_by_group[group]
             factors = {
                 engine: self._factor(mean, known, now)
                 for engine, mean in engines.items()
--- a/packages/geranium-policy/src/geranium_policy/prompt_placement.py
+++ b/packages/geranium-policy/src/geranium_policy/prompt_placement.py
@@ -115,6 +115,7 @@
         fresh_tokens: Uncached prompt tokens to be prefilled.
         wait_s: Expected queueing delay at the engine that prefills.
         first_s: Expected time to the first token.
+        queued_tokens: Tokens that are assumed to be prefilled before.
     """
 
     reader: str | None
@@ -122,6 +123,7 @@
     fresh_tokens: int
     wait_s: float
     first_s: float
+    queued_tokens: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -264,7 +266,9 @@
         speed = rates.generating_tokens_per_s / engine.correction
         wait_s = engine.queued_tokens / speed
         first_s = wait_s + fresh / speed + self._settings.first_token_s
-        placement = Placement(None, engine.name, fresh, wait_s, first_s)
+        placement = Placement(
+            None, engine.name, fresh, wait_s, first_s, engine.queued_tokens
+        )
         return self._cost(engine, placement, speed), placement
 
     def _split_option(
@@ -285,6 +289,7 @@
             fresh,
             wait_s,
             first_s,
+            engine.queued_tokens,
         )
         cost = self._cost(engine, placement, speed)
         cost += settings.transfer_s_per_token * demand.tokens
--- a/packages/geranium-policy/tests/test_learned_rates.py
+++ b/packages/geranium-policy/tests/test_learned_rates.py
@@ -107,8 +107,12 @@
     """One odd measurement must not close an engine or set the rate."""
     rates = LearnedRates(SETTINGS)
     rates.observe('s', 'e', tokens_per_s=100, weight=1, now=0)
-
     assert rates.rate('s') is None
+    assert not rates.factors('s', now=-1)
+
+    for _ in range(200):
+        rates.observe('s', 'f', tokens_per_s=50_000, weight=1, now=0)
+
     assert rates.factors('s', 0)['e'] < SETTINGS.max_ratio / 2
     faded = rates.factors('s', 60)['e']
     assert faded == pytest.approx(1, abs=0.05)
--- a/packages/geranium-relay/src/geranium_relay/__init__.py
+++ b/packages/geranium-relay/src/geranium_relay/__init__.py
@@ -126,6 +126,7 @@
 from .target_selector import (
     PrefixCacheIndex,
     SelectorContext,
+    SharedRates,
     TargetSelector,
     TargetSelectorSettings,
     home_engine,
@@ -231,6 +232,7 @@
     'Service',
     'ServiceReach',
     'Share',
+    'SharedRates',
     'SharedReadSettings',
     'SharedReads',
     'Shutdown',
--- a/packages/geranium-relay/src/geranium_relay/load_tracker.py
+++ b/packages/geranium-relay/src/geranium_relay/load_tracker.py
@@ -30,6 +30,7 @@
         sent_at: Time at which it was sent.
         expected_s: Expected time to its first token.
         started: Whether its first token has arrived.
+        ahead_tokens: Prompt tokens that are assumed to be prefilled before.
     """
 
     target: str
@@ -38,6 +39,7 @@
     sent_at: float
     expected_s: float
     started: bool = False
+    ahead_tokens: float = 0
 
     def queued_tokens(self, now: float) -> float:
         """Return the estimated number of prompt tokens not yet prefilled.
--- a/packages/geranium-relay/src/geranium_relay/open_calls.py
+++ b/packages/geranium-relay/src/geranium_relay/open_calls.py
@@ -139,6 +139,7 @@
             0 if cache_handle else attempt.placement.fresh_tokens,
             self._context.clock(),
             attempt.placement.first_s,
+            ahead_tokens=attempt.placement.queued_tokens,
         )
         with contextlib.ExitStack() as stack:
             stack.enter_context(self._context.loads.counted(dispatch))
--- a/packages/geranium-relay/src/geranium_relay/prefill_runner.py
+++ b/packages/geranium-relay/src/geranium_relay/prefill_runner.py
@@ -49,6 +49,7 @@
             attempt.placement.fresh_tokens,
             self._context.clock(),
             attempt.placement.first_s,
+            ahead_tokens=attempt.placement.queued_tokens,
         )
         self._permits.record_call()
         try:
--- a/packages/geranium-relay/src/geranium_relay/target_selector.py
+++ b/packages/geranium-relay/src/geranium_relay/target_selector.py
@@ -1,30 +1,24 @@
 """Selects targets for jobs by applying the placement policies."""
 
-import dataclasses
-import math
 import random
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterator
 
 from geranium_policy.engine_rates import (
-    CorrectionSettings,
     EngineRates,
     LatencyCorrections,
 )
-from geranium_policy.health import HealthSettings, HealthTracker, Observation
+from geranium_policy.health import HealthTracker, Observation
 from geranium_policy.prompt_placement import (
     EngineState,
     NoEngine,
     Placement,
     PlacementDecision,
     PromptDemand,
-    PromptPlacementSettings,
     PromptPlacer,
     TooBusy,
 )
-from geranium_policy.refusals import RefusalBackoff, RefusalSettings
-from geranium_policy.stale_loads import StaleLoadSettings
+from geranium_policy.refusals import RefusalBackoff
 from geranium_policy.target_choice import (
-    TargetChoiceSettings,
     TargetChooser,
     TargetState,
 )
@@ -35,55 +29,18 @@
 from .load_tracker import IDLE, Dispatch, LoadTracker
 from .messages import Job, Prompt
 from .prefix_cache_index import PrefixCacheIndex, PrefixCaches, home_engine
-from .target_notices import TargetNotices
+from .selector_settings import (
+    SelectorContext,
+    SharedRates,
+    TargetSelectorSettings,
+)
+from .target_pauses import pause_ends, with_pauses
 from .targets import Fleet, Stage, Target
 
 _NOTHING: frozenset[str] = frozenset()
 PERMIT_LIFETIME_S = 0.5  # of a request that is selected and not sent yet
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TargetSelectorSettings:
-    """Settings of the policies that select targets."""
-
-    prompts: PromptPlacementSettings = dataclasses.field(
-        default_factory=PromptPlacementSettings,
-    )
-    targets: TargetChoiceSettings = dataclasses.field(
-        default_factory=TargetChoiceSettings,
-    )
-    corrections: CorrectionSettings = dataclasses.field(
-        default_factory=CorrectionSettings,
-    )
-    health: HealthSettings = dataclasses.field(
-        default_factory=HealthSettings,
-    )
-    stale_loads: StaleLoadSettings = dataclasses.field(
-        default_factory=StaleLoadSettings,
-    )
-    rates: EngineRates = dataclasses.field(
-        default_factory=EngineRates,
-    )
-    refusals: RefusalSettings = dataclasses.field(
-        default_factory=RefusalSettings,
-    )
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SelectorContext:
-    """The location of this host and the age of its peer data.
-
-    Args:
-        zone: The availability zone of this host.
-        mean_update_age_s: Returns the mean age of the peers' loads.
-        notices: What targets have asked of this host.
-    """
-
-    zone: str
-    mean_update_age_s: Callable[[], float]
-    notices: TargetNotices
-
-
 class TargetSelector:
     """Selects targets for jobs and tracks their latency and health.
 
@@ -98,7 +55,8 @@
         clock: Returns the current time in seconds.
         source: Random numbers that break ties.
 
-    ``prefix_caches`` is what the engines are believed to cache.
+    ``prefix_caches`` is what the engines are believed to cache,
+    ``shared_rates`` what all hosts know of their rates.
     """
 
     def __init__(
@@ -121,6 +79,7 @@
         self._notices = context.notices
         self._rate_limits = context.notices.rate_limits
         self._rates = settings.rates
+        self.shared_rates = context.shared_rates
         self._clock = clock
         self._prompt_placer = PromptPlacer(settings.prompts, source)
         self._target_chooser = TargetChooser(settings.targets, source)
@@ -165,12 +124,12 @@
             decision = self._prompt_placer.choose(
                 demand,
                 self._engine_states(job, prompt, profile, avoid | left_out),
-                self._rates,
+                self._rates_of(job.service),
             )
             if isinstance(decision, Placement):
                 return decision
-        return _with_pauses(
-            decision, _pause_ends(targets, self._notices, avoid), now
+        return with_pauses(
+            decision, pause_ends(targets, self._notices, avoid), now
         )
 
     def select_generator(
@@ -184,7 +143,8 @@
         if prompt is None:
             return None
         engines = tuple(self._engine_states(job, prompt, profile, avoid))
-        name = self._prompt_placer.choose_generator(engines, self._rates)
+        rates = self._rates_of(job.service)
+        name = self._prompt_placer.choose_generator(engines, rates)
         return None if name is None else self.target(name)
 
     def select_target(
@@ -207,8 +167,8 @@
         name = self._target_chooser.choose(states)
         if name is None:
             targets = self.fleet.of_service(job.service)
-            return _with_pauses(
-                NoEngine(), _pause_ends(targets, self._notices, avoid), now
+            return with_pauses(
+                NoEngine(), pause_ends(targets, self._notices, avoid), now
             )
         return Placement(None, name, 0, 0, 0)
 
@@ -261,6 +221,7 @@
     def observe_latency(self, target: Target, dispatch: Dispatch) -> None:
         """Update the target's latency correction with a measured time."""
         now = self._clock()
+        self.shared_rates.observe(target, dispatch, self._rates, now)
         self._corrections.observe(
             target.key,
             dispatch.expected_s,
@@ -275,10 +236,14 @@
     def remove_target(self, target: str) -> None:
         """Remove the state of a target that no longer exists."""
         self._corrections.remove(target)
+        self.shared_rates.remove(target)
         self._health.remove(target)
         self.refusals.remove(target)
         self.prefix_caches.remove_target(target)
 
+    def _rates_of(self, service: str) -> EngineRates:
+        return self.shared_rates.rates(service, self._rates)
+
     def _application_targets(
         self, job: Job, avoid: frozenset[str]
     ) -> dict[str, Target]:
@@ -319,6 +284,7 @@
             job.service, profile.kv_tokens
         )
         homes = _home_engines(prompt, tuple(targets_by_key.values()))
+        shared = self.shared_rates.factors(job.service, now)
         for key, target in targets_by_key.items():
             yield EngineState(
                 name=key,
@@ -329,7 +295,11 @@
                 queued_tokens=loads[key].queued_tokens,
                 cached_tokens=prefix_caches.cached_tokens(key, prompt.parts),
                 is_home=key in homes,
-                correction=self._corrections.factor(key, now),
+                correction=(
+                    self._corrections.factor(key, now)
+                    if shared is None
+                    else shared.get(key, 1)
+                ),
             )
 
 
@@ -348,42 +318,13 @@
     return frozenset(home for home in homes if home is not None)
 
 
-def _pause_ends(
-    targets: Iterable[Target], notices: TargetNotices, avoid: frozenset[str]
-) -> Iterator[float]:
-    """Yield when targets that hold requests back accept them again."""
-    limits = notices.rate_limits
-    for target in targets:
-        end = notices.pause_end(target.key)
-        if end is None and not limits.accepts_request(target.key):
-            end = limits.permit_at(target.key)
-        if end is not None and target.key not in avoid:
-            yield end
-
-
-def _with_pauses(
-    decision: PlacementDecision,
-    pause_ends: Iterable[float],
-    now: float,
-) -> PlacementDecision:
-    """Return a decision that waits at most for the end of the first pause."""
-    match decision:
-        case Placement():
-            return decision
-        case TooBusy(free_in_s=free_in_s):
-            first_end = now + free_in_s
-        case NoEngine():
-            first_end = math.inf
-    first_end = min((first_end, *pause_ends))
-    return decision if math.isinf(first_end) else TooBusy(first_end - now)
-
-
 __all__ = [
     'NoEngine',
     'Placement',
     'PlacementDecision',
     'PrefixCacheIndex',
     'SelectorContext',
+    'SharedRates',
     'TargetSelector',
     'TargetSelectorSettings',
     'TooBusy',
