--- a/packages/geranium-relay/src/geranium_relay/__init__.py
+++ b/packages/geranium-relay/src/geranium_relay/__init__.py
@@ -132,13 +132,14 @@
 from .target_selector import (
     PrefixCacheIndex,
     SelectorContext,
+    SharedRates,
     TargetSelector,
     TargetSelectorSettings,
     home_engine,
 )
 from .targets import Fleet, FleetChange, Stage, Target, TargetChange
 from .telemetry import Telemetry
-from .update_composer import HostStatus, PeerUpdateSources
+from .update_composer import HostStatus, ObservationQueue, PeerUpdateSources
 from .update_intervals import PeerSettings, UpdateIntervals
 from .usage import (
     PeerUsage,
@@ -190,6 +191,7 @@
     'NotRunError',
     'NotSentError',
     'NotWrittenError',
+    'ObservationQueue',
     'OpenRequests',
     'OrderFailed',
     'OrderResult',
@@ -241,6 +243,7 @@
     'Service',
     'ServiceReach',
     'Share',
+    'SharedRates',
     'SharedReadSettings',
     'SharedReads',
     'Shutdown',
