Even loads: estimates of present loads and a weighted choice

Cause: reports of loads are up to 0.5 s old, and all hosts send to the engines that they show as least loaded. Engines that also prefill were compared without regard to their slots, until they were full.

Change: DrainedLoadSettings estimates present loads: what engines have completed since the report is subtracted, and as much work is added to the least loaded engines, up to a common level. WeightedChoice prefers cheaper engines within a cost difference that grows with the age.

--- a/packages/geranium-policy/benchmarks/stale_hosts.py
+++ b/packages/geranium-policy/benchmarks/stale_hosts.py
@@ -88,7 +88,13 @@
 
 
 class Method(Protocol):
-    """Chooses engines for the requests of one host."""
+    """Chooses engines for the requests of one host.
+
+    ``rechecks`` is set if the generator is chosen again after a prefill on
+    another engine.
+    """
+
+    rechecks: bool
 
     def choose(
         self,
@@ -107,6 +113,15 @@
         """
         ...
 
+    def choose_generator(
+        self,
+        own: Sequence[EngineState],
+        peers: LoadSums,
+        age_s: float,
+    ) -> str | None:
+        """Return the engine that generates from a prefilled prompt."""
+        ...
+
 
 class StaleHost:
     """A host; ``sent`` are the requests that it sent lately."""
--- a/packages/geranium-policy/benchmarks/stale_model.py
+++ b/packages/geranium-policy/benchmarks/stale_model.py
@@ -193,13 +193,27 @@
         call = EngineCall(
             request, host, placement, engine, self.timeline, False
         )
-        call.on_done = lambda: self.generate(
-            request, host, placement, is_prefilled=True
-        )
+        call.on_done = lambda: self._continue(request, host, placement)
         call.on_dropped = self._refuse
         if not call.submit(0, TIMEOUT_S):
             self._retry(request, 0)
 
+    def _continue(
+        self, request: Request, host: StaleHost, placement: Placement
+    ) -> None:
+        """Send a prompt that was prefilled to its generator."""
+        if host.method.rechecks:
+            homes = self._homes_of(request.kind.prefix)
+            generator = host.method.choose_generator(
+                self._reports.own_states(host, request.kind, homes),
+                self._reports.peers_of(host),
+                self._ages.mean_s,
+            )
+            placement = dataclasses.replace(
+                placement, generator=generator or placement.generator
+            )
+        self.generate(request, host, placement, is_prefilled=True)
+
     def _record_wait(self, request: Request) -> None:
         if request.arrived_at >= WARM_UP_S:
             waited = self.timeline.now - request.arrived_at - request.prefill_s
--- a/packages/geranium-policy/src/geranium_policy/prompt_placement.py
+++ b/packages/geranium-policy/src/geranium_policy/prompt_placement.py
@@ -9,10 +9,14 @@
 
 import dataclasses
 import random
-from collections.abc import Iterable, Iterator
-from typing import TypeAlias
+from collections.abc import Iterable, Iterator, Sequence
+from typing import TypeAlias, TypeVar
 
 from .engine_rates import EngineRates
+from .near_choices import NearChoice, UniformChoice, choose_near
+
+_Option = TypeVar('_Option')
+_UNIFORM = UniformChoice()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,6 +45,9 @@
             engine until they receive each other's updates.
         partner_spread: The same for the choice of a decode engine, as a share
             of its slots.
+        occupancy_s: Cost of generating on an engine with all slots in use; a
+            share of it counts for each slot in use. Without it a choice
+            between engines that also prefill does not weigh their slots.
     """
 
     engine_time_weight: float = 1
@@ -56,6 +63,7 @@
     full_share: float = 1
     spread_s: float = 0.03
     partner_spread: float = 0.03
+    occupancy_s: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,7 +86,7 @@
     same_zone: bool
     prefill_only: bool
     slots: int
-    running: int
+    running: float
     queued_tokens: float
     cached_tokens: int
     is_home: bool
@@ -148,15 +156,21 @@
     Args:
         settings: Parameters of the cost comparison.
         source: Random source for choices between engines of similar cost.
+        near_choice: How engines of similar cost are weighted.
+
+    ``age_s`` is the mean age of the reports from which loads are estimated.
     """
 
     def __init__(
         self,
         settings: PromptPlacementSettings,
         source: random.Random,
+        near_choice: NearChoice = _UNIFORM,
     ) -> None:
+        self.age_s: float = 0
         self._settings = settings
         self._source = source
+        self._near_choice = near_choice
 
     def choose(
         self,
@@ -176,9 +190,7 @@
         ]
         if not in_time:
             return TooBusy(min(option[1].wait_s for option in options))
-        least = min(cost for cost, _ in in_time) + self._settings.spread_s
-        near = [option for cost, option in in_time if cost <= least]
-        return self._source.choice(near)
+        return self._choose_near(in_time, self._settings.spread_s)
 
     def choose_generator(
         self,
@@ -240,9 +252,14 @@
         ]
         if not costs:
             return None
-        least = min(cost for cost, _ in costs) + self._settings.partner_spread
-        near = [engine for cost, engine in costs if cost <= least]
-        return self._source.choice(near)
+        return self._choose_near(costs, self._settings.partner_spread)
+
+    def _choose_near(
+        self, options: Sequence[tuple[float, _Option]], spread: float
+    ) -> _Option:
+        return choose_near(
+            self._near_choice, options, spread, self.age_s, self._source
+        )
 
     def _has_room(self, engine: EngineState) -> bool:
         return engine.running < engine.slots * self._settings.full_share
@@ -265,7 +282,9 @@
         wait_s = engine.queued_tokens / speed
         first_s = wait_s + fresh / speed + self._settings.first_token_s
         placement = Placement(None, engine.name, fresh, wait_s, first_s)
-        return self._cost(engine, placement, speed), placement
+        cost = self._cost(engine, placement, speed)
+        cost += self._settings.occupancy_s * engine.running / engine.slots
+        return cost, placement
 
     def _split_option(
         self,
--- a/packages/geranium-relay/src/geranium_relay/__init__.py
+++ b/packages/geranium-relay/src/geranium_relay/__init__.py
@@ -128,6 +128,7 @@
     SelectorContext,
     TargetSelector,
     TargetSelectorSettings,
+    even_load_settings,
     home_engine,
 )
 from .targets import Fleet, FleetChange, Stage, Target, TargetChange
@@ -269,6 +270,7 @@
     'VersionRecords',
     'decode_peer_update',
     'encode_peer_update',
+    'even_load_settings',
     'home_engine',
     'hosts_reaching',
     'send_once',
--- a/packages/geranium-relay/src/geranium_relay/engine_loads.py
+++ b/packages/geranium-relay/src/geranium_relay/engine_loads.py
@@ -1,85 +1,90 @@
 """Estimates the load of engines from local and peer data."""
 
 import collections
-import dataclasses
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 
-from geranium_policy.stale_loads import (
-    StaleLoadSettings,
-    report_weight,
-    shrink_to_mean,
+from geranium_policy.engine_rates import EngineRates
+from geranium_policy.load_estimates import (
+    KnownLoad,
+    LoadEstimate,
+    PresentLoad,
+    present_loads,
 )
 
-from .load_tracker import IDLE, LoadTracker, TargetLoad
+from .load_tracker import IDLE, LoadTracker
 from .targets import Stage, Target
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EngineLoad:
-    """Requests running or queued at an engine, and the tokens ahead.
-
-    ``queued_tokens`` are prefilled before a new request of a given rank.
-    """
-
-    running: int
-    queued_tokens: float
-
-
 class EngineLoads:
     """Combines the loads of this host and of its peers.
 
     Args:
         loads: Holds both.
-        settings: How the age of peer loads reduces their weight.
+        estimate: How the age of peer loads is taken into account.
+        rates: Prefill rates of engines.
         mean_update_age_s: Returns the mean age of the peers' loads.
     """
 
     def __init__(
         self,
         loads: LoadTracker,
-        settings: StaleLoadSettings,
+        estimate: LoadEstimate,
+        rates: EngineRates,
         mean_update_age_s: Callable[[], float],
     ) -> None:
+        self.mean_update_age_s = mean_update_age_s
         self._loads = loads
-        self._settings = settings
-        self._mean_update_age_s = mean_update_age_s
+        self._estimate = estimate
+        self._rates = rates
 
     def ahead_of(
         self,
         rank: int,
-        targets_by_key: Mapping[str, Target],
+        targets: Iterable[Target],
+        corrections_by_key: Mapping[str, float],
         now: float,
-    ) -> dict[str, EngineLoad]:
-        """Return the load ahead of a request of a rank, by engine key."""
-        local_by_key = self._loads.local_loads(now)
-        peers_by_key = self._loads.peer_loads(now)
-        queued_by_key = self._peer_tokens(rank, targets_by_key, peers_by_key)
-        load_by_key = {}
-        for key, queued in queued_by_key.items():
-            local = local_by_key.get(key, IDLE)
-            peer = peers_by_key.get(key, IDLE)
-            load_by_key[key] = EngineLoad(
-                local.running + peer.running,
-                local.ahead_of(rank) + queued,
+    ) -> dict[str, PresentLoad]:
+        """Return the load ahead of a request of a rank, by engine key.
+
+        The tokens are those that are prefilled before the request.
+        """
+        known_by_stage: collections.defaultdict[
+            Stage | None, dict[str, KnownLoad]
+        ] = collections.defaultdict(dict)
+        known = self._known_loads(rank, targets, corrections_by_key, now)
+        for target, load in known:
+            known_by_stage[target.stage][target.key] = load
+        age_s = self.mean_update_age_s()
+        load_by_key: dict[str, PresentLoad] = {}
+        for load_by_name in known_by_stage.values():
+            load_by_key.update(
+                present_loads(self._estimate, load_by_name, age_s)
             )
         return load_by_key
 
-    def _peer_tokens(
+    def _known_loads(
         self,
         rank: int,
-        targets_by_key: Mapping[str, Target],
-        peers_by_key: Mapping[str, TargetLoad],
-    ) -> dict[str, float]:
-        """Return the peers' tokens, shrunk toward the mean of each stage."""
-        by_stage: collections.defaultdict[
-            Stage | None,
-            dict[str, float],
-        ] = collections.defaultdict(dict)
-        for key, target in targets_by_key.items():
-            peer_tokens = peers_by_key.get(key, IDLE).ahead_of(rank)
-            by_stage[target.stage][key] = peer_tokens
-        weight = report_weight(self._settings, self._mean_update_age_s())
-        shrunk_by_key: dict[str, float] = {}
-        for tokens_of_stage in by_stage.values():
-            shrunk_by_key.update(shrink_to_mean(tokens_of_stage, weight))
-        return shrunk_by_key
+        targets: Iterable[Target],
+        corrections_by_key: Mapping[str, float],
+        now: float,
+    ) -> Iterator[tuple[Target, KnownLoad]]:
+        local_by_key = self._loads.local_loads(now)
+        peers_by_key = self._loads.peer_loads(now)
+        for target in targets:
+            key = target.key
+            local = local_by_key.get(key, IDLE)
+            peers = peers_by_key.get(key, IDLE)
+            if target.stage is Stage.PREFILL:
+                rate = self._rates.prefill_only_tokens_per_s
+            else:
+                rate = self._rates.generating_tokens_per_s
+            load = KnownLoad(
+                local.running,
+                local.ahead_of(rank),
+                peers.running,
+                peers.ahead_of(rank),
+                target.slots,
+                rate / corrections_by_key[key],
+            )
+            yield target, load
--- a/packages/geranium-relay/src/geranium_relay/target_selector.py
+++ b/packages/geranium-relay/src/geranium_relay/target_selector.py
@@ -5,29 +5,19 @@
 import random
 from collections.abc import Callable, Iterable, Iterator
 
-from geranium_policy.engine_rates import (
-    CorrectionSettings,
-    EngineRates,
-    LatencyCorrections,
-)
-from geranium_policy.health import HealthSettings, HealthTracker, Observation
+from geranium_policy.engine_rates import LatencyCorrections
+from geranium_policy.health import HealthTracker, Observation
 from geranium_policy.prompt_placement import (
     EngineState,
     NoEngine,
     Placement,
     PlacementDecision,
     PromptDemand,
-    PromptPlacementSettings,
     PromptPlacer,
     TooBusy,
 )
-from geranium_policy.refusals import RefusalBackoff, RefusalSettings
-from geranium_policy.stale_loads import StaleLoadSettings
-from geranium_policy.target_choice import (
-    TargetChoiceSettings,
-    TargetChooser,
-    TargetState,
-)
+from geranium_policy.refusals import RefusalBackoff
+from geranium_policy.target_choice import TargetChooser, TargetState
 
 from .catalogue import EngineProfile
 from .engine_loads import EngineLoads
@@ -35,6 +25,7 @@
 from .load_tracker import IDLE, Dispatch, LoadTracker
 from .messages import Job, Prompt
 from .prefix_cache_index import PrefixCacheIndex, PrefixCaches, home_engine
+from .selector_settings import TargetSelectorSettings, even_load_settings
 from .target_notices import TargetNotices
 from .targets import Fleet, Stage, Target
 
@@ -42,33 +33,6 @@
 PERMIT_LIFETIME_S = 0.5  # of a request that is selected and not sent yet
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TargetSelectorSettings:
-    """Settings of the policies that select targets."""
-
-    prompts: PromptPlacementSettings = dataclasses.field(
-        default_factory=PromptPlacementSettings,
-    )
-    targets: TargetChoiceSettings = dataclasses.field(
-        default_factory=TargetChoiceSettings,
-    )
-    corrections: CorrectionSettings = dataclasses.field(
-        default_factory=CorrectionSettings,
-    )
-    health: HealthSettings = dataclasses.field(
-        default_factory=HealthSettings,
-    )
-    stale_loads: StaleLoadSettings = dataclasses.field(
-        default_factory=StaleLoadSettings,
-    )
-    rates: EngineRates = dataclasses.field(
-        default_factory=EngineRates,
-    )
-    refusals: RefusalSettings = dataclasses.field(
-        default_factory=RefusalSettings,
-    )
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class SelectorContext:
     """The location of this host and the age of its peer data.
@@ -114,6 +78,7 @@
         self._engine_loads = EngineLoads(
             loads,
             settings.stale_loads,
+            settings.rates,
             context.mean_update_age_s,
         )
         self.fleet = fleet
@@ -122,7 +87,9 @@
         self._rate_limits = context.notices.rate_limits
         self._rates = settings.rates
         self._clock = clock
-        self._prompt_placer = PromptPlacer(settings.prompts, source)
+        self._prompt_placer = PromptPlacer(
+            settings.prompts, source, settings.near_choice
+        )
         self._target_chooser = TargetChooser(settings.targets, source)
         self._health = HealthTracker(settings.health, source)
         self.refusals = RefusalBackoff(settings.refusals, source)
@@ -314,7 +281,13 @@
     ) -> Iterator[EngineState]:
         now = self._clock()
         targets_by_key = self._usable_targets(job.service, avoid)
-        loads = self._engine_loads.ahead_of(job.rank, targets_by_key, now)
+        corrections_by_key = {
+            key: self._corrections.factor(key, now) for key in targets_by_key
+        }
+        loads = self._engine_loads.ahead_of(
+            job.rank, targets_by_key.values(), corrections_by_key, now
+        )
+        self._prompt_placer.age_s = self._engine_loads.mean_update_age_s()
         prefix_caches = self.prefix_caches.of_service(
             job.service, profile.kv_tokens
         )
@@ -329,7 +302,7 @@
                 queued_tokens=loads[key].queued_tokens,
                 cached_tokens=prefix_caches.cached_tokens(key, prompt.parts),
                 is_home=key in homes,
-                correction=self._corrections.factor(key, now),
+                correction=corrections_by_key[key],
             )
 
 
@@ -387,5 +360,6 @@
     'TargetSelector',
     'TargetSelectorSettings',
     'TooBusy',
+    'even_load_settings',
     'home_engine',
 ]
--- a/packages/geranium-relay/tests/test_ranks.py
+++ b/packages/geranium-relay/tests/test_ranks.py
@@ -4,6 +4,7 @@
 
 import geranium_relay as relay
 from geranium_policy.crash_causes import RequestFingerprints
+from geranium_policy.engine_rates import EngineRates
 from geranium_policy.stale_loads import StaleLoadSettings
 from geranium_relay.engine_loads import EngineLoads
 
@@ -99,17 +100,20 @@
     loads.update_peer('far', load_by_key, 100)
     loads.open(relay.Dispatch(other.key, 0, 50, 100, 1))
 
-    fresh = EngineLoads(loads, StaleLoadSettings(0.3), int)
+    fresh = EngineLoads(loads, StaleLoadSettings(0.3), EngineRates(), int)
     stale = EngineLoads(
         loads,
         StaleLoadSettings(0.3),
+        EngineRates(),
         lambda: 0.3,
     )
 
-    found = fresh.ahead_of(0, targets_by_key, 100)
+    targets = tuple(targets_by_key.values())
+    corrections = dict.fromkeys(targets_by_key, 1.0)
+    found = fresh.ahead_of(0, targets, corrections, 100)
     assert found[target.key].queued_tokens == 1000
     assert found[other.key].queued_tokens == 50
-    found = stale.ahead_of(0, targets_by_key, 100)
+    found = stale.ahead_of(0, targets, corrections, 100)
     assert found[target.key].queued_tokens == 750
     assert found[other.key].queued_tokens == 300
     assert found[target.key].running == 1
