--- a/packages/geranium-relay/src/geranium_relay/selector_settings.py
+++ b/packages/geranium-relay/src/geranium_relay/selector_settings.py
@@ -5,6 +5,12 @@
 
 from geranium_policy.engine_rates import CorrectionSettings, EngineRates
 from geranium_policy.health import HealthSettings
+from geranium_policy.load_estimates import DrainedLoadSettings, LoadEstimate
+from geranium_policy.near_choices import (
+    NearChoice,
+    UniformChoice,
+    WeightedChoice,
+)
 from geranium_policy.prompt_placement import PromptPlacementSettings
 from geranium_policy.refusals import RefusalSettings
 from geranium_policy.stale_loads import StaleLoadSettings
@@ -13,10 +19,16 @@
 from .shared_rates import SharedRates
 from .target_notices import TargetNotices
 
+OCCUPANCY_S = 0.2  # of even loads; the objectives are 0.4 to 0.6 s
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetSelectorSettings:
-    """Settings of the policies that select targets."""
+    """Settings of the policies that select targets.
+
+    ``stale_loads`` estimates present loads from those that peers reported,
+    ``near_choice`` weighs engines of similar cost.
+    """
 
     prompts: PromptPlacementSettings = dataclasses.field(
         default_factory=PromptPlacementSettings,
@@ -30,9 +42,12 @@
     health: HealthSettings = dataclasses.field(
         default_factory=HealthSettings,
     )
-    stale_loads: StaleLoadSettings = dataclasses.field(
+    stale_loads: LoadEstimate = dataclasses.field(
         default_factory=StaleLoadSettings,
     )
+    near_choice: NearChoice = dataclasses.field(
+        default_factory=UniformChoice,
+    )
     rates: EngineRates = dataclasses.field(
         default_factory=EngineRates,
     )
@@ -58,4 +73,21 @@
     shared_rates: SharedRates = dataclasses.field(default_factory=SharedRates)
 
 
-__all__ = ['SelectorContext', 'SharedRates', 'TargetSelectorSettings']
+def even_load_settings() -> TargetSelectorSettings:
+    """Return settings for fleets in which many hosts choose at once.
+
+    Compared with the default in ``docs/design/even-load.md``.
+    """
+    return TargetSelectorSettings(
+        prompts=PromptPlacementSettings(occupancy_s=OCCUPANCY_S),
+        stale_loads=DrainedLoadSettings(),
+        near_choice=WeightedChoice(),
+    )
+
+
+__all__ = [
+    'SelectorContext',
+    'SharedRates',
+    'TargetSelectorSettings',
+    'even_load_settings',
+]
--- a/packages/geranium-relay/src/geranium_relay/target_selector.py
+++ b/packages/geranium-relay/src/geranium_relay/target_selector.py
@@ -1,13 +1,11 @@
 """Selects targets for jobs by applying the placement policies."""
 
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
 
-from geranium_policy.engine_rates import (
-    EngineRates,
-    LatencyCorrections,
-)
+from geranium_policy.engine_rates import EngineRates, LatencyCorrections
 from geranium_policy.health import HealthTracker, Observation
+from geranium_policy.load_estimates import PresentLoad
 from geranium_policy.prompt_placement import (
     EngineState,
     NoEngine,
@@ -18,10 +16,7 @@
     TooBusy,
 )
 from geranium_policy.refusals import RefusalBackoff
-from geranium_policy.target_choice import (
-    TargetChooser,
-    TargetState,
-)
+from geranium_policy.target_choice import TargetChooser, TargetState
 
 from .catalogue import EngineProfile
 from .engine_loads import EngineLoads
@@ -33,6 +28,7 @@
     SelectorContext,
     SharedRates,
     TargetSelectorSettings,
+    even_load_settings,
 )
 from .target_pauses import pause_ends, with_pauses
 from .targets import Fleet, Stage, Target
@@ -81,7 +77,9 @@
         self._rates = settings.rates
         self.shared_rates = context.shared_rates
         self._clock = clock
-        self._prompt_placer = PromptPlacer(settings.prompts, source)
+        self._prompt_placer = PromptPlacer(
+            settings.prompts, source, settings.near_choice
+        )
         self._target_chooser = TargetChooser(settings.targets, source)
         self._health = HealthTracker(settings.health, source)
         self.refusals = RefusalBackoff(settings.refusals, source)
@@ -244,6 +242,31 @@
     def _rates_of(self, service: str) -> EngineRates:
         return self.shared_rates.rates(service, self._rates)
 
+    def _loads_ahead(
+        self,
+        job: Job,
+        targets_by_key: Mapping[str, Target],
+        corrections_by_key: Mapping[str, float],
+        now: float,
+    ) -> dict[str, PresentLoad]:
+        rates = self._rates_of(job.service)
+        rates_by_key = {
+            key: _rate_of(target, rates) / corrections_by_key[key]
+            for key, target in targets_by_key.items()
+        }
+        return self._engine_loads.ahead_of(
+            job.rank, targets_by_key.values(), rates_by_key, now
+        )
+
+    def _factors(
+        self, service: str, keys: Iterable[str], now: float
+    ) -> dict[str, float]:
+        """Return the ratio of each engine's times to the estimated ones."""
+        shared = self.shared_rates.factors(service, now)
+        if shared is not None:
+            return {key: shared.get(key, 1) for key in keys}
+        return {key: self._corrections.factor(key, now) for key in keys}
+
     def _application_targets(
         self, job: Job, avoid: frozenset[str]
     ) -> dict[str, Target]:
@@ -279,12 +302,13 @@
     ) -> Iterator[EngineState]:
         now = self._clock()
         targets_by_key = self._usable_targets(job.service, avoid)
-        loads = self._engine_loads.ahead_of(job.rank, targets_by_key, now)
+        corrections_by_key = self._factors(job.service, targets_by_key, now)
+        loads = self._loads_ahead(job, targets_by_key, corrections_by_key, now)
+        self._prompt_placer.age_s = self._engine_loads.mean_update_age_s()
         prefix_caches = self.prefix_caches.of_service(
             job.service, profile.kv_tokens
         )
         homes = _home_engines(prompt, tuple(targets_by_key.values()))
-        shared = self.shared_rates.factors(job.service, now)
         for key, target in targets_by_key.items():
             yield EngineState(
                 name=key,
@@ -295,14 +319,16 @@
                 queued_tokens=loads[key].queued_tokens,
                 cached_tokens=prefix_caches.cached_tokens(key, prompt.parts),
                 is_home=key in homes,
-                correction=(
-                    self._corrections.factor(key, now)
-                    if shared is None
-                    else shared.get(key, 1)
-                ),
+                correction=corrections_by_key[key],
             )
 
 
+def _rate_of(engine: Target, rates: EngineRates) -> float:
+    if engine.stage is Stage.PREFILL:
+        return rates.prefill_only_tokens_per_s
+    return rates.generating_tokens_per_s
+
+
 def _home_engines(
     prompt: Prompt, engines: tuple[Target, ...]
 ) -> frozenset[str]:
@@ -328,5 +354,6 @@
     'TargetSelector',
     'TargetSelectorSettings',
     'TooBusy',
+    'even_load_settings',
     'home_engine',
 ]
--- a/packages/geranium-relay/tests/test_ranks.py
+++ b/packages/geranium-relay/tests/test_ranks.py
@@ -100,16 +100,14 @@
     loads.open(relay.Dispatch(other.key, 0, 50, 100, 1))
 
     fresh = EngineLoads(loads, StaleLoadSettings(0.3), int)
-    stale = EngineLoads(
-        loads,
-        StaleLoadSettings(0.3),
-        lambda: 0.3,
-    )
+    stale = EngineLoads(loads, StaleLoadSettings(0.3), lambda: 0.3)
 
-    found = fresh.ahead_of(0, targets_by_key, 100)
+    targets = tuple(targets_by_key.values())
+    rates_by_key = dict.fromkeys(targets_by_key, 50000.0)
+    found = fresh.ahead_of(0, targets, rates_by_key, 100)
     assert found[target.key].queued_tokens == 1000
     assert found[other.key].queued_tokens == 50
-    found = stale.ahead_of(0, targets_by_key, 100)
+    found = stale.ahead_of(0, targets, rates_by_key, 100)
     assert found[target.key].queued_tokens == 750
     assert found[other.key].queued_tokens == 300
     assert found[target.key].running == 1
