--- a/packages/geranium-relay/src/geranium_relay/target_selector.py
+++ b/packages/geranium-relay/src/geranium_relay/target_selector.py
@@ -122,7 +122,7 @@
             decision = self._prompt_placer.choose(
                 demand,
                 self._engine_states(job, prompt, profile, avoid | left_out),
-                self._rates_of(job.service),
+                self.shared_rates.rates(job.service, self._rates),
             )
             if isinstance(decision, Placement):
                 return decision
@@ -141,7 +141,7 @@
         if prompt is None:
             return None
         engines = tuple(self._engine_states(job, prompt, profile, avoid))
-        rates = self._rates_of(job.service)
+        rates = self.shared_rates.rates(job.service, self._rates)
         name = self._prompt_placer.choose_generator(engines, rates)
         return None if name is None else self.target(name)
 
@@ -239,9 +239,6 @@
         self.refusals.remove(target)
         self.prefix_caches.remove_target(target)
 
-    def _rates_of(self, service: str) -> EngineRates:
-        return self.shared_rates.rates(service, self._rates)
-
     def _loads_ahead(
         self,
         job: Job,
@@ -249,7 +246,7 @@
         corrections_by_key: Mapping[str, float],
         now: float,
     ) -> dict[str, PresentLoad]:
-        rates = self._rates_of(job.service)
+        rates = self.shared_rates.rates(job.service, self._rates)
         rates_by_key = {
             key: _rate_of(target, rates) / corrections_by_key[key]
             for key, target in targets_by_key.items()
