Don't count runs that end because their target crashes as attempts

Cause: a request that may be repeated ended as 502 when the target of its run crashed, with seconds left and other targets serving, since the run was the only attempt that its route allows (maxAttempts 1 or 2).

Change: suspect_request says whether the evidence shows a crash. Such a run still counts as a run, for the retry budget and as a suspicion, but not against maxAttempts. A broken connection to a target that accepts new ones remains an attempt. A run of another host counts as an attempt, as before: hosts do not tell each other which of their runs ended by a crash.

--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -317,8 +317,10 @@
                 self._recorder.record_silence(attempt)
             case _:
                 self._context.selector.observe(target, Unreachable())
-        if isinstance(error, AnswerLostError) and error.broken:
-            await suspect_request(self._context, self._job, target)
+        if not isinstance(error, AnswerLostError) or not error.broken:
+            return
+        if await suspect_request(self._context, self._job, target):
+            self._send_limit.crashed_runs += 1
 
     async def _finish_failed_run(self, reason: str) -> Outcome | None:
         self._forwarder.drop_partial_event()
--- a/packages/geranium-relay/src/geranium_relay/send_limit.py
+++ b/packages/geranium-relay/src/geranium_relay/send_limit.py
@@ -30,7 +30,8 @@
 
     ``runs`` is how often the request may have run, ``recorded_runs`` how often
     this host has begun to send it, ``runs_before`` how often it may have run
-    when this host got it.
+    when this host got it, ``crashed_runs`` how many of this host's runs ended
+    because their target crashed.
     """
 
     def __init__(
@@ -44,6 +45,7 @@
         self.sends = progress.sends
         self.runs = progress.runs
         self.recorded_runs = 0
+        self.crashed_runs = 0
         self.first_recorded = progress.first_recorded
         self.runs_before = progress.runs
         self.prefill = PrefillPermits(
@@ -90,8 +92,13 @@
         return self._unconnected > 0
 
     def may_run_again(self, route: Route) -> bool:
-        """Return whether a request of a route may run once more."""
-        return route.repeatable and self.runs < route.max_attempts
+        """Return whether a request of a route may run once more.
+
+        Runs that ended because their target crashed are no attempts: it can't
+        run the request any more. The retry budget counts them.
+        """
+        attempts = self.runs - self.crashed_runs
+        return route.repeatable and attempts < route.max_attempts
 
     def record_run(self) -> None:
         """Record that the request is sent to be run now."""
--- a/packages/geranium-relay/src/geranium_relay/suspicion.py
+++ b/packages/geranium-relay/src/geranium_relay/suspicion.py
@@ -9,15 +9,15 @@
 
 async def suspect_request(
     context: RunContext, job: Job, target: Target
-) -> None:
-    """Record a job as a suspect if its target has crashed.
+) -> bool:
+    """Record a job as a suspect if its target has crashed; return whether.
 
     If the target still accepts connections, only the response was lost. If
     other hosts reach it, this host has lost its link.
     """
     own = await context.reach.judge(target)
     if own is TargetReach.REACHED:
-        return
+        return False
     evidence = CrashEvidence(
         is_listed=context.selector.target(target.key) is not None,
         own=own,
@@ -32,7 +32,7 @@
             own=own.value,
             peers=[answer.value for answer in evidence.peers],
         )
-        return
+        return False
     now = context.clock()
     notices = context.crash_causes.record_crash(
         job.fingerprints, target.key, now
@@ -48,6 +48,7 @@
         own=own.value,
         peers=[answer.value for answer in evidence.peers],
     )
+    return True
 
 
 def clear_request(context: RunContext, job: Job) -> None:
--- a/packages/geranium-relay/tests/world.py
+++ b/packages/geranium-relay/tests/world.py
@@ -180,6 +180,7 @@
 
 ROUTES = (
     make_route('safe', relay.RouteKind.SAFE),
+    make_route('once', relay.RouteKind.SAFE, max_attempts=1),
     make_route('unsafe', relay.RouteKind.UNSAFE),
     make_route('stream', relay.RouteKind.STREAM),
     make_route('resumable', relay.RouteKind.STREAM, resumable=True),
