--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -34,7 +34,7 @@
 from .run_settings import RunSettings
 from .send_limit import SendLimit
 from .stream_origins import StreamVersion
-from .suspicion import clear_request, suspect_request
+from .suspicion import BreakCause, clear_request, suspect_request
 
 
 class Run:
@@ -321,9 +321,10 @@
                 self._context.selector.observe(target, Unreachable())
         may_reconnect = error.stale_connection
         if isinstance(error, AnswerLostError) and error.broken:
-            may_reconnect &= await suspect_request(
-                self._context, self._job, target
-            )
+            cause = await suspect_request(self._context, self._job, target)
+            may_reconnect &= cause is BreakCause.CONNECTION
+            if cause is BreakCause.CRASH:
+                self._send_limit.crashed_runs += 1
         if may_reconnect:
             self._avoid.discard(target.key)
             self._reconnect.add(target.key)
--- a/packages/geranium-relay/src/geranium_relay/suspicion.py
+++ b/packages/geranium-relay/src/geranium_relay/suspicion.py
@@ -1,5 +1,7 @@
 """Records requests under which targets crashed."""
 
+import enum
+
 from geranium_policy.crash_evidence import CrashEvidence, TargetReach
 
 from .messages import Job
@@ -7,20 +9,32 @@
 from .targets import Target
 
 
+class BreakCause(enum.Enum):
+    """Why a connection to a target broke.
+
+    ``CONNECTION`` means that the target still accepts connections, ``CRASH``
+    that it has crashed.
+    """
+
+    CONNECTION = 'connection'
+    CRASH = 'crash'
+    UNKNOWN = 'unknown'
+
+
 async def suspect_request(
     context: RunContext, job: Job, target: Target
-) -> bool:
+) -> BreakCause:
     """Record a job as a suspect if its target has crashed.
 
     If the target still accepts connections, only the response was lost. If
     other hosts reach it, this host has lost its link.
 
     Returns:
-        Whether the target still accepts connections.
+        Why the connection broke.
     """
     own = await context.reach.judge(target)
     if own is TargetReach.REACHED:
-        return True
+        return BreakCause.CONNECTION
     evidence = CrashEvidence(
         is_listed=context.selector.target(target.key) is not None,
         own=own,
@@ -35,7 +49,7 @@
             own=own.value,
             peers=[answer.value for answer in evidence.peers],
         )
-        return False
+        return BreakCause.UNKNOWN
     now = context.clock()
     notices = context.crash_causes.record_crash(
         job.fingerprints, target.key, now
@@ -51,7 +65,7 @@
         own=own.value,
         peers=[answer.value for answer in evidence.peers],
     )
-    return False
+    return BreakCause.CRASH
 
 
 def clear_request(context: RunContext, job: Job) -> None:
