--- a/packages/geranium-relay/src/geranium_relay/target_selector.py
+++ b/packages/geranium-relay/src/geranium_relay/target_selector.py
@@ -252,7 +252,7 @@
             for key, target in targets_by_key.items()
         }
         return self._engine_loads.ahead_of(
-            job.rank, targets_by_key.values(), rates_by_key, now
+            job.rank, targets_by_key, rates_by_key, now
         )
 
     def _factors(
@@ -277,11 +277,12 @@
         service: str,
         avoid: frozenset[str],
     ) -> dict[str, Target]:
+        listed = ((one.key, one) for one in self.fleet.of_service(service))
         targets_by_key = {
-            target.key: target
-            for target in self.fleet.of_service(service)
-            if self._notices.accepts_requests(target.key)
-            and self._rate_limits.accepts_request(target.key)
+            key: target
+            for key, target in listed
+            if self._notices.accepts_requests(key)
+            and self._rate_limits.accepts_request(key)
         }
         now = self._clock()
         names = [key for key in targets_by_key if key not in avoid]
--- a/packages/geranium-relay/tests/test_ranks.py
+++ b/packages/geranium-relay/tests/test_ranks.py
@@ -102,12 +102,11 @@
     fresh = EngineLoads(loads, StaleLoadSettings(0.3), int)
     stale = EngineLoads(loads, StaleLoadSettings(0.3), lambda: 0.3)
 
-    targets = tuple(targets_by_key.values())
     rates_by_key = dict.fromkeys(targets_by_key, 50000.0)
-    found = fresh.ahead_of(0, targets, rates_by_key, 100)
+    found = fresh.ahead_of(0, targets_by_key, rates_by_key, 100)
     assert found[target.key].queued_tokens == 1000
     assert found[other.key].queued_tokens == 50
-    found = stale.ahead_of(0, targets, rates_by_key, 100)
+    found = stale.ahead_of(0, targets_by_key, rates_by_key, 100)
     assert found[target.key].queued_tokens == 750
     assert found[other.key].queued_tokens == 300
     assert found[target.key].running == 1
