--- a/packages/geranium-relay/src/geranium_relay/__init__.py
+++ b/packages/geranium-relay/src/geranium_relay/__init__.py
@@ -65,6 +65,7 @@
 from .peer_exchange import PeerExchange
 from .peer_forwarding import (
     ForwardedRequest,
+    PeerBounds,
     PeerClient,
     PeerClientSettings,
     PeerHandlers,
@@ -200,6 +201,7 @@
     'Outbox',
     'Outcome',
     'OverQuota',
+    'PeerBounds',
     'PeerClient',
     'PeerClientSettings',
     'PeerExchange',
--- a/packages/geranium-relay/src/geranium_relay/telemetry.py
+++ b/packages/geranium-relay/src/geranium_relay/telemetry.py
@@ -14,6 +14,7 @@
     ('repeats', 'Calls beyond the first of a request by kind and decision.'),
     ('forwards', 'Requests passed on to other hosts by outcome.'),
     ('quota_tokens', 'Tokens or requests of quotas by team and kind.'),
+    ('client_closes', 'Connections of clients closed by cause.'),
     ('store_calls', 'Calls to the store by method and outcome.'),
 )
 _Recorder: TypeAlias = Callable[[float, dict[str, str]], None]
@@ -65,6 +66,11 @@
         """Record what was asked, granted, refused or lapsed for a team."""
         self._record('quota_tokens', amount, {'team': team, 'kind': kind})
 
+    def record_client_close(self, listener: str, cause: str) -> None:
+        """Record that a client's connection was closed, and why."""
+        labels = {'listener': listener, 'cause': cause}
+        self._record('client_closes', 1, labels)
+
     def record_store_call(self, method: str, outcome: str) -> None:
         """Record a call to the store by its HTTP method and outcome."""
         labels = {'method': method, 'outcome': outcome}
--- a/tests/adapter/test_metrics_page.py
+++ b/tests/adapter/test_metrics_page.py
@@ -13,9 +13,10 @@
 
 CAUSED_BY_OTHERS = frozenset(
     (
-        'geraniumdrum_refusals',
+        'geraniumdrum_client_closes',
         'geraniumdrum_forwards',
         'geraniumdrum_quota_tokens',
+        'geraniumdrum_refusals',
         'geraniumdrum_repeats',
     )
 )
@@ -36,8 +37,8 @@
     async def is_complete() -> bool:
         async with world.caller.get(exposition) as response:
             shown.update(SHOWN.findall(await response.text()))
-        # This test causes no refusals and no repeats, there is one host, and
-        # no team has a quota.
+        # This test causes no refusals, repeats or closes, there is one host,
+        # and no team has a quota.
         return shown | CAUSED_BY_OTHERS >= described
 
     await wait_for(is_complete)
