--- a/packages/geranium-policy/benchmarks/stale_model.py
+++ b/packages/geranium-policy/benchmarks/stale_model.py
@@ -37,8 +37,8 @@
 SAMPLE_S = 0.01
 FULL = 1
 HALF = 0.5
-# Waits grow without bound beyond this share of the capacity, also with loads
-# that are 0.07 s old.
+# With the default, waits grow without bound at about this share of the capacity,
+# also with loads that are 0.07 s old.
 USABLE_SHARE = 0.68
 FLEETS: Mapping[str, FleetPlan] = MappingProxyType(
     {
