Quotas: a large request may take more than is left; learned rates by a setting

The setting sharedRates turns the learned rates on, off by default.

Result: test_large_requests_of_a_team_at_its_limit_run fails without the change; 66 tests of quotas, settings and rates pass.

--- a/packages/geranium-policy/src/geranium_policy/team_quotas/broker.py
+++ b/packages/geranium-policy/src/geranium_policy/team_quotas/broker.py
@@ -98,7 +98,9 @@
             wait_s = self._settings.reserve_s
             return QuotaAnswer(ask.number, 0, 0, wait_s, 2 * wait_s)
         bucket.settle()
-        granted, refused = _divide(ask.costs, bucket.level)
+        granted, refused = _divide(
+            ask.costs, bucket.level, self._settings.max_debt
+        )
         bucket.level -= granted
         if refused:
             waits = self._retries_by_team[ask.team].plan(bucket, refused, now)
@@ -119,12 +121,25 @@
             bucket.settle()
 
 
-def _divide(costs: Sequence[int], level: float) -> tuple[int, list[int]]:
-    """Return the sum of the costs that a level covers, and the other costs."""
+def _divide(
+    costs: Sequence[int], level: float, max_debt: float
+) -> tuple[int, list[int]]:
+    """Return the sum of the costs that are granted, and the other costs.
+
+    A request may take more than is left while anything is. If it had to wait
+    for its whole cost, small requests would take the tokens meanwhile, and
+    large ones of a team at its limit would hardly ever run.
+
+    Args:
+        costs: What the requests need, in their order.
+        level: What is left.
+        max_debt: What a request may take beyond that.
+    """
     granted = 0
     refused = []
     for cost in costs:
-        if granted + cost <= level:
+        left = level - granted
+        if cost <= left or (left > 0 and cost <= left + max_debt):
             granted += cost
         else:
             refused.append(cost)
--- a/packages/geranium-policy/src/geranium_policy/team_quotas/bucket.py
+++ b/packages/geranium-policy/src/geranium_policy/team_quotas/bucket.py
@@ -32,8 +32,8 @@
 
     @property
     def fill(self) -> float:
-        """Level as a share of the capacity."""
-        return self.level / self.capacity if self.capacity else 0
+        """Level as a share of the capacity; 0 for a debt."""
+        return max(self.level, 0) / self.capacity if self.capacity else 0
 
     def settle(self) -> None:
         """Add what has accrued, up to the capacity.
--- a/packages/geranium-policy/src/geranium_policy/team_quotas/limits.py
+++ b/packages/geranium-policy/src/geranium_policy/team_quotas/limits.py
@@ -43,6 +43,8 @@
         introduction_s: Time after a limit was added in which the team isn't
             limited. The hosts and their broker don't learn of it at once.
         max_retry_s: Longest time after which callers are told to return.
+        max_debt: Tokens by which a request may exceed what a broker has left.
+            The limit's slack must cover one debt for each side of a partition.
     """
 
     window_s: float = 8
@@ -55,6 +57,7 @@
     heard_s: float = 1
     introduction_s: float = 2
     max_retry_s: float = 2
+    max_debt: float = 0
 
     @property
     def grant_s(self) -> float:
--- a/packages/geranium-policy/tests/test_team_quotas.py
+++ b/packages/geranium-policy/tests/test_team_quotas.py
@@ -226,6 +226,19 @@
     assert broker.answer('x', other, 10).granted == 40
 
 
+def test_large_requests_of_a_team_at_its_limit_run() -> None:
+    """Small requests take the tokens for which a large one would wait."""
+    broker = QuotaBroker(QuotaSettings(max_debt=50), 0)
+    broker.apply({TEAM: LIMIT}, 0, filled=False)
+    broker.delegate('a', 1, math.inf, 0)
+    asks = (QuotaAsk(number, TEAM, (40,), 0) for number in range(3))
+    granted = [broker.answer('x', ask, 0.1).granted for ask in asks]
+    after = broker.answer('x', QuotaAsk(4, TEAM, (70,), 0), 0.5)
+
+    assert granted == [40, 0, 0]
+    assert after.granted == 0
+
+
 def test_refused_requests_return_one_after_the_other() -> None:
     """All refused callers come back at the same moment."""
     broker = QuotaBroker(QuotaSettings(), 0)
--- a/tests/adapter/odd_hosts.py
+++ b/tests/adapter/odd_hosts.py
@@ -35,9 +35,11 @@
 class HostParts:
     """The parts of a host that use targets."""
 
-    def __init__(self) -> None:
+    def __init__(self, **changes: object) -> None:
         clock = relay.BootClock()
-        settings = make_settings(platform={'address': '127.0.0.1:1'})
+        settings = make_settings(
+            platform={'address': '127.0.0.1:1'}
+        ).model_copy(update=changes)
         self.clock = clock
         self.lines: list[str] = []
         log = relay.DecisionLog(
--- a/tests/adapter/test_observed_rates.py
+++ b/tests/adapter/test_observed_rates.py
@@ -26,12 +26,15 @@
 )
 
 
-@pytest.mark.parametrize(('peers', 'learned'), [(16, 90_000), (15, 50_000)])
+@pytest.mark.parametrize(
+    ('enabled', 'peers', 'learned'),
+    [(True, 16, 90_000), (True, 15, 50_000), (False, 16, 50_000)],
+)
 async def test_rates_in_updates_count_in_large_fleets_only(
-    peers: int, learned: int
+    peers: int, learned: int, *, enabled: bool
 ) -> None:
     """The platform's wiring between updates and the selector is at stake."""
-    state = HostParts().state
+    state = HostParts(shared_rates=enabled).state
     for number in range(peers):
         state.peers.add(dataclasses.replace(SENDER, host=f'h{number}'))
     engine = make_target(stage=relay.Stage.PREFILL)
