Leave more headroom beside the budget of bytes

Change: 18% of the memory instead of 12% is kept for the system, the allocator and the library. A test line is split for the linter.

--- a/packages/geranium-relay/src/geranium_relay/client_limits/budget.py
+++ b/packages/geranium-relay/src/geranium_relay/client_limits/budget.py
@@ -6,7 +6,8 @@
 
 NO_MEMORY = 'no memory'
 WINDOW_S = 1.0  # progress is what moved in this window and the one before
-_HEADROOM_SHARE = 0.12  # of the memory: allocator, interpreter, own state
+# 0.12 left 6 of 200 MB when half-closed connections freed many bodies at once.
+_HEADROOM_SHARE = 0.18  # of the memory: allocator, interpreter, own state
 _MIN_HEADROOM_BYTES = 16_000_000
 _MIN_BUDGET_BYTES = 8_000_000
 
--- a/packages/geranium-relay/tests/test_memory_budget.py
+++ b/packages/geranium-relay/tests/test_memory_budget.py
@@ -149,7 +149,8 @@
 async def test_waiting_account_gets_bytes_that_others_release() -> None:
     clock = asyncio.get_running_loop().time
     gate = BudgetGate(MemoryBudget(SETTINGS, clock), clock)
-    held, waiting = gate.budget.open(None), gate.budget.open(None)
+    held = gate.budget.open(None)
+    waiting = gate.budget.open(None)
     await gate.hold(held, 7 * MB)
     granted = gate.hold(waiting, 5 * MB)
     waiter = asyncio.create_task(granted)
