--- a/tests/adapter/test_client_crowds.py
+++ b/tests/adapter/test_client_crowds.py
@@ -3,6 +3,7 @@
 The tests measure the memory of a process, so they run one at a time.
 """
 
+import asyncio
 import logging
 import pathlib
 from collections.abc import AsyncIterator
@@ -109,6 +110,26 @@
     await wait_for(has_let_go)
 
 
+async def test_connection_rests_after_a_body_in_pieces(
+    host: LimitedHost,
+) -> None:
+    """The last piece of a body counts as a head that is never completed."""
+    await wait_for(lambda: serves(host))
+    reader, writer = await asyncio.open_connection(*host.addresses['front'])
+    for _ in range(2):
+        writer.write(
+            b'POST /safe/x?size=3 HTTP/1.1\r\nHost: example\r\n'
+            b'Authorization: Bearer key\r\nContent-Length: 4\r\n\r\nbo'
+        )
+        await asyncio.sleep(0.2)
+        writer.write(b'dy')
+        head = await reader.readuntil(b'\r\n\r\n')
+        assert head.startswith(b'HTTP/1.1 200')
+        assert await reader.readexactly(3) == bytes(3)
+        await asyncio.sleep(LIMITS['headerTimeoutMs'] / 1000 + 1)
+    writer.close()
+
+
 async def serves(host: LimitedHost) -> bool:
     """Return whether an ordinary request is answered."""
     front, port = host.addresses['front']
