Quotas: a host has its share 0.3 s after it has read the list of hosts

A process that starts again within a second of its end may spend its share beside the delegation of the one before for 0.7 s at most, which the overage covers.

--- a/packages/geranium-relay/src/geranium_relay/team_quotas/service.py
+++ b/packages/geranium-relay/src/geranium_relay/team_quotas/service.py
@@ -31,9 +31,10 @@
 from .exchange import QuotaExchange
 
 TICK_S = 0.4  # two renewals may be lost before a delegation ends
-# After the list of hosts was read: by then the others count this host, and
-# the delegation of a process before it has ended.
-SETTLE_S = 1.2
+# After the list of hosts was read, until the others count this host. A
+# delegation of the process before it may last a moment longer; the overage
+# covers that. With 1.2 s, all limited teams were refused after a restart.
+SETTLE_S = 0.3
 TIMER_MARGIN_S = 0.001  # the event loop's clock may be slightly ahead
 
 
