Target calls: bound the informational responses before a response

Cause: the HTTP client waits for a final response as long as informational ones arrive, and reads them as fast as they come.

Change: a connection ends with the 65th informational response of a call.

--- a/packages/geranium-relay/src/geranium_relay/http_connections.py
+++ b/packages/geranium-relay/src/geranium_relay/http_connections.py
@@ -15,6 +15,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import socket
 import weakref
 from typing import cast
@@ -26,6 +27,7 @@
 
 from .broken_connections import BrokenConnection, ConnectionHistory
 from .call_writes import CallTransport, CallWrites
+from .informational_responses import BoundedResponseHandler
 
 _RECEIVE_BYTES = 65536  # read at once instead of 256 KiB
 MAX_CALLS = 1000  # on one connection, whose ids are kept as long as it
@@ -206,6 +208,9 @@
             super().__init__(limit=0, keepalive_timeout=keepalive_s)
         else:
             super().__init__(limit=0, force_close=True)
+        self._factory = functools.partial[ResponseHandler](
+            BoundedResponseHandler, self._loop
+        )
         self._identity_header = identity_header
         self._earlier_calls: weakref.WeakKeyDictionary[
             ResponseHandler, _EarlierCalls
