--- a/packages/geranium-relay/src/geranium_relay/http_connections.py
+++ b/packages/geranium-relay/src/geranium_relay/http_connections.py
@@ -208,8 +208,9 @@
             super().__init__(limit=0, keepalive_timeout=keepalive_s)
         else:
             super().__init__(limit=0, force_close=True)
-        self._factory = functools.partial[ResponseHandler](
-            BoundedResponseHandler, self._loop
+        self._factory = cast(
+            functools.partial[ResponseHandler],
+            functools.partial(BoundedResponseHandler, self._loop),
         )
         self._identity_header = identity_header
         self._earlier_calls: weakref.WeakKeyDictionary[
