--- a/packages/geranium-relay/src/geranium_relay/client_limits/gate.py
+++ b/packages/geranium-relay/src/geranium_relay/client_limits/gate.py
@@ -6,7 +6,7 @@
 from .budget import Account, MemoryBudget
 
 POLL_S = 0.03
-PATIENCE_S = 0.25  # until others give up bytes for those that wait
+EVICT_DELAY_S = 0.25  # an account waits so long before another is evicted
 
 
 class RefusedBytesError(Exception):
@@ -51,9 +51,9 @@
             account.waiting_since = None
 
     async def _wait(self, account: Account, size: int) -> None:
-        impatient_at = self._clock() + PATIENCE_S
+        evicts_at = self._clock() + EVICT_DELAY_S
         while not self.budget.try_hold(account, size):
-            if self._clock() >= impatient_at:
+            if self._clock() >= evicts_at:
                 self.budget.evict_for(account, size)
                 if self._prefers(account):
                     self.budget.hold(account, size)
