--- a/review/stage.py
+++ b/review/stage.py
@@ -800,6 +800,37 @@
             writer.close()
 
 
+class Connection:
+    """A connection of a client, which it keeps for many requests."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+
+    @classmethod
+    async def open(cls, address: str) -> 'Connection':
+        """Open a connection."""
+        host, _, port = address.rpartition(':')
+        return cls(*await asyncio.open_connection(host, int(port)))
+
+    def send(self, path: str, headers: dict[str, str]) -> None:
+        """Send a request without a body."""
+        lines = [f'GET {path} HTTP/1.1', 'Host: a.example']
+        lines.extend(f'{name}: {text}' for name, text in headers.items())
+        self._writer.write('\r\n'.join((*lines, '', '')).encode())
+
+    async def answer(self, wait_s: float) -> Answer:
+        """Return the next answer."""
+        async with asyncio.timeout(wait_s):
+            return await _read_answer(self._reader)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._writer.close()
+
+
 async def _read_answer(reader: asyncio.StreamReader) -> Answer:
     try:
         head = await reader.readuntil(b'\r\n\r\n')
