--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,12 +1,11 @@
-"""A request that crashes its servers, after all hosts were killed at once."""
+"""A withdrawn key at a machine that was frozen while it was withdrawn."""
 
 import asyncio
 import contextlib
 import pathlib
 import signal
 import sys
-
-from aiohttp import web
+import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
@@ -14,128 +13,124 @@
 import stage as stages  # noqa: E402
 
 ZONES = ('a', 'b', 'c')
-SERVERS = 4
-BACK_S = 2.5
-PERIOD_S = 4.0
-LAST_S = 92.0
-KILL_AFTER_S = 4.0
-RESTART_S = 0.5
-HARMFUL_PATH = '/safe/harmful'
-
-
-class FragileServer(stages.AppServer):
-    """A server that crashes when it begins to run one request."""
-
-    stage: stages.Stage
-    crashing: asyncio.Task[None] | None = None
-
-    async def answer(
-        self, request: web.Request, echo: dict[str, str]
-    ) -> web.StreamResponse:
-        """Answer a request, or crash."""
-        if request.path == HARMFUL_PATH:
-            self.crashing = asyncio.create_task(self.crash(self.stage, BACK_S))
-            await asyncio.sleep(60)
-        return await super().answer(request, echo)
-
-
-async def send(
-    stage: stages.Stage, host: stages.HostProcess, identity: str, path: str
-) -> None:
-    """Send a request as a client does."""
-    headers = {
+HOSTS_IN_ZONE = 6
+FREEZE_S = 6.4
+REVOKED_AFTER_S = 1.0  # after the freeze began
+CONNECTIONS = 8
+FIRST_SENT_S = 5.05  # after the acknowledgement, first of these requests
+REVOKE_S = 5.0
+ROUNDS = 5
+KEYS = tuple(f'key{number}' for number in range(ROUNDS + 1))
+BOUNDS = {'contactMs': 4000, 'configApplyMs': 3000, 'budgetSlack': 170}
+
+
+def headers(identity: str, key: str) -> dict[str, str]:
+    """Return the headers of a request."""
+    return {
         'Request-Id': identity,
-        'Authorization': 'Bearer key1',
-        'Deadline-Ms': '1000',
+        'Authorization': f'Bearer {key}',
+        'Deadline-Ms': '1500',
     }
-    status = None
-    with contextlib.suppress(OSError, TimeoutError):
-        answer = await stages.ask(host.front, 'GET', path, headers, wait_s=1.2)
-        status = answer.status
-    stage.record.line(
-        'answer', host=host.name, request=identity, path=path, status=status
-    )
 
 
-async def send_ordinary(stage: stages.Stage) -> None:
-    """Send ordinary requests, five a second."""
-    number = 0
-    while True:
-        number += 1
-        host = stage.hosts[number % len(stage.hosts)]
-        await send(stage, host, f'r{number}', '/safe/x')
-        await asyncio.sleep(0.2)
-
-
-async def send_harmful(stage: stages.Stage) -> None:
-    """Send the harmful request again and again, to each host in turn."""
-    number = 0
-    while True:
-        number += 1
-        host = stage.hosts[number % len(stage.hosts)]
-        await send(stage, host, f'harmful{number}', HARMFUL_PATH)
-        await asyncio.sleep(PERIOD_S)
-
-
-async def kill_all(stage: stages.Stage) -> None:
-    """Kill all hosts at once; each starts again after a short delay."""
-    for host in stage.hosts:
-        host.signal(signal.SIGKILL)
-    await asyncio.sleep(RESTART_S)
-    for host in stage.hosts:
-        host.start()
-    await stage.until_ready(stage.hosts)
-    stage.record.line('all_ready')
-
-
-def arrivals(stage: stages.Stage, servers: list[FragileServer]) -> list[float]:
-    """Return when the harmful request reached servers."""
-    return sorted(
-        at
-        for server in servers
-        for at, _identity, path, _team in server.runs
-        if path == HARMFUL_PATH
-    )
+def choose_host(stage: stages.Stage) -> stages.HostProcess:
+    """Return a host that leaves the store to the readers of its zone."""
+    oldest = time.monotonic() - 4
+    quiet = [
+        host
+        for host in stage.hosts
+        if not any(
+            at > oldest and 'watch=' in path
+            for at, _method, path in host.door.calls
+        )
+    ]
+    if not quiet:
+        raise stages.NotRunError('all hosts watch the configuration')
+    return quiet[0]
+
+
+async def freeze_once(
+    stage: stages.Stage, host: stages.HostProcess, place: int, *, troubled: bool
+) -> dict[str, float]:
+    """Freeze a machine, withdraw a key, and use the key as it wakes.
+
+    Returns when the requests were sent that are later than ``revokeMs``, by
+    their ids.
+    """
+    connections = [
+        await stages.Connection.open(host.front) for _ in range(CONNECTIONS)
+    ]
+    key = KEYS[place]
+    for number, connection in enumerate(connections):
+        connection.send('/safe/x', headers(f'before{place}.{number}', key))
+        answer = await connection.answer(3)
+        if answer.status != 200:
+            raise stages.NotRunError(f'status {answer.status} before')
+    if troubled:
+        host.signal(signal.SIGSTOP)
+    frozen_at = stage.record.now()
+    await asyncio.sleep(REVOKED_AFTER_S)
+    put_keys(stage, KEYS[place + 1 :])
+    revoked_at = stage.record.now()
+    stage.record.line('key_withdrawn', key=key)
+    await asyncio.sleep(FIRST_SENT_S)
+    sent_at_by_id = {}
+    for number, connection in enumerate(connections):
+        identity = f'after{place}.{number}'
+        connection.send('/safe/x', headers(identity, key))
+        sent_at_by_id[identity] = stage.record.now()
+        stage.record.line('sent', host=host.name, request=identity, key=key)
+        await asyncio.sleep(0.02)
+    await asyncio.sleep(frozen_at + FREEZE_S - stage.record.now())
+    if troubled:
+        host.signal(signal.SIGCONT)
+    for number, connection in enumerate(connections):
+        status = None
+        with contextlib.suppress(TimeoutError):
+            status = (await connection.answer(3)).status
+        stage.record.line(
+            'answer', request=f'after{place}.{number}', status=status
+        )
+        connection.close()
+    return {
+        identity: at
+        for identity, at in sent_at_by_id.items()
+        if at > revoked_at + REVOKE_S
+    }
 
 
-async def play(stage: stages.Stage, troubled: bool) -> int:
-    """Kill all hosts after the third crash; count the retries since."""
+def put_keys(stage: stages.Stage, keys: tuple[str, ...]) -> None:
+    """Write a configuration with these keys."""
     routes = [stages.route('safe', 'safe', 'app')]
-    configuration = stages.configuration(1, routes, {'t1': ['key1']})
+    version = 1 + 3 * (len(KEYS) - len(keys))
+    configuration = stages.configuration(version, routes, {'t1': list(keys)})
     stage.store.put('config', 'main', configuration)
-    servers = []
-    for number in range(SERVERS):
-        server = FragileServer(f'i-{number}', 'app', stage.record)
-        server.stage = stage
-        servers.append(server)
-        await stage.add_server(server, ZONES[number % 3], 100 + number)
-    await stage.add_hosts(ZONES)
-    tasks = [asyncio.create_task(send_ordinary(stage))]
-    harmful = asyncio.create_task(send_harmful(stage))
-    await stages.until(lambda: len(arrivals(stage, servers)) >= 3)
-    third_at = arrivals(stage, servers)[2]
-    started_at = 0.0
-    if troubled:
-        await asyncio.sleep(KILL_AFTER_S)
-        harmful.cancel()
-        await kill_all(stage)
-        started_at = stage.record.now()
-        # The request comes again when the hosts are in touch.
-        await asyncio.sleep(stages.BOUNDS['contactMs'] / 1000 + 0.5)
-        harmful = asyncio.create_task(send_harmful(stage))
-    await asyncio.sleep(LAST_S - stage.record.now())
-    for task in (*tasks, harmful):
-        task.cancel()
-    contact_s = stages.BOUNDS['contactMs'] / 1000
-    since = max(third_at, started_at) + contact_s
-    retries = [at for at in arrivals(stage, servers) if at > since]
+
+
+async def play(stage: stages.Stage, troubled: bool) -> int:
+    """Freeze several machines, one after the other."""
+    put_keys(stage, KEYS)
+    server = stages.AppServer('i-0', 'app', stage.record)
+    await stage.add_server(server, 'a', 100)
+    await stage.add_hosts(ZONES * HOSTS_IN_ZONE)
+    await asyncio.sleep(8)
+    late: dict[str, float] = {}
+    for place in range(ROUNDS):
+        host = choose_host(stage)
+        late |= await freeze_once(stage, host, place, troubled=troubled)
+        await asyncio.sleep(5)
+    broken = sorted(
+        identity
+        for _at, identity, _path, _team in server.runs
+        if identity in late
+    )
     stage.record.line(
         'result',
-        third_crash=round(third_at, 3),
-        counted_from=round(since, 3),
-        retries=[round(at, 3) for at in retries],
+        rounds=ROUNDS,
+        sent_late=len(late),
+        run_with_withdrawn_key=broken,
     )
-    return stages.BROKEN if len(retries) > 3 else stages.HELD
+    return stages.BROKEN if broken else stages.HELD
 
 
-stages.run_case(play, lambda: stages.Stage(FOLDER, ZONES))
+stages.run_case(play, lambda: stages.Stage(FOLDER, ZONES, BOUNDS))
--- a/review/stage.py
+++ b/review/stage.py
@@ -102,7 +102,9 @@
     """Writes one line for each event to ``record.txt``."""
 
     def __init__(self, folder: pathlib.Path) -> None:
-        self._file = (folder / 'record.txt').open('w', buffering=1)
+        self._file = (folder / 'record.txt').open(
+            'w', buffering=1, errors='backslashreplace'
+        )
         self._began = time.monotonic()
 
     def now(self) -> float:
@@ -794,7 +796,7 @@
                 named['Content-Length'] = str(len(body))
             lines.extend(f'{name}: {text}' for name, text in named.items())
             head = '\r\n'.join((*lines, '', ''))
-            writer.write(head.encode() + body)
+            writer.write(head.encode('latin-1') + body)
             return await _read_answer(reader)
         finally:
             writer.close()
