Add review case 6: an odd entry of 1 MB hangs all hosts

Cause: each broken object inside an entry that is no JSON is taken for an element of the list, and the time to read them grows with the square of the length. It is spent in the event loop, with each read.

Change: a script that writes one such entry, its claim and record. The other cases are numbered anew, the gravest first.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,6 +1,7 @@
-"""Ids of requests with bytes above 0x7f."""
+"""A request that crashes all servers of its service at the same moment."""
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -10,49 +11,66 @@
 import stage as stages  # noqa: E402
 
 ZONES = ('a', 'b', 'c')
-LETTERS = ('\xe0', '\xe8', '\xe9', '\xf4')
-PLAIN = ('a', 'b', 'c', 'd')
+BACK_S = 2.5
+PERIOD_S = 5.0
+LAST_S = 60.0
+REPEATS = int(os.environ.get('REPEATS', '3'))  # beyond the first, at once
+HARMFUL_PATH = stages.FragileServer.harmful_path
+
+
+async def send_harmful(stage: stages.Stage, repeats: int) -> None:
+    """Send the harmful request again and again, with repeats at once."""
+    number = 0
+    while True:
+        number += 1
+        hosts = [
+            stage.hosts[(number + place) % len(stage.hosts)]
+            for place in range(1 + repeats)
+        ]
+        connections = [
+            await stages.Connection.open(host.front) for host in hosts
+        ]
+        for place, connection in enumerate(connections):
+            headers = {
+                'Request-Id': f'harmful{number}.{place}',
+                'Authorization': 'Bearer key1',
+                'Deadline-Ms': '1000',
+            }
+            connection.send(HARMFUL_PATH, headers)
+        await asyncio.sleep(1.2)
+        for connection in connections:
+            connection.close()
+        await asyncio.sleep(PERIOD_S - 1.2)
 
 
 async def play(stage: stages.Stage, troubled: bool) -> int:
-    """Send orders, and compare their ids with those that servers run."""
-    routes = [stages.route('unsafe', 'unsafe', 'app')]
+    """Send the harmful request, and count the retries."""
+    routes = [stages.route('safe', 'safe', 'app')]
     configuration = stages.configuration(1, routes, {'t1': ['key1']})
     stage.store.put('config', 'main', configuration)
-    server = stages.AppServer('i-0', 'app', stage.record)
-    await stage.add_server(server, 'a', 100)
+    servers = []
+    for number, zone in enumerate(ZONES):
+        server = stages.FragileServer(f'i-{number}', 'app', stage, BACK_S)
+        servers.append(server)
+        await stage.add_server(server, zone, 100 + number)
     await stage.add_hosts(ZONES)
+    tasks = [asyncio.create_task(stages.send_ordinary(stage))]
     await asyncio.sleep(2)
-    sent = set()
-    for number, letter in enumerate(LETTERS if troubled else PLAIN):
-        identity = f'commande-{letter}'
-        # What the server reads is text in which such bytes are marked.
-        sent.add(identity.encode('latin-1').decode(errors='surrogateescape'))
-        headers = {
-            'Request-Id': identity,
-            'Authorization': 'Bearer key1',
-            'Deadline-Ms': '1000',
-        }
-        host = stage.hosts[number % len(stage.hosts)]
-        answer = await stages.ask(
-            host.front, 'POST', '/unsafe/order', headers, b'paid', wait_s=2
-        )
-        stage.record.line(
-            'answer',
-            host=host.name,
-            request=ascii(identity),
-            status=answer.status,
-            signed=answer.signed,
-        )
-    unknown = [
-        identity
-        for _at, identity, _path, _team in server.runs
-        if identity not in sent
-    ]
+    repeats = REPEATS if troubled else 0
+    tasks.append(asyncio.create_task(send_harmful(stage, repeats)))
+    await asyncio.sleep(LAST_S - stage.record.now())
+    for task in tasks:
+        task.cancel()
+    arrivals = sorted(at for one in servers for at in one.harmful_arrivals())
+    since = arrivals[2] + stages.BOUNDS['contactMs'] / 1000
+    retries = [at for at in arrivals if at > since]
     stage.record.line(
-        'result', sent=len(sent), run=len(server.runs), unknown=unknown
+        'result',
+        arrivals=[round(at, 3) for at in arrivals],
+        counted_from=round(since, 3),
+        retries=len(retries),
     )
-    return stages.BROKEN if unknown else stages.HELD
+    return stages.BROKEN if len(retries) > 3 else stages.HELD
 
 
 stages.run_case(play, lambda: stages.Stage(FOLDER, ZONES))
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""A holder that is cut off while its report is on the way."""
+"""An entry of another writer, as long as an entry may be, in the list."""
 
 import asyncio
 import contextlib
@@ -11,85 +11,96 @@
 import stage as stages  # noqa: E402
 
 ZONES = ('a', 'b', 'c')
-CUT_S = 5.5
-AFTER_S = 5.0
+VALUE_BYTES = 1_048_576
+WATCHED_S = 30.0
+TIMEOUT_S = 1.0  # of the route
+LATE_S = 0.5
 
 
-async def send_requests(stage: stages.Stage) -> None:
-    """Send a request to each host in turn, five a second."""
-    number = 0
-    while True:
-        number += 1
-        host = stage.hosts[number % len(stage.hosts)]
-        headers = {
-            'Request-Id': f'r{number}',
-            'Authorization': 'Bearer key1',
-            'Deadline-Ms': '1000',
-        }
-        status = None
-        with contextlib.suppress(OSError, TimeoutError):
-            answer = await stages.ask(
-                host.front, 'GET', '/safe/x', headers, wait_s=2
-            )
-            status = answer.status
-        stage.record.line(
-            'answer', host=host.name, request=f'r{number}', status=status
+def saved_list(size: int) -> bytes:
+    """Return what a faulty script saved of a list: no JSON, since of None."""
+    one = '{{"metadata":{{"name":"i-{0}","revision":{1}}},"spec":None}}'
+    saved: list[str] = []
+    length = 0
+    while length < size - 100:
+        place = len(saved)
+        saved.append(one.format(f'{place:05d}', 100 + place))
+        length += len(saved[-1]) + 1
+    return ('[' + ','.join(saved) + ']').encode()
+
+
+async def send(
+    stage: stages.Stage,
+    host: stages.HostProcess,
+    identity: str,
+    outcomes: dict[str, float | None],
+) -> None:
+    """Send a request; note after how long it was answered, if it was."""
+    headers = {
+        'Request-Id': identity,
+        'Authorization': 'Bearer key1',
+        'Deadline-Ms': '2000',
+    }
+    sent_at = stage.record.now()
+    outcomes[identity] = None
+    status = None
+    with contextlib.suppress(OSError, TimeoutError):
+        answer = await stages.ask(
+            host.front, 'GET', '/safe/x', headers, wait_s=2
         )
-        await asyncio.sleep(0.2)
+        status = answer.status
+        outcomes[identity] = stage.record.now() - sent_at
+    stage.record.line(
+        'answer',
+        host=host.name,
+        request=identity,
+        status=status,
+        took_s=round(stage.record.now() - sent_at, 3),
+    )
 
 
 async def play(stage: stages.Stage, troubled: bool) -> int:
-    """Cut the holder off as its report is sent; judge the calls by fence."""
+    """Write the entry, and count the requests without an answer."""
     routes = [stages.route('safe', 'safe', 'app')]
     configuration = stages.configuration(1, routes, {'t1': ['key1']})
     stage.store.put('config', 'main', configuration)
     for number, zone in enumerate(ZONES):
-        server = stages.AppServer(f'i-{number}', 'app', stage.record)
+        server = stages.AppServer(f'j-{number}', 'app', stage.record)
         await stage.add_server(server, zone, 100 + number)
     await stage.add_hosts(ZONES)
-    requests = asyncio.create_task(send_requests(stage))
-    calls = stage.cloud.calls
-    await stages.until(lambda: len(calls) >= 2)
-    holder = next(one for one in stage.hosts if one.name == calls[-1].holder)
-    sent = asyncio.Event()
-
-    def cut_report(data: bytes) -> None:
-        if b'POST /usage' in data and not sent.is_set():
-            sent.set()
-            stage.record.line('report_on_the_way', host=holder.name)
-            if troubled:
-                holder.cut(is_cut=True)
-
-    holder.links['cloud'].on_data = cut_report
-    await sent.wait()
-    await asyncio.sleep(CUT_S)
-    if troubled:
-        holder.cut(is_cut=False)
-    healed_at = stage.record.now()
-    await asyncio.sleep(AFTER_S)
-    requests.cancel()
-    return judge(stage, healed_at)
-
-
-def judge(stage: stages.Stage, healed_at: float) -> int:
-    """Return whether a lower fence came after a higher one, unexcused."""
-    slack_s = stages.BOUNDS['thawSlackMs'] / 1000
-    highest, broken = 0, 0
-    for call in stage.cloud.calls:
-        excused = healed_at <= call.at <= healed_at + slack_s
-        if call.fence < highest and not excused:
-            broken += 1
-            stage.record.line(
-                'lower_fence',
-                at=round(call.at, 3),
-                after_heal_s=round(call.at - healed_at, 3),
-                holder=call.holder,
-                fence=call.fence,
-                highest=highest,
-            )
-        highest = max(highest, call.fence)
-    stage.record.line('result', calls=len(stage.cloud.calls), broken=broken)
-    return stages.BROKEN if broken else stages.HELD
+    await asyncio.sleep(3)
+    # An entry of the same form is there without the trouble too, but short.
+    saved = saved_list(VALUE_BYTES if troubled else 1000)
+    stage.store.put_bytes('servers', 'i-saved', saved)
+    stage.record.line('entry_written', length=len(saved))
+    written_at = stage.record.now()
+    outcomes: dict[str, float | None] = {}
+    sending: set[asyncio.Task[None]] = set()
+    number = 0
+    while stage.record.now() < written_at + WATCHED_S:
+        number += 1
+        host = stage.hosts[number % len(stage.hosts)]
+        task = asyncio.create_task(send(stage, host, f'r{number}', outcomes))
+        sending.add(task)
+        await asyncio.sleep(0.1)
+    await asyncio.gather(*sending)
+    open_at_timeout = [
+        took_s
+        for took_s in outcomes.values()
+        if took_s is None or took_s > TIMEOUT_S
+    ]
+    unanswered = sum(
+        took_s is None or took_s > TIMEOUT_S + LATE_S
+        for took_s in open_at_timeout
+    )
+    stage.record.line(
+        'result',
+        sent=len(outcomes),
+        open_at_timeout=len(open_at_timeout),
+        unanswered_later=unanswered,
+    )
+    many = unanswered * 2 > len(open_at_timeout) and unanswered >= 20
+    return stages.BROKEN if many else stages.HELD
 
 
 stages.run_case(play, lambda: stages.Stage(FOLDER, ZONES))
--- a/review/stage.py
+++ b/review/stage.py
@@ -25,6 +25,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 DEPENDENCIES = ROOT / 'target' / 'deps'
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+PAGE_BYTES = 1_000_000
 BOUNDS = {
     'seedLagS': 3,
     'reuseAfterS': 2,
@@ -123,6 +124,7 @@
     def __init__(self, record: Record) -> None:
         self.revision = 10
         self.objects: dict[tuple[str, str], dict[str, Any]] = {}
+        self.raw_specs: dict[tuple[str, str], bytes] = {}
         self.events: list[tuple[int, str, dict[str, Any], bool]] = []
         self.changed = asyncio.Event()
         self.record = record
@@ -151,6 +153,11 @@
         self._tell(kind, found, deleted=False)
         return found
 
+    def put_bytes(self, kind: str, name: str, raw_spec: bytes) -> None:
+        """Write an object whose spec are bytes that can't be read."""
+        self.raw_specs[kind, name] = raw_spec
+        self.put(kind, name, None)
+
     def remove(self, kind: str, name: str) -> dict[str, Any]:
         """Remove an object and return it."""
         found = self.objects.pop((kind, name))
@@ -172,6 +179,15 @@
         ]
 
 
+def _encode(found: dict[str, Any], raw_spec: bytes | None) -> bytes:
+    """Return an object in a list; a spec of odd bytes is handed out as it is."""
+    if raw_spec is None:
+        return json.dumps(found, separators=(',', ':')).encode()
+    metadata = json.dumps(found['metadata'], separators=(',', ':')).encode()
+    fields = b'"metadata":' + metadata + b',"spec":' + raw_spec
+    return b'{' + fields + b',"status":null}'
+
+
 class Door:
     """An address of the store: ``mode`` says how calls there end.
 
@@ -214,19 +230,24 @@
             return web.json_response(store.put(kind, name, body.get('spec')))
         if 'watch' in request.query:
             return await self._watch(request, kind)
-        after = request.query.get('after', '')
-        items = [
-            found
-            for (of, name), found in sorted(store.objects.items())
-            if of == kind and name > after
-        ]
-        return web.json_response(
-            {
-                'items': items,
-                'truncated': False,
-                'storeRevision': store.revision,
-            }
-        )
+        return self._list(kind, request.query.get('after', ''))
+
+    def _list(self, kind: str, after: str) -> web.Response:
+        """Return a page of a list, of about 1 MB at most."""
+        items: list[bytes] = []
+        truncated = False
+        for (of, name), found in sorted(self.store.objects.items()):
+            if of != kind or name <= after:
+                continue
+            if sum(map(len, items)) > PAGE_BYTES:
+                truncated = True
+                break
+            items.append(_encode(found, self.store.raw_specs.get((of, name))))
+        fields = json.dumps(
+            {'truncated': truncated, 'storeRevision': self.store.revision}
+        ).encode()
+        body = b'{"items":[' + b','.join(items) + b'],' + fields[1:]
+        return web.Response(body=body, content_type='application/json')
 
     async def _watch(self, request: web.Request, kind: str) -> web.Response:
         store = self.store
@@ -427,23 +448,28 @@
 
     async def crash(self, stage: 'Stage', down_s: float) -> None:
         """Reset all connections, and start again after a while."""
+        if self.runner is None:
+            return
         self.record.line('server_crashes', server=self.identity)
-        runner = self.runner
+        await self.stop()
+        await asyncio.sleep(down_s)
+        self.born = int(time.time() * 1000)
+        host, _, port = self.address.rpartition(':')
+        self.runner = await stage.listen(self.application(), host, int(port))
+        stage.store.put('servers', self.identity, self.entry())
+        self.record.line('server_is_back', server=self.identity)
+
+    async def stop(self) -> None:
+        """Close the address and reset all connections."""
+        runner, self.runner = self.runner, None
         if runner is None or runner.server is None:
             return
-        self.runner = None
         for site in tuple(runner.sites):
             await site.stop()
         for connection in tuple(runner.server.connections):
             if connection.transport is not None:
                 connection.transport.abort()
         await runner.cleanup()
-        await asyncio.sleep(down_s)
-        self.born = int(time.time() * 1000)
-        host, _, port = self.address.rpartition(':')
-        self.runner = await stage.listen(self.application(), host, int(port))
-        stage.store.put('servers', self.identity, self.entry())
-        self.record.line('server_is_back', server=self.identity)
 
     def entry(self, state: str = 'ready', **more: Any) -> dict[str, Any]:
         """Return the spec of its entry in the store."""
@@ -498,6 +524,39 @@
         )
 
 
+class FragileServer(AppServer):
+    """A server that crashes when it begins to run one request."""
+
+    harmful_path = '/safe/harmful'
+
+    def __init__(
+        self, identity: str, service: str, stage: 'Stage', back_s: float
+    ) -> None:
+        super().__init__(identity, service, stage.record)
+        self._stage = stage
+        self._back_s = back_s
+        self._crashes: set[asyncio.Task[None]] = set()
+
+    def harmful_arrivals(self) -> list[float]:
+        """Return when the harmful request came."""
+        return [
+            at
+            for at, _identity, path, _team in self.runs
+            if path == self.harmful_path
+        ]
+
+    async def answer(
+        self, request: web.Request, echo: dict[str, str]
+    ) -> web.StreamResponse:
+        """Answer a request, or crash."""
+        if request.path == self.harmful_path:
+            crash = asyncio.create_task(self.crash(self._stage, self._back_s))
+            self._crashes.add(crash)
+            crash.add_done_callback(self._crashes.discard)
+            await asyncio.sleep(60)
+        return await super().answer(request, echo)
+
+
 class HostProcess:
     """A host of the deploy file as a process."""
 
@@ -802,6 +861,34 @@
             writer.close()
 
 
+async def send_safe(
+    stage: 'Stage', host: HostProcess, identity: str, path: str
+) -> None:
+    """Send a safe request as a client does; record the answer."""
+    headers = {
+        'Request-Id': identity,
+        'Authorization': 'Bearer key1',
+        'Deadline-Ms': '1000',
+    }
+    status = None
+    with contextlib.suppress(OSError, TimeoutError):
+        answer = await ask(host.front, 'GET', path, headers, wait_s=1.2)
+        status = answer.status
+    stage.record.line(
+        'answer', host=host.name, request=identity, path=path, status=status
+    )
+
+
+async def send_ordinary(stage: 'Stage') -> None:
+    """Send ordinary requests to each host in turn, five a second."""
+    number = 0
+    while True:
+        number += 1
+        host = stage.hosts[number % len(stage.hosts)]
+        await send_safe(stage, host, f'r{number}', '/safe/x')
+        await asyncio.sleep(0.2)
+
+
 class Connection:
     """A connection of a client, which it keeps for many requests."""
 
@@ -893,10 +980,15 @@
 
     async def run() -> int:
         one = stage()
+        running = asyncio.current_task()
+        assert running is not None
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, running.cancel
+        )
         try:
             async with asyncio.timeout(110):
                 return int(await play(one, troubled))
-        except (NotRunError, TimeoutError) as error:
+        except (NotRunError, TimeoutError, asyncio.CancelledError) as error:
             one.record.line('case_not_run', error=repr(error))
             return NOT_RUN
         finally:
