--- a/review/stage.py
+++ b/review/stage.py
@@ -17,7 +17,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from typing import Any
 
 from aiohttp import web
@@ -25,6 +25,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 DEPENDENCIES = ROOT / 'target' / 'deps'
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+EXIT_STATUS_BROKEN = 10  # of the process; Python ends with 1 by itself
 PAGE_BYTES = 1_000_000
 BOUNDS = {
     'seedLagS': 3,
@@ -974,12 +975,14 @@
     return '\n'.join(lines) + '\n'
 
 
-def run_case(play: Callable[[Stage, bool], Any], stage: Callable[[], Stage]):
+def run_case(
+    play: Callable[[Stage, bool], Awaitable[int]], make: Callable[[], Stage]
+) -> None:
     """Play a case and exit with its result."""
     troubled = os.environ.get('TROUBLE', '1') != '0'
 
     async def run() -> int:
-        one = stage()
+        stage = make()
         running = asyncio.current_task()
         assert running is not None
         asyncio.get_running_loop().add_signal_handler(
@@ -987,11 +990,12 @@
         )
         try:
             async with asyncio.timeout(110):
-                return int(await play(one, troubled))
-        except (NotRunError, TimeoutError, asyncio.CancelledError) as error:
-            one.record.line('case_not_run', error=repr(error))
+                return await play(stage, troubled)
+        except (Exception, asyncio.CancelledError) as error:
+            stage.record.line('case_not_run', error=repr(error))
             return NOT_RUN
         finally:
-            await one.cleanup()
+            await stage.cleanup()
 
-    sys.exit(asyncio.run(run()))
+    result = asyncio.run(run())
+    sys.exit(EXIT_STATUS_BROKEN if result == BROKEN else result)
