--- a/review/8/case.py
+++ b/review/8/case.py
@@ -19,7 +19,7 @@
 CONNECTIONS = 8
 FIRST_SENT_S = 5.05  # after the acknowledgement, first of these requests
 REVOKE_S = 5.0
-ROUNDS = 5
+ROUNDS = 7
 KEYS = tuple(f'key{number}' for number in range(ROUNDS + 1))
 BOUNDS = {'contactMs': 4000, 'configApplyMs': 3000, 'budgetSlack': 170}
 
