Review scripts: each begins its record and reads TROUBLE itself

Cause: record.txt and TROUBLE were handled in the common stage.py only, so a script that failed before it left an old record, and a folder did not show how its own two settings are met.

Change: each run.sh empties its record.txt, appends what the interpreter reports, and passes the record and TROUBLE on to its case. Links keep their tasks until they have ended.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -73,4 +73,4 @@
     return stages.BROKEN if len(retries) > 3 else stages.HELD
 
 
-stages.run_case(play, lambda: stages.Stage(FOLDER, ZONES))
+stages.run_case(play, lambda record: stages.Stage(record, ZONES))
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -103,4 +103,4 @@
     return stages.BROKEN if many else stages.HELD
 
 
-stages.run_case(play, lambda: stages.Stage(FOLDER, ZONES))
+stages.run_case(play, lambda record: stages.Stage(record, ZONES))
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -68,4 +68,4 @@
     return stages.BROKEN if broken else stages.HELD
 
 
-stages.run_case(play, lambda: stages.Stage(FOLDER, ZONES))
+stages.run_case(play, lambda record: stages.Stage(record, ZONES))
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -133,4 +133,4 @@
     return stages.BROKEN if broken else stages.HELD
 
 
-stages.run_case(play, lambda: stages.Stage(FOLDER, ZONES, BOUNDS))
+stages.run_case(play, lambda record: stages.Stage(record, ZONES, BOUNDS))
--- a/review/stage.py
+++ b/review/stage.py
@@ -101,12 +101,10 @@
 
 
 class Record:
-    """Writes one line for each event to ``record.txt``."""
+    """Adds one line for each event to a file, which ``run.sh`` has begun."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
-        self._file = (folder / 'record.txt').open(
-            'w', buffering=1, errors='backslashreplace'
-        )
+    def __init__(self, path: pathlib.Path) -> None:
+        self._file = path.open('a', buffering=1, errors='backslashreplace')
         self._began = time.monotonic()
 
     def now(self) -> float:
@@ -347,13 +345,22 @@
         self._port = int(port)
         self.is_cut = False
         self.on_data: Callable[[bytes], None] | None = None
+        self._open: set[asyncio.Task[None]] = set()
 
     async def start(self, ip: str) -> str:
         """Listen on an address and return it."""
-        server = await asyncio.start_server(self._serve, ip, 0)
+        server = await asyncio.start_server(self._begin, ip, 0)
         port = server.sockets[0].getsockname()[1]
         return f'{ip}:{port}'
 
+    def _begin(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        # The event loop itself keeps no task alive.
+        task = asyncio.create_task(self._serve(reader, writer))
+        self._open.add(task)
+        task.add_done_callback(self._open.discard)
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -699,11 +706,11 @@
 
     def __init__(
         self,
-        folder: pathlib.Path,
+        record: pathlib.Path,
         zones: tuple[str, ...],
         bounds: dict[str, Any] | None = None,
     ) -> None:
-        self.record = Record(folder)
+        self.record = Record(record)
         self.zones = zones
         self.bounds = bounds or {}
         self.store = Store(self.record)
@@ -976,21 +983,27 @@
 
 
 def run_case(
-    play: Callable[[Stage, bool], Awaitable[int]], make: Callable[[], Stage]
+    play: Callable[[Stage, bool], Awaitable[int]],
+    make: Callable[[pathlib.Path], Stage],
 ) -> None:
-    """Play a case and exit with its result."""
-    troubled = os.environ.get('TROUBLE', '1') != '0'
+    """Play a case and exit with its result.
+
+    ``run.sh`` gives the path of the record, and 0 as the second argument if
+    the disruption is left out.
+    """
+    record, trouble = sys.argv[1:]
 
     async def run() -> int:
-        stage = make()
+        stage = make(pathlib.Path(record))
         running = asyncio.current_task()
         assert running is not None
         asyncio.get_running_loop().add_signal_handler(
             signal.SIGTERM, running.cancel
         )
+        stage.record.line('begun', trouble=trouble)
         try:
             async with asyncio.timeout(110):
-                return await play(stage, troubled)
+                return await play(stage, trouble != '0')
         except (Exception, asyncio.CancelledError) as error:
             stage.record.line('case_not_run', error=repr(error))
             return NOT_RUN
