--- a/review/10/case.py
+++ b/review/10/case.py
@@ -62,6 +62,9 @@
     for task in tasks:
         task.cancel()
     arrivals = sorted(at for one in servers for at in one.harmful_arrivals())
+    if len(arrivals) < 3:  # no third server has crashed
+        stage.record.line('result', arrivals=arrivals, retries=0)
+        return stages.HELD
     since = arrivals[2] + stages.BOUNDS['contactMs'] / 1000
     retries = [at for at in arrivals if at > since]
     stage.record.line(
