Crashes: a run that broke is kept until the list shows the end of its target

Cause: a broken connection is a crash only by the word of a host that reaches other targets of the service. When all end together every host answers "unknown", and nothing was kept. A caller that left during the check, and a prefill call that broke, were forgotten in the same way.

Change: the run is kept when its connection breaks. Targets that a cut host has lost stay in the list, so it still accuses no request.

--- a/packages/geranium-policy/src/geranium_policy/crash_causes.py
+++ b/packages/geranium-policy/src/geranium_policy/crash_causes.py
@@ -15,6 +15,7 @@
 
 from .cause_trials import Cause, CauseTrials, CauseTrialSettings, Trial
 from .suspects import CrashNotice, SuspectRegister, Verdict
+from .unproven_crashes import UnprovenCrashes, UnprovenCrashSettings
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,6 +36,7 @@
             has not crashed. For a shorter time, another start of it may not
             be listed yet.
         trials: When causes are tried.
+        unproven: How long broken runs are kept that may have been crashes.
     """
 
     min_crashes: int = 3
@@ -46,6 +48,9 @@
     trials: CauseTrialSettings = dataclasses.field(
         default_factory=CauseTrialSettings
     )
+    unproven: UnprovenCrashSettings = dataclasses.field(
+        default_factory=UnprovenCrashSettings
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,13 +80,15 @@
         settings: When crashes are attributed.
         register: The crashes known to this host.
 
-    ``trials`` records the trials of causes.
+    ``trials`` records the trials of causes, ``unproven`` the broken runs of
+    which it is not known yet whether their targets have crashed.
     """
 
     def __init__(
         self, settings: CrashCauseSettings, register: SuspectRegister
     ) -> None:
         self.trials = CauseTrials(settings.trials, register)
+        self.unproven = UnprovenCrashes(settings.unproven, register)
         self._settings = settings
         self._register = register
         self._sound_parts = collections.OrderedDict[int, None]()
@@ -133,10 +140,15 @@
     ) -> tuple[CrashNotice, ...]:
         """Record that a target crashed under a request.
 
+        It proves the crash for the other runs that broke on the target.
+
         Returns:
             Notices to send to peers immediately.
         """
-        return self._register.record_crash(fingerprints.every, crash_id, now)
+        self.unproven.add(
+            fingerprints.request, fingerprints.parts, crash_id, now
+        )
+        return self.unproven.prove(crash_id, now)
 
     def record_completion(
         self, fingerprints: RequestFingerprints, now: float
@@ -146,6 +158,7 @@
         Returns:
             Notices to send to peers immediately.
         """
+        self.unproven.clear(fingerprints.request, fingerprints.parts)
         for part in fingerprints.parts:
             self._sound_parts[part] = None
             self._sound_parts.move_to_end(part)
--- a/packages/geranium-policy/src/geranium_policy/suspects.py
+++ b/packages/geranium-policy/src/geranium_policy/suspects.py
@@ -54,14 +54,23 @@
         fingerprints: Iterable[int],
         crash_id: str,
         now: float,
+        crashed_at: float | None = None,
     ) -> tuple[CrashNotice, ...]:
         """Mark all requests that were running on a crashed target as suspects.
 
+        Args:
+            fingerprints: The requests and their parts.
+            crash_id: The crash.
+            now: The current time.
+            crashed_at: When the target crashed, if that is known only now.
+
         Returns:
             Notices to send to peers immediately.
         """
+        instant = now if crashed_at is None else crashed_at
         crashes = [
-            Crash(fingerprint, crash_id, now) for fingerprint in fingerprints
+            Crash(fingerprint, crash_id, instant)
+            for fingerprint in fingerprints
         ]
         return self._merge_all(crashes, now)
 
--- a/packages/geranium-relay/src/geranium_relay/attempt_selection.py
+++ b/packages/geranium-relay/src/geranium_relay/attempt_selection.py
@@ -6,7 +6,7 @@
 
 from .attempts import Attempt
 from .catalogue import Service
-from .crash_check import CrashCheck
+from .crash_suspicion import CrashCheck
 from .messages import Job
 from .outcomes import Refused
 from .request_recorder import record_busy, record_repeat
--- a/packages/geranium-relay/src/geranium_relay/crash_check.py
+++ b/packages/geranium-relay/src/geranium_relay/crash_suspicion/crash_check.py
@@ -2,11 +2,11 @@
 
 from geranium_policy.cause_trials import Trial
 
-from .messages import Job
-from .outcomes import Refused
-from .run_context import RunContext
-from .run_settings import RunSettings
-from .send_limit import SendLimit
+from ..messages import Job
+from ..outcomes import Refused
+from ..run_context import RunContext
+from ..run_settings import RunSettings
+from ..send_limit import SendLimit
 from .suspicion import part_names
 
 
--- a/packages/geranium-relay/src/geranium_relay/suspicion.py
+++ b/packages/geranium-relay/src/geranium_relay/crash_suspicion/suspicion.py
@@ -4,9 +4,9 @@
 
 from geranium_policy.crash_evidence import CrashEvidence, TargetReach
 
-from .messages import Job
-from .run_context import RunContext, shared_parts
-from .targets import Target
+from ..messages import Job
+from ..run_context import RunContext, shared_parts
+from ..targets import Target
 
 
 class BreakCause(enum.Enum):
@@ -27,13 +27,24 @@
     """Record a job as a suspect if its target has crashed.
 
     If the target still accepts connections, only the response was lost. If
-    other hosts reach it, this host has lost its link.
+    other hosts reach it, this host has lost its link. If nobody can tell, the
+    list of targets may show it later.
 
     Returns:
         Why the connection broke.
     """
+    causes = context.crash_causes
+    # The caller may leave during the checks, which ends this task.
+    fingerprints = job.fingerprints
+    causes.unproven.add(
+        fingerprints.request,
+        fingerprints.parts,
+        target.key,
+        context.clock(),
+    )
     own = await context.reach.judge(target)
     if own is TargetReach.REACHED:
+        causes.unproven.drop(fingerprints.request, target.key)
         return BreakCause.CONNECTION
     evidence = CrashEvidence(
         is_listed=context.selector.target(target.key) is not None,
@@ -42,6 +53,8 @@
         has_peers=context.peer_client.has_peers,
     )
     if not evidence.is_crash:
+        if TargetReach.REACHED in evidence.peers:
+            causes.unproven.drop(fingerprints.request, target.key)
         context.log.record(
             'crash_not_shown',
             request=job.arrival.identity,
@@ -51,15 +64,13 @@
         )
         return BreakCause.UNKNOWN
     now = context.clock()
-    notices = context.crash_causes.record_crash(
-        job.fingerprints, target.key, now
-    )
+    notices = causes.record_crash(fingerprints, target.key, now)
     context.outbox.record_crashes(notices, now)
     context.log.record(
         'request_suspected',
         request=job.arrival.identity,
         target=target.key,
-        fingerprint=job.fingerprints.request,
+        fingerprint=fingerprints.request,
         parts=part_names(job),
         listed=evidence.is_listed,
         own=own.value,
--- a/packages/geranium-relay/src/geranium_relay/prefill_runner.py
+++ b/packages/geranium-relay/src/geranium_relay/prefill_runner.py
@@ -7,11 +7,13 @@
 
 from .attempts import Attempt
 from .call_errors import (
+    AnswerLostError,
     NotRunError,
     NotSentError,
     RelayError,
     TargetSilentError,
 )
+from .crash_suspicion import suspect_request
 from .load_tracker import Dispatch
 from .messages import CacheHandle, Job, TargetCall
 from .prefill_permits import PrefillPermits
@@ -61,6 +63,8 @@
                 withdraw_prompt(job, self._context, reader.key)
             if isinstance(error, (TimeoutError, TargetSilentError)):
                 self._context.selector.observe_latency(reader, dispatch)
+            if isinstance(error, AnswerLostError) and error.broken:
+                await suspect_request(self._context, job, reader)
             return None
         self._context.selector.observe_latency(reader, dispatch)
         self._context.selector.refusals.record_accepted(reader.key)
--- a/packages/geranium-relay/src/geranium_relay/request_recorder.py
+++ b/packages/geranium-relay/src/geranium_relay/request_recorder.py
@@ -8,10 +8,10 @@
 from .attempts import Attempt
 from .broken_connections import BrokenConnection
 from .call_errors import AnswerLostError, NotRunError, NotSentError
+from .crash_suspicion import record_life
 from .load_tracker import Dispatch
 from .messages import CacheHandle, Job
 from .run_context import RunContext
-from .suspicion import record_life
 
 
 class RequestRecorder:
--- a/packages/geranium-relay/src/geranium_relay/runs.py
+++ b/packages/geranium-relay/src/geranium_relay/runs.py
@@ -15,6 +15,7 @@
     TargetSilentError,
 )
 from .catalogue import RouteKind, Service
+from .crash_suspicion import BreakCause, clear_request, suspect_request
 from .messages import Job, ResponseHead
 from .open_calls import CallOpener, OpenCall, RequestParts
 from .outcomes import (
@@ -34,7 +35,6 @@
 from .run_settings import RunSettings
 from .send_limit import SendLimit
 from .stream_origins import StreamVersion
-from .suspicion import BreakCause, clear_request, suspect_request
 
 
 class Run:
--- a/packages/geranium-relay/tests/test_crashed_runs.py
+++ b/packages/geranium-relay/tests/test_crashed_runs.py
@@ -5,8 +5,9 @@
 import geranium_relay as relay
 import pytest
 
-from .world import World, answer, failing
+from .world import EVENTS, World, answer, failing
 
+PROMPT = relay.Prompt(10, 10, (relay.PromptPart('p', 10),))
 BROKEN = failing(relay.AnswerLostError('reset', broken=True))
 
 
@@ -62,3 +63,20 @@
 
     assert isinstance(outcome, relay.Failed)
     assert len(world.targets.calls) == calls
+
+
+async def test_crash_of_the_engine_that_prefills_is_remembered() -> None:
+    """A prompt that ends the engines which prefill it was sent on and on."""
+    world = World(answer(*EVENTS), engines=True)
+    world.place_isolated()
+    world.targets.prefill_error = relay.AnswerLostError('reset', broken=True)
+    reader, *_ = world.fleet.targets_by_identity.values()
+
+    async def is_reachable(target: relay.Target) -> bool:
+        return target != reader
+
+    world.targets.is_reachable = is_reachable
+    outcome, _ = await world.serve('stream', prompt=PROMPT)
+
+    assert outcome == relay.Delivered(200)
+    assert 'request_suspected' in ''.join(world.lines)
