--- a/packages/geranium-relay/src/geranium_relay/http_connections.py
+++ b/packages/geranium-relay/src/geranium_relay/http_connections.py
@@ -27,6 +27,7 @@
 
 from .broken_connections import BrokenConnection, ConnectionHistory
 from .call_writes import CallTransport, CallWrites
+from .control_calls import open_resetting_socket
 from .informational_responses import BoundedResponseHandler
 
 _RECEIVE_BYTES = 65536  # read at once instead of 256 KiB
@@ -193,6 +194,8 @@
         reuses_connections: Whether connections are kept at all.
         receive_bytes: Size of the buffer for what a target has sent and nobody
             has read; ``None`` leaves it to the system.
+        resets: Whether a call that is given up never arrives later, see
+            :mod:`.control_calls`.
     """
 
     def __init__(
@@ -202,12 +205,16 @@
         *,
         reuses_connections: bool = True,
         receive_bytes: int | None = None,
+        resets: bool = False,
     ) -> None:
         self._receive_bytes = receive_bytes
+        factory = open_resetting_socket if resets else None
         if reuses_connections:
-            super().__init__(limit=0, keepalive_timeout=keepalive_s)
+            super().__init__(
+                limit=0, keepalive_timeout=keepalive_s, socket_factory=factory
+            )
         else:
-            super().__init__(limit=0, force_close=True)
+            super().__init__(limit=0, force_close=True, socket_factory=factory)
         self._factory = cast(
             functools.partial[ResponseHandler],
             functools.partial(BoundedResponseHandler, self._loop),
--- a/packages/geranium-relay/src/geranium_relay/store_http_client.py
+++ b/packages/geranium-relay/src/geranium_relay/store_http_client.py
@@ -76,6 +76,9 @@
 class StoreHttpClient:
     """Sends calls over persistent connections, each at most once.
 
+    A write that is given up does not arrive later, when newer ones have been
+    made.
+
     Responses don't name their call. A failure is therefore the last response
     on its connection: a late copy of it would be taken for that of a later
     call. Copies of successes are for the users of the responses to tell.
@@ -191,7 +194,7 @@
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             settings = self._settings
-            self._connector = CallConnector(None, settings.idle_s)
+            self._connector = CallConnector(None, settings.idle_s, resets=True)
             self._session = aiohttp.ClientSession(
                 connector=self._connector,
                 timeout=aiohttp.ClientTimeout(
--- a/packages/geraniumd/src/geraniumd/backends/control_transport.py
+++ b/packages/geraniumd/src/geraniumd/backends/control_transport.py
@@ -9,18 +9,11 @@
 
 import dataclasses
 import json
-import socket
-import struct
 from collections.abc import AsyncIterator, Callable
 from typing import Any, TypeAlias
 
 import aiohttp
-
-_USER_TIMEOUT_MS = 1000
-_SOCKET_FIELDS = 3
-_LINGER_ZERO = struct.pack('ii', 1, 0)
-
-AddressInfo: TypeAlias = tuple[Any, ...]
+from geranium_relay.control_calls import open_resetting_socket
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,7 +54,7 @@
         """
         connector = aiohttp.TCPConnector(
             force_close=True,
-            socket_factory=_open_socket,
+            socket_factory=open_resetting_socket,
         )
         timeout = aiohttp.ClientTimeout(total=timeout_s)
         try:
@@ -90,15 +83,3 @@
     if not may_send():
         raise ConnectionAbortedError('the authority ended before the order')
     yield json.dumps(body).encode()
-
-
-def _open_socket(address: AddressInfo) -> socket.socket:
-    family, kind, protocol = address[:_SOCKET_FIELDS]
-    opened = socket.socket(family, kind, protocol)
-    opened.setsockopt(
-        socket.IPPROTO_TCP,
-        socket.TCP_USER_TIMEOUT,
-        _USER_TIMEOUT_MS,
-    )
-    opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
-    return opened
