Peer updates: what waited in the socket counts as older

Cause: updates tell ages, and the receiver subtracted them from the time at which it read the update. Updates that had waited in the socket confirmed the catalogue as of now. The same held for who is alive, loads, the list of targets, the ages of crashes and cluster time.

Change: DatagramEndpoint reads all that is there and knows since when the queue may have been filling; ages count from then. The wait is logged (datagrams_waited).

test_updates_arrive_over_loopback advances its clock now: both hosts listen without a pause in between, so the second may miss the first update, and the next one to another zone is due by that clock.

--- /dev/null
+++ b/packages/geranium-relay/src/geranium_relay/datagrams/__init__.py
@@ -0,0 +1,9 @@
+"""Datagrams between hosts, and how long each may have waited to be read.
+
+What a datagram says is as old as its sender says, plus the time for which it has
+waited. A process that is suspended, or busy, reads it long after it arrived.
+"""
+
+from .endpoint import Address, DatagramEndpoint, DatagramReceiver
+
+__all__ = ['Address', 'DatagramEndpoint', 'DatagramReceiver']
--- /dev/null
+++ b/packages/geranium-relay/src/geranium_relay/datagrams/endpoint.py
@@ -0,0 +1,112 @@
+"""A UDP socket that tells since when its datagrams may have been waiting."""
+
+import asyncio
+import math
+import socket
+from typing import Protocol, TypeAlias
+
+from ..clock import BootClock
+from ..decision_log import DecisionLog
+
+MAX_DATAGRAM_BYTES = 65535
+MAX_READ = 32  # datagrams in one turn of the event loop
+LONG_WAIT_S = 0.5  # of datagrams; it is logged
+
+Address: TypeAlias = tuple[str, int]
+
+
+class DatagramReceiver(Protocol):
+    """Gets the datagrams of an endpoint."""
+
+    def datagram_received(
+        self, data: bytes, addr: tuple[str | int, int]
+    ) -> None:
+        """Apply a datagram."""
+        ...
+
+
+class DatagramEndpoint:
+    """Reads all datagrams that have arrived, and sends others.
+
+    The kernel queues what arrives while the process does not read. A datagram
+    has therefore arrived after ``waiting_since``, the last instant at which the
+    queue was seen to be empty.
+
+    Args:
+        receiver: Gets the datagrams.
+        clock: Includes the time for which the machine was suspended.
+        log: Receives a record of each long wait, and of each datagram that is
+            lost.
+    """
+
+    def __init__(
+        self, receiver: DatagramReceiver, clock: BootClock, log: DecisionLog
+    ) -> None:
+        self.waiting_since = -math.inf
+        self._logged_since = -math.inf
+        self._receiver = receiver
+        self._clock = clock
+        self._log = log
+        self._socket: socket.socket | None = None
+        self._loop: asyncio.AbstractEventLoop | None = None
+
+    def open(self, address: Address) -> None:
+        """Listen on an address.
+
+        Raises:
+            OSError: If the address is in use.
+        """
+        opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        opened.setblocking(False)
+        try:
+            opened.bind(address)
+        except OSError:
+            opened.close()
+            raise
+        self.waiting_since = self._clock.now()
+        self._socket = opened
+        self._loop = asyncio.get_running_loop()
+        self._loop.add_reader(opened, self.read)
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self._socket is None or self._loop is None:
+            return
+        self._loop.remove_reader(self._socket)
+        self._socket.close()
+        self._socket = None
+
+    def read(self) -> None:
+        """Hand over what has arrived, up to ``MAX_READ`` datagrams."""
+        for _ in range(MAX_READ):
+            if self._socket is None:
+                return
+            began_at = self._clock.now()
+            try:
+                data, address = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+            except BlockingIOError:
+                self.waiting_since = began_at
+                return
+            except OSError as error:
+                self._log.record('datagram_not_read', error=repr(error))
+                return
+            self._log_wait(began_at)
+            self._receiver.datagram_received(data, address)
+
+    def sendto(self, data: bytes, address: Address) -> None:
+        """Send a datagram; one that can't be sent is lost."""
+        if self._socket is None:
+            return
+        try:
+            self._socket.sendto(data, address)
+        except OSError as error:
+            self._log.record(
+                'datagram_not_sent', address=address[0], error=repr(error)
+            )
+
+    def _log_wait(self, now: float) -> None:
+        """Record once that datagrams may have waited long."""
+        waited_s = now - self.waiting_since
+        if waited_s > LONG_WAIT_S and self._logged_since < self.waiting_since:
+            self._logged_since = self.waiting_since
+            self._log.record('datagrams_waited', waited_s=round(waited_s, 3))
--- a/packages/geranium-relay/src/geranium_relay/peer_exchange.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_exchange.py
@@ -4,9 +4,10 @@
 import dataclasses
 import math
 from collections.abc import Callable, Sequence
-from typing import cast
+from typing import Protocol
 
 from .clock import BootClock, ClusterClock
+from .datagrams import Address, DatagramEndpoint
 from .decision_log import DecisionLog
 from .messages import PeerIdentity
 from .peer_loads import PeerLoadRecorder
@@ -23,7 +24,15 @@
 from .update_composer import PeerUpdateSources, UpdateComposer
 
 
-class PeerExchange(asyncio.DatagramProtocol):
+class DatagramSender(Protocol):
+    """Sends datagrams to addresses."""
+
+    def sendto(self, data: bytes, address: Address) -> None:
+        """Send a datagram."""
+        ...
+
+
+class PeerExchange:
     """Sends this host's updates to other hosts and applies theirs.
 
     Args:
@@ -51,7 +60,8 @@
         self._clock = clock
         self._on_update = on_update
         self._log = log
-        self._transport: asyncio.DatagramTransport | None = None
+        self._transport: DatagramSender | None = None
+        self._endpoint = DatagramEndpoint(self, clock, log)
         self._load_recorder = PeerLoadRecorder(peers, sources.loads)
         self._topology: Topology = FullMesh()
         self._next_far_at = -math.inf
@@ -62,23 +72,19 @@
 
     async def run(self) -> None:
         """Send updates until cancelled."""
-        host, port = _split_address(self._peers.own.address)
-        loop = asyncio.get_running_loop()
-        transport, _ = await loop.create_datagram_endpoint(
-            lambda: self,
-            local_addr=(host, port),
-        )
+        self._endpoint.open(_split_address(self._peers.own.address))
+        self.connection_made(self._endpoint)
         try:
             while True:
+                self._endpoint.read()
                 delay_s = self.send_due()
                 await asyncio.sleep(delay_s)
         finally:
-            transport.close()
+            self._endpoint.close()
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+    def connection_made(self, transport: DatagramSender) -> None:
         """Send over a transport from now on."""
-        # The transport of the event loop is no subclass of the interface.
-        self._transport = cast('asyncio.DatagramTransport', transport)
+        self._transport = transport
 
     def send_due(self) -> float:
         """Send the updates that are due; return the delay until the next."""
@@ -113,8 +119,13 @@
             reason = str(error).partition('\n')[0]
             self._log.record('update_unreadable', address=addr[0], error=reason)
             return
+        if self._transport is self._endpoint:
+            update = dataclasses.replace(
+                update, waiting_since=self._endpoint.waiting_since
+            )
+        arrived_at = update.arrived_at(self._clock.now())
         self._peers.handle_update(update, self._time.now())
-        self._load_recorder.record(update, self._clock.now())
+        self._load_recorder.record(update, arrived_at)
         self._forward_notices(update)
         self._on_update(update, self._load_recorder.keys_by_hash)
 
--- a/packages/geranium-relay/src/geranium_relay/peer_updates.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_updates.py
@@ -5,6 +5,7 @@
 import enum
 import functools
 import itertools
+import math
 import pathlib
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from typing import Any, TypeAlias
@@ -105,6 +106,8 @@
         unreached: Hashes of the services of which it reaches no target.
         rate_observations: Prefills that it has seen since the last update.
         report: What an aggregator passes on; ``None`` from other hosts.
+        waiting_since: Instant on the receiver's clock after which the update
+            has arrived. It is not sent.
     """
 
     sender: PeerIdentity
@@ -124,6 +127,14 @@
     unreached: tuple[int, ...] = ()
     rate_observations: tuple[RateObservation, ...] = ()
     report: ZoneReport | None = None
+    waiting_since: float = math.inf
+
+    def arrived_at(self, now: float) -> float:
+        """Return the earliest instant at which the update may have arrived.
+
+        Ages in the update count from then.
+        """
+        return min(now, self.waiting_since)
 
 
 @functools.lru_cache(maxsize=_HASH_CACHE_SIZE)
--- a/packages/geranium-relay/src/geranium_relay/peers.py
+++ b/packages/geranium-relay/src/geranium_relay/peers.py
@@ -19,6 +19,7 @@
 from .update_intervals import PeerSettings, UpdateIntervals
 from .zone_reports import HostReport, ZoneReport
 
+MAX_TIMED_WAIT_S = 0.5  # the times of updates that waited longer tell nothing
 USABLE_INTERVAL_S = 0.1  # usable hosts are computed again after this time
 
 
@@ -90,7 +91,9 @@
         if peer.identity.incarnation > update.sender.incarnation:
             return
         now = self._clock.now()
-        self._offsets.record(host, update.unix_s - cluster_s, now)
+        arrived_at = update.arrived_at(now)
+        if now - arrived_at < MAX_TIMED_WAIT_S:
+            self._offsets.record(host, update.unix_s - cluster_s, now)
         self._apply_state(
             peer,
             HostReport(
@@ -100,10 +103,10 @@
                 update.leaving,
                 update.unreached,
             ),
-            now,
+            arrived_at,
         )
         if update.report is not None:
-            self._apply_report(update.sender, update.report)
+            self._apply_report(update.sender, update.report, arrived_at)
 
     def find(self, host_hash: int) -> PeerIdentity | None:
         """Return the peer whose name has a hash, if it is known."""
@@ -221,32 +224,36 @@
         oldest = self._clock.now() - self.intervals.max_silence_s()
         return self._offsets.take_correction_s(oldest)
 
-    def _apply_report(self, sender: PeerIdentity, report: ZoneReport) -> None:
-        now = self._clock.now()
+    def _apply_report(
+        self, sender: PeerIdentity, report: ZoneReport, arrived_at: float
+    ) -> None:
         for identity in report.new_hosts:
             self.add(identity)
         for reported in report.hosts:
             peer = self._peers_by_hash.get(reported.host)
             if reported.host == self._own_hash:
-                self._apply_own_report(sender, reported)
+                self._apply_own_report(sender, reported, arrived_at)
             elif peer is None:
-                self._unlisted_at_by_hash[reported.host] = now
+                self._unlisted_at_by_hash[reported.host] = arrived_at
             else:
-                self._apply_state(peer, reported, now - reported.age_s)
+                self._apply_state(peer, reported, arrived_at - reported.age_s)
 
     def _apply_own_report(
-        self, sender: PeerIdentity, reported: HostReport
+        self, sender: PeerIdentity, reported: HostReport, arrived_at: float
     ) -> None:
         """Record that an aggregator of this zone hears this host."""
         is_heard = reported.age_s < self.intervals.max_silence_s()
         if is_heard and sender.zone == self.own.zone:
-            self._heard_at = self._clock.now()
+            self._heard_at = max(self._heard_at, arrived_at)
 
     def _apply_state(
         self, peer: _Peer, state: HostReport, sent_at: float
     ) -> None:
-        """Apply a state that a peer sent at a time, unless it is outdated."""
-        if peer.updated_at is not None and sent_at <= peer.updated_at:
+        """Apply a state that a peer sent at a time, unless it is outdated.
+
+        Updates that have waited together count as sent at the same time.
+        """
+        if peer.updated_at is not None and sent_at < peer.updated_at:
             return
         if peer.updated_at is None or peer.ready != state.ready:
             self._log.record(
--- a/packages/geranium-relay/src/geranium_relay/shared_reads.py
+++ b/packages/geranium-relay/src/geranium_relay/shared_reads.py
@@ -85,7 +85,8 @@
 
         What was read in another era of the store confirms nothing.
         """
-        now = self._clock() - self._settings.margin_s
+        arrived_at = update.arrived_at(self._clock())
+        sent_at = arrived_at - self._settings.margin_s
         own = self._own()
         known = update.known
         if known.catalogue_version > own.catalogue_version:
@@ -94,7 +95,7 @@
             self._read_later_era(is_later=known.era > own.era)
             return
         if known.catalogue_version == own.catalogue_version:
-            self._confirm_catalogue(now - known.catalogue_age_s)
+            self._confirm_catalogue(sent_at - known.catalogue_age_s)
         peer_read_at = self.peer_targets_at(update)
         if known.targets_digest == own.targets_digest:
             self._confirm_targets(peer_read_at)
@@ -103,7 +104,8 @@
 
     def peer_targets_at(self, update: PeerUpdate) -> float:
         """Return when a peer sent the call that read its targets."""
-        sent_at = self._clock() - self._settings.margin_s
+        arrived_at = update.arrived_at(self._clock())
+        sent_at = arrived_at - self._settings.margin_s
         return sent_at - update.known.targets_age_s
 
     def catalogue_at(self) -> float:
--- a/packages/geranium-relay/tests/test_crashed_runs.py
+++ b/packages/geranium-relay/tests/test_crashed_runs.py
@@ -70,7 +70,7 @@
     world = World(answer(*EVENTS), engines=True)
     world.place_isolated()
     world.targets.prefill_error = relay.AnswerLostError('reset', broken=True)
-    reader, *_ = world.fleet.targets_by_identity.values()
+    reader = next(iter(world.fleet.targets_by_identity.values()))
 
     async def is_reachable(target: relay.Target) -> bool:
         return target != reader
--- a/packages/geranium-relay/tests/test_topology.py
+++ b/packages/geranium-relay/tests/test_topology.py
@@ -83,7 +83,8 @@
 
 async def test_updates_arrive_over_loopback(unused_udp_port_factory) -> None:
     """The transport of the event loop, not the one of other tests."""
-    first, second = Fleet(2).nodes
+    fleet = Fleet(2)
+    first, second = fleet.nodes
     for host in (first, second):
         port = unused_udp_port_factory()
         host.peers.own = dataclasses.replace(
@@ -98,6 +99,8 @@
 
     async with asyncio.timeout(20):
         async for _ in ticks():
+            # The first host may send before the second one listens.
+            fleet.clock.instant += 0.1
             if first.heard and second.heard:
                 break
 
