Responses: a status out of range ends a call without a response

Cause: the HTTP client takes any three digits for a status, and waits only with informational ones for another response.

Change: a connection ends with a final status that is not between 200 and 599, on calls to targets, the store and the provider, and a frame of another host with one is malformed. The provider's calls use the same connector.

Lists of the store and responses to usage reports counted as complete; one function reads their bodies now and treats a reset as a failure.

--- a/packages/geranium-relay/src/geranium_relay/__init__.py
+++ b/packages/geranium-relay/src/geranium_relay/__init__.py
@@ -34,7 +34,6 @@
     ConnectionLostError,
     ConnectionUse,
     NotWrittenError,
-    ResponseEnd,
     send_once,
 )
 from .load_tracker import Dispatch, LoadTracker, TargetLoad
@@ -232,7 +231,6 @@
     'Relay',
     'RelayError',
     'RelaySettings',
-    'ResponseEnd',
     'ResponseHead',
     'ResponseSink',
     'RetryShares',
--- a/packages/geranium-relay/src/geranium_relay/http_connections.py
+++ b/packages/geranium-relay/src/geranium_relay/http_connections.py
@@ -4,9 +4,6 @@
 before the response. A conditional write whose response was lost would then
 conflict with itself, and a call that must not be repeated would run twice.
 
-It also takes any end of a connection, a reset too, for the end of a body that
-has neither a length nor chunks.
-
 A faulty server may send a response once more on a kept connection. The copy
 then stands where the response to a later call is expected. It may arrive
 while the connection is idle, or after the later call has been sent. Responses
@@ -28,7 +25,7 @@
 from .broken_connections import BrokenConnection, ConnectionHistory
 from .call_writes import CallTransport, CallWrites
 from .control_calls import open_resetting_socket
-from .informational_responses import BoundedResponseHandler
+from .response_checks import CheckedResponseHandler
 
 _RECEIVE_BYTES = 65536  # read at once instead of 256 KiB
 MAX_CALLS = 1000  # on one connection, whose ids are kept as long as it
@@ -88,31 +85,6 @@
             return ConnectionLostError(repr(error))
 
 
-class ResponseEnd:
-    """Tells whether the end of a connection cut a response's body.
-
-    Create it before the body is read: the client forgets the connection when
-    it ends.
-
-    Args:
-        response: A response whose head has arrived.
-    """
-
-    def __init__(self, response: aiohttp.ClientResponse) -> None:
-        connection = response.connection
-        self._protocol = connection.protocol if connection else None
-        self.is_framed = (
-            'Content-Length' in response.headers
-            or 'Transfer-Encoding' in response.headers
-        )
-
-    def was_reset(self) -> bool:
-        """Return whether a body without framing ended with a reset."""
-        if self._protocol is None or self.is_framed:
-            return False
-        return isinstance(self._protocol.exception(), OSError)
-
-
 @dataclasses.dataclass(slots=True)
 class _EarlierCalls:
     """The calls that a connection has carried.
@@ -217,7 +189,7 @@
             super().__init__(limit=0, force_close=True, socket_factory=factory)
         self._factory = cast(
             functools.partial[ResponseHandler],
-            functools.partial(BoundedResponseHandler, self._loop),
+            functools.partial(CheckedResponseHandler, self._loop),
         )
         self._identity_header = identity_header
         self._earlier_calls: weakref.WeakKeyDictionary[
--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/frame_codec.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/frame_codec.py
@@ -14,6 +14,7 @@
     Refused,
     TimedOut,
 )
+from ..response_checks import is_final_status
 from ..zone_reports import MS_IN_S
 from .encoding import (
     MalformedMessageError,
@@ -80,6 +81,8 @@
     match member_of(message):
         case 'head':
             head = message.head
+            if not is_final_status(head.status):
+                raise ValueError(f'status {head.status}')
             decoded = ResponseHead(
                 head.status, decode_headers(head.headers), head.signed
             )
--- a/packages/geranium-relay/src/geranium_relay/store_http_client.py
+++ b/packages/geranium-relay/src/geranium_relay/store_http_client.py
@@ -17,6 +17,7 @@
 
 from .http_connections import CallConnector
 from .json_bodies import decode_body
+from .response_checks import read_body
 
 CallObserver = Callable[[str, str], None]
 _NO_RESPONSE_ERRORS = (TimeoutError, aiohttp.ClientError, ConnectionError)
@@ -31,6 +32,8 @@
         call_timeout_s: Timeout of a call; a healthy store responds within
             milliseconds.
         connect_timeout_s: Timeout of a new connection.
+        max_response_bytes: Maximum size of a body. A page of a list has about
+            1 MB.
         idle_s: Maximum idle time of a reused connection, since it may be
             dead without notice.
     """
@@ -38,6 +41,7 @@
     address: str
     call_timeout_s: float = 0.8
     connect_timeout_s: float = 0.5
+    max_response_bytes: int = 8_388_608
     idle_s: float = 3
 
 
@@ -186,7 +190,7 @@
                 headers=headers,
             ) as response,
         ):
-            raw = await response.read()
+            raw = await read_body(response, self._settings.max_response_bytes)
             if not response.ok and self._connector is not None:
                 self._connector.use_for(response).retire(response)
             return StoreResponse(response.status, response.headers, raw)
--- a/packages/geraniumd/src/geraniumd/backends/transport.py
+++ b/packages/geraniumd/src/geraniumd/backends/transport.py
@@ -7,8 +7,8 @@
 from geranium_relay.http_connections import (
     CallConnector,
     ConnectionLostError,
-    ResponseEnd,
 )
+from geranium_relay.response_checks import read_body as read_response_body
 
 from ..process import (
     TargetFailedError,
@@ -131,18 +131,10 @@
         TargetLostError: If it ends early, exceeds the time limit or is larger
             than ``MAX_BODY_BYTES``.
     """
-    end = ResponseEnd(response)
-    body = bytearray()
     try:
-        async for chunk in response.content.iter_any():
-            body += chunk
-            if len(body) > MAX_BODY_BYTES:
-                raise TargetLostError('body without end')
+        return await read_response_body(response, MAX_BODY_BYTES)
     except (TimeoutError, aiohttp.ClientError) as error:
         raise TargetLostError(repr(error)) from error
-    if end.was_reset():
-        raise TargetLostError('the connection was reset inside the body')
-    return bytes(body)
 
 
 async def raise_for_status(response: aiohttp.ClientResponse) -> None:
