Responses: bytes without end have a bound on every call

What operators of other systems saw: a faulty server sent bytes that were no answer until the caller closed, and the calling machine ran out of memory.

The relay of the stand-ins has a bound too: before it, no target ever had to wait for a slow caller.

Callers that do not read stopped their target before as well, also through another host.

--- a/packages/geranium-relay/src/geranium_relay/store_http_client.py
+++ b/packages/geranium-relay/src/geranium_relay/store_http_client.py
@@ -17,12 +17,16 @@
 
 from .http_connections import CallConnector
 from .json_bodies import decode_body
-from .response_checks import read_body
+from .response_checks import ResponseTooLongError, read_body
 
 CallObserver = Callable[[str, str], None]
 _NO_RESPONSE_ERRORS = (TimeoutError, aiohttp.ClientError, ConnectionError)
 
 
+class TooLongError(UnavailableError):
+    """A response of the store is longer than ``max_response_bytes``."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreSettings:
     """Address and timeouts of a store.
@@ -116,10 +120,13 @@
             wait_s: How long the store may delay the response.
 
         Raises:
+            TooLongError: If the response is too long.
             UnavailableError: If there was no response.
         """
         try:
             return await self._observed('GET', path, None, {}, wait_s)
+        except ResponseTooLongError as error:
+            raise TooLongError(f'store: {error}') from error
         except _NO_RESPONSE_ERRORS as error:
             raise UnavailableError(f'store: {error!r}') from error
 
--- a/packages/geranium-standins/src/geranium_standins/relayed_connections.py
+++ b/packages/geranium-standins/src/geranium_standins/relayed_connections.py
@@ -9,6 +9,7 @@
 from .settings import MS_PER_S
 
 READ_BYTES = 65_536
+MAX_CHUNKS = 64  # on their way, beyond which a sender waits
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -92,7 +93,7 @@
             reset(endpoint.writer.transport)
 
     async def _forward_one_way(self, source: Endpoint, sink: Endpoint) -> None:
-        chunks: asyncio.Queue[_Chunk] = asyncio.Queue()
+        chunks = asyncio.Queue[_Chunk](MAX_CHUNKS)
         async with asyncio.TaskGroup() as group:
             group.create_task(self._receive(source, chunks))
             group.create_task(self._deliver(chunks, sink))
@@ -104,9 +105,9 @@
     ) -> None:
         payload = await source.reader.read(READ_BYTES)
         while payload:
-            chunks.put_nowait(self._schedule(payload))
+            await chunks.put(self._schedule(payload))
             payload = await source.reader.read(READ_BYTES)
-        chunks.put_nowait(self._schedule(payload))
+        await chunks.put(self._schedule(payload))
 
     def _schedule(self, payload: bytes) -> _Chunk:
         delay_s = self._fault_state.faults.delay_ms / MS_PER_S
