Crashes: an earlier start in a restored store proves no crash

A store that comes back older may list an earlier start of a target. Only a later start, or none, does.

--- a/packages/geranium-policy/src/geranium_policy/unproven_crashes.py
+++ b/packages/geranium-policy/src/geranium_policy/unproven_crashes.py
@@ -116,6 +116,8 @@
 
     def clear(self, request: int, parts: Collection[int]) -> None:
         """Drop a request that was completed, and its parts from the others."""
+        if not self._crashes_by_key:
+            return
         self._crashes_by_key = _CrashesByKey(
             (key, _without_parts(crash, parts))
             for key, crash in self._crashes_by_key.items()
--- a/packages/geranium-relay/src/geranium_relay/crash_suspicion/list_proofs.py
+++ b/packages/geranium-relay/src/geranium_relay/crash_suspicion/list_proofs.py
@@ -39,10 +39,16 @@
 
 
 def _ended_keys(change: FleetChange, keys: frozenset[str]) -> Iterator[str]:
-    """Yield those of the keys whose targets are gone or have started again."""
+    """Yield those of the keys whose targets are gone or have started again.
+
+    A restored store may list an earlier start of a target, which ends nothing.
+    """
     gone = {target.key for target in change.gone}
-    key_by_identity = {target.identity: target.key for target in change.came}
+    born_ms_by_identity = {
+        target.identity: target.born_ms for target in change.came
+    }
     for key in keys:
-        identity = key.rpartition('@')[0]
-        if key in gone or key_by_identity.get(identity, key) != key:
+        identity, _, born_ms = key.rpartition('@')
+        latest_ms = born_ms_by_identity.get(identity, 0)
+        if key in gone or latest_ms > int(born_ms):
             yield key
