Lists of the store: odd elements are looked through once, some at a time

Replacing single odd values takes up to a second for a megabyte (a script: 0.96 s for 1 MB, 0.26 s for 256 kB), in the event loop. Found by reading, not seen on a run of hosts.

Test: test_many_odd_entries_are_looked_through_in_turn.

--- a/packages/geranium-relay/src/geranium_relay/json_bodies.py
+++ b/packages/geranium-relay/src/geranium_relay/json_bodies.py
@@ -7,6 +7,7 @@
 
 import enum
 import json
+import math
 import re
 from types import MappingProxyType
 from typing import Any
@@ -43,20 +44,27 @@
     VALUE = 'unreadable'
 
 
-def decode_body(raw: bytes) -> Any:
+def decode_body(raw: bytes, max_searched_bytes: float = math.inf) -> Any:
     """Return the JSON value of a body.
 
     Invalid UTF-8 is decoded to replacement characters. NaN and infinities,
     and in a body that can't be decoded otherwise what is nested deeper than
     ``MAX_DEPTH`` and invalid numbers, become ``Unreadable.VALUE``.
 
+    Args:
+        raw: The body.
+        max_searched_bytes: Values of a longer one are not replaced, which
+            takes about a second for a megabyte.
+
     Raises:
         ValueError: If the body is not JSON.
     """
     text = raw.decode(errors='replace')
     try:
         return _DECODER.decode(text)
-    except (ValueError, RecursionError):
+    except (ValueError, RecursionError) as error:
+        if len(raw) > max_searched_bytes:
+            raise ValueError('a long body that is no JSON') from error
         return _LENIENT_DECODER.decode(_TOKEN.sub(_Replacement(), text))
 
 
--- a/tests/adapter/test_long_odd_entries.py
+++ b/tests/adapter/test_long_odd_entries.py
@@ -5,7 +5,11 @@
 from unittest import mock
 
 import pytest
-from geranium_platform.broken_lists import decode_document, list_text
+from geranium_platform.broken_lists import (
+    decode_document,
+    list_text,
+    segments,
+)
 from geranium_platform.object_store import PlatformStore
 from geranium_platform_standins import StandinStore
 from geranium_relay import StoreSettings
@@ -148,3 +152,29 @@
 
     for _ in range(3):
         assert await names(store) == expected
+
+
+async def test_many_odd_entries_are_looked_through_in_turn(
+    store: PlatformStore,
+    store_standin: StandinStore,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Entries of 50 kB with an odd value took a second with each read."""
+    decode_body = mock.Mock(wraps=segments.decode_body)
+    monkeypatch.setattr(segments, 'decode_body', decode_body)
+    filling = ','.join('1' * 25_000)
+    for number in range(12):
+        odd = f'{{"is":{number},"odd":None,"filling":[{filling}]}}'
+        store_standin.put('servers', f'n{number}', raw(odd))
+    readable = 0
+    for _ in range(20):
+        decode_body.reset_mock()
+        listing = await store.list_kind('servers')
+        assert len(listing.entries) == 12
+        bodies = [entry.body for entry in listing.entries]
+        readable = sum(isinstance(body, dict) for body in bodies)
+        searched = [len(call.args[0]) for call in decode_body.call_args_list]
+        pages = 1 + len(listing.entries)
+        assert sum(searched) <= pages * segments.MAX_SEARCHED_LENGTH
+    assert readable == 12
+    assert not searched
