Crashes: known causes are recorded in the store

Cause: crashes and trials were only in the memory of the hosts and in their updates, so nobody was left to tell.

--- a/packages/geranium-relay/src/geranium_relay/crash_suspicion/__init__.py
+++ b/packages/geranium-relay/src/geranium_relay/crash_suspicion/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from .crash_check import CrashCheck
+from .crash_store import CrashClocks, CrashStore, CrashStoreSettings
 from .list_proofs import record_ended_targets
 from .suspicion import (
     BreakCause,
@@ -17,6 +18,9 @@
 __all__ = [
     'BreakCause',
     'CrashCheck',
+    'CrashClocks',
+    'CrashStore',
+    'CrashStoreSettings',
     'clear_request',
     'record_ended_targets',
     'record_life',
--- a/packages/geranium-relay/src/geranium_relay/targets.py
+++ b/packages/geranium-relay/src/geranium_relay/targets.py
@@ -159,6 +159,12 @@
         """All targets, including those that are leaving."""
         return self._targets_by_identity
 
+    def keys(self) -> frozenset[str]:
+        """Return the keys of all targets."""
+        return frozenset(
+            target.key for target in self._targets_by_identity.values()
+        )
+
     def services(self) -> frozenset[str]:
         """Return the names of the services that have targets."""
         return frozenset(
