--- a/tests/adapter/test_endless_bytes.py
+++ b/tests/adapter/test_endless_bytes.py
@@ -22,6 +22,7 @@
 from .bare_exchange import END, encode
 from .conftest import World, only_target
 from .host_pair import Pair, respond_with_events, response_headers, run_pair
+from .raw_servers import listening, named_id
 from .target_caller import calling
 from .waits import wait_for
 
@@ -65,9 +66,8 @@
     ) -> None:
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             head = (await reader.readuntil(END)).lower()
-            identity = (*head.partition(b'request-id: ')[2].split(), b'')
             beginning, block = FORMS[self.form]
-            writer.write(beginning.replace(b'%s', identity[0]))
+            writer.write(beginning.replace(b'%s', named_id(head)))
             while self.sent_bytes < GIVEN_UP_BYTES:
                 writer.write(block)
                 await writer.drain()
@@ -81,11 +81,9 @@
 ) -> AsyncIterator[EndlessServer]:
     endless = EndlessServer()
     endless.form = request.param
-    listening = await asyncio.start_server(endless.serve, '127.0.0.1', 0)
-    host, port = listening.sockets[0].getsockname()[:2]
-    endless.address = f'{host}:{port}'
-    yield endless
-    listening.close()
+    async with listening(endless.serve) as address:
+        endless.address = address
+        yield endless
 
 
 async def test_call_to_a_target_is_given_up(server: EndlessServer) -> None:
--- a/tests/adapter/test_given_up_calls.py
+++ b/tests/adapter/test_given_up_calls.py
@@ -10,7 +10,7 @@
 from geranium_platform.cloud import Cloud
 from geranium_platform.object_store import PlatformStore
 
-IP = '127.0.0.1'
+from .raw_servers import listening
 
 
 class SilentServer:
@@ -39,10 +39,8 @@
 @pytest.fixture
 async def server() -> AsyncIterator[SilentServer]:
     silent = SilentServer()
-    listening = await asyncio.start_server(silent.serve, IP, 0)
-    async with listening:
-        port = listening.sockets[0].getsockname()[1]
-        silent.address = f'{IP}:{port}'
+    async with listening(silent.serve) as address:
+        silent.address = address
         yield silent
 
 
--- a/tests/adapter/test_odd_statuses.py
+++ b/tests/adapter/test_odd_statuses.py
@@ -21,6 +21,7 @@
 from geranium_relay.peer_forwarding.messages import HeadFrame
 
 from .conftest import World, only_target
+from .raw_servers import listening, named_id
 from .target_caller import calling
 
 STATUSES = ('000', '001', '099', '101', '600', '999')
@@ -50,9 +51,8 @@
         head = (await reader.readuntil(b'\r\n\r\n')).lower()
         length = (*head.partition(b'content-length:')[2].split(), 0)
         await reader.readexactly(int(length[0]))
-        identity = (*head.partition(b'request-id: ')[2].split(), b'')
         status_line = f'HTTP/1.1 {self.status} Odd\r\n'.encode()
-        fields = FIELDS % identity[0]
+        fields = FIELDS % named_id(head)
         writer.write(b''.join((status_line, fields, b'\r\n', BODY)))
         await writer.drain()
 
@@ -61,11 +61,9 @@
 async def server(request: pytest.FixtureRequest) -> AsyncIterator[OddServer]:
     odd = OddServer()
     odd.status = request.param
-    listening = await asyncio.start_server(odd.serve, '127.0.0.1', 0)
-    host, port = listening.sockets[0].getsockname()[:2]
-    odd.address = f'{host}:{port}'
-    yield odd
-    listening.close()
+    async with listening(odd.serve) as address:
+        odd.address = address
+        yield odd
 
 
 @pytest.mark.parametrize('kind', KINDS)
--- a/tests/adapter/test_reset_uploads.py
+++ b/tests/adapter/test_reset_uploads.py
@@ -19,6 +19,7 @@
 from geranium_platform.object_store import PlatformStore
 
 from .conftest import World, only_target
+from .raw_servers import listening, named_id
 
 UPLOAD_BYTES = 3_000_000  # more than the buffers of a connection take
 HEAD = b'HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: s\r\n\r\n'
@@ -40,8 +41,7 @@
     ) -> None:
         with contextlib.suppress(OSError):
             head = (await reader.readuntil(b'\r\n\r\n')).lower()
-            identity = (*head.partition(b'request-id: ')[2].split(), b'')
-            writer.write(HEAD % identity[0])
+            writer.write(HEAD % named_id(head))
             writer.write(self.part)
             await asyncio.sleep(self.pause_s)
             connected: socket.socket = writer.get_extra_info('socket')
@@ -52,14 +52,10 @@
 @pytest.fixture
 async def server() -> AsyncIterator[ResettingServer]:
     resetting = ResettingServer()
-    # It reads no more than this of an upload.
-    listening = await asyncio.start_server(
-        resetting.serve, '127.0.0.1', 0, limit=16384
-    )
-    host, port = listening.sockets[0].getsockname()[:2]
-    resetting.address = f'{host}:{port}'
-    yield resetting
-    listening.close()
+    # It reads no more than a small part of an upload.
+    async with listening(resetting.serve, limit=16384) as address:
+        resetting.address = address
+        yield resetting
 
 
 @pytest.mark.parametrize('pause_s', [0, 0.05])
