--- a/packages/geranium-relay/src/geranium_relay/store_http_client.py
+++ b/packages/geranium-relay/src/geranium_relay/store_http_client.py
@@ -19,7 +19,6 @@
 from .json_bodies import decode_body
 from .response_checks import ResponseTooLongError, read_body
 
-MAX_SEARCHED_BYTES = 131072  # of a body whose odd values are replaced
 CallObserver = Callable[[str, str], None]
 _NO_RESPONSE_ERRORS = (TimeoutError, aiohttp.ClientError, ConnectionError)
 
@@ -62,11 +61,10 @@
     def document(self) -> Any:
         """The decoded body, or ``None`` if it is not JSON.
 
-        In a short one, values that can't be decoded are replaced, see
-        :func:`decode_body`.
+        Values that can't be decoded are replaced, see :func:`decode_body`.
         """
         try:
-            return decode_body(self.raw, MAX_SEARCHED_BYTES)
+            return decode_body(self.raw)
         except ValueError:
             return None
 
