--- a/packages/geranium-relay/src/geranium_relay/call_writes.py
+++ b/packages/geranium-relay/src/geranium_relay/call_writes.py
@@ -4,12 +4,15 @@
 import dataclasses
 from typing import Any
 
+from .connection_ends import unsent_bytes
+
 
 @dataclasses.dataclass(slots=True)
 class CallWrites:
     """What the current call on a connection has written."""
 
     has_written: bool = False
+    unsent_bytes: int = 0  # when the connection was closed under it
 
 
 class CallTransport:
@@ -35,6 +38,16 @@
         """Return an attribute of the transport itself."""
         return getattr(self._transport, name)
 
+    def close(self) -> None:
+        """Close as the transport does, and note what has not been taken."""
+        self._note_unsent()
+        self._transport.close()
+
+    def abort(self) -> None:
+        """Close as the transport does, and note what has not been taken."""
+        self._note_unsent()
+        self._transport.abort()
+
     def write(self, data: Any) -> None:
         """Write as the transport does."""
         transport = self._transport
@@ -45,3 +58,11 @@
     def writelines(self, parts: Any) -> None:
         """Write as the transport does."""
         self.write(b''.join(parts))
+
+    def _note_unsent(self) -> None:
+        transport = self._transport
+        if not transport.is_closing():
+            self._writes.unsent_bytes = (
+                unsent_bytes(transport.get_extra_info('socket'))
+                + transport.get_write_buffer_size()
+            )
--- a/packages/geranium-relay/src/geranium_relay/http_connections.py
+++ b/packages/geranium-relay/src/geranium_relay/http_connections.py
@@ -15,6 +15,7 @@
 import functools
 import socket
 import weakref
+from collections.abc import Callable
 from typing import cast
 
 import aiohttp
@@ -118,6 +119,11 @@
         self._writes = writes
         self.is_first = history.calls == 1
 
+    @property
+    def unsent_bytes(self) -> int:
+        """What the server had not taken when the connection was closed."""
+        return 0 if self._writes is None else self._writes.unsent_bytes
+
     @property
     def has_written(self) -> bool:
         """Whether a byte of the call may have left the process."""
@@ -168,8 +174,13 @@
             has read; ``None`` leaves it to the system.
         resets: Whether a call that is given up never arrives later, see
             :mod:`.control_calls`.
+
+    ``on_withdrawn`` is called with the id of a call that is cancelled before
+    its response, and the use of its connection.
     """
 
+    on_withdrawn: Callable[[str | None, ConnectionUse], None] | None = None
+
     def __init__(
         self,
         identity_header: str | None,
@@ -243,6 +254,9 @@
         """
         try:
             response = await send_once(request, handler)
+        except asyncio.CancelledError:
+            self._report_withdrawn(request)
+            raise
         except ConnectionLostError as error:
             use = self._uses_by_request.pop(request, None)
             if use is None:
@@ -260,6 +274,11 @@
         """Return the use of the connection that brought a response."""
         return self._uses_by_response[response]
 
+    def _report_withdrawn(self, request: aiohttp.ClientRequest) -> None:
+        use = self._uses_by_request.pop(request, None)
+        if use is not None and self.on_withdrawn is not None:
+            self.on_withdrawn(self._identity_of(request), use)
+
     def _bound_buffer(self, protocol: ResponseHandler) -> None:
         transport = protocol.transport
         if transport is None or self._receive_bytes is None:
@@ -286,6 +305,7 @@
         earlier.history.count_call()
         if earlier.writes is not None:
             earlier.writes.has_written = False
+            earlier.writes.unsent_bytes = 0
         self._uses_by_request[req] = ConnectionUse(
             protocol, earlier.history, earlier.writes
         )
