--- a/tests/adapter/limited_host.py
+++ b/tests/adapter/limited_host.py
@@ -97,19 +97,19 @@
 
     def resident_bytes(self, field: str) -> int:
         """Return a size of the process: ``VmRSS`` now, ``VmHWM`` at most."""
-        status = pathlib.Path(f'/proc/{self._pid}/status').read_text()
+        status = pathlib.Path(f'/proc/{self.pid}/status').read_text()
         for line in status.splitlines():
             if line.startswith(f'{field}:'):
                 return int(line.split()[1]) * KB
         raise AssertionError('the process has ended')
 
     @property
-    def _pid(self) -> int:
+    def pid(self) -> int:
         assert self._process is not None
         return self._process.pid
 
     def _inodes(self, kind: str) -> Iterator[str]:
-        for entry in pathlib.Path(f'/proc/{self._pid}/fd').iterdir():
+        for entry in pathlib.Path(f'/proc/{self.pid}/fd').iterdir():
             with contextlib.suppress(FileNotFoundError):
                 name = os.readlink(entry)
                 if name.startswith(f'{kind}:['):
