--- a/tests/adapter/test_departed_callers.py
+++ b/tests/adapter/test_departed_callers.py
@@ -58,13 +58,14 @@
         cloud={'address': await serve(StandinCloud().application())},
     )
     limited = LimitedHost(settings, tmp_path)
-    async with target.listening() as address:
+    async with contextlib.AsyncExitStack() as stack:
+        address = await stack.enter_async_context(target.listening())
         store_standin.put('servers', 't1', target_entry(address))
+        stack.push_async_callback(limited.close)
         await limited.start()
         await serve_one(limited, target)
         target.works_by_identity.clear()
         yield limited
-        await limited.close()
 
 
 async def serve_one(host: LimitedHost, target: WorkingTarget) -> None:
