Tests: each worker's hosts have an address of their own

A host process of a test that ran beside others could not listen: another worker's host had taken the port between its choice and the start ('Address already in use' in the log of the one that answered nothing for 40 s).

--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import os
 import pathlib
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from typing import Any
@@ -27,8 +28,10 @@
     [asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
 ]
 
-# No outgoing connection uses this address, so none can take a host's ports.
-HOST_IP = '127.0.4.1'
+_WORKER = int(os.environ.get('PYTEST_XDIST_WORKER', 'gw0').removeprefix('gw'))
+# No outgoing connection and no other worker of the tests uses this address, so
+# none can take a host's ports before it listens.
+HOST_IP = '127.0.4.{last}'.format(last=1 + _WORKER)
 
 ROUTE: dict[str, Any] = {
     'host': 'example',
