Calls: what a server has not taken of a call that is given up never arrives

A target got requests after their callers had left: at an ordinary close the kernel keeps what the server has not taken and delivers it once the server reads.

A connection that is closed with such bytes is now reset, which drops them. Without any, it ends with a FIN as before: that is sent again if it is lost, a reset is not.

--- a/packages/geranium-relay/src/geranium_relay/call_writes.py
+++ b/packages/geranium-relay/src/geranium_relay/call_writes.py
@@ -4,7 +4,7 @@
 import dataclasses
 from typing import Any
 
-from .connection_ends import unsent_bytes
+from .connection_ends import withdraw
 
 
 @dataclasses.dataclass(slots=True)
@@ -39,14 +39,12 @@
         return getattr(self._transport, name)
 
     def close(self) -> None:
-        """Close as the transport does, and note what has not been taken."""
-        self._note_unsent()
-        self._transport.close()
+        """Close, and withdraw what the server has not taken."""
+        self._writes.unsent_bytes = withdraw(self._transport)
 
     def abort(self) -> None:
-        """Close as the transport does, and note what has not been taken."""
-        self._note_unsent()
-        self._transport.abort()
+        """Close at once, and withdraw what the server has not taken."""
+        self._writes.unsent_bytes = withdraw(self._transport)
 
     def write(self, data: Any) -> None:
         """Write as the transport does."""
@@ -58,11 +56,3 @@
     def writelines(self, parts: Any) -> None:
         """Write as the transport does."""
         self.write(b''.join(parts))
-
-    def _note_unsent(self) -> None:
-        transport = self._transport
-        if not transport.is_closing():
-            self._writes.unsent_bytes = (
-                unsent_bytes(transport.get_extra_info('socket'))
-                + transport.get_write_buffer_size()
-            )
--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/connections.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/connections.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 
 from ..broken_connections import BrokenConnection, ConnectionHistory
+from ..connection_ends import withdraw
 
 MAX_MESSAGE_BYTES = 33_554_432  # twice the largest body
 _PART_BYTES = 65536
@@ -99,8 +100,8 @@
             self.abort()
 
     def abort(self) -> None:
-        """Close the connection at once."""
-        self._writer.transport.abort()
+        """Close the connection at once; what the peer has not taken is lost."""
+        withdraw(self._writer.transport)
 
     async def _read_message(
         self, length: int, hold: Callable[[int], Awaitable[None]] | None
