Calls: nothing is sent for a caller that left while the process was held

The end of a connection without a request in progress ends it as well, so that no request is begun that was sent before it.

--- a/packages/geranium-relay/src/geranium_relay/connection_ends/watch.py
+++ b/packages/geranium-relay/src/geranium_relay/connection_ends/watch.py
@@ -18,14 +18,16 @@
 
     def __init__(self) -> None:
         self._poll: select.epoll | None = None
-        self._handlers_by_descriptor: dict[int, Callable[[], None]] = {}
+        self._handlers_by_descriptor: dict[int, Callable[[], object]] = {}
 
-    def add(self, connected: socket.socket, on_end: Callable[[], None]) -> None:
+    def add(
+        self, connected: socket.socket, on_end: Callable[[], object]
+    ) -> None:
         """Call a function once when the peer has ended a connection."""
         if self._poll is None:
             self._poll = select.epoll()
             loop = asyncio.get_running_loop()
-            loop.add_reader(self._poll.fileno(), self._report)
+            loop.add_reader(self._poll.fileno(), self.report)
         descriptor = connected.fileno()
         self._handlers_by_descriptor[descriptor] = on_end
         self._poll.register(descriptor, select.EPOLLRDHUP | select.EPOLLONESHOT)
@@ -46,10 +48,17 @@
             asyncio.get_running_loop().remove_reader(poll.fileno())
             poll.close()
 
-    def _report(self) -> None:
+    def report(self) -> bool:
+        """Report the ends that have arrived; return whether there were any.
+
+        An event loop that was held runs what it has read before it looks for
+        ends. What must not be done for a peer that has left asks here first.
+        """
         if self._poll is None:
-            return
-        for descriptor, _mask in self._poll.poll(0, _MAX_EVENTS):
+            return False
+        events = self._poll.poll(0, _MAX_EVENTS)
+        for descriptor, _mask in events:
             handler = self._handlers_by_descriptor.get(descriptor)
             if handler is not None:
                 handler()
+        return bool(events)
--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/connections.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/connections.py
@@ -1,11 +1,12 @@
 """Connections between hosts, which carry messages with their lengths."""
 
 import asyncio
+import contextlib
 import struct
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 from ..broken_connections import BrokenConnection, ConnectionHistory
-from ..connection_ends import withdraw
+from ..connection_ends import EndWatch, withdraw
 
 MAX_MESSAGE_BYTES = 33_554_432  # twice the largest body
 _PART_BYTES = 65536
@@ -81,6 +82,18 @@
             # A reset ends the connection like a close.
             return
 
+    @contextlib.contextmanager
+    def watched(
+        self, ends: EndWatch, on_end: Callable[[], object]
+    ) -> Iterator[None]:
+        """Call a function if the peer closes the connection in the block."""
+        connected = self._writer.get_extra_info('socket')
+        ends.add(connected, on_end)
+        try:
+            yield
+        finally:
+            ends.remove(connected)
+
     def close(self) -> None:
         """Close the connection once what is queued has been sent."""
         self._writer.close()
--- a/packages/geranium-relay/src/geranium_relay/peer_forwarding/peer_server.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_forwarding/peer_server.py
@@ -9,6 +9,7 @@
 from geranium_policy.crash_evidence import TargetReach
 
 from ..client_limits import RefusedBytesError
+from ..connection_ends import EndWatch
 from ..decision_log import DecisionLog
 from ..messages import ResponseHead
 from ..open_requests import OpenRequests
@@ -66,12 +67,14 @@
         read_timeout_s: Timeout for reading a request.
         retry_after_s: Delay for the callers of requests over the limit.
         bounds: Of connections and their bytes, if they are bounded.
+        ends: Tells when hosts have given their requests up.
     """
 
     max_requests: int = 256
     read_timeout_s: float = 2
     retry_after_s: float = 0.25
     bounds: PeerBounds | None = None
+    ends: EndWatch = dataclasses.field(default_factory=EndWatch)
 
 
 class PeerServer:
@@ -183,9 +186,10 @@
         left = asyncio.create_task(connection.wait_for_end())
         alive = asyncio.create_task(_keep_alive(connection))
         try:
-            await asyncio.wait(
-                (serving, left), return_when=asyncio.FIRST_COMPLETED
-            )
+            with connection.watched(self._settings.ends, serving.cancel):
+                await asyncio.wait(
+                    (serving, left), return_when=asyncio.FIRST_COMPLETED
+                )
         finally:
             self.request_count -= 1
             await _cancel(serving, left, alive)
