--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -28,10 +28,11 @@
     [asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
 ]
 
-_WORKER = int(os.environ.get('PYTEST_XDIST_WORKER', 'gw0').removeprefix('gw'))
+_WORKER = os.environ.get('PYTEST_XDIST_WORKER', 'gw0').removeprefix('gw')
+_LAST_BYTE = 1 + int(_WORKER)
 # No outgoing connection and no other worker of the tests uses this address, so
 # none can take a host's ports before it listens.
-HOST_IP = '127.0.4.{last}'.format(last=1 + _WORKER)
+HOST_IP = f'127.0.4.{_LAST_BYTE}'
 
 ROUTE: dict[str, Any] = {
     'host': 'example',
--- a/tests/adapter/host_pair.py
+++ b/tests/adapter/host_pair.py
@@ -171,7 +171,7 @@
 ) -> AsyncIterator[Pair]:
     """Run hosts, one for each letter of their zones, until they are ready."""
     redirect_connections(asyncio.get_running_loop(), TARGETS_IP, _relays_ip.get)
-    store.put('config', 'main', _configuration())
+    store.put('config', 'main', configuration())
     async with contextlib.AsyncExitStack() as stack:
         caller = await stack.enter_async_context(ClientSession())
         pair = Pair(store, [], [], caller)
@@ -218,11 +218,13 @@
     }
 
 
-def _configuration() -> dict[str, Any]:
+def configuration(timeout_ms: int = 4000, version: int = 1) -> dict[str, Any]:
+    """Return a configuration whose streams can be resumed."""
     return {
         **CONFIGURATION,
+        'version': version,
         'routes': [
-            {**route, 'timeoutMs': 4000, 'resumable': True}
+            {**route, 'timeoutMs': timeout_ms, 'resumable': True}
             for route in CONFIGURATION['routes']
         ],
     }
