Peer updates: they take half of a host's link at most, and leave in short bursts

Callers' ends and requests did not get out of a host for 1 to 3 s: the close of a call to a target stands behind all that the host has sent before, and its peer updates held its link.

Weak hosts that become aggregators at the start of the fleet send 2.4 to 3.2 MB/s.

Datagrams now leave at half of the speed that the settings name for the link, with 30 ms of the link at once; the rest waits at the host. A cycle of updates begins when the one before has left, changes meanwhile are announced together, and the update of a host that leaves goes before what waits. An unknown link is not paced.

Evidence: test_crashes_told_to_all_hosts_do_not_hold_the_link fails without the pace (0.1 s of the link at once, as much as the socket of the test takes) and passes with it.

--- a/packages/geranium-relay/src/geranium_relay/datagrams/__init__.py
+++ b/packages/geranium-relay/src/geranium_relay/datagrams/__init__.py
@@ -5,5 +5,12 @@
 """
 
 from .endpoint import Address, DatagramEndpoint, DatagramReceiver
+from .pace import PaceSettings, SendPace
 
-__all__ = ['Address', 'DatagramEndpoint', 'DatagramReceiver']
+__all__ = [
+    'Address',
+    'DatagramEndpoint',
+    'DatagramReceiver',
+    'PaceSettings',
+    'SendPace',
+]
--- a/packages/geranium-relay/src/geranium_relay/datagrams/endpoint.py
+++ b/packages/geranium-relay/src/geranium_relay/datagrams/endpoint.py
@@ -1,16 +1,20 @@
 """A UDP socket that tells since when its datagrams may have been waiting."""
 
 import asyncio
+import collections
 import math
 import socket
+from collections.abc import Callable
 from typing import Protocol, TypeAlias
 
 from ..clock import BootClock
 from ..decision_log import DecisionLog
+from .pace import PaceSettings, SendPace
 
 MAX_DATAGRAM_BYTES = 65535
 MAX_READ = 32  # datagrams in one turn of the event loop
 LONG_WAIT_S = 0.5  # of datagrams; it is logged
+MAX_QUEUED = 4096  # datagrams that wait for the link
 
 Address: TypeAlias = tuple[str, int]
 
@@ -37,11 +41,26 @@
         clock: Includes the time for which the machine was suspended.
         log: Receives a record of each long wait, and of each datagram that is
             lost.
+        pace: Which part of the link its datagrams may take.
+
+    ``on_idle`` is called once when the last datagram that waits has left.
     """
 
     def __init__(
-        self, receiver: DatagramReceiver, clock: BootClock, log: DecisionLog
+        self,
+        receiver: DatagramReceiver,
+        clock: BootClock,
+        log: DecisionLog,
+        pace: PaceSettings | None = None,
     ) -> None:
+        self.on_idle: Callable[[], None] | None = None
+        self._pace = SendPace(pace or PaceSettings(), clock.now)
+        self._queue: collections.deque[tuple[bytes, Address]] = (
+            collections.deque(maxlen=MAX_QUEUED)
+        )
+        self._timer: asyncio.TimerHandle | None = None
+        self._idle = asyncio.Event()
+        self._idle.set()
         self.waiting_since = -math.inf
         self._logged_since = -math.inf
         self._receiver = receiver
@@ -72,6 +91,7 @@
         """Stop listening."""
         if self._socket is None or self._loop is None:
             return
+        self.clear()
         self._loop.remove_reader(self._socket)
         self._socket.close()
         self._socket = None
@@ -93,8 +113,59 @@
             self._log_wait(began_at)
             self._receiver.datagram_received(data, address)
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether datagrams wait until the link has carried others."""
+        return bool(self._queue)
+
     def sendto(self, data: bytes, address: Address) -> None:
-        """Send a datagram; one that can't be sent is lost."""
+        """Send a datagram as soon as it may leave.
+
+        One that can't be sent is lost.
+        """
+        if self._socket is None:
+            return
+        if not self._queue and self._pace.take(len(data)):
+            self._send(data, address)
+            return
+        self._queue.append((data, address))
+        self._idle.clear()
+        self._wait()
+
+    async def wait_until_idle(self) -> None:
+        """Return once no datagrams wait for the link."""
+        await self._idle.wait()
+
+    def clear(self) -> None:
+        """Drop the datagrams that wait."""
+        self._queue.clear()
+        self._idle.set()
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _wait(self) -> None:
+        if self._timer is None and self._loop is not None:
+            self._timer = self._loop.call_later(
+                self._pace.wait_s(), self._send_waiting
+            )
+
+    def _send_waiting(self) -> None:
+        self._timer = None
+        while self._queue:
+            data, address = self._queue[0]
+            if not self._pace.take(len(data)):
+                self._wait()
+                return
+            self._queue.popleft()
+            self._send(data, address)
+        self._idle.set()
+        on_idle = self.on_idle
+        self.on_idle = None
+        if on_idle is not None:
+            on_idle()
+
+    def _send(self, data: bytes, address: Address) -> None:
         if self._socket is None:
             return
         try:
--- a/packages/geranium-relay/src/geranium_relay/peer_exchange.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_exchange.py
@@ -61,7 +61,7 @@
         self._on_update = on_update
         self._log = log
         self._transport: DatagramSender | None = None
-        self._endpoint = DatagramEndpoint(self, clock, log)
+        self._endpoint = DatagramEndpoint(self, clock, log, peers.settings.pace)
         self._load_recorder = PeerLoadRecorder(peers, sources.loads)
         self._topology: Topology = FullMesh()
         self._next_far_at = -math.inf
@@ -79,6 +79,7 @@
                 self._endpoint.read()
                 delay_s = self.send_due()
                 await asyncio.sleep(delay_s)
+                await self._endpoint.wait_until_idle()
         finally:
             self._endpoint.close()
 
@@ -94,11 +95,19 @@
         return self._interval_s(self._topology)
 
     def broadcast(self) -> None:
-        """Send this host's update to all others once."""
+        """Send this host's update to all others once, before all that waits."""
+        self._endpoint.clear()
         self._send_to_all(*Audience)
 
     def announce(self) -> None:
-        """Send this host's update now to those that pass on its changes."""
+        """Send this host's update now to those that pass on its changes.
+
+        Changes that come while the link still carries an update are announced
+        together.
+        """
+        if self._endpoint.is_waiting:
+            self._endpoint.on_idle = self.announce
+            return
         match self._peers.topology():
             case FullMesh():
                 self.broadcast()
--- a/packages/geranium-relay/src/geranium_relay/peers.py
+++ b/packages/geranium-relay/src/geranium_relay/peers.py
@@ -45,7 +45,7 @@
     ) -> None:
         self.own = own
         self.intervals = UpdateIntervals(settings)
-        self._settings = settings
+        self.settings = settings
         self._clock = clock
         self._log = log
         self._offsets = ClockOffsets(settings.min_correction_s)
@@ -130,7 +130,7 @@
 
     def recipients(self) -> tuple[PeerIdentity, ...]:
         """Return the other hosts that updates are sent to."""
-        oldest = self._clock.now() - self._settings.prune_after_s
+        oldest = self._clock.now() - self.settings.prune_after_s
         return tuple(
             peer.identity
             for peer in self._peers_by_hash.values()
@@ -156,8 +156,8 @@
         # A host that hears nobody may be the one that is cut off.
         heard_at = min(now, max(signs, default=now))
         oldest_by_leaving = {
-            False: heard_at - self._settings.budget_share_s,
-            True: now - self._settings.prune_after_s,
+            False: heard_at - self.settings.budget_share_s,
+            True: now - self.settings.prune_after_s,
         }
         listed = sum(
             _last_sign_at(peer) > oldest_by_leaving[peer.leaving]
@@ -182,7 +182,7 @@
         if not self.intervals.is_aggregated():
             return FullMesh()
         rank = self.rank_in_zone()
-        per_zone = self._settings.aggregators_per_zone
+        per_zone = self.settings.aggregators_per_zone
         if rank < per_zone:
             others = (self.usable(), self.recipients())
             peers_by_zone = other_zones(others, self.own.zone)
@@ -206,13 +206,13 @@
             )
             for host_hash, peer in self._peers_by_hash.items()
             if peer.updated_at is not None
-            and now - peer.updated_at < self._settings.prune_after_s
+            and now - peer.updated_at < self.settings.prune_after_s
             and zone in {None, peer.identity.zone}
         )
 
     def new_hosts(self) -> tuple[PeerIdentity, ...]:
         """Return the hosts that have appeared recently."""
-        oldest = self._clock.now() - self._settings.new_host_s
+        oldest = self._clock.now() - self.settings.new_host_s
         return tuple(
             peer.identity
             for peer in self._peers_by_hash.values()
--- a/packages/geranium-relay/src/geranium_relay/update_intervals.py
+++ b/packages/geranium-relay/src/geranium_relay/update_intervals.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from .datagrams import PaceSettings
 from .peer_updates import Audience
 
 
@@ -32,6 +33,7 @@
         missed_reports: Intervals of reports without one after which a host
             sends its updates to all hosts itself.
         new_host_s: Time for which a new host is reported with its addresses.
+        pace: Which part of this host's link its updates may take.
     """
 
     update_interval_s: float = 0.2
@@ -46,6 +48,7 @@
     report_interval_factor: float = 1.25
     missed_reports: float = 3
     new_host_s: float = 10
+    pace: PaceSettings = dataclasses.field(default_factory=PaceSettings)
 
 
 class UpdateIntervals:
--- a/packages/geranium-relay/tests/fleet.py
+++ b/packages/geranium-relay/tests/fleet.py
@@ -57,7 +57,7 @@
         log = relay.DecisionLog(
             relay.LogSettings(), fleet.lines.append, clock.now
         )
-        self.peers = relay.Peers(relay.PeerSettings(), own, clock, log)
+        self.peers = relay.Peers(fleet.settings, own, clock, log)
         self.loads = relay.LoadTracker(1.2, zone)
         self.outbox = relay.Outbox()
         self.observations = relay.ObservationQueue()
@@ -109,6 +109,8 @@
 class Fleet:
     """Hosts on a clock that only :meth:`run` advances."""
 
+    settings = relay.PeerSettings()
+
     def __init__(
         self, hosts: int, *, known: bool = True, strong: str = ''
     ) -> None:
