Peer updates: ages go on while an update waits for the link

An update that leaves over seconds told the later hosts ages of its composition: how long ago the configuration was confirmed, which bounds for how long withdrawn keys are admitted, and when other hosts were heard. Tests: test_datagram_that_waits_says_how_long, test_ages_in_an_update_grow_while_it_waits.

--- a/packages/geranium-relay/src/geranium_relay/datagrams/endpoint.py
+++ b/packages/geranium-relay/src/geranium_relay/datagrams/endpoint.py
@@ -4,19 +4,18 @@
 import collections
 import math
 import socket
-from collections.abc import Callable
-from typing import Protocol, TypeAlias
+from collections.abc import Callable, Iterable
+from typing import Protocol
 
 from ..clock import BootClock
 from ..decision_log import DecisionLog
+from .outgoing import Address, Encode, Outgoing
 from .pace import PaceSettings, SendPace
 
 MAX_DATAGRAM_BYTES = 65535
 MAX_READ = 32  # datagrams in one turn of the event loop
 LONG_WAIT_S = 0.5  # of datagrams; it is logged
-MAX_QUEUED = 4096  # datagrams that wait for the link
-
-Address: TypeAlias = tuple[str, int]
+MIN_WAIT_S = 0.01  # several small datagrams leave in one turn
 
 
 class DatagramReceiver(Protocol):
@@ -55,9 +54,7 @@
     ) -> None:
         self.on_idle: Callable[[], None] | None = None
         self._pace = SendPace(pace or PaceSettings(), clock.now)
-        self._queue: collections.deque[tuple[bytes, Address]] = (
-            collections.deque(maxlen=MAX_QUEUED)
-        )
+        self._queue: collections.deque[Outgoing] = collections.deque()
         self._timer: asyncio.TimerHandle | None = None
         self._idle = asyncio.Event()
         self._idle.set()
@@ -118,19 +115,21 @@
         """Whether datagrams wait until the link has carried others."""
         return bool(self._queue)
 
-    def sendto(self, data: bytes, address: Address) -> None:
-        """Send a datagram as soon as it may leave.
+    def send_all(self, encode: Encode, addresses: Iterable[Address]) -> None:
+        """Send a datagram to each address as soon as it may leave.
 
         One that can't be sent is lost.
+
+        Args:
+            encode: Returns the datagram, given for how long it has waited.
+            addresses: Where it is sent.
         """
         if self._socket is None:
             return
-        if not self._queue and self._pace.take(len(data)):
-            self._send(data, address)
-            return
-        self._queue.append((data, address))
+        self._queue.append(Outgoing(encode, addresses, self._clock.now()))
         self._idle.clear()
-        self._wait()
+        if self._timer is None:
+            self._send_waiting()
 
     async def wait_until_idle(self) -> None:
         """Return once no datagrams wait for the link."""
@@ -144,27 +143,33 @@
             self._timer.cancel()
             self._timer = None
 
-    def _wait(self) -> None:
-        if self._timer is None and self._loop is not None:
-            self._timer = self._loop.call_later(
-                self._pace.wait_s(), self._send_waiting
-            )
-
     def _send_waiting(self) -> None:
         self._timer = None
         while self._queue:
-            data, address = self._queue[0]
-            if not self._pace.take(len(data)):
+            if not self._send_next(self._queue[0]):
                 self._wait()
                 return
             self._queue.popleft()
-            self._send(data, address)
         self._idle.set()
         on_idle = self.on_idle
         self.on_idle = None
         if on_idle is not None:
             on_idle()
 
+    def _send_next(self, outgoing: Outgoing) -> bool:
+        """Send what may leave now; return whether nothing is left."""
+        while outgoing.addresses:
+            data = outgoing.data(self._clock.now())
+            if not self._pace.take(len(data)):
+                return False
+            self._send(data, outgoing.addresses.popleft())
+        return True
+
+    def _wait(self) -> None:
+        if self._loop is not None:
+            wait_s = max(self._pace.wait_s(), MIN_WAIT_S)
+            self._timer = self._loop.call_later(wait_s, self._send_waiting)
+
     def _send(self, data: bytes, address: Address) -> None:
         if self._socket is None:
             return
--- a/packages/geranium-relay/src/geranium_relay/peer_exchange.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_exchange.py
@@ -3,11 +3,11 @@
 import asyncio
 import dataclasses
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import Protocol
 
 from .clock import BootClock, ClusterClock
-from .datagrams import Address, DatagramEndpoint
+from .datagrams import Address, DatagramEndpoint, Encode
 from .decision_log import DecisionLog
 from .messages import PeerIdentity
 from .peer_loads import PeerLoadRecorder
@@ -27,8 +27,8 @@
 class DatagramSender(Protocol):
     """Sends datagrams to addresses."""
 
-    def sendto(self, data: bytes, address: Address) -> None:
-        """Send a datagram."""
+    def send_all(self, encode: Encode, addresses: Iterable[Address]) -> None:
+        """Send a datagram to each address."""
         ...
 
 
@@ -189,9 +189,10 @@
     ) -> None:
         if self._transport is None or not recipients:
             return
-        datagram = encode_peer_update(update)
-        for peer in recipients:
-            self._transport.sendto(datagram, _split_address(peer.address))
+        self._transport.send_all(
+            lambda waited_s: encode_peer_update(update.aged(waited_s)),
+            [_split_address(peer.address) for peer in recipients],
+        )
 
     def _interval_s(self, topology: Topology) -> float:
         intervals = self._peers.intervals
--- a/packages/geranium-relay/src/geranium_relay/peer_updates.py
+++ b/packages/geranium-relay/src/geranium_relay/peer_updates.py
@@ -136,6 +136,25 @@
         """
         return min(now, self.waiting_since)
 
+    def aged(self, waited_s: float) -> 'PeerUpdate':
+        """Return the update as it is to be sent after it has waited."""
+        known = dataclasses.replace(
+            self.known,
+            catalogue_age_s=self.known.catalogue_age_s + waited_s,
+            targets_age_s=self.known.targets_age_s + waited_s,
+        )
+        crashes = tuple(
+            dataclasses.replace(crash, age_s=crash.age_s + waited_s)
+            for crash in self.crashes
+        )
+        return dataclasses.replace(
+            self,
+            unix_s=self.unix_s + waited_s,
+            known=known,
+            crashes=crashes,
+            report=None if self.report is None else self.report.aged(waited_s),
+        )
+
 
 @functools.lru_cache(maxsize=_HASH_CACHE_SIZE)
 def name_hash(name: str) -> int:
--- a/packages/geranium-relay/src/geranium_relay/zone_reports.py
+++ b/packages/geranium-relay/src/geranium_relay/zone_reports.py
@@ -56,6 +56,14 @@
     loads_sum: Mapping[int, TargetLoad]
     new_hosts: tuple[PeerIdentity, ...] = ()
 
+    def aged(self, waited_s: float) -> 'ZoneReport':
+        """Return the report as it is to be sent after it has waited."""
+        hosts = tuple(
+            dataclasses.replace(reported, age_s=reported.age_s + waited_s)
+            for reported in self.hosts
+        )
+        return dataclasses.replace(self, hosts=hosts)
+
 
 def encode_report(report: ZoneReport) -> dict[str, Any]:
     """Return a report as the struct of the Cap'n Proto schema."""
--- a/packages/geranium-relay/tests/fleet.py
+++ b/packages/geranium-relay/tests/fleet.py
@@ -1,6 +1,5 @@
 """Hosts that exchange peer updates over a network in memory."""
 
-import asyncio
 import heapq
 import itertools
 import random
@@ -9,6 +8,7 @@
 
 import geranium_relay as relay
 from geranium_policy.suspects import CrashNotice
+from geranium_relay.datagrams import Encode
 
 from .origins import make_origins
 
@@ -28,13 +28,16 @@
         return self.instant
 
 
-class FakeTransport(asyncio.DatagramTransport):
+class FakeTransport:
     def __init__(self, send: Send) -> None:
-        super().__init__()
         self._send = send
 
-    def sendto(self, data: bytes, addr: tuple[str, int]) -> None:
-        self._send(data, addr)
+    def send_all(
+        self, encode: Encode, addresses: Iterable[tuple[str, int]]
+    ) -> None:
+        datagram = encode(0)
+        for address in addresses:
+            self._send(datagram, address)
 
 
 class Node:
--- a/packages/geranium-relay/tests/test_paced_datagrams.py
+++ b/packages/geranium-relay/tests/test_paced_datagrams.py
@@ -20,8 +20,10 @@
     PaceSettings,
     SendPace,
 )
+from geranium_relay.zone_reports import HostReport, ZoneReport
 
 from .fleet import Clock, Fleet
+from .test_peer_updates import make_update
 
 IP = '127.0.0.1'
 REPORT_BYTES = 30_000
@@ -101,7 +103,9 @@
 
     def send(self, data: bytes) -> None:
         """Send a datagram to the inbox."""
-        self.endpoint.sendto(data, self.inbox.getsockname())
+        self.endpoint.send_all(
+            lambda _waited_s: data, [self.inbox.getsockname()]
+        )
 
     async def receive(self) -> bytes:
         """Return the next datagram."""
@@ -142,6 +146,38 @@
     assert len(received) < HOSTS
 
 
+async def test_datagram_that_waits_says_how_long(outbox: Outbox) -> None:
+    address = outbox.inbox.getsockname()
+    outbox.endpoint.send_all(
+        lambda waited_s: f'{waited_s} '.encode().ljust(REPORT_BYTES),
+        [address for _ in range(HOSTS)],
+    )
+
+    told_s = []
+    for _ in range(HOSTS):
+        datagram = await outbox.receive()
+        told_s.append(float(datagram.split()[0]))
+
+    assert told_s[0] == 0
+    assert told_s == sorted(told_s)
+    assert told_s[-1] > REPORT_BYTES * HOSTS / LINK_BYTES_PER_S
+
+
+def test_ages_in_an_update_grow_while_it_waits() -> None:
+    update = make_update()
+    reported = ZoneReport(
+        (HostReport(7, 1.5, ready=True, leaving=False),), {}, {}
+    )
+    waited = dataclasses.replace(update, report=reported).aged(2)
+
+    assert waited.unix_s == update.unix_s + 2
+    assert waited.known.catalogue_age_s == update.known.catalogue_age_s + 2
+    assert waited.known.targets_age_s == update.known.targets_age_s + 2
+    assert waited.crashes[0].age_s == update.crashes[0].age_s + 2
+    assert waited.report is not None
+    assert waited.report.hosts[0].age_s == 1.5 + 2
+
+
 class WeakFleet(Fleet):
     """Hosts with weak links."""
 
