--- a/packages/geranium-relay/tests/test_paced_datagrams.py
+++ b/packages/geranium-relay/tests/test_paced_datagrams.py
@@ -164,16 +164,20 @@
 
 
 def test_ages_in_an_update_grow_while_it_waits() -> None:
-    update = make_update()
-    reported = ZoneReport(
-        (HostReport(7, 1.5, ready=True, leaving=False),), {}, {}
+    update = dataclasses.replace(
+        make_update(),
+        crashes=(CrashNotice(1, 't@1', 0.5, cleared=False),),
+        report=ZoneReport(
+            (HostReport(7, 1.5, ready=True, leaving=False),), {}, {}
+        ),
     )
-    waited = dataclasses.replace(update, report=reported).aged(2)
+
+    waited = update.aged(2)
 
     assert waited.unix_s == update.unix_s + 2
     assert waited.known.catalogue_age_s == update.known.catalogue_age_s + 2
     assert waited.known.targets_age_s == update.known.targets_age_s + 2
-    assert waited.crashes[0].age_s == update.crashes[0].age_s + 2
+    assert waited.crashes[0].age_s == 0.5 + 2
     assert waited.report is not None
     assert waited.report.hosts[0].age_s == 1.5 + 2
 
